--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Build and test targets. Each installs what it needs through the Go tool chain.
+
+GO ?= go
+BIN := bin
+
+.PHONY: all build test race lint fmt-check demo measure slopes faults model clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+fmt-check:
+	@out="$$(gofmt -l cmd internal test)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint: fmt-check
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/gooseberrytide/main.go
@@ -0,0 +1,4 @@
+// Command gooseberrytide is the operator tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/gooseberrytided/main.go
@@ -0,0 +1,4 @@
+// Command gooseberrytided is the router daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/state/ident/doc.go
@@ -0,0 +1,2 @@
+// Package ident defines the typed identifiers that all layers share.
+package ident
