--- /dev/null
+++ b/internal/state/timeline/event.go
@@ -0,0 +1,44 @@
+package timeline
+
+import "gooseberrytide.example/gooseberrytide/internal/state/ident"
+
+// Kind says what happened.
+type Kind string
+
+// The kinds of events.
+const (
+	KindRequest     Kind = "request"
+	KindEnqueue     Kind = "enqueue"
+	KindGrant       Kind = "grant"
+	KindGrantUnused Kind = "grant-unused"
+	KindReject      Kind = "reject"
+	KindRedirect    Kind = "redirect"
+	KindSettle      Kind = "settle"
+	KindOutcome     Kind = "outcome"
+	KindMember      Kind = "member"
+	KindOwner       Kind = "owner"
+	KindGeneration  Kind = "generation"
+	KindServing     Kind = "serving"
+	KindOrder       Kind = "order"
+	KindDrain       Kind = "drain"
+	KindGap         Kind = "gap"
+)
+
+// Stamp is a hybrid logical time: microseconds since the Unix epoch, at least as high as any stamp seen before.
+type Stamp uint64
+
+// Event is an entry of a time line. Fields that do not apply are empty.
+type Event struct {
+	Seq        uint64           `json:"seq"`
+	Stamp      Stamp            `json:"stamp"`
+	Router     ident.RouterID   `json:"router"`
+	Kind       Kind             `json:"kind"`
+	Request    string           `json:"request,omitempty"`
+	Attempt    uint32           `json:"attempt,omitempty"`
+	Team       ident.TeamID     `json:"team,omitempty"`
+	Shard      string           `json:"shard,omitempty"`
+	Backend    ident.BackendID  `json:"backend,omitempty"`
+	Peer       ident.RouterID   `json:"peer,omitempty"`
+	Generation ident.Generation `json:"generation,omitempty"`
+	Detail     string           `json:"detail,omitempty"`
+}
