--- /dev/null
+++ b/internal/coordination/dispatch/answers.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
+)
+
+// HandleGrant takes a grant from a dispatcher. A grant for a request that no longer waits is returned unused,
+// except a repeated grant of the attempt that runs.
+func (i *Ingress) HandleGrant(from ident.RouterID, m *message.Grant) {
+	if !i.own(m.Ref) {
+		return
+	}
+	routes := i.routes.Load()
+	server, known := routes.Servers[m.Backend]
+	t := i.table(m.Ref)
+	t.mu.Lock()
+	w, waiting := t.waiting[m.Ref]
+	running := t.running[m.Ref]
+	if !waiting || !known {
+		t.mu.Unlock()
+		i.returnGrant(from, m, running)
+		return
+	}
+	delete(t.waiting, m.Ref)
+	a := i.newAttempt(w, from, m)
+	a.server = server
+	t.running[m.Ref] = a
+	t.mu.Unlock()
+	i.lags.set(w.work.Team, m.Shard, m.Lag)
+	i.opts.Events.Add(timeline.Event{
+		Kind:       timeline.KindGrant,
+		Request:    m.Ref.Request.String(),
+		Attempt:    m.Ref.Attempt,
+		Team:       w.work.Team,
+		Shard:      m.Shard.String(),
+		Backend:    m.Backend,
+		Peer:       from,
+		Generation: m.Generation,
+	})
+	w.result <- admission{attempt: a}
+}
+
+// newAttempt makes the attempt of a grant. The grant's sender counts it, also when the ingress has since learnt of
+// another dispatcher; the next Update reports it there.
+func (i *Ingress) newAttempt(w *waiter, from ident.RouterID, m *message.Grant) *attempt {
+	return &attempt{
+		ingress: i,
+		work:    w.work,
+		shard:   m.Shard,
+		fence:   m.Fence,
+		started: time.Now(),
+		owner:   Owner{Router: from, Incarnation: ident.Incarnation(m.Fence)},
+	}
+}
+
+// returnGrant settles a late grant as unused.
+func (i *Ingress) returnGrant(from ident.RouterID, m *message.Grant, running *attempt) {
+	if running != nil && running.fence == m.Fence && running.shard == m.Shard {
+		return
+	}
+	i.opts.Events.Add(timeline.Event{
+		Kind:    timeline.KindGrantUnused,
+		Request: m.Ref.Request.String(),
+		Attempt: m.Ref.Attempt,
+		Shard:   m.Shard.String(),
+		Backend: m.Backend,
+		Peer:    from,
+	})
+	i.send(from, &message.Settle{Shard: m.Shard, Ref: m.Ref, Result: message.SettleUnused})
+}
+
+// HandleReject takes a refusal. A dispatcher that is not the owner is asked again after a delay, by then with a
+// newer view on one of the two sides.
+func (i *Ingress) HandleReject(from ident.RouterID, m *message.Reject) {
+	if !i.own(m.Ref) {
+		return
+	}
+	t := i.table(m.Ref)
+	t.mu.Lock()
+	w, ok := t.waiting[m.Ref]
+	if !ok || w.owner.Router != from || w.shard != m.Shard {
+		t.mu.Unlock()
+		return
+	}
+	if m.Reason == message.RejectNotOwner {
+		w.owner = Owner{}
+		w.notBefore = time.Now().Add(notOwnerDelay)
+		t.mu.Unlock()
+		return
+	}
+	delete(t.waiting, m.Ref)
+	t.mu.Unlock()
+	i.count.Add(-1)
+	i.record(timeline.KindReject, w, from, m.Reason.String())
+	w.result <- admission{err: &NotAdmittedError{
+		Reason:     rejectReasons[m.Reason],
+		RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
+	}}
+}
+
+// rejectReasons maps a dispatcher's reason to the caller's.
+var rejectReasons = map[message.RejectReason]NotAdmittedReason{
+	message.RejectQueueFull: NotAdmittedQueueFull,
+	message.RejectDeadline:  NotAdmittedDeadline,
+	message.RejectNoBackend: NotAdmittedNoBackend,
+}
+
+// HandleRedirect moves a waiting request to another shard of its pool.
+func (i *Ingress) HandleRedirect(from ident.RouterID, m *message.Redirect) {
+	if !i.own(m.Ref) {
+		return
+	}
+	t := i.table(m.Ref)
+	t.mu.Lock()
+	w, ok := t.waiting[m.Ref]
+	if !ok || w.owner.Router != from || w.shard != m.Shard {
+		t.mu.Unlock()
+		return
+	}
+	w.shard.Index = m.To
+	w.redirect = true
+	enqueue, to := i.prepareEnqueue(w, i.routes.Load(), time.Now())
+	t.mu.Unlock()
+	i.record(timeline.KindRedirect, w, to, "")
+	i.sendEnqueue(to, enqueue)
+}
+
+// own reports whether a reference belongs to this process. Messages for an earlier process of the same router are
+// late and have no effect.
+func (i *Ingress) own(ref ident.AttemptRef) bool {
+	return ref.Request.Router == i.opts.Self && ref.Request.Incarnation == i.opts.Incarnation
+}
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -136,3 +136,9 @@
 	// Count is the number of free slots that this sibling may fill.
 	Count uint16 `cbor:"3,keyasint"`
 }
+
+// Takeover tells ingress routers that the sender has become the dispatcher of a shard with an empty state. They
+// answer with what they hold for the shard.
+type Takeover struct {
+	Shard ident.ShardID `cbor:"1,keyasint"`
+}
--- a/internal/coordination/message/union.go
+++ b/internal/coordination/message/union.go
@@ -15,3 +15,4 @@
 func (*Settle) isMessage()       {}
 func (*ServiceDelta) isMessage() {}
 func (*FreeSlots) isMessage()    {}
+func (*Takeover) isMessage()     {}
--- /dev/null
+++ b/internal/daemon/settings_test.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/multierr"
+)
+
+const goodSettings = `{
+  "id": "r1", "failure_domain": "north",
+  "peer_listen": "127.0.0.1:0", "caller_listen": "127.0.0.1:0",
+  "shared_key": "0123456789abcdef",
+  "store_endpoints": ["http://127.0.0.1:2379"], "vm_list_url": "http://127.0.0.1:2380",
+  "operator_token_hash": "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+}`
+
+func writeSettings(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against defaults that are missing after a valid file was read.
+func TestReadSettingsProvisionsDefaults(t *testing.T) {
+	s, err := ReadSettings(writeSettings(t, goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.LogLevel != "info" || s.PeerAdvertise != s.PeerListen || s.DrainLimit() != defaultDrainLimit {
+		t.Fatalf("defaults missing: %+v", s)
+	}
+}
+
+// Guards against reports that stop at the first mistake or leave out the field.
+func TestReadSettingsReportsAllFindings(t *testing.T) {
+	bad := strings.NewReplacer(`"r1"`, `"R 1"`, `"127.0.0.1:0", "caller`, `"localhost", "caller`, "0123456789abcdef", "short").Replace(goodSettings)
+	_, err := ReadSettings(writeSettings(t, bad))
+	findings := multierr.Errors(err)
+	if len(findings) != 4 {
+		t.Fatalf("want findings for id, peer_listen, peer_advertise and shared_key, got %v", err)
+	}
+	for _, field := range []string{": id: ", ": peer_listen: ", ": peer_advertise: ", ": shared_key: "} {
+		if !strings.Contains(err.Error(), field) {
+			t.Errorf("no finding for %q in %v", field, err)
+		}
+	}
+	if strings.Contains(err.Error(), "short") {
+		t.Error("the shared key is in the report")
+	}
+}
+
+// Guards against misspelt settings that are ignored without a word.
+func TestReadSettingsRefusesUnknownFields(t *testing.T) {
+	_, err := ReadSettings(writeSettings(t, strings.Replace(goodSettings, `"id"`, `"drain_limit": 3, "id"`, 1)))
+	if err == nil || !strings.Contains(err.Error(), "drain_limit") {
+		t.Fatalf("got %v", err)
+	}
+}
