--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,271 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/multierr"
+
+	"gooseberrytide.example/gooseberrytide/internal/daemon"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+)
+
+// OperatorToken is the operators' token in a test fleet.
+const OperatorToken = "operator-token-of-the-test-fleet"
+
+// readyLimit bounds the wait for routers to serve.
+const readyLimit = 60 * time.Second
+
+// Options says where programs are found and where logs go.
+type Options struct {
+	// BinDir holds gooseberrytided, gooseberrytide and standin.
+	BinDir string
+	// Dir holds settings and logs.
+	Dir string
+	// Isolated gives each router a VM list that names only itself, so that each router queues alone.
+	Isolated bool
+	// Settings changes the settings of a router before it starts.
+	Settings func(s *daemon.Settings)
+	// StoreArgs and VMListArgs are further arguments of the stand-ins.
+	StoreArgs  []string
+	VMListArgs []string
+}
+
+// Backend is a started stand-in of a backend server.
+type Backend struct {
+	*Process
+	Address string
+	Object  *object.BackendServer
+}
+
+// Router is a started router.
+type Router struct {
+	*Process
+	ID     string
+	Domain string
+	Peer   string
+	Caller string
+}
+
+// Fleet is a set of started processes.
+type Fleet struct {
+	Shape    Shape
+	Options  Options
+	Store    *Process
+	StoreURL string
+	VMLists  []*Process
+	VMURLs   []string
+	Engines  []*Backend
+	Services []*Backend
+	Routers  []*Router
+	Set      *object.Set
+}
+
+type listenLine struct {
+	Listen string `json:"listen"`
+}
+
+type routerLine struct {
+	Peer   string `json:"peer"`
+	Caller string `json:"caller"`
+}
+
+// Start starts the stand-ins and the routers, publishes the configuration, and waits until all routers serve.
+func Start(ctx context.Context, shape Shape, opts Options) (*Fleet, error) {
+	f := &Fleet{Shape: shape, Options: opts, Set: shape.objects()}
+	steps := []func(context.Context) error{
+		f.startPlatform,
+		f.startEngines,
+		f.startServices,
+		f.startRouters,
+		f.publish,
+		f.AwaitServing,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	store, address, err := f.startStandin(ctx, "store", "kvstore", f.Options.StoreArgs)
+	if err != nil {
+		return err
+	}
+	f.Store, f.StoreURL = store, "http://"+address
+	lists := 1
+	if f.Options.Isolated {
+		lists = f.Shape.Routers
+	}
+	for n := range lists {
+		p, address, err := f.startStandin(ctx, fmt.Sprintf("vmlist%d", n), "vmlist", f.Options.VMListArgs)
+		if err != nil {
+			return err
+		}
+		f.VMLists = append(f.VMLists, p)
+		f.VMURLs = append(f.VMURLs, "http://"+address)
+	}
+	return nil
+}
+
+func (f *Fleet) startStandin(ctx context.Context, name, kind string, extra []string) (*Process, string, error) {
+	var line listenLine
+	args := append([]string{kind, "--listen", "127.0.0.1:0"}, extra...)
+	p, err := startProcess(ctx, f.Options.Dir, name, filepath.Join(f.Options.BinDir, "standin"), args, &line)
+	return p, line.Listen, err
+}
+
+func (f *Fleet) startEngines(ctx context.Context) error {
+	n := 0
+	for _, model := range f.Shape.Models {
+		for k := range model.Engines {
+			server := &object.BackendServer{
+				Name:          fmt.Sprintf("%s-engine%d", model.Name, k+1),
+				Kind:          object.BackendModelEngine,
+				FailureDomain: f.Shape.domain(n),
+				Model:         model.Name,
+				Slots:         model.Slots,
+			}
+			args := append([]string{"--slots", strconv.Itoa(model.Slots)}, model.Args...)
+			backend, err := f.startBackend(ctx, server, "engine", args)
+			if err != nil {
+				return err
+			}
+			f.Engines = append(f.Engines, backend)
+			n++
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startServices(ctx context.Context) error {
+	n := 0
+	for _, service := range f.Shape.Services {
+		for k := range service.Instances {
+			server := &object.BackendServer{
+				Name:          fmt.Sprintf("%s-instance%d", service.Name, k+1),
+				Kind:          object.BackendService,
+				FailureDomain: f.Shape.domain(n),
+				Service:       service.Name,
+				Slots:         service.Slots,
+				Deduplicates:  service.Deduplicates,
+			}
+			backend, err := f.startBackend(ctx, server, "service", service.Args)
+			if err != nil {
+				return err
+			}
+			f.Services = append(f.Services, backend)
+			n++
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startBackend(ctx context.Context, server *object.BackendServer, kind string, args []string) (*Backend, error) {
+	p, address, err := f.startStandin(ctx, server.Name, kind, args)
+	if err != nil {
+		return nil, err
+	}
+	server.Address = address
+	f.Set.BackendServers[server.Name] = server
+	return &Backend{Process: p, Address: address, Object: server}, nil
+}
+
+func (f *Fleet) startRouters(ctx context.Context) error {
+	for n := range f.Shape.Routers {
+		r, err := f.StartRouter(ctx, n)
+		if err != nil {
+			return err
+		}
+		f.Routers = append(f.Routers, r)
+	}
+	return f.PublishVMs(ctx)
+}
+
+// StartRouter starts the n-th router. A restarted router listens on new ports; PublishVMs makes them known.
+func (f *Fleet) StartRouter(ctx context.Context, n int) (*Router, error) {
+	list := f.VMURLs[0]
+	if f.Options.Isolated {
+		list = f.VMURLs[n]
+	}
+	s := &daemon.Settings{
+		ID:                routerName(n),
+		FailureDomain:     f.Shape.domain(n),
+		PeerListen:        "127.0.0.1:0",
+		CallerListen:      "127.0.0.1:0",
+		SharedKey:         "shared-key-of-the-test-fleet",
+		StoreEndpoints:    []string{f.StoreURL},
+		VMListURL:         list,
+		OperatorTokenHash: hash(OperatorToken),
+	}
+	if f.Options.Settings != nil {
+		f.Options.Settings(s)
+	}
+	path := filepath.Join(f.Options.Dir, s.ID+".json")
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	var line routerLine
+	program := filepath.Join(f.Options.BinDir, "gooseberrytided")
+	p, err := startProcess(ctx, f.Options.Dir, s.ID, program, []string{"--settings", path}, &line)
+	if err != nil {
+		return nil, err
+	}
+	return &Router{Process: p, ID: s.ID, Domain: s.FailureDomain, Peer: line.Peer, Caller: line.Caller}, nil
+}
+
+// Stop ends all processes.
+func (f *Fleet) Stop() {
+	for _, p := range f.processes() {
+		// A paused process ends on SIGKILL too.
+		p.Kill()
+	}
+}
+
+func (f *Fleet) processes() []*Process {
+	var all []*Process
+	for _, r := range f.Routers {
+		all = append(all, r.Process)
+	}
+	for _, b := range append(f.Engines, f.Services...) {
+		all = append(all, b.Process)
+	}
+	all = append(all, f.VMLists...)
+	if f.Store != nil {
+		all = append(all, f.Store)
+	}
+	return all
+}
+
+// TerminateRouters shuts all routers down gracefully.
+func (f *Fleet) TerminateRouters(limit time.Duration) error {
+	results := make(chan error, len(f.Routers))
+	for _, r := range f.Routers {
+		go func() { results <- r.Terminate(limit) }()
+	}
+	var err error
+	for range f.Routers {
+		err = multierr.Append(err, <-results)
+	}
+	return err
+}
+
+// Pause suspends a process.
+func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+
+// Resume lets a suspended process go on.
+func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
--- /dev/null
+++ b/test/fleet/process.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// startLimit bounds the wait for a process to report its addresses.
+const startLimit = 30 * time.Second
+
+// Process is a started program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	err  error
+}
+
+// startProcess starts a program and decodes its first line of output into ready. The rest of its output and its log
+// go to NAME.log in dir.
+func startProcess(ctx context.Context, dir, name, program string, args []string, ready any) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stderr = log
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "open output")
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan struct{})}
+	lines := make(chan []byte, 1)
+	go p.collect(bufio.NewReader(out), lines)
+	if err := p.awaitReady(ctx, lines, ready); err != nil {
+		p.Kill()
+		return nil, errors.Wrapf(err, "%s: see %s", name, log.Name())
+	}
+	return p, nil
+}
+
+// collect passes on the first line of output, copies the rest to the log, and waits for the end of the process.
+func (p *Process) collect(out *bufio.Reader, lines chan<- []byte) {
+	first, _ := out.ReadBytes('\n')
+	lines <- first
+	// The log is best effort: a full disk must not stop the process.
+	_, _ = out.WriteTo(p.log)
+	p.err = p.cmd.Wait()
+	_ = p.log.Close()
+	close(p.done)
+}
+
+func (p *Process) awaitReady(ctx context.Context, lines <-chan []byte, ready any) error {
+	timer := time.NewTimer(startLimit)
+	defer timer.Stop()
+	select {
+	case line := <-lines:
+		return errors.Wrapf(json.Unmarshal(line, ready), "first line %q", line)
+	case <-timer.C:
+		return errors.New("no address reported")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// PID returns the process number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal. A process that has ended ignores it.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Terminate asks for a graceful shutdown and waits for the end. It returns the exit error, or an error when the limit
+// passes first.
+func (p *Process) Terminate(limit time.Duration) error {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return errors.Wrap(p.err, p.Name)
+	case <-time.After(limit):
+		return errors.Errorf("%s: still running %v after SIGTERM", p.Name, limit)
+	}
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
