Add the scheduler of a shard and shard ownership

Cause: dispatch needs a decision core and owners of shards to integrate against. Conclusion: usable; the policies still lack focused tests.

--- /dev/null
+++ b/internal/coordination/ownership/ownership.go
@@ -0,0 +1,64 @@
+package ownership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// candidate is a member with its score for a key.
+type candidate struct {
+	member int
+	score  uint64
+}
+
+// score ranks a member for a key, both given as hashes.
+func score(key, member uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], key)
+	binary.LittleEndian.PutUint64(buf[8:], member)
+	return xxhash.Sum64(buf[:])
+}
+
+// compare orders candidates from best to worst. Members are sorted by name, so equal scores go to the first name.
+func compare(a, b candidate) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member, b.member))
+}
+
+// scores ranks all members for a key.
+func scores(key uint64, members []uint64) []candidate {
+	list := make([]candidate, len(members))
+	for i, m := range members {
+		list[i] = candidate{member: i, score: score(key, m)}
+	}
+	return list
+}
+
+// normalise returns the distinct members by name, and their hashes.
+func normalise(members []ident.RouterID) ([]ident.RouterID, []uint64) {
+	names := slices.Clone(members)
+	slices.Sort(names)
+	names = slices.Compact(names)
+	hashes := make([]uint64, len(names))
+	for i, m := range names {
+		hashes[i] = xxhash.Sum64String(string(m))
+	}
+	return names, hashes
+}
+
+// Top returns the n best members for a key, best first. The order of members has no effect.
+func Top(key string, members []ident.RouterID, n int) []ident.RouterID {
+	names, hashes := normalise(members)
+	list := scores(xxhash.Sum64String(key), hashes)
+	slices.SortFunc(list, compare)
+	list = list[:max(min(n, len(list)), 0)]
+	top := make([]ident.RouterID, len(list))
+	for i, c := range list {
+		top[i] = names[c.member]
+	}
+	return top
+}
--- /dev/null
+++ b/internal/coordination/scheduler/backend.go
@@ -0,0 +1,183 @@
+package scheduler
+
+import "time"
+
+// health is the circuit state of a backend server.
+type health uint8
+
+const (
+	healthUp health = iota
+	// healthEjected gets no work until its next probe is due, and then one request at a time.
+	healthEjected
+)
+
+// backend is the in-flight account of a backend server.
+type backend struct {
+	Backend
+	// index is the position in the scheduler's list; -1 when the configuration no longer lists it.
+	index   int
+	running int
+
+	// reportedSlots is 0 until a valid report came.
+	reportedSlots int
+	waiting       int
+	reportedAt    time.Duration
+	reported      bool
+
+	// ramp bounds a fresh or returning backend server; 0 means no bound.
+	ramp int
+	// ceiling is the in-flight number learned from refusals; 0 means no bound.
+	ceiling float64
+
+	health     health
+	failures   int
+	probeAt    time.Duration
+	probeDelay time.Duration
+	// probe is the request that tests an ejected backend server.
+	probe *request
+
+	// limit is the in-flight limit at the last refresh.
+	limit int
+	// cacheEpoch invalidates the hints recorded before the cache was cleared.
+	cacheEpoch uint32
+}
+
+func newBackend(b Backend) *backend {
+	return &backend{Backend: b, ramp: rampStart}
+}
+
+// fresh says whether the last load report may still be used.
+func (b *backend) fresh(now time.Duration) bool {
+	return b.reported && now < b.reportedAt+reportStale
+}
+
+// base is the limit from slots alone. One request more than the reported slots keeps the batch full over one round trip.
+func (b *backend) base(now time.Duration) int {
+	switch {
+	case b.fresh(now):
+		return max(b.reportedSlots, 0) + 1
+	case b.Slots > 0:
+		return b.Slots
+	case b.reportedSlots > 0:
+		return b.reportedSlots
+	default:
+		return unknownSlots
+	}
+}
+
+// limitAt returns the number of requests that may run at once.
+func (b *backend) limitAt(now time.Duration) int {
+	if b.index < 0 || b.Draining {
+		return 0
+	}
+	if b.health == healthEjected {
+		return b.probeLimit(now)
+	}
+	limit := b.base(now)
+	if b.fresh(now) && b.waiting > 1 {
+		limit -= b.waiting - 1
+	}
+	if b.ceiling > 0 {
+		limit = min(limit, int(b.ceiling))
+	}
+	if b.ramp > 0 {
+		limit = min(limit, b.ramp)
+	}
+	return max(limit, 1)
+}
+
+func (b *backend) probeLimit(now time.Duration) int {
+	if now < b.probeAt || b.probe != nil {
+		return 0
+	}
+	return b.running + 1
+}
+
+// available says whether the backend server may get another request.
+func (b *backend) available() bool { return b.running < b.limit }
+
+// report takes in a load report unless it is absurd or contradicts the requests in flight.
+func (b *backend) report(now time.Duration, r LoadReport) {
+	if r.Slots < 0 || r.Running < 0 || r.Waiting < 0 {
+		return
+	}
+	if r.Slots == 0 && r.Running == 0 && b.running > 0 {
+		return
+	}
+	if b.absurd(r) {
+		return
+	}
+	b.reported = true
+	b.reportedAt = now
+	b.reportedSlots = r.Slots
+	b.waiting = r.Waiting
+	if b.ramp > 0 && r.Running > b.ramp {
+		b.ramp = r.Running
+	}
+}
+
+func (b *backend) absurd(r LoadReport) bool {
+	if r.Slots > maxReportedSlots {
+		return true
+	}
+	if b.Slots > 0 && r.Slots > absurdFactor*b.Slots {
+		return true
+	}
+	return r.Running > absurdFactor*max(r.Slots, b.Slots, unknownSlots)
+}
+
+// succeeded records a complete answer.
+func (b *backend) succeeded(now time.Duration) {
+	b.failures = 0
+	if b.health == healthEjected {
+		b.comeBack()
+		return
+	}
+	if b.ramp > 0 {
+		b.ramp *= 2
+		if b.ramp >= b.base(now) {
+			b.ramp = 0
+		}
+	}
+	b.raiseCeiling(now)
+}
+
+// raiseCeiling probes for capacity again: about one more request per round of answers.
+func (b *backend) raiseCeiling(now time.Duration) {
+	if b.ceiling == 0 {
+		return
+	}
+	b.ceiling += 1 / b.ceiling
+	if b.ceiling >= float64(b.base(now)) {
+		b.ceiling = 0
+	}
+}
+
+// comeBack closes the circuit after a successful probe.
+func (b *backend) comeBack() {
+	b.health = healthUp
+	b.failures = 0
+	b.probeDelay = 0
+	b.ceiling = 0
+	b.ramp = rampStart
+}
+
+// refused records a refused or failed connection. running is the number of requests in flight, this one included.
+func (b *backend) refused(now time.Duration, running int) {
+	b.failures++
+	if b.health == healthEjected {
+		b.postponeProbe(now)
+		return
+	}
+	if b.failures >= ejectFailures {
+		b.health = healthEjected
+		b.postponeProbe(now)
+		return
+	}
+	b.ceiling = max(1, float64(running-1))
+}
+
+func (b *backend) postponeProbe(now time.Duration) {
+	b.probeDelay = min(max(2*b.probeDelay, probeDelayMin), probeDelayMax)
+	b.probeAt = now + b.probeDelay
+}
--- /dev/null
+++ b/internal/coordination/scheduler/stats.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// StatsTeams bounds the teams listed in Stats.
+const StatsTeams = 20
+
+// Stats describes a scheduler at the time of its last event.
+type Stats struct {
+	Shard  ident.ShardID
+	Queued int
+	// Running counts granted attempts that are neither settled nor released.
+	Running int
+	// Limit is the sum of the in-flight limits.
+	Limit int
+	// Served is the reported cost of all teams, in cost units.
+	Served ident.Cost
+	// KnownTeams and BackloggedTeams count teams. A backlogged team has eligible queued work.
+	KnownTeams      int
+	BackloggedTeams int
+	// Teams lists the teams with the longest queues, at most StatsTeams.
+	Teams    []TeamStats
+	Backends []BackendStats
+	// Gap is the largest difference between the counters of two backlogged teams, in weighted cost units.
+	Gap float64
+	// Bound is the gap that the policy allows for the largest cost and charge error seen and the lowest weight of a
+	// backlogged team, in weighted cost units.
+	Bound float64
+}
+
+// TeamStats describes a team.
+type TeamStats struct {
+	Team    ident.TeamID
+	Queued  int
+	Running int
+	// Served is the reported cost, in cost units.
+	Served ident.Cost
+	// Counter is the virtual counter, in weighted cost units.
+	Counter float64
+}
+
+// BackendStats describes a backend server.
+type BackendStats struct {
+	Backend ident.BackendID
+	Limit   int
+	Running int
+	Ejected bool
+}
+
+// totals are sums and extremes over all teams.
+type totals struct {
+	queued  int
+	running int
+	served  ident.Cost
+	// maxCost and maxError are the largest cost and charge error of an attempt.
+	maxCost   ident.Cost
+	maxError  ident.Cost
+	meanCost  float64
+	meanRunMS float64
+}
+
+// observe takes in the cost of an attempt that was granted here.
+func (c *totals) observe(r *request, cost ident.Cost) {
+	c.maxCost = max(c.maxCost, cost, r.estimate)
+	c.maxError = max(c.maxError, cost-r.estimate, r.estimate-cost)
+}
+
+// Stats returns the current state. Its cost grows with the number of teams.
+func (s *Scheduler) Stats() Stats {
+	st := Stats{
+		Shard:           s.opts.Shard,
+		Queued:          s.totals.queued,
+		Running:         s.totals.running,
+		Served:          s.totals.served,
+		KnownTeams:      len(s.teams),
+		BackloggedTeams: len(s.fair),
+		Teams:           s.longestQueues(),
+	}
+	for _, b := range s.backends {
+		limit := b.limitAt(s.now)
+		st.Limit += limit
+		st.Backends = append(st.Backends, BackendStats{
+			Backend: b.ID, Limit: limit, Running: b.running, Ejected: b.health == healthEjected,
+		})
+	}
+	st.Gap, st.Bound = s.gap(st.Limit)
+	return st
+}
+
+// Team returns the state of one team.
+func (s *Scheduler) Team(id ident.TeamID) (TeamStats, bool) {
+	t := s.teams[id]
+	if t == nil {
+		return TeamStats{}, false
+	}
+	return t.stats(), true
+}
+
+func (t *team) stats() TeamStats {
+	return TeamStats{Team: t.id, Queued: t.queued(), Running: t.running, Served: t.served, Counter: t.counter()}
+}
+
+func (s *Scheduler) longestQueues() []TeamStats {
+	var list []TeamStats
+	for _, t := range s.teams {
+		if t.queued() > 0 || t.running > 0 {
+			list = append(list, t.stats())
+		}
+	}
+	slices.SortFunc(list, func(a, b TeamStats) int {
+		return cmp.Or(cmp.Compare(b.Queued, a.Queued), cmp.Compare(b.Running, a.Running), cmp.Compare(a.Team, b.Team))
+	})
+	return list[:min(len(list), StatsTeams)]
+}
+
+// gap returns the largest counter difference of backlogged teams, and its bound.
+func (s *Scheduler) gap(limit int) (gap, bound float64) {
+	if len(s.fair) == 0 {
+		return 0, 0
+	}
+	high, weight := s.fair[0].counter, s.fair[0].team.weight
+	for i := range s.fair {
+		high = max(high, s.fair[i].counter)
+		weight = min(weight, s.fair[i].team.weight)
+	}
+	inFlight := float64(max(limit, s.totals.running))
+	bound = 2 * (float64(s.totals.maxCost) + inFlight*float64(s.totals.maxError))
+	bound += float64(s.siblings-1) * float64(Quantum)
+	return high - s.fair[0].counter, bound / weight
+}
