Add peer codec, authenticated links and failure detector

Cause: routers need a way to find and talk to each other. Change: CBOR frames with names and references left out where the connection implies them; TCP links with mutual HMAC handshake, frames and JSON-RPC; SWIM-style failure detector with explicit time.

--- /dev/null
+++ b/internal/coordination/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry chooses the entry addresses that callers connect to.
+package entry
--- /dev/null
+++ b/internal/coordination/membership/gossip.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// gossipFactor times log2 of the members is how often an update is passed on; 3 reaches all members with high probability.
+const gossipFactor = 3
+
+// announce passes a row on with the next packets.
+func (d *Detector) announce(r *row) {
+	r.gossip = gossipFactor * (bits.Len(uint(len(d.order))) + 1)
+	d.changed = true
+}
+
+// packet builds a packet with updates for the receiver.
+func (d *Detector) packet(now time.Duration, kind Kind, seq uint32, to *row) Packet {
+	p := Packet{Kind: kind, Seq: seq, From: d.self.Member, Joining: d.stale}
+	// A receiver that others doubt must hear it first, to refute.
+	if to.known && (to.State != Alive || to.behind) {
+		p.Updates = append(p.Updates, d.update(now, to))
+	}
+	p.Updates = d.news(now, p.Updates, to)
+	p.Updates = d.fill(now, p.Updates, to, min(len(p.Updates)+fillers, MaxUpdates))
+	return p
+}
+
+// news appends the rows that were passed on least so far.
+func (d *Detector) news(now time.Duration, list []Update, to *row) []Update {
+	var fresh []*row
+	for _, r := range d.order {
+		if r.gossip > 0 && r != d.self && r != to && r.known {
+			fresh = append(fresh, r)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b *row) int { return b.gossip - a.gossip })
+	for _, r := range fresh {
+		if len(list) >= MaxUpdates {
+			break
+		}
+		r.gossip--
+		list = append(list, d.update(now, r))
+	}
+	return list
+}
+
+// fill appends random live rows until the list has n entries.
+func (d *Detector) fill(now time.Duration, list []Update, to *row, n int) []Update {
+	start := d.rand.IntN(len(d.order))
+	for i := range d.order {
+		if len(list) >= n {
+			break
+		}
+		r := d.order[(start+i)%len(d.order)]
+		if r == d.self || r == to || !r.known || !r.State.Live() || contains(list, r) {
+			continue
+		}
+		list = append(list, d.update(now, r))
+	}
+	return list
+}
+
+// contains reports whether the list has an update about the row.
+func contains(list []Update, r *row) bool {
+	return slices.ContainsFunc(list, func(u Update) bool { return u.Member.ID == r.ID })
+}
+
+// update states what this router knows of a member.
+func (d *Detector) update(now time.Duration, r *row) Update {
+	u := Update{Member: r.Member}
+	if r.State == Suspect {
+		u.SuspectMS = uint32(max(now-r.since, 0) / time.Millisecond)
+	}
+	return u
+}
+
+// Leave announces that this router stops on purpose. Others remove it at once.
+func (d *Detector) Leave(now time.Duration) []Outbound {
+	d.self.State = Left
+	d.announce(d.self)
+	var out []Outbound
+	for _, r := range d.helpers("", leaveFanout) {
+		d.seq++
+		out = append(out, Outbound{To: r.ID, Packet: d.packet(now, Ping, d.seq, r)})
+	}
+	d.settle()
+	return out
+}
--- /dev/null
+++ b/internal/protocol/peer/envelope.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// Envelope holds exactly one message.
+type Envelope struct {
+	Enqueue      *message.Enqueue
+	Running      *message.Running
+	Cancel       *message.Cancel
+	Grant        *message.Grant
+	Reject       *message.Reject
+	Redirect     *message.Redirect
+	Progress     *message.Progress
+	Settle       *message.Settle
+	ServiceDelta *message.ServiceDelta
+	FreeSlots    *message.FreeSlots
+	Membership   *membership.Packet
+}
+
+// Class groups messages for the statistics. Its value is the message's key on the wire.
+type Class uint8
+
+// The classes of messages. ClassLink counts handshakes and frame headers, ClassRPC counts JSON-RPC.
+const (
+	ClassLink Class = iota
+	ClassEnqueue
+	ClassRunning
+	ClassCancel
+	ClassGrant
+	ClassReject
+	ClassRedirect
+	ClassProgress
+	ClassSettle
+	ClassServiceDelta
+	ClassFreeSlots
+	ClassMembership
+	ClassRPC
+	// Classes is the number of classes.
+	Classes
+)
+
+// classNames are the names in statistics and in the places of errors.
+var classNames = [Classes]string{
+	"link", "enqueue", "running", "cancel", "grant", "reject", "redirect", "progress", "settle", "service-delta",
+	"free-slots", "membership", "rpc",
+}
+
+// String returns the class's name.
+func (c Class) String() string {
+	if c < Classes {
+		return classNames[c]
+	}
+	return "unknown"
+}
+
+// Class returns the class of the message, or ClassLink when the envelope is empty.
+func (e Envelope) Class() Class {
+	switch {
+	case e.Enqueue != nil:
+		return ClassEnqueue
+	case e.Running != nil:
+		return ClassRunning
+	case e.Cancel != nil:
+		return ClassCancel
+	case e.Grant != nil:
+		return ClassGrant
+	case e.Reject != nil:
+		return ClassReject
+	case e.Redirect != nil:
+		return ClassRedirect
+	case e.Progress != nil:
+		return ClassProgress
+	case e.Settle != nil:
+		return ClassSettle
+	case e.ServiceDelta != nil:
+		return ClassServiceDelta
+	case e.FreeSlots != nil:
+		return ClassFreeSlots
+	case e.Membership != nil:
+		return ClassMembership
+	}
+	return ClassLink
+}
+
+// count returns how many messages the envelope holds.
+func (e Envelope) count() int {
+	n := 0
+	for _, set := range []bool{e.Enqueue != nil, e.Running != nil, e.Cancel != nil, e.Grant != nil, e.Reject != nil,
+		e.Redirect != nil, e.Progress != nil, e.Settle != nil, e.ServiceDelta != nil, e.FreeSlots != nil,
+		e.Membership != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
+// Party is one end of a connection.
+type Party struct {
+	Router      ident.RouterID
+	Incarnation ident.Incarnation
+}
+
+// Frame is a batch of messages from one process.
+type Frame struct {
+	Router      ident.RouterID
+	Incarnation ident.Incarnation
+	Envelopes   []Envelope
+	// Sizes are the sizes of the envelopes on the wire, in bytes.
+	Sizes []int
+}
