--- a/internal/state/kv/kv.go
+++ b/internal/state/kv/kv.go
@@ -27,6 +27,8 @@
 	ErrUnavailable = errors.New("kv: store unavailable")
 	// ErrThrottled reports that the store's rate was exceeded. A write did not take effect.
 	ErrThrottled = errors.New("kv: rate exceeded")
+	// ErrTooLarge reports a value above MaxValueBytes. The write did not take effect.
+	ErrTooLarge = errors.New("kv: value too large")
 	// ErrUncertain reports that the answer to a write was lost. The write may take effect now, later, or never.
 	ErrUncertain = errors.New("kv: outcome of write unknown")
 )
@@ -38,7 +40,7 @@
 	// List returns up to limit entries whose keys begin with prefix, in key order after the key "after".
 	List(ctx context.Context, prefix, after string, limit int) ([]Entry, error)
 	// CompareAndSwap writes value if the key's revision is expect (0: the key is absent) and returns the new
-	// revision. Errors: ErrConflict, ErrUnavailable, ErrThrottled, ErrUncertain.
+	// revision. Errors: ErrConflict, ErrUnavailable, ErrThrottled, ErrTooLarge, ErrUncertain.
 	CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte) (Revision, error)
 	// Delete removes the key if its revision is expect. Errors as CompareAndSwap.
 	Delete(ctx context.Context, key string, expect Revision) error
--- /dev/null
+++ b/internal/state/object/check_kinds.go
@@ -0,0 +1,166 @@
+package object
+
+import (
+	"net/netip"
+	"regexp"
+	"strings"
+)
+
+// Ranges of fields.
+const (
+	MinWeight                = 0.01
+	MaxWeight                = 1000
+	MaxMaxQueued             = 10_000
+	MaxMaxInFlight           = 100_000
+	MinClaimRetentionSeconds = 60
+	MaxClaimRetentionSeconds = 2_592_000
+	MaxTimeoutSeconds        = 3600
+	MaxRouteCost             = 1_000_000
+	MaxTokenCost             = 1000
+	MaxSlots                 = 10_000
+)
+
+// maxAPIKeyHashes allows overlapping keys during a key change and bounds the snapshot's index.
+const maxAPIKeyHashes = 16
+
+// maxRoutes bounds the search for the longest matching prefix.
+const maxRoutes = 1000
+
+var (
+	hashPattern   = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+)
+
+func (c *checker) team(t *Team) {
+	c.number("weight", t.Weight, MinWeight, MaxWeight)
+	c.whole("max_queued", int64(t.MaxQueued), 1, MaxMaxQueued)
+	c.whole("max_in_flight", int64(t.MaxInFlight), 0, MaxMaxInFlight)
+	if len(t.APIKeyHashes) == 0 {
+		c.report("api_key_hashes", "needs at least one hash")
+	}
+	if len(t.APIKeyHashes) > maxAPIKeyHashes {
+		c.report("api_key_hashes", "has %d hashes; at most %d are allowed", len(t.APIKeyHashes), maxAPIKeyHashes)
+	}
+	for i, hash := range t.APIKeyHashes {
+		c.apiKeyHash(at("api_key_hashes", i), hash)
+	}
+}
+
+// apiKeyHash never puts the value into a finding: an operator may have written the key itself.
+func (c *checker) apiKeyHash(field, hash string) {
+	if !hashPattern.MatchString(hash) {
+		c.report(field, "must be a SHA-256 hash of 64 hexadecimal digits")
+		return
+	}
+	hash = strings.ToLower(hash)
+	owner, taken := c.hashes[hash]
+	if taken {
+		c.report(field, "already used by %s", owner)
+		return
+	}
+	c.hashes[hash] = c.id.String()
+}
+
+func (c *checker) service(s *Service) {
+	if s.OnStoreOutage != OutageRefuse && s.OnStoreOutage != OutageRun {
+		c.report("on_store_outage", "%q is neither %q nor %q", s.OnStoreOutage, OutageRefuse, OutageRun)
+	}
+	c.whole("claim_retention_seconds", int64(s.ClaimRetentionSeconds), MinClaimRetentionSeconds, MaxClaimRetentionSeconds)
+	c.whole("timeout_seconds", int64(s.TimeoutSeconds), 1, MaxTimeoutSeconds)
+	if len(s.Routes) > maxRoutes {
+		c.report("routes", "has %d routes; at most %d are allowed", len(s.Routes), maxRoutes)
+	}
+	seen := make(map[string]bool, len(s.Routes))
+	for i, route := range s.Routes {
+		c.route(at("routes", i), route, seen)
+	}
+}
+
+func (c *checker) route(field string, route Route, seen map[string]bool) {
+	if route.Method != "" && !methodPattern.MatchString(route.Method) {
+		c.report(field+".method", "%q is no HTTP method in upper case", route.Method)
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") {
+		c.report(field+".path_prefix", "%q must begin with '/'", route.PathPrefix)
+	}
+	c.whole(field+".cost", int64(route.Cost), 1, MaxRouteCost)
+	key := route.Method + " " + route.PathPrefix
+	if seen[key] {
+		c.report(field, "repeats the method and path prefix of an earlier route")
+	}
+	seen[key] = true
+}
+
+func (c *checker) model(m *Model) {
+	c.versionOf("default_version", m.DefaultVersion, c.id.Name)
+	c.whole("input_token_cost", int64(m.InputTokenCost), 0, MaxTokenCost)
+	c.whole("output_token_cost", int64(m.OutputTokenCost), 1, MaxTokenCost)
+	c.whole("timeout_seconds", int64(m.TimeoutSeconds), 1, MaxTimeoutSeconds)
+}
+
+func (c *checker) version(v *Version) {
+	c.reference("model", KindModel, v.Model)
+	if v.Weights == "" {
+		c.report("weights", "must not be empty")
+	}
+}
+
+func (c *checker) backendServer(b *BackendServer) {
+	c.address("address", b.Address)
+	c.reference("failure_domain", KindFailureDomain, b.FailureDomain)
+	c.whole("slots", int64(b.Slots), 0, MaxSlots)
+	c.state("state", b.State)
+	switch b.Kind {
+	case BackendModelEngine:
+		c.modelEngine(b)
+	case BackendService:
+		c.serviceInstance(b)
+	default:
+		c.report("kind", "%q is neither %q nor %q", b.Kind, BackendModelEngine, BackendService)
+	}
+}
+
+func (c *checker) modelEngine(b *BackendServer) {
+	known := c.reference("model", KindModel, b.Model)
+	if known && b.Version != "" {
+		c.versionOf("version", b.Version, b.Model)
+	}
+	if b.Service != "" {
+		c.report("service", "is not allowed on a %s", b.Kind)
+	}
+}
+
+func (c *checker) serviceInstance(b *BackendServer) {
+	c.reference("service", KindService, b.Service)
+	if b.Model != "" {
+		c.report("model", "is not allowed on a %s", b.Kind)
+	}
+	if b.Version != "" {
+		c.report("version", "is not allowed on a %s", b.Kind)
+	}
+}
+
+func (c *checker) failureDomain(d *FailureDomain) {
+	if d.Region == "" {
+		return
+	}
+	if message := nameFault(d.Region); message != "" {
+		c.report("region", "%s", message)
+	}
+}
+
+// address refuses two backend servers at one address, because their in-flight limits would add up.
+func (c *checker) address(field, address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
+		c.report(field, "%q is no IP address with port, as in 10.0.0.1:8000", address)
+		return
+	}
+	canonical := netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()).String()
+	owner, taken := c.addresses[canonical]
+	if taken {
+		c.report(field, "%s is already the address of %s", address, owner)
+		return
+	}
+	c.addresses[canonical] = c.id.String()
+}
--- a/internal/state/object/types.go
+++ b/internal/state/object/types.go
@@ -48,11 +48,11 @@
 type Team struct {
 	Name string `json:"-"`
 	// Weight is the team's share relative to other teams. Default 1; range 0.01 to 1000.
-	Weight float64 `json:"weight,omitempty"`
+	Weight float64 `json:"weight"`
 	// APIKeyHashes are hexadecimal SHA-256 hashes of the team's API keys. At least one.
-	APIKeyHashes []string `json:"api_key_hashes"`
+	APIKeyHashes []string `json:"api_key_hashes,omitempty"`
 	// MaxQueued bounds the team's waiting requests in one shard. Default 256; range 1 to 10000.
-	MaxQueued int `json:"max_queued,omitempty"`
+	MaxQueued int `json:"max_queued"`
 	// MaxInFlight bounds the team's running requests in one shard. Default 0: no bound.
 	MaxInFlight int `json:"max_in_flight,omitempty"`
 }
@@ -61,13 +61,13 @@
 type Service struct {
 	Name string `json:"-"`
 	// Routes say how calls are treated. The longest matching prefix wins.
-	Routes []Route `json:"routes"`
+	Routes []Route `json:"routes,omitempty"`
 	// OnStoreOutage is the policy for non-idempotent calls during an outage of the key-value service. Default refuse.
-	OnStoreOutage OutagePolicy `json:"on_store_outage,omitempty"`
+	OnStoreOutage OutagePolicy `json:"on_store_outage"`
 	// ClaimRetentionSeconds is how long results of non-idempotent calls are kept. Default 86400; range 60 to 2592000.
-	ClaimRetentionSeconds int `json:"claim_retention_seconds,omitempty"`
+	ClaimRetentionSeconds int `json:"claim_retention_seconds"`
 	// TimeoutSeconds bounds one call, queueing included. Default 30; range 1 to 3600.
-	TimeoutSeconds int `json:"timeout_seconds,omitempty"`
+	TimeoutSeconds int `json:"timeout_seconds"`
 }
 
 // Route is a set of calls of a service.
@@ -79,7 +79,7 @@
 	// Idempotent says that calls may be repeated. Default false: a call runs at most once.
 	Idempotent bool `json:"idempotent,omitempty"`
 	// Cost is the charge of one call in cost units. Default 1; range 1 to 1000000.
-	Cost ident.Cost `json:"cost,omitempty"`
+	Cost ident.Cost `json:"cost"`
 }
 
 // Model is a model that engines serve.
@@ -88,11 +88,11 @@
 	// DefaultVersion names the version that requests without a version get.
 	DefaultVersion string `json:"default_version"`
 	// InputTokenCost is the charge of a prompt token in cost units. Default 1; range 0 to 1000.
-	InputTokenCost ident.Cost `json:"input_token_cost,omitempty"`
+	InputTokenCost ident.Cost `json:"input_token_cost"`
 	// OutputTokenCost is the charge of a generated token in cost units. Default 2; range 1 to 1000.
-	OutputTokenCost ident.Cost `json:"output_token_cost,omitempty"`
+	OutputTokenCost ident.Cost `json:"output_token_cost"`
 	// TimeoutSeconds bounds one request, queueing included. Default 120; range 1 to 3600.
-	TimeoutSeconds int `json:"timeout_seconds,omitempty"`
+	TimeoutSeconds int `json:"timeout_seconds"`
 }
 
 // Version is a version of a model's weights.
@@ -126,7 +126,7 @@
 	// Deduplicates says that it runs calls with the same Idempotency-Key once and repeats the answer.
 	Deduplicates bool `json:"deduplicates,omitempty"`
 	// State is active or draining. A draining backend server gets no new work.
-	State State `json:"state,omitempty"`
+	State State `json:"state"`
 }
 
 // FailureDomain is a zone whose machines fail together.
@@ -140,7 +140,7 @@
 type VM struct {
 	Name string `json:"-"`
 	// State is active or draining. The router on a draining VM leaves the entry addresses.
-	State State `json:"state,omitempty"`
+	State State `json:"state"`
 }
 
 // Set is a whole configuration, by kind and name.
@@ -152,4 +152,7 @@
 	Versions       map[string]*Version
 	FailureDomains map[string]*FailureDomain
 	VMs            map[string]*VM
+
+	// sources holds the file of each decoded object, so that findings of Check can name it.
+	sources map[ID]string
 }
--- /dev/null
+++ b/internal/transport/etcdkv/calls.go
@@ -0,0 +1,196 @@
+package etcdkv
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+const (
+	pathRange = "/v3/kv/range"
+	pathTxn   = "/v3/kv/txn"
+	pathWatch = "/v3/watch"
+)
+
+// readError maps a failed read. Reads have no effect, so a lost answer is an unavailable store.
+func readError(failure *callError) error {
+	if failure.code == codeExhausted {
+		return kv.ErrThrottled
+	}
+	return errors.WithMessage(kv.ErrUnavailable, failure.Error())
+}
+
+// writeError maps a failed write. It is uncertain unless the store refused it or never got it.
+func (c *Client) writeError(failure *callError) error {
+	switch {
+	case failure.code == codeExhausted:
+		return kv.ErrThrottled
+	case failure.sent:
+		c.counts.uncertain.Add(1)
+		return errors.WithMessage(kv.ErrUncertain, failure.Error())
+	}
+	return errors.WithMessage(kv.ErrUnavailable, failure.Error())
+}
+
+func (kvs keyValue) entry() kv.Entry {
+	return kv.Entry{Key: string(kvs.Key), Value: kvs.Value, Revision: kv.Revision(kvs.ModRevision)}
+}
+
+// Get implements kv.Store.
+func (c *Client) Get(ctx context.Context, key string) (kv.Entry, error) {
+	c.counts.gets.Add(1)
+	var response rangeResponse
+	if failure := c.call(ctx, pathRange, rangeRequest{Key: []byte(key)}, &response); failure != nil {
+		return kv.Entry{}, readError(failure)
+	}
+	if len(response.Kvs) == 0 {
+		return kv.Entry{}, kv.ErrNotFound
+	}
+	return response.Kvs[0].entry(), nil
+}
+
+// List implements kv.Store.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]kv.Entry, error) {
+	if limit <= 0 {
+		return nil, nil
+	}
+	c.counts.lists.Add(1)
+	start := prefix
+	if after >= prefix {
+		// The key that follows "after" in byte order.
+		start = after + "\x00"
+	}
+	request := rangeRequest{Key: []byte(start), RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
+	var response rangeResponse
+	if failure := c.call(ctx, pathRange, request, &response); failure != nil {
+		return nil, readError(failure)
+	}
+	list := make([]kv.Entry, len(response.Kvs))
+	for i, found := range response.Kvs {
+		list[i] = found.entry()
+	}
+	return list, nil
+}
+
+// prefixEnd returns the first key after all keys with the prefix; "\x00" means no upper bound.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+// CompareAndSwap implements kv.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect kv.Revision, value []byte) (kv.Revision, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
+	}
+	c.counts.writes.Add(1)
+	return c.txn(ctx, key, expect, requestOp{Put: &putRequest{Key: []byte(key), Value: value}})
+}
+
+// Delete implements kv.Store.
+func (c *Client) Delete(ctx context.Context, key string, expect kv.Revision) error {
+	c.counts.deletes.Add(1)
+	_, err := c.txn(ctx, key, expect, requestOp{Delete: &deleteRequest{Key: []byte(key)}})
+	return err
+}
+
+func (c *Client) txn(ctx context.Context, key string, expect kv.Revision, op requestOp) (kv.Revision, error) {
+	condition := compare{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: int64(expect)}
+	request := txnRequest{Compare: []compare{condition}, Success: []requestOp{op}}
+	var response txnResponse
+	if failure := c.call(ctx, pathTxn, request, &response); failure != nil {
+		return 0, c.writeError(failure)
+	}
+	if !response.Succeeded {
+		return 0, kv.ErrConflict
+	}
+	return kv.Revision(response.Header.Revision), nil
+}
+
+// Watch implements kv.Store. When the store no longer has the events since the revision, it reads the key instead.
+func (c *Client) Watch(ctx context.Context, key string, after kv.Revision) (kv.Entry, error) {
+	c.counts.watches.Add(1)
+	entry, err := c.watch(ctx, key, after)
+	if ctx.Err() != nil {
+		return kv.Entry{}, ctx.Err()
+	}
+	return entry, err
+}
+
+func (c *Client) watch(ctx context.Context, key string, after kv.Revision) (kv.Entry, error) {
+	start := int64(after) + 1
+	for {
+		found, compacted, err := c.watchOnce(ctx, key, start)
+		if err != nil || found != nil {
+			return value(found), err
+		}
+		entry, err := c.Get(ctx, key)
+		if err == nil && entry.Revision > after {
+			return entry, nil
+		}
+		if err != nil && !errors.Is(err, kv.ErrNotFound) {
+			return kv.Entry{}, err
+		}
+		start = compacted
+	}
+}
+
+func value(found *kv.Entry) kv.Entry {
+	if found == nil {
+		return kv.Entry{}
+	}
+	return *found
+}
+
+// watchOnce waits for a put event of the key. Without one it returns the first revision that the store still has.
+func (c *Client) watchOnce(ctx context.Context, key string, start int64) (*kv.Entry, int64, error) {
+	request := watchRequest{Create: watchCreate{Key: []byte(key), StartRevision: start}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	body, failure := c.open(ctx, pathWatch, request)
+	if failure != nil {
+		c.counts.failed.Add(1)
+		return nil, 0, readError(failure)
+	}
+	defer body.Close()
+	decoder := json.NewDecoder(body)
+	for {
+		var message watchMessage
+		if err := decoder.Decode(&message); err != nil {
+			c.counts.failed.Add(1)
+			return nil, 0, errors.WithMessage(kv.ErrUnavailable, "watch broken: "+err.Error())
+		}
+		if message.Error != nil {
+			return nil, 0, errors.WithMessage(kv.ErrUnavailable, message.Error.Message)
+		}
+		if message.Result.CompactRevision > 0 {
+			return nil, message.Result.CompactRevision, nil
+		}
+		if message.Result.Canceled {
+			return nil, 0, errors.WithMessage(kv.ErrUnavailable, "watch canceled")
+		}
+		if found := lastPut(message.Result.Events); found != nil {
+			return found, 0, nil
+		}
+	}
+}
+
+// lastPut returns the newest put among events, or nil.
+func lastPut(events []event) *kv.Entry {
+	for i := len(events) - 1; i >= 0; i-- {
+		if events[i].Type != eventDelete {
+			entry := events[i].Kv.entry()
+			return &entry
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/etcdkv/wire.go
@@ -0,0 +1,102 @@
+package etcdkv
+
+// The JSON forms of the gateway: bytes are base64, 64-bit numbers are strings, zero values are left out.
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type keyValue struct {
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+	Value       []byte `json:"value"`
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,omitempty,string"`
+}
+
+type rangeResponse struct {
+	Header header     `json:"header"`
+	Kvs    []keyValue `json:"kvs"`
+}
+
+const (
+	targetMod   = "MOD"
+	resultEqual = "EQUAL"
+)
+
+// compare always carries the revision, because a comparison with an absent key compares with 0.
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+type requestOp struct {
+	Put    *putRequest    `json:"request_put,omitempty"`
+	Delete *deleteRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+}
+
+type txnResponse struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	StartRevision int64  `json:"start_revision,string"`
+}
+
+// eventDelete is the type of a deletion; a put has no type.
+const eventDelete = "DELETE"
+
+type event struct {
+	Type string   `json:"type"`
+	Kv   keyValue `json:"kv"`
+}
+
+type watchMessage struct {
+	Result struct {
+		Canceled        bool    `json:"canceled"`
+		CompactRevision int64   `json:"compact_revision,string"`
+		Events          []event `json:"events"`
+	} `json:"result"`
+	Error *gatewayError `json:"error"`
+}
+
+// Status codes of gRPC that the gateway puts into errors.
+const (
+	codeInvalid     = 3
+	codeExhausted   = 8
+	codeUnavailable = 14
+)
+
+// messageNoLeader is the message of a store that has no leader. It refuses calls before they take effect.
+const messageNoLeader = "etcdserver: no leader"
+
+type gatewayError struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
--- /dev/null
+++ b/test/standin/cmd/standin/kvstore.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name:  "kvstore",
+		Usage: "run a key-value service (etcd v3 JSON gateway subset)",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.IntFlag{Name: "writes", Value: kvstore.DefaultWritesPerSecond, Usage: "writes per `SECOND`; negative: no limit"},
+			&cli.IntFlag{Name: "reads", Value: kvstore.DefaultReadsPerSecond, Usage: "reads per `SECOND`; negative: no limit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			options := kvstore.Options{WritesPerSecond: c.Int("writes"), ReadsPerSecond: c.Int("reads")}
+			return serve(ctx, c.String("listen"), kvstore.New(options))
+		},
+	})
+}
