--- a/internal/state/object/check_kinds.go
+++ b/internal/state/object/check_kinds.go
@@ -23,8 +23,15 @@
 // maxAPIKeyHashes allows overlapping keys during a key change and bounds the snapshot's index.
 const maxAPIKeyHashes = 16
 
-// maxRoutes bounds the search for the longest matching prefix.
-const maxRoutes = 1000
+// maxPathBytes and maxRoutes keep an encoded object below half of the store's largest value, so that a chunk can
+// always hold it. maxRoutes also bounds the search for the longest matching prefix.
+const (
+	maxPathBytes = 256
+	maxRoutes    = 1000
+)
+
+// maxWeightsBytes bounds the name of weights in the weight store.
+const maxWeightsBytes = 1024
 
 var (
 	hashPattern   = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
@@ -83,6 +90,12 @@
 	if !strings.HasPrefix(route.PathPrefix, "/") {
 		c.report(field+".path_prefix", "%q must begin with '/'", route.PathPrefix)
 	}
+	if len(route.PathPrefix) > maxPathBytes {
+		c.report(field+".path_prefix", "must have at most %d bytes", maxPathBytes)
+	}
+	if len(route.Method) > maxNameBytes {
+		c.report(field+".method", "must have at most %d bytes", maxNameBytes)
+	}
 	c.whole(field+".cost", int64(route.Cost), 1, MaxRouteCost)
 	key := route.Method + " " + route.PathPrefix
 	if seen[key] {
@@ -100,8 +113,8 @@
 
 func (c *checker) version(v *Version) {
 	c.reference("model", KindModel, v.Model)
-	if v.Weights == "" {
-		c.report("weights", "must not be empty")
+	if v.Weights == "" || len(v.Weights) > maxWeightsBytes {
+		c.report("weights", "must have 1 to %d bytes", maxWeightsBytes)
 	}
 }
 
