--- /dev/null
+++ b/internal/coordination/claim/claim.go
@@ -0,0 +1,64 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+// Claim is the right to run a call. Exactly one of Finish and Abandon ends it.
+type Claim struct {
+	m        *Manager
+	call     Call
+	key      string
+	holder   holderID
+	revision kv.Revision
+	// unsettled says that the call runs without a confirmed claim.
+	unsettled bool
+	ended     atomic.Bool
+}
+
+// Fence returns the store revision of the claim, to be sent as fencing number. It is 0 for an unsettled claim.
+func (c *Claim) Fence() int64 {
+	if c.unsettled {
+		return 0
+	}
+	return int64(c.revision)
+}
+
+// Unsettled reports whether the call runs without a confirmed claim, which only happens with Call.RunUnclaimed.
+func (c *Claim) Unsettled() bool { return c.unsettled }
+
+// Finish records the call's result. An error says that the result is not recorded yet; the manager goes on trying in
+// the background, and until then repeats wait.
+func (c *Claim) Finish(ctx context.Context, r Result) error {
+	if r.RequestID == "" {
+		r.RequestID = c.call.RequestID
+	}
+	return c.end(ctx, &r)
+}
+
+// Abandon records that the call was never sent and will not be sent by this claim. Errors as Finish.
+func (c *Claim) Abandon(ctx context.Context) error { return c.end(ctx, nil) }
+
+func (c *Claim) end(ctx context.Context, result *Result) error {
+	if c.ended.Swap(true) {
+		return ErrFinished
+	}
+	if c.unsettled {
+		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
+		return nil
+	}
+	rec := c.call.ended(c.holder, result, c.m.clock())
+	_, err := c.m.swap(ctx, c.key, c.revision, rec)
+	if err == nil {
+		return nil
+	}
+	c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
+	if errors.Is(err, kv.ErrConflict) {
+		return &OpenError{RequestID: c.call.RequestID, Err: err}
+	}
+	return &StoreError{Err: err}
+}
--- /dev/null
+++ b/internal/coordination/execute/executor.go
@@ -0,0 +1,174 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/dispatch"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+)
+
+const (
+	// defaultMaxResponseBytes bounds a service's answer.
+	defaultMaxResponseBytes = 8 << 20
+	// defaultServiceTimeout and defaultModelTimeout bound requests whose object states no limit.
+	defaultServiceTimeout = 30 * time.Second
+	defaultModelTimeout   = 120 * time.Second
+	// maxAttempts bounds the attempts that end without an answer, over the retry budget.
+	maxAttempts = 4
+	// maxExclude is the largest number of backend servers that an attempt may exclude.
+	maxExclude = 4
+	// defaultRetryAfter is told to callers when nothing better is known.
+	defaultRetryAfter = time.Second
+	// recordTimeout bounds the wait for the record of a result; the claims go on in the background.
+	recordTimeout = 3 * time.Second
+)
+
+// errNoSnapshot reports that no configuration is in force yet.
+var errNoSnapshot = errors.New("execute: no configuration in force")
+
+// Executor runs callers' requests. It is safe for concurrent use.
+type Executor struct {
+	admitter    dispatch.Admitter
+	backends    Backends
+	claims      Claims
+	retry       RetryBudget
+	objects     func() *object.Set
+	maxResponse int64
+	log         *zap.Logger
+	// abandoning counts claims that are given up in the background.
+	abandoning sync.WaitGroup
+}
+
+// New returns an executor.
+func New(opts Options) *Executor {
+	if opts.MaxResponseBytes <= 0 {
+		opts.MaxResponseBytes = defaultMaxResponseBytes
+	}
+	if opts.Logger == nil {
+		opts.Logger = zap.NewNop()
+	}
+	return &Executor{
+		admitter:    opts.Admitter,
+		backends:    opts.Backends,
+		claims:      opts.Claims,
+		retry:       opts.Retry,
+		objects:     opts.Objects,
+		maxResponse: opts.MaxResponseBytes,
+		log:         opts.Logger.Named("execute"),
+	}
+}
+
+// NewRequest returns a reference for a new request.
+func (e *Executor) NewRequest() ident.RequestRef { return e.admitter.NewRequest() }
+
+// Wait waits until no claim is being given up in the background. Call it after the last request has ended.
+func (e *Executor) Wait() { e.abandoning.Wait() }
+
+// attempts numbers the attempts of one request and remembers which backend servers to leave out.
+type attempts struct {
+	executor *Executor
+	work     dispatch.Work
+	// unanswered counts attempts that were granted and ended without an answer.
+	unanswered int
+	// sent says that an attempt was sent and not refused, so that the request may have run.
+	sent bool
+}
+
+func (e *Executor) newAttempts(w dispatch.Work) *attempts {
+	e.retry.Deposit(w.Team, w.Pool)
+	return &attempts{executor: e, work: w}
+}
+
+// admit waits for the next grant. A grant that comes after the end of the context is returned unused.
+func (a *attempts) admit(ctx context.Context) (*grant, error) {
+	a.work.Ref.Attempt++
+	attempt, err := a.executor.admitter.Admit(ctx, a.work)
+	if err != nil {
+		return nil, err
+	}
+	g := &grant{attempt: attempt}
+	if err := ctx.Err(); err != nil {
+		g.settle(message.SettleUnused, 0)
+		return nil, err
+	}
+	return g, nil
+}
+
+// again decides whether another attempt may follow and waits for its turn.
+func (a *attempts) again(ctx context.Context) bool {
+	a.unanswered++
+	if a.unanswered >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	if !a.executor.retry.Allow(a.work.Team, a.work.Pool) {
+		return false
+	}
+	return sleep(ctx, a.executor.retry.Backoff(a.unanswered+1))
+}
+
+// exclude leaves a backend server out of later attempts. The oldest of too many is forgotten.
+func (a *attempts) exclude(server *object.BackendServer) {
+	list := append([]ident.BackendID(nil), a.work.Exclude...)
+	list = append(list, ident.BackendID(server.Name))
+	if len(list) > maxExclude {
+		list = list[len(list)-maxExclude:]
+	}
+	a.work.Exclude = list
+}
+
+// grant is a granted attempt that is settled once.
+type grant struct {
+	attempt dispatch.Attempt
+	settled bool
+}
+
+func (g *grant) server() *object.BackendServer { return g.attempt.Backend() }
+
+func (g *grant) settle(result message.SettleResult, cost ident.Cost) {
+	if g.settled {
+		return
+	}
+	g.settled = true
+	g.attempt.Settle(result, cost)
+}
+
+// sleep waits for d. It returns false at once when the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// earliest returns the earlier of the request's own deadline and the limit from now.
+func earliest(own time.Time, limit time.Duration) time.Time {
+	deadline := time.Now().Add(limit)
+	if !own.IsZero() && own.Before(deadline) {
+		return own
+	}
+	return deadline
+}
+
+func seconds(n int, fallback time.Duration) time.Duration {
+	if n <= 0 {
+		return fallback
+	}
+	return time.Duration(n) * time.Second
+}
