Test claims over a store that injects faults

Cause: a restarted router may reuse its incarnation and would take old claims for its own. Change: a random process id is part of the holder; tests for lost answers, repeats, outage, budget and size limits. Conclusion: holding a claim no longer rests on incarnations.

--- /dev/null
+++ b/internal/coordination/claim/claim_test.go
@@ -0,0 +1,258 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+var testCall = Call{Service: "credits", Team: "reciclaje", Key: "k1", Fingerprint: NewFingerprint([]byte("a")), RequestID: "r1-1-1"}
+
+func newManager(t *testing.T, s kv.Store, self ident.RouterID) *Manager {
+	t.Helper()
+	m := New(Options{Store: s, Self: self, Incarnation: 1, Budget: func() int { return 1000 }})
+	t.Cleanup(m.Close)
+	return m
+}
+
+func mustBegin(t *testing.T, m *Manager, c Call) *Claim {
+	t.Helper()
+	held, result, err := m.Begin(t.Context(), c)
+	if err != nil || held == nil || result != nil {
+		t.Fatalf("Begin: claim %v, result %v, error %v", held, result, err)
+	}
+	return held
+}
+
+// inBubble runs the test with fake time.
+func inBubble(name string, t *testing.T, run func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, run) })
+}
+
+// Guards against a second run of a call whose result is recorded, at the same or another router.
+func TestResultIsReplayedAtAnyRouter(t *testing.T) {
+	store := newFakeStore()
+	held := mustBegin(t, newManager(t, store, "r1"), testCall)
+	if held.Fence() != 1 {
+		t.Fatalf("fence %d is not the store's revision", held.Fence())
+	}
+	if err := held.Finish(t.Context(), Result{Outcome: Completed, Status: 201, Body: []byte("ok")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := held.Abandon(t.Context()); !errors.Is(err, ErrFinished) {
+		t.Fatalf("second end: %v", err)
+	}
+	for _, router := range []ident.RouterID{"r1", "r2"} {
+		again, result, err := newManager(t, store, router).Begin(t.Context(), testCall)
+		if again != nil || err != nil || result.Status != 201 || string(result.Body) != "ok" || result.RequestID != "r1-1-1" {
+			t.Fatalf("%s: claim %v, result %+v, error %v", router, again, result, err)
+		}
+	}
+}
+
+// Guards against an answer of another request that used the same key.
+func TestDifferentRequestWithTheKeyIsRefused(t *testing.T) {
+	store := newFakeStore()
+	m := newManager(t, store, "r1")
+	held := mustBegin(t, m, testCall)
+	other := testCall
+	other.Fingerprint = NewFingerprint([]byte("b"))
+	var mismatch *MismatchError
+	if _, _, err := m.Begin(t.Context(), other); !errors.As(err, &mismatch) {
+		t.Fatalf("open claim: %v", err)
+	}
+	_ = held.Finish(t.Context(), Result{Outcome: Completed})
+	if _, _, err := m.Begin(t.Context(), other); !errors.As(err, &mismatch) {
+		t.Fatalf("done claim: %v", err)
+	}
+	other.Team = "fernleigh"
+	mustBegin(t, m, other) // keys of different teams are independent
+}
+
+// Guards against a holder that no longer knows that it holds the claim, and a repeat that claims a second time.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	for name, f := range map[string]fault{"took effect": faultLost, "had no effect": faultDropped} {
+		inBubble(name, t, func(t *testing.T) {
+			store := newFakeStore()
+			store.onWrite = nth(1, f)
+			held := mustBegin(t, newManager(t, store, "r1"), testCall)
+			if err := held.Finish(t.Context(), Result{Outcome: Completed}); err != nil {
+				t.Fatal(err)
+			}
+			if r := store.record(testCall); r.State != stateDone {
+				t.Fatalf("record %+v", r)
+			}
+		})
+	}
+}
+
+// Guards against a claim that stays open after its caller was told not-run, whenever the lost write takes effect.
+func TestUnsettledClaimIsMarkedNotRun(t *testing.T) {
+	for name, late := range map[string]time.Duration{"at once": 0, "during the outage": 3 * time.Second, "after the outage": time.Hour} {
+		inBubble(name, t, func(t *testing.T) {
+			store := newFakeStore()
+			store.late = func() time.Duration { return late }
+			store.onWrite = func(string, []byte) fault { return faultLate }
+			store.onRead = func(string) fault { return faultRefuse }
+			m := newManager(t, store, "r1")
+			var unsettled *UnsettledError
+			if held, _, err := m.Begin(t.Context(), testCall); held != nil || !errors.As(err, &unsettled) {
+				t.Fatalf("claim %v, error %v", held, err)
+			}
+			time.Sleep(10 * time.Second)
+			store.setFaults(nil, nil)
+			time.Sleep(time.Minute)
+			if r := store.record(testCall); r == nil || r.State != stateNotRun {
+				t.Fatalf("record %+v", r)
+			}
+			store.background.Wait()
+			mustBegin(t, newManager(t, store, "r2"), testCall)
+		})
+	}
+}
+
+// Guards against a claim that cannot be used again after a call that did not run, and against two holders of it.
+func TestNotRunRecordIsClaimedAnewOnce(t *testing.T) {
+	store := newFakeStore()
+	first := mustBegin(t, newManager(t, store, "r1"), testCall)
+	if err := first.Abandon(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	second := mustBegin(t, newManager(t, store, "r2"), testCall)
+	if second.Fence() <= first.Fence() {
+		t.Fatalf("fence %d after %d", second.Fence(), first.Fence())
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	var open *OpenError
+	if _, _, err := newManager(t, store, "r3").Begin(ctx, testCall); !errors.As(err, &open) {
+		t.Fatalf("third: %v", err)
+	}
+}
+
+// Guards against repeats that are answered before the holder has ended, and that wait beyond their own deadline.
+func TestRepeatWaitsForTheHolder(t *testing.T) {
+	inBubble("result in time", t, func(t *testing.T) {
+		store := newFakeStore()
+		held := mustBegin(t, newManager(t, store, "r1"), testCall)
+		time.AfterFunc(20*time.Second, func() { _ = held.Finish(context.Background(), Result{Outcome: Failed, Status: 500}) })
+		began := time.Now()
+		_, result, err := newManager(t, store, "r2").Begin(t.Context(), testCall)
+		if err != nil || result.Status != 500 {
+			t.Fatalf("result %+v, error %v", result, err)
+		}
+		if waited := time.Since(began); waited > 20*time.Second+2*pollMax {
+			t.Fatalf("result seen after %v", waited)
+		}
+		if store.reads > 60 {
+			t.Fatalf("%d reads in 20 s", store.reads)
+		}
+	})
+	inBubble("deadline", t, func(t *testing.T) {
+		store := newFakeStore()
+		mustBegin(t, newManager(t, store, "r1"), testCall)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		began := time.Now()
+		var open *OpenError
+		if _, _, err := newManager(t, store, "r2").Begin(ctx, testCall); !errors.As(err, &open) || open.RequestID != "r1-1-1" {
+			t.Fatalf("error %v", err)
+		}
+		if waited := time.Since(began); waited != 5*time.Second {
+			t.Fatalf("answered after %v", waited)
+		}
+	})
+}
+
+// Guards against claims during an outage, and against an unlimited rate of writes.
+func TestOutageAndBudgetAreTyped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.onWrite = func(string, []byte) fault { return faultRefuse }
+		m := New(Options{Store: store, Self: "r1", Budget: func() int { return 4 }})
+		defer m.Close()
+		var outage *StoreError
+		if _, _, err := m.Begin(t.Context(), testCall); !errors.As(err, &outage) {
+			t.Fatalf("outage: %v", err)
+		}
+		store.setFaults(nil, nil)
+		time.Sleep(time.Second)
+		for _, key := range []string{"a", "b"} {
+			c := testCall
+			c.Key = key
+			mustBegin(t, m, c)
+		}
+		if _, _, err := m.Begin(t.Context(), testCall); !errors.Is(err, ErrBudget) {
+			t.Fatalf("third call in a second: %v", err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		mustBegin(t, m, testCall)
+	})
+}
+
+// Guards against a policy "run" that leaves a repeat after the outage without the result.
+func TestUnclaimedRunIsRecordedAfterTheOutage(t *testing.T) {
+	for name, f := range map[string]fault{"refused": faultRefuse, "lost": faultLost, "dropped": faultDropped} {
+		inBubble(name, t, func(t *testing.T) {
+			store := newFakeStore()
+			store.onWrite = func(string, []byte) fault { return f }
+			store.onRead = func(string) fault { return faultRefuse }
+			m := newManager(t, store, "r1")
+			c := testCall
+			c.RunUnclaimed = true
+			held := mustBegin(t, m, c)
+			if !held.Unsettled() || held.Fence() != 0 {
+				t.Fatalf("fence %d", held.Fence())
+			}
+			if err := held.Finish(t.Context(), Result{Outcome: Completed, Status: 200}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Minute)
+			store.setFaults(nil, nil)
+			time.Sleep(time.Minute)
+			if r := store.record(c); r == nil || r.State != stateDone || r.Result.Status != 200 {
+				t.Fatalf("record %+v", r)
+			}
+		})
+	}
+}
+
+// Guards against a result that stays unrecorded because one answer of the store was lost.
+func TestFinishIsRepeatedInTheBackground(t *testing.T) {
+	for name, f := range map[string]fault{"refused": faultRefuse, "lost": faultLost, "dropped": faultDropped} {
+		inBubble(name, t, func(t *testing.T) {
+			store := newFakeStore()
+			store.onWrite = nth(2, f)
+			held := mustBegin(t, newManager(t, store, "r1"), testCall)
+			if err := held.Finish(t.Context(), Result{Outcome: Completed, Status: 200}); err == nil {
+				t.Fatal("an uncertain record was reported as certain")
+			}
+			time.Sleep(time.Second)
+			if r := store.record(testCall); r.State != stateDone || r.Result.Status != 200 {
+				t.Fatalf("record %+v", r)
+			}
+		})
+	}
+}
+
+// Guards against records beyond the store's value limit, and against answers that are silently cut.
+func TestLargeResultIsRecordedWithoutItsBody(t *testing.T) {
+	for size, omitted := range map[int]bool{MaxResultBody: false, MaxResultBody + 1: true} {
+		store := newFakeStore()
+		held := mustBegin(t, newManager(t, store, "r1"), testCall)
+		body := bytes.Repeat([]byte{0xff}, size)
+		if err := held.Finish(t.Context(), Result{Outcome: Completed, Status: 200, Body: body}); err != nil {
+			t.Fatal(err)
+		}
+		_, result, err := newManager(t, store, "r2").Begin(t.Context(), testCall)
+		if err != nil || result.Outcome != Completed || result.BodyOmitted != omitted || omitted != (len(result.Body) == 0) {
+			t.Fatalf("%d bytes: omitted %v, kept %d, error %v", size, result.BodyOmitted, len(result.Body), err)
+		}
+	}
+}
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,7 +40,7 @@
 type Options struct {
 	Store kv.Store
 	Self  ident.RouterID
-	// Incarnation must differ between processes that run under the same Self.
+	// Incarnation is kept in the records. No promise rests on it.
 	Incarnation ident.Incarnation
 	// Budget returns the router's share of the store's writes, in writes per second.
 	Budget func() int
@@ -54,6 +55,7 @@
 	store       kv.Store
 	self        ident.RouterID
 	incarnation ident.Incarnation
+	process     string
 	clock       func() time.Time
 	log         *zap.Logger
 	writes      *bucket
@@ -80,6 +82,7 @@
 		store:       opts.Store,
 		self:        opts.Self,
 		incarnation: opts.Incarnation,
+		process:     rand.Text(),
 		clock:       opts.Clock,
 		log:         opts.Logger.Named("claim"),
 		writes:      newBucket(opts.Budget, opts.Clock),
@@ -105,7 +108,7 @@
 }
 
 func (m *Manager) nextHolder() holderID {
-	return holderID{Router: m.self, Incarnation: m.incarnation, Seq: m.seq.Add(1)}
+	return holderID{Router: m.self, Incarnation: m.incarnation, Process: m.process, Seq: m.seq.Add(1)}
 }
 
 // swap writes the record if the key's revision is expect. It runs apart from the caller's context, so that a caller
--- a/internal/coordination/claim/record.go
+++ b/internal/coordination/claim/record.go
@@ -23,7 +23,10 @@
 type holderID struct {
 	Router      ident.RouterID    `json:"router"`
 	Incarnation ident.Incarnation `json:"incarnation"`
-	Seq         uint64            `json:"seq"`
+	// Process is random per process. A router that restarts empty may run under an incarnation it had before, until
+	// it hears of it, and must not take the claims of its former process for its own.
+	Process string `json:"process"`
+	Seq     uint64 `json:"seq"`
 }
 
 // record is the value of a claim's key.
--- /dev/null
+++ b/internal/coordination/claim/store_test.go
@@ -0,0 +1,174 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+// fault is what happens to one call of the fake store.
+type fault int
+
+const (
+	faultNone    fault = iota
+	faultRefuse        // the call is refused
+	faultLost          // a write takes effect, its answer is lost
+	faultDropped       // a write has no effect and its answer is lost
+	faultLate          // a write takes effect later, its answer is lost
+)
+
+// fakeStore is a linearizable store that injects faults.
+type fakeStore struct {
+	mu       sync.Mutex
+	entries  map[string]kv.Entry
+	revision kv.Revision
+	writes   int
+	reads    int
+	// onWrite and onRead choose the faults; nil means none.
+	onWrite func(key string, value []byte) fault
+	onRead  func(key string) fault
+	// delay is how long a call takes; late is how long a late write waits. nil means no time.
+	delay, late func() time.Duration
+	background  sync.WaitGroup
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]kv.Entry{}} }
+
+func (s *fakeStore) wait() {
+	if s.delay != nil {
+		time.Sleep(s.delay())
+	}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (kv.Entry, error) {
+	s.wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.onRead != nil && s.onRead(key) != faultNone {
+		return kv.Entry{}, kv.ErrUnavailable
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return kv.Entry{}, kv.ErrNotFound
+	}
+	return e, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix, after string, limit int) ([]kv.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []kv.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) && key > after {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return list[:min(limit, len(list))], nil
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expect kv.Revision, value []byte) (kv.Revision, error) {
+	s.wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	chosen := faultNone
+	if s.onWrite != nil {
+		chosen = s.onWrite(key, value)
+	}
+	switch chosen {
+	case faultRefuse:
+		return 0, kv.ErrUnavailable
+	case faultDropped:
+		return 0, kv.ErrUncertain
+	case faultLost:
+		_, _ = s.apply(key, expect, value)
+		return 0, kv.ErrUncertain
+	case faultLate:
+		s.background.Go(func() {
+			time.Sleep(s.late())
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.apply(key, expect, value)
+		})
+		return 0, kv.ErrUncertain
+	}
+	return s.apply(key, expect, value)
+}
+
+func (s *fakeStore) apply(key string, expect kv.Revision, value []byte) (kv.Revision, error) {
+	if s.entries[key].Revision != expect {
+		return 0, kv.ErrConflict
+	}
+	s.revision++
+	s.entries[key] = kv.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision}
+	return s.revision, nil
+}
+
+func (s *fakeStore) Delete(_ context.Context, key string, expect kv.Revision) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.entries[key].Revision != expect {
+		return kv.ErrConflict
+	}
+	delete(s.entries, key)
+	return nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ kv.Revision) (kv.Entry, error) {
+	<-ctx.Done()
+	return kv.Entry{}, ctx.Err()
+}
+
+// record returns the record under the key of a call, or nil.
+func (s *fakeStore) record(c Call) *record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[storeKey(c)]
+	if !ok {
+		return nil
+	}
+	r, err := decodeRecord(e.Value)
+	if err != nil {
+		panic(err)
+	}
+	return &r
+}
+
+// setFaults replaces the choice of faults.
+func (s *fakeStore) setFaults(onWrite func(string, []byte) fault, onRead func(string) fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onWrite = onWrite
+	s.onRead = onRead
+}
+
+// nth returns a choice that makes only the n-th write faulty, from 1.
+func nth(n int, f fault) func(string, []byte) fault {
+	count := 0
+	return func(string, []byte) fault {
+		count++
+		if count == n {
+			return f
+		}
+		return faultNone
+	}
+}
+
+// randomFaults makes each write faulty with probability p.
+func randomFaults(r *rand.Rand, p float64) func(string, []byte) fault {
+	kinds := []fault{faultRefuse, faultLost, faultDropped, faultLate}
+	return func(string, []byte) fault {
+		if r.Float64() >= p {
+			return faultNone
+		}
+		return kinds[r.IntN(len(kinds))]
+	}
+}
