--- a/internal/coordination/claim/store_test.go
+++ b/internal/coordination/claim/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -162,13 +161,13 @@
 	}
 }
 
-// randomFaults makes each write faulty with probability p.
-func randomFaults(r *rand.Rand, p float64) func(string, []byte) fault {
+// randomFaults makes a percentage of the writes faulty.
+func randomFaults(random *seededRand, percent int64) func(string, []byte) fault {
 	kinds := []fault{faultRefuse, faultLost, faultDropped, faultLate}
 	return func(string, []byte) fault {
-		if r.Float64() >= p {
+		if random.below(100) >= percent {
 			return faultNone
 		}
-		return kinds[r.IntN(len(kinds))]
+		return kinds[random.below(int64(len(kinds)))]
 	}
 }
--- /dev/null
+++ b/internal/coordination/execute/complete_test.go
@@ -0,0 +1,199 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+var promptRequest = CompletionRequest{Team: "fernleigh", Model: "m", Prompt: "alarm", MaxTokens: 8, PromptTokens: 5, OutputTokens: 8}
+
+// tokensFrom returns the chunks of an 8-token answer from a token on, one token each.
+func tokensFrom(from, until int) []Chunk {
+	var chunks []Chunk
+	for i := from; i < until; i++ {
+		chunks = append(chunks, Chunk{Index: i, Tokens: 1, Text: fmt.Sprintf("%d ", i)})
+	}
+	if until == 8 {
+		last := &chunks[len(chunks)-1]
+		last.Done, last.FinishReason, last.PromptTokens = true, "length", 4
+	}
+	return chunks
+}
+
+const wholeText = "0 1 2 3 4 5 6 7 "
+
+// collect runs the completion and returns the text that reached the caller.
+func collect(ctx context.Context, t *testing.T, r *rig) (string, CompletionResult) {
+	t.Helper()
+	var text strings.Builder
+	next := 0
+	result := r.Complete(ctx, promptRequest, func(c Chunk) error {
+		if c.Index != next {
+			t.Fatalf("token %d reached the caller where %d is next", c.Index, next)
+		}
+		next += c.Tokens
+		text.WriteString(c.Text)
+		return nil
+	})
+	return text.String(), result
+}
+
+// Guards against lost and repeated tokens, a wrong charge, and resuming without what the caller has.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, "r1", newFakeStore())
+		var asked []Completion
+		r.backends.stream = func(_ context.Context, _ string, c Completion) (Stream, error) {
+			asked = append(asked, c)
+			return &fakeStream{chunks: tokensFrom(c.ResumeAt, min(c.ResumeAt+3, 8)), err: failure(SendBroken)}, nil
+		}
+		text, result := collect(t.Context(), t, r)
+		if text != wholeText || result.Outcome != Completed || result.Resumes != 2 || result.OutputTokens != 8 || result.FinishReason != "length" {
+			t.Fatalf("text %q, result %+v", text, result)
+		}
+		if len(asked) != 3 || asked[1].ResumeAt != 3 || asked[1].Emitted != "0 1 2 " || asked[0].Version != "v1" {
+			t.Fatalf("asked %+v", asked)
+		}
+		settled, costs := r.admitter.results(t)
+		if !slices.Equal(settled, []message.SettleResult{message.SettleFailed, message.SettleFailed, message.SettleOK}) {
+			t.Fatalf("settled %v", settled)
+		}
+		if !slices.Equal(costs, []ident.Cost{35, 35, 24}) {
+			t.Fatalf("costs %v", costs)
+		}
+		if progress := r.admitter.attempts[0].progress; !slices.Equal(progress, []ident.Cost{15, 25, 35}) {
+			t.Fatalf("progress %v", progress)
+		}
+		if r.admitter.works[0].Hint != 85 || len(r.admitter.works[1].Exclude) != 1 {
+			t.Fatalf("works %+v", r.admitter.works)
+		}
+	})
+}
+
+// Guards against endless resumes and a stream that ends without an outcome.
+func TestStreamFailsAfterThreeResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, "r1", newFakeStore())
+		r.backends.stream = func(_ context.Context, _ string, c Completion) (Stream, error) {
+			return &fakeStream{chunks: tokensFrom(c.ResumeAt, c.ResumeAt+1), err: failure(SendBroken)}, nil
+		}
+		text, result := collect(t.Context(), t, r)
+		if text != "0 1 2 3 " || result.Outcome != Failed || result.Resumes != 3 || r.backends.sent.Load() != 4 {
+			t.Fatalf("text %q, result %+v, sent %d", text, result, r.backends.sent.Load())
+		}
+		r.admitter.results(t)
+	})
+}
+
+// Guards against tokens that an engine repeats, skips or makes up reaching the caller.
+func TestWrongTokenIndexesNeverReachTheCaller(t *testing.T) {
+	for name, wrong := range map[string]Chunk{
+		"repeated": {Index: 2, Tokens: 1, Text: "2 "}, "skipped": {Index: 4, Tokens: 1, Text: "4 "},
+		"overlapping": {Index: 2, Tokens: 2, Text: "2 3 "}, "end of another answer": {Index: 7, Tokens: 1, Text: "7 ", Done: true},
+		"negative": {Index: 3, Tokens: -1}, "too long": {Index: 3, Tokens: 6, Text: "x"}, "uncounted": {Index: 3, Text: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, "r1", newFakeStore())
+				first := &fakeStream{chunks: append(tokensFrom(0, 3), wrong)}
+				r.backends.stream = func(_ context.Context, _ string, c Completion) (Stream, error) {
+					if c.ResumeAt == 0 {
+						return first, nil
+					}
+					return &fakeStream{chunks: tokensFrom(c.ResumeAt, 8)}, nil
+				}
+				text, result := collect(t.Context(), t, r)
+				if text != wholeText || result.Outcome != Completed || first.closed != 1 {
+					t.Fatalf("text %q, result %+v, closed %d", text, result, first.closed)
+				}
+				r.admitter.results(t)
+			})
+		})
+	}
+}
+
+// Guards against not-run after an engine began to run the request, and other outcomes after none did.
+func TestOutcomeOfRefusedAndBrokenStreams(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		kinds   []SendErrorKind
+		outcome Outcome
+	}{
+		{"refused everywhere", []SendErrorKind{SendRefused, SendNotSent}, NotRun},
+		{"broken before the first token, then refused", []SendErrorKind{SendBroken, SendRefused}, Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, "r1", newFakeStore())
+				next := 0
+				r.backends.stream = func(context.Context, string, Completion) (Stream, error) {
+					kind := c.kinds[min(next, len(c.kinds)-1)]
+					next++
+					return nil, failure(kind)
+				}
+				_, result := collect(t.Context(), t, r)
+				if result.Outcome != c.outcome || result.RetryAfter <= 0 || next > maxAttempts+1 {
+					t.Fatalf("result %+v after %d attempts", result, next)
+				}
+				r.admitter.results(t)
+			})
+		})
+	}
+}
+
+// Guards against an engine that goes on for a caller who left.
+func TestDisconnectEndsTheStream(t *testing.T) {
+	r := newRig(t, "r1", newFakeStore())
+	stream := &fakeStream{chunks: tokensFrom(0, 8)}
+	r.backends.stream = func(context.Context, string, Completion) (Stream, error) { return stream, nil }
+	gone := errors.New("connection closed")
+	result := r.Complete(t.Context(), promptRequest, func(c Chunk) error {
+		if c.Index == 2 {
+			return gone
+		}
+		return nil
+	})
+	settled, costs := r.admitter.results(t)
+	if result.Outcome != Failed || result.Reason != ReasonCancelled || !errors.Is(result.Err, gone) || stream.closed != 1 {
+		t.Fatalf("result %+v, closed %d", result, stream.closed)
+	}
+	if len(settled) != 1 || settled[0] != message.SettleFailed || costs[0] != 25 {
+		t.Fatalf("settled %v at %v", settled, costs)
+	}
+}
+
+// Guards against any mix of faults that gives the caller a text with gaps or repeats, or a wrong outcome.
+func TestAnyStreamGivesAPrefix(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, "r1", newFakeStore())
+			r.backends.stream = func(_ context.Context, _ string, c Completion) (Stream, error) {
+				if rapid.Bool().Draw(rt, "refused") {
+					return nil, failure(rapid.SampledFrom([]SendErrorKind{SendNotSent, SendRefused, SendBroken}).Draw(rt, "kind"))
+				}
+				chunks := tokensFrom(c.ResumeAt, 8)
+				at := rapid.IntRange(0, len(chunks)-1).Draw(rt, "wrong at")
+				chunks[at].Index += rapid.IntRange(-2, 2).Draw(rt, "shift")
+				return &fakeStream{chunks: chunks[:rapid.IntRange(0, len(chunks)).Draw(rt, "cut")], err: failure(SendBroken)}, nil
+			}
+			text, result := collect(t.Context(), t, r)
+			r.admitter.results(t)
+			if !strings.HasPrefix(wholeText, text) || (result.Outcome == Completed) != (text == wholeText) {
+				rt.Fatalf("text %q, result %+v", text, result)
+			}
+			if result.Outcome == NotRun && text != "" {
+				rt.Fatalf("not-run after %q", text)
+			}
+		})
+	})
+}
--- a/internal/coordination/execute/executor.go
+++ b/internal/coordination/execute/executor.go
@@ -86,10 +86,14 @@
 	return &attempts{executor: e, work: w}
 }
 
-// admit waits for the next grant. A grant that comes after the end of the context is returned unused.
+// admit waits for the next grant. A grant that comes after the end of the context is returned unused. When only
+// excluded backend servers are left, they get another chance.
 func (a *attempts) admit(ctx context.Context) (*grant, error) {
-	a.work.Ref.Attempt++
-	attempt, err := a.executor.admitter.Admit(ctx, a.work)
+	attempt, err := a.ask(ctx)
+	if len(a.work.Exclude) > 0 && isNoBackend(err) {
+		a.work.Exclude = nil
+		attempt, err = a.ask(ctx)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +105,17 @@
 	return g, nil
 }
 
+// ask queues the next attempt.
+func (a *attempts) ask(ctx context.Context) (dispatch.Attempt, error) {
+	a.work.Ref.Attempt++
+	return a.executor.admitter.Admit(ctx, a.work)
+}
+
+func isNoBackend(err error) bool {
+	var refused *dispatch.NotAdmittedError
+	return errors.As(err, &refused) && refused.Reason == dispatch.NotAdmittedNoBackend
+}
+
 // again decides whether another attempt may follow and waits for its turn.
 func (a *attempts) again(ctx context.Context) bool {
 	a.unanswered++
