Add engine protocol, backend client and backend stand-ins

Cause: callers' requests need a client that says exactly what is known about a request without a whole answer, and tests need engines and services to talk to. Change: protocol/engine (streams, events, orders, prefix hashes), transport/backend (calls, streams, event subscription), stand-ins for model engines and plain services, and their subcommands of the program standin. Non-idempotent calls use a fresh connection each. Connections record whether a write was begun and are sealed before 'not sent' is reported. net/http resends idempotent requests without a body on a broken pooled connection, so requests carry a body reader that it cannot repeat.

--- /dev/null
+++ b/internal/transport/backend/call.go
@@ -0,0 +1,99 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/engine"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+)
+
+// hopHeaders belong to one connection and are not passed on. Expect would make the transport wait before the body.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
+}
+
+// Call implements execute.Backends. The request is written once at most, whatever happens.
+func (c *Client) Call(ctx context.Context, server *object.BackendServer, call execute.Call) (*execute.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req, err := newRequest(ctx, call.Method, server, call.Path, call.Body)
+	if err != nil {
+		return nil, sendError(server, execute.SendNotSent, 0, err)
+	}
+	setCallHeader(req, call)
+	resp, s, err := c.roundTrip(c.callTransport(req, call), req)
+	if err != nil {
+		return nil, noAnswer(ctx, server, s, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if refused(resp) {
+		return nil, sendError(server, execute.SendRefused, resp.StatusCode, errRefused)
+	}
+	return c.whole(ctx, server, resp, call.MaxResponseBytes)
+}
+
+// callTransport uses pooled connections only for requests that the transport cannot repeat.
+func (c *Client) callTransport(req *http.Request, call execute.Call) *http.Transport {
+	if call.Idempotent && req.Body != http.NoBody {
+		return c.pooled
+	}
+	return c.single
+}
+
+func setCallHeader(req *http.Request, call execute.Call) {
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	for _, name := range strings.Split(strings.Join(req.Header["Connection"], ","), ",") {
+		req.Header.Del(strings.TrimSpace(name))
+	}
+	for _, name := range hopHeaders {
+		req.Header.Del(name)
+	}
+	req.Header.Set(engine.HeaderRequestID, call.RequestID)
+	if call.Key != "" {
+		req.Header.Set(engine.HeaderIdempotencyKey, call.Key)
+	}
+	req.Header.Del(engine.HeaderFence)
+	if call.Fence != 0 {
+		req.Header.Set(engine.HeaderFence, strconv.FormatInt(call.Fence, 10))
+	}
+}
+
+// whole reads the body to its end.
+func (c *Client) whole(ctx context.Context, server *object.BackendServer, resp *http.Response, limit int64) (*execute.Response, error) {
+	if limit <= 0 {
+		limit = c.opts.MaxResponseBytes
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, sendError(server, execute.SendInvalid, resp.StatusCode, errStatus)
+	}
+	if undelimited(resp) {
+		return nil, sendError(server, execute.SendInvalid, resp.StatusCode, errUndelimited)
+	}
+	if resp.ContentLength > limit && resp.Request.Method != http.MethodHead {
+		return nil, sendError(server, execute.SendInvalid, resp.StatusCode, errTooLarge)
+	}
+	var body bytes.Buffer
+	n, err := body.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, bodyError(ctx, server, resp.StatusCode, err)
+	}
+	if n > limit {
+		return nil, sendError(server, execute.SendInvalid, resp.StatusCode, errTooLarge)
+	}
+	return &execute.Response{Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Body: body.Bytes()}, nil
+}
+
+// undelimited reports a body that ends with the connection, so that a cut cannot be seen.
+func undelimited(resp *http.Response) bool {
+	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+	return resp.ContentLength < 0 && !chunked && resp.Request.Method != http.MethodHead
+}
--- /dev/null
+++ b/internal/transport/backend/stream_test.go
@@ -0,0 +1,266 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
+	protocol "gooseberrytide.example/gooseberrytide/internal/protocol/engine"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/test/standin/engine"
+)
+
+const testSeed = 7
+
+func startEngine(t *testing.T, opts engine.Options) (*engine.Engine, *object.BackendServer) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts.Seed = testSeed
+	e := engine.New(opts)
+	go func() { _ = e.Serve(l) }()
+	t.Cleanup(func() { _ = e.Close() })
+	return e, &object.BackendServer{Name: "engine", Address: l.Addr().String(), Kind: object.BackendModelEngine}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", patience, what)
+}
+
+func completion(prompt string, maxTokens int) execute.Completion {
+	return execute.Completion{RequestID: "r-1", Model: "stand-in", Prompt: prompt, MaxTokens: maxTokens}
+}
+
+// readAll appends the rest of a stream to text until the last chunk or an error.
+func readAll(s execute.Stream, text *strings.Builder) (execute.Chunk, error) {
+	for {
+		c, err := s.Next()
+		if err != nil {
+			return c, err
+		}
+		text.WriteString(c.Text)
+		if c.Done {
+			return c, nil
+		}
+	}
+}
+
+// A dropped stream resumed at the token reached must give the same text as an undisturbed one, without a repeat or gap.
+func TestResumeGivesTheWholeAnswer(t *testing.T) {
+	e, server := startEngine(t, engine.Options{DecodeRate: 5000})
+	e.SetFaults(engine.Faults{Drop: 1, DropAfterTokens: 12})
+	client := newTestClient(t, Options{})
+	co := completion("a prompt", 40)
+	s, err := client.Stream(testContext(t), server, co)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	_, err = readAll(s, &text)
+	wantKind(t, err, execute.SendBroken)
+	_ = s.Close()
+	if want := engine.Text(testSeed, co.Prompt, 0, 12); text.String() != want {
+		t.Fatalf("before the drop: %q, want %q", text.String(), want)
+	}
+	co.ResumeAt, co.Emitted = 12, text.String()
+	s, err = client.Stream(testContext(t), server, co)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last, err := readAll(s, &text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = s.Close()
+	if want := engine.Text(testSeed, co.Prompt, 0, 40); text.String() != want {
+		t.Fatalf("%q, want %q", text.String(), want)
+	}
+	if last.FinishReason != protocol.FinishLength || last.PromptTokens != 2 {
+		t.Fatalf("last chunk %+v", last)
+	}
+}
+
+// A stream given up by its caller must free the engine's slot, or slots leak until the completion's end.
+func TestCloseCancelsAtTheEngine(t *testing.T) {
+	e, server := startEngine(t, engine.Options{DecodeRate: 100})
+	s, err := newTestClient(t, Options{}).Stream(testContext(t), server, completion("p", 100000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "slot free", func() bool { return e.Stats().Running == 0 })
+}
+
+// An engine that stops sending without closing must end as a broken stream after the idle timeout.
+func TestFrozenEngineBreaksTheStream(t *testing.T) {
+	e, server := startEngine(t, engine.Options{DecodeRate: 1000})
+	s, err := newTestClient(t, Options{IdleTimeout: 300 * time.Millisecond}).Stream(testContext(t), server, completion("p", 100000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.SetFaults(engine.Faults{Freeze: true})
+	var text strings.Builder
+	_, err = readAll(s, &text)
+	if send := wantKind(t, err, execute.SendBroken); !errors.Is(send, errIdle) {
+		t.Fatalf("cause %v", send.Cause)
+	}
+	_ = s.Close()
+}
+
+// A request that waits for a slot longer than the idle timeout must not be given up while the engine is alive.
+func TestWaitingStreamIsKeptAlive(t *testing.T) {
+	_, server := startEngine(t, engine.Options{Slots: 1, DecodeRate: 100, KeepAlive: 20 * time.Millisecond})
+	client := newTestClient(t, Options{IdleTimeout: 500 * time.Millisecond})
+	first, err := client.Stream(testContext(t), server, completion("p", 100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := client.Stream(testContext(t), server, completion("q", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var a, b strings.Builder
+	go func() { _, _ = readAll(first, &a) }()
+	if _, err := readAll(second, &b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Streams must be told apart by kind, since only a refusal or an unsent request may run elsewhere from the start.
+func TestStreamRefusals(t *testing.T) {
+	e, server := startEngine(t, engine.Options{})
+	client := newTestClient(t, Options{})
+	e.SetFaults(engine.Faults{Refuse: 1})
+	_, err := client.Stream(testContext(t), server, completion("p", 5))
+	if s := wantKind(t, err, execute.SendRefused); s.Status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", s.Status)
+	}
+	wrong := completion("p", 5)
+	wrong.ResumeAt, wrong.Emitted = 2, "not what was sent"
+	_, err = client.Stream(testContext(t), server, wrong)
+	wantKind(t, err, execute.SendInvalid)
+	if n := e.Stats().Executions; n != 0 {
+		t.Fatalf("%d executions", n)
+	}
+}
+
+// Streams use kept connections; a dropped one must still reach the engine once.
+func TestStreamOnReusedConnectionRunsOnce(t *testing.T) {
+	body := `data: {"id":"r-1","choices":[{"text":"a","token_index":0,"tokens":1,"finish_reason":"stop"}],` +
+		`"usage":{"prompt_tokens":1,"completion_tokens":1}}` + "\n\ndata: [DONE]\n\n"
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	whole := head + chunk(body) + "0\r\n\r\n"
+	s := newRawServer(t, func(n int, _ *http.Request) (string, bool) {
+		if n == 1 {
+			return whole, true
+		}
+		return "", false
+	})
+	client := newTestClient(t, Options{})
+	first, err := client.Stream(testContext(t), s.object(), completion("p", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	if _, err := readAll(first, &text); err != nil {
+		t.Fatal(err)
+	}
+	_ = first.Close()
+	_, err = client.Stream(testContext(t), s.object(), completion("p", 1))
+	wantKind(t, err, execute.SendBroken)
+	if executions, connections := s.counts(); executions != 2 || connections != 1 {
+		t.Fatalf("%d executions on %d connections, want 2 on 1", executions, connections)
+	}
+}
+
+func chunk(s string) string {
+	const digits = "0123456789abcdef"
+	size := ""
+	for n := len(s); n > 0; n /= 16 {
+		size = string(digits[n%16]) + size
+	}
+	return size + "\r\n" + s + "\r\n"
+}
+
+// Lost cache events must lead to a fresh view of the whole cache, and load reports must keep coming.
+func TestSubscribeResyncsAfterGap(t *testing.T) {
+	e, server := startEngine(t, engine.Options{DecodeRate: 5000, LoadInterval: 5 * time.Millisecond, CacheGapEvery: 2})
+	client := newTestClient(t, Options{ResyncInterval: time.Millisecond})
+	ctx, cancel := context.WithCancel(testContext(t))
+	var mu sync.Mutex
+	known, cleared, loads := map[uint64]bool{}, 0, 0
+	done := make(chan error)
+	go func() {
+		done <- client.Subscribe(ctx, server,
+			func(r scheduler.LoadReport) {
+				mu.Lock()
+				defer mu.Unlock()
+				loads++
+				if r.Backend != "engine" || r.Slots != 8 {
+					t.Errorf("load report %+v", r)
+				}
+			},
+			func(ev scheduler.CacheEvent) {
+				mu.Lock()
+				defer mu.Unlock()
+				if ev.Cleared {
+					cleared++
+					clear(known)
+				}
+				for _, h := range ev.Added {
+					known[h] = true
+				}
+			})
+	}()
+	locked := func(f func() bool) func() bool {
+		return func() bool { mu.Lock(); defer mu.Unlock(); return f() }
+	}
+	waitFor(t, "load report", locked(func() bool { return loads > 0 }))
+	prompts := []string{strings.Repeat("a", 300), strings.Repeat("b", 300), strings.Repeat("c", 300)}
+	for _, p := range prompts {
+		s, err := client.Stream(testContext(t), server, completion(p, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var text strings.Builder
+		if _, err := readAll(s, &text); err != nil {
+			t.Fatal(err)
+		}
+		_ = s.Close()
+	}
+	waitFor(t, "all prefixes known", locked(func() bool {
+		for _, p := range prompts {
+			if !known[protocol.PrefixHashes(p)[0]] {
+				return false
+			}
+		}
+		return cleared > 1
+	}))
+	if e.Stats().Completed != len(prompts) {
+		t.Fatal("completions missing")
+	}
+	cancel()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Fatalf("Subscribe returned %v", err)
+	}
+}
