Compose the daemon

Cause: the packages need one process that runs them. Change: composition, control loop, drain, settings with one store URL, in-process tests of the whole path.

--- a/cmd/gooseberrytided/main.go
+++ b/cmd/gooseberrytided/main.go
@@ -1,4 +1,94 @@
-// Command gooseberrytided is the router daemon.
+// Command gooseberrytided is the router daemon. It prints its addresses as one line of JSON when it listens, and shuts
+// down gracefully on SIGTERM or SIGINT.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"gooseberrytide.example/gooseberrytide/internal/daemon"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "gooseberrytided",
+		Usage: "run a gooseberrytide router",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings file (JSON)", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "gooseberrytided:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	settings, err := daemon.ReadSettings(command.String("settings"))
+	if err != nil || command.Bool("check") {
+		return err
+	}
+	log, err := newLogger(settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return serve(ctx, settings, log.With(zap.String("router", settings.ID)))
+}
+
+// serve runs the router. It starts again when an earlier process of the router had a higher incarnation.
+func serve(ctx context.Context, settings *daemon.Settings, log *zap.Logger) error {
+	incarnation := ident.Incarnation(time.Now().UnixMicro())
+	for {
+		d, err := daemon.New(settings, log, incarnation)
+		if err != nil {
+			return err
+		}
+		if err := announce(d); err != nil {
+			return err
+		}
+		err = d.Run(ctx)
+		var conflict *daemon.IncarnationError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		log.Warn("starting again with a higher incarnation")
+		incarnation = conflict.Needed
+	}
+}
+
+// announce prints the addresses.
+func announce(d *daemon.Daemon) error {
+	line := struct {
+		Peer   string `json:"peer"`
+		Caller string `json:"caller"`
+	}{d.PeerAddr(), d.CallerAddr()}
+	return errors.Wrap(json.NewEncoder(os.Stdout).Encode(line), "print addresses")
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log_level")
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(parsed)
+	config.Sampling = nil
+	config.OutputPaths = []string{"stderr"}
+	return config.Build()
+}
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -219,6 +219,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			d.stopHosts()
 			return
 		case <-ticker.C:
 			d.tick()
@@ -226,6 +227,15 @@
 	}
 }
 
+// stopHosts ends the subscriptions to engines.
+func (d *Dispatcher) stopHosts() {
+	d.update.Lock()
+	defer d.update.Unlock()
+	for _, h := range *d.hosts.Load() {
+		h.stop()
+	}
+}
+
 func (d *Dispatcher) tick() {
 	for _, h := range *d.hosts.Load() {
 		d.releaseHeld(h)
--- /dev/null
+++ b/internal/daemon/compose_callers.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/claim"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/entry"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/caller"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/engine"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/transport/callerhttp"
+)
+
+var errNotServing = errors.New("configuration not confirmed recently")
+
+func (d *Daemon) composeCallers() {
+	d.claims = claim.New(claim.Options{
+		Store:       d.store,
+		Self:        ident.RouterID(d.settings.ID),
+		Incarnation: d.incarnation,
+		Budget:      d.claimBudget,
+		Logger:      d.log,
+	})
+	d.executor = execute.New(execute.Options{
+		Admitter: d.router.Ingress(),
+		Backends: d.backends,
+		Claims:   d.claims,
+		Retry:    retryBudget{retry.NewBudget(retry.Options{})},
+		Objects:  d.objects,
+		Logger:   d.log,
+	})
+	d.callers = callerhttp.New(callerhttp.Options{
+		Executor:  d.executor,
+		Addresses: addresses{d},
+		Team:      d.teamByKey,
+		Ready:     d.ready,
+		Prefixes:  engine.PrefixHashes,
+		Logger:    d.log,
+	})
+}
+
+// objects returns the configuration in force, or nil.
+func (d *Daemon) objects() *object.Set {
+	s := d.holder.Load()
+	if s == nil {
+		return nil
+	}
+	return s.Set()
+}
+
+func (d *Daemon) teamByKey(key string) (ident.TeamID, bool) {
+	s := d.holder.Load()
+	if s == nil {
+		return "", false
+	}
+	team, ok := s.TeamByAPIKey(key)
+	if !ok {
+		return "", false
+	}
+	return ident.TeamID(team.Name), true
+}
+
+func (d *Daemon) ready() error {
+	if !d.syncer.Serving() {
+		return errNotServing
+	}
+	return nil
+}
+
+// claimBudget is this router's share of the fleet's store writes for claims, in writes per second.
+func (d *Daemon) claimBudget() int {
+	return max(d.settings.ClaimWritesPerSecond/max(len(d.view().Live()), 1), 2)
+}
+
+// retryBudget joins budget and backoff for the executor.
+type retryBudget struct {
+	budget *retry.Budget
+}
+
+func (r retryBudget) Deposit(team ident.TeamID, pool ident.PoolID) { r.budget.Request(team, pool) }
+
+func (r retryBudget) Allow(team ident.TeamID, pool ident.PoolID) bool {
+	return r.budget.Retry(team, pool)
+}
+
+func (r retryBudget) Backoff(attempt int) time.Duration {
+	waits := retry.NewBackoff()
+	wait := waits.Next(0)
+	for range attempt - 2 {
+		wait = waits.Next(0)
+	}
+	return wait
+}
+
+// addresses answers queries for entry addresses.
+type addresses struct {
+	d *Daemon
+}
+
+// Addresses implements callerhttp.Addresses.
+func (a addresses) Addresses(_ context.Context, q caller.AddressQuery) (caller.AddressAnswer, error) {
+	choice := entry.Choose(entry.Query{
+		Team:   ident.TeamID(q.Team),
+		Domain: ident.DomainID(q.Domain),
+	}, a.d.view(), a.d.dispatchers(poolOf(q)))
+	answer := caller.AddressAnswer{LifetimeMS: a.d.settings.AddressLifetime().Milliseconds()}
+	for _, address := range choice.Addresses {
+		answer.Addresses = append(answer.Addresses, caller.Address{
+			Address: address.Address,
+			Domain:  string(address.Domain),
+		})
+	}
+	return answer, nil
+}
+
+// poolOf returns the pool that a query is about, or an empty one.
+func poolOf(q caller.AddressQuery) ident.PoolID {
+	switch {
+	case q.Model != "":
+		return ident.ModelPool(q.Model)
+	case q.Service != "":
+		return ident.ServicePool(q.Service)
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/dispatch"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/ownership"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
+)
+
+// staleLimit is how long a process that was paused or has just started waits for a majority before it acts on its own
+// view. Without the limit, a router that only reaches the store would never dispatch.
+const staleLimit = 3 * time.Second
+
+// controlState is what the control loop remembers between rounds. The lock guards key and staleSince.
+type controlState struct {
+	mu         sync.Mutex
+	key        string
+	staleSince time.Duration
+	members    map[ident.RouterID]string
+	serving    bool
+}
+
+// onSnapshot records a new configuration. The control loop puts the routes in force in its next round.
+func (d *Daemon) onSnapshot(s *snapshot.Snapshot) {
+	d.events.Add(timeline.Event{Kind: timeline.KindGeneration, Generation: s.Generation()})
+	d.log.Named("daemon").Info("configuration in force", zap.Uint64("generation", uint64(s.Generation())))
+	d.refreshRoutes()
+}
+
+// runControl drives the failure detector and rebuilds the routes when members or configuration changed.
+func (d *Daemon) runControl(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.tickDetector()
+			d.recordChanges()
+			d.refreshRoutes()
+		}
+	}
+}
+
+func (d *Daemon) tickDetector() {
+	var generation ident.Generation
+	if s := d.holder.Load(); s != nil && d.syncer.Ready() {
+		generation = s.Generation()
+	}
+	d.detection.Lock()
+	d.detector.SetSelf(d.isDraining(), generation, uint32(d.router.Ingress().Active()))
+	out := d.detector.Tick(d.now())
+	d.detection.Unlock()
+	d.sendPackets(out)
+}
+
+// isDraining reports whether this router leaves, because it was told to stop or because an operator drains its VM.
+func (d *Daemon) isDraining() bool {
+	if d.draining.Load() {
+		return true
+	}
+	set := d.objects()
+	if set == nil {
+		return false
+	}
+	vm, ok := set.VMs[d.settings.ID]
+	return ok && vm.State == object.StateDraining
+}
+
+// refreshRoutes rebuilds the routes when their input changed.
+func (d *Daemon) refreshRoutes() {
+	d.control.mu.Lock()
+	defer d.control.mu.Unlock()
+	s := d.holder.Load()
+	view := d.view()
+	if s == nil || d.holdStale(view) {
+		return
+	}
+	key := routesKey(s, view)
+	if key == d.control.key {
+		return
+	}
+	d.control.key = key
+	routes := buildRoutes(ident.RouterID(d.settings.ID), s, view)
+	d.routes.Store(routes)
+	d.router.Update(routes)
+}
+
+// holdStale reports whether a stale view should not be acted on yet.
+func (d *Daemon) holdStale(view *membership.View) bool {
+	if !view.Stale {
+		d.control.staleSince = 0
+		return false
+	}
+	if d.control.staleSince == 0 {
+		d.control.staleSince = d.now()
+	}
+	return d.now()-d.control.staleSince < staleLimit
+}
+
+// routesKey names everything that routes are built from.
+func routesKey(s *snapshot.Snapshot, view *membership.View) string {
+	var key strings.Builder
+	fmt.Fprintf(&key, "%d", s.Generation())
+	for _, m := range view.Live() {
+		fmt.Fprintf(&key, ";%s:%x:%t", m.ID, uint64(m.Incarnation), eligible(m))
+	}
+	return key.String()
+}
+
+// eligible reports whether a member may be a dispatcher.
+func eligible(m membership.Member) bool {
+	return !m.Draining && m.Generation > 0
+}
+
+// buildRoutes computes the dispatchers of all shards from the configuration and the live members.
+func buildRoutes(self ident.RouterID, s *snapshot.Snapshot, view *membership.View) *dispatch.Routes {
+	routes := &dispatch.Routes{
+		Generation: s.Generation(),
+		Pools:      make(map[ident.PoolID]*dispatch.Pool),
+		Servers:    make(map[ident.BackendID]*object.BackendServer),
+		Teams:      make(map[ident.TeamID]scheduler.TeamLimits),
+		Live:       make(map[ident.RouterID]ident.Incarnation),
+	}
+	var members []ident.RouterID
+	for _, m := range view.Live() {
+		routes.Live[m.ID] = m.Incarnation
+		if eligible(m) {
+			members = append(members, m.ID)
+		}
+	}
+	addTeams(routes, s.Set())
+	owners := ownership.Assign(shardIDs(s), members)
+	for _, pool := range s.Pools() {
+		addPool(routes, self, pool, owners)
+	}
+	return routes
+}
+
+func addTeams(routes *dispatch.Routes, set *object.Set) {
+	for name, team := range set.Teams {
+		routes.Teams[ident.TeamID(name)] = scheduler.TeamLimits{
+			Weight:      team.Weight,
+			MaxQueued:   team.MaxQueued,
+			MaxInFlight: team.MaxInFlight,
+		}
+	}
+}
+
+func shardIDs(s *snapshot.Snapshot) []ident.ShardID {
+	var ids []ident.ShardID
+	for _, pool := range s.Pools() {
+		for _, shard := range pool.Shards {
+			ids = append(ids, shard.ID)
+		}
+	}
+	return ids
+}
+
+func addPool(routes *dispatch.Routes, self ident.RouterID, pool *snapshot.Pool, owners map[ident.ShardID]ident.RouterID) {
+	p := &dispatch.Pool{}
+	for _, shard := range pool.Shards {
+		owner := owners[shard.ID]
+		p.Owners = append(p.Owners, dispatch.Owner{Router: owner, Incarnation: routes.Live[owner]})
+		for _, server := range shard.Backends {
+			routes.Servers[ident.BackendID(server.Name)] = server
+		}
+		if owner == self {
+			routes.Own = append(routes.Own, dispatch.Shard{
+				ID:       shard.ID,
+				Siblings: len(pool.Shards),
+				Servers:  shard.Backends,
+			})
+		}
+	}
+	routes.Pools[pool.ID] = p
+}
+
+// dispatchers returns the routers that dispatch for a pool.
+func (d *Daemon) dispatchers(pool ident.PoolID) []ident.RouterID {
+	routes := d.routes.Load()
+	if routes == nil || routes.Pools[pool] == nil {
+		return nil
+	}
+	var list []ident.RouterID
+	for _, owner := range routes.Pools[pool].Owners {
+		if owner.Router != "" && !slices.Contains(list, owner.Router) {
+			list = append(list, owner.Router)
+		}
+	}
+	return list
+}
+
+// currentObjects returns the configuration in force for orders to engines.
+func (d *Daemon) currentObjects() (ident.Generation, *object.Set) {
+	s := d.holder.Load()
+	if s == nil {
+		return 0, nil
+	}
+	return s.Generation(), s.Set()
+}
+
+// ownsBackend reports whether this router dispatches for the backend server's shard and so gives its orders.
+func (d *Daemon) ownsBackend(id ident.BackendID) bool {
+	routes := d.routes.Load()
+	if routes == nil || d.view().Stale {
+		return false
+	}
+	for _, shard := range routes.Own {
+		for _, server := range shard.Servers {
+			if server.Name == string(id) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
+	"gooseberrytide.example/gooseberrytide/internal/transport/vmlist"
+)
+
+// closeLimit bounds the closing of idle callers' connections after a drain.
+const closeLimit = 5 * time.Second
+
+// IncarnationError reports that another process ran under the router's name with a higher incarnation, because this
+// VM's clock went back. The router has to start again with the needed incarnation.
+type IncarnationError struct {
+	Needed ident.Incarnation
+}
+
+// Error describes the conflict.
+func (e *IncarnationError) Error() string {
+	return "an earlier process of this router had a higher incarnation"
+}
+
+// Run serves until the context ends, then shuts down gracefully. Errors: *IncarnationError, errors of the listeners,
+// and an error when requests still ran at the drain limit.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancelCause(context.Background())
+	defer stop(nil)
+	var group sync.WaitGroup
+	d.runBackground(background, stop, &group)
+	server := make(chan error, 1)
+	go func() { server <- d.callers.Serve(d.listener) }()
+	err := d.await(ctx, background, server)
+	if err == nil {
+		err = d.drain()
+	}
+	stop(nil)
+	group.Wait()
+	d.close()
+	return err
+}
+
+// runBackground starts everything that does not serve callers.
+func (d *Daemon) runBackground(ctx context.Context, stop context.CancelCauseFunc, group *sync.WaitGroup) {
+	group.Go(func() { d.runControl(ctx) })
+	group.Go(func() { d.runList(ctx) })
+	group.Go(func() { _ = d.syncer.Run(ctx) })
+	group.Go(func() { d.router.Run(ctx) })
+	group.Go(func() { _ = d.orders.Run(ctx) })
+	group.Go(func() { d.runCollect(ctx) })
+	group.Go(func() { d.checkIncarnation(ctx, stop) })
+}
+
+// await returns nil when a stop is asked for.
+func (d *Daemon) await(ctx, background context.Context, server <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-background.Done():
+		return context.Cause(background)
+	case err := <-server:
+		return errors.Wrap(err, "serve callers")
+	}
+}
+
+// drain leaves the entry addresses, hands the dispatcher roles over, and waits for the requests of callers.
+func (d *Daemon) drain() error {
+	log := d.log.Named("daemon")
+	log.Info("drain started", zap.Int("requests", d.callers.InFlight()))
+	d.events.Add(timeline.Event{Kind: timeline.KindDrain, Detail: "started"})
+	d.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit())
+	defer cancel()
+	err := errors.Wrap(d.callers.Drain(ctx, d.settings.AddressLifetime()), "drain")
+	d.executor.Wait()
+	if err != nil {
+		log.Error("drain limit reached", zap.Int("requests", d.callers.InFlight()))
+	}
+	d.events.Add(timeline.Event{Kind: timeline.KindDrain, Detail: "ended"})
+	d.detection.Lock()
+	leave := d.detector.Leave(d.now())
+	d.detection.Unlock()
+	d.sendPackets(leave)
+	return err
+}
+
+// close frees listeners and connections.
+func (d *Daemon) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Named("daemon").Warn("connections of callers left open", zap.Error(err))
+	}
+	d.claims.Close()
+	d.backends.Close()
+	_ = d.network.Close()
+}
+
+// checkIncarnation ends the process when an earlier one of this router had a higher incarnation.
+func (d *Daemon) checkIncarnation(ctx context.Context, stop context.CancelCauseFunc) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.detection.Lock()
+			needed := d.detector.SelfIncarnation()
+			d.detection.Unlock()
+			if needed > d.incarnation {
+				stop(&IncarnationError{Needed: needed})
+				return
+			}
+		}
+	}
+}
+
+// runList reads the VM list. A failed read keeps the former list.
+func (d *Daemon) runList(ctx context.Context) {
+	ticker := time.NewTicker(listPeriod)
+	defer ticker.Stop()
+	for {
+		d.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) readList(ctx context.Context) {
+	list, err := d.list.List(ctx)
+	if err != nil {
+		d.log.Named("daemon").Warn("VM list not read", zap.Error(err))
+		return
+	}
+	candidates := make([]membership.Candidate, 0, len(list))
+	for _, vm := range list {
+		if vm.State == vmlist.StateLeaving {
+			continue
+		}
+		candidates = append(candidates, membership.Candidate{
+			ID:       vm.ID,
+			PeerAddr: vm.PeerAddress,
+			Domain:   vm.FailureDomain,
+		})
+	}
+	d.detection.Lock()
+	defer d.detection.Unlock()
+	d.detector.SetCandidates(d.now(), candidates)
+}
+
+// collectPeriod is how often unused chunks of former configurations are deleted.
+const collectPeriod = time.Hour
+
+// runCollect deletes unused chunks. Each router does it, at different times.
+func (d *Daemon) runCollect(ctx context.Context) {
+	ticker := time.NewTicker(collectPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !d.watches() {
+				continue
+			}
+			if _, err := d.publisher.Collect(ctx); err != nil {
+				d.log.Named("daemon").Warn("unused chunks not deleted", zap.Error(err))
+			}
+		}
+	}
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -19,7 +19,6 @@
 	defaultAddressLifetime = 10 * time.Second
 	defaultClaimWrites     = 300
 	minSharedKeyBytes      = 16
-	defaultEventCapacity   = 4096
 )
 
 // Settings are the settings of one router process. They are read once at start.
@@ -40,8 +39,8 @@
 	SharedKey string `json:"shared_key,omitempty"`
 	// SharedKeyFile names a file that holds the shared key.
 	SharedKeyFile string `json:"shared_key_file,omitempty"`
-	// StoreEndpoints are base URLs of the key-value service, tried in turn. Required.
-	StoreEndpoints []string `json:"store_endpoints"`
+	// StoreURL is the base URL of the key-value service. Required.
+	StoreURL string `json:"store_url"`
 	// VMListURL is the base URL of the platform's VM list. Required.
 	VMListURL string `json:"vm_list_url"`
 	// OperatorTokenHash is the hexadecimal SHA-256 hash of the operators' token. Required.
@@ -140,12 +139,7 @@
 	if len(s.SharedKey) < minSharedKeyBytes {
 		report("shared_key", "must have at least %d bytes", minSharedKeyBytes)
 	}
-	if len(s.StoreEndpoints) == 0 {
-		report("store_endpoints", "is required")
-	}
-	for n, endpoint := range s.StoreEndpoints {
-		checkURL(report, fmt.Sprintf("store_endpoints[%d]", n), endpoint)
-	}
+	checkURL(report, "store_url", s.StoreURL)
 	checkURL(report, "vm_list_url", s.VMListURL)
 	if !tokenHashPattern.MatchString(s.OperatorTokenHash) {
 		report("operator_token_hash", "must be 64 hexadecimal digits")
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -13,7 +13,7 @@
   "id": "r1", "failure_domain": "north",
   "peer_listen": "127.0.0.1:0", "caller_listen": "127.0.0.1:0",
   "shared_key": "0123456789abcdef",
-  "store_endpoints": ["http://127.0.0.1:2379"], "vm_list_url": "http://127.0.0.1:2380",
+  "store_url": "http://127.0.0.1:2379", "vm_list_url": "http://127.0.0.1:2380",
   "operator_token_hash": "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 }`
 
--- /dev/null
+++ b/test/fleet/admin.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/test/standin/vmlist"
+)
+
+// pollPeriod is the wait between two looks at a condition.
+const pollPeriod = 50 * time.Millisecond
+
+// Client is used for all calls of drivers.
+var Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxIdleConns: 4096}}
+
+// Do sends a JSON request with the operators' token and decodes the answer. A status other than 200 is an error.
+func Do(ctx context.Context, method, url string, body, answer any) error {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorToken)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := Client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode/100 != 2 {
+		return errors.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(data, answer), "answer of %s", url)
+}
+
+// PublishVMs sets the VM list to the routers that were started.
+func (f *Fleet) PublishVMs(ctx context.Context) error {
+	var all []vmlist.VM
+	for _, r := range f.Routers {
+		all = append(all, vmlist.VM{
+			ID:            r.ID,
+			PeerAddress:   r.Peer,
+			CallerAddress: r.Caller,
+			FailureDomain: r.Domain,
+			State:         vmlist.StateLive,
+		})
+	}
+	for n, url := range f.VMURLs {
+		list := all
+		if f.Options.Isolated {
+			list = all[n : n+1]
+		}
+		if err := Do(ctx, http.MethodPost, url+"/admin/vms", vmlist.List{VMs: list}, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// publish publishes the first configuration.
+func (f *Fleet) publish(ctx context.Context) error {
+	return Await(ctx, readyLimit, "publish", func() error {
+		_, err := f.Apply(ctx, 0)
+		return err
+	})
+}
+
+// Apply publishes the fleet's set over the base generation at the first router.
+func (f *Fleet) Apply(ctx context.Context, base ident.Generation) (ident.Generation, error) {
+	objects, err := object.EncodeObjects(f.Set)
+	if err != nil {
+		return 0, err
+	}
+	var resp admin.PublishResponse
+	url := "http://" + f.Routers[0].Caller + "/v1/admin/config"
+	err = Do(ctx, http.MethodPost, url, admin.PublishRequest{Base: base, Objects: objects}, &resp)
+	return resp.Generation, err
+}
+
+// Status returns a router's status.
+func (r *Router) Status(ctx context.Context) (admin.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	var status admin.Status
+	err := Do(ctx, http.MethodGet, "http://"+r.Caller+"/v1/admin/status", nil, &status)
+	return status, err
+}
+
+// AwaitServing waits until all routers serve and see each other.
+func (f *Fleet) AwaitServing(ctx context.Context) error {
+	want := len(f.Routers)
+	if f.Options.Isolated {
+		want = 1
+	}
+	for _, r := range f.Routers {
+		err := Await(ctx, readyLimit, r.ID+" serves", func() error {
+			status, err := r.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if !status.Serving || len(status.Members) < want {
+				return errors.Errorf("serving %t with %d members", status.Serving, len(status.Members))
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Await repeats a check until it passes or the limit is over.
+func Await(ctx context.Context, limit time.Duration, what string, check func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "%s: not within %v", what, limit)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollPeriod):
+		}
+	}
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -204,7 +204,7 @@
 		PeerListen:        "127.0.0.1:0",
 		CallerListen:      "127.0.0.1:0",
 		SharedKey:         "shared-key-of-the-test-fleet",
-		StoreEndpoints:    []string{f.StoreURL},
+		StoreURL:          f.StoreURL,
 		VMListURL:         list,
 		OperatorTokenHash: hash(OperatorToken),
 	}
