--- a/internal/coordination/scheduler/backend.go
+++ b/internal/coordination/scheduler/backend.go
@@ -51,11 +51,15 @@
 	return b.reported && now < b.reportedAt+reportStale
 }
 
-// base is the limit from slots alone. One request more than the reported slots keeps the batch full over one round trip.
+// accepting says whether the configuration allows new work.
+func (b *backend) accepting() bool { return b.index >= 0 && !b.Draining }
+
+// base is the limit from slots alone. One request more than the reported slots keeps the batch full over one round
+// trip. Reported slots of 0 say nothing: a backend server that takes no work refuses it.
 func (b *backend) base(now time.Duration) int {
 	switch {
-	case b.fresh(now):
-		return max(b.reportedSlots, 0) + 1
+	case b.reportedSlots > 0 && b.fresh(now):
+		return b.reportedSlots + 1
 	case b.Slots > 0:
 		return b.Slots
 	case b.reportedSlots > 0:
@@ -67,7 +71,7 @@
 
 // limitAt returns the number of requests that may run at once.
 func (b *backend) limitAt(now time.Duration) int {
-	if b.index < 0 || b.Draining {
+	if !b.accepting() {
 		return 0
 	}
 	if b.health == healthEjected {
@@ -101,7 +105,7 @@
 	if r.Slots < 0 || r.Running < 0 || r.Waiting < 0 {
 		return
 	}
-	if r.Slots == 0 && r.Running == 0 && b.running > 0 {
+	if r.Running == 0 && r.Waiting == 0 && b.running > 0 {
 		return
 	}
 	if b.absurd(r) {
@@ -162,11 +166,27 @@
 	b.ramp = rampStart
 }
 
-// refused records a refused or failed connection. running is the number of requests in flight, this one included.
-func (b *backend) refused(now time.Duration, running int) {
+// failed records an answer with an error or a broken one. It shows that connections work, so that the ramp-up goes on,
+// but slowly: a backend server that fails at once would otherwise draw all work.
+func (b *backend) failed(now time.Duration, probe bool) {
+	if b.health == healthEjected {
+		if probe {
+			b.postponeProbe(now)
+		}
+		return
+	}
+	if b.ramp > 0 {
+		b.ramp++
+	}
+}
+
+// refused records a refused or failed connection. Refusals of requests sent before the ejection do not delay the probe.
+func (b *backend) refused(now time.Duration, probe bool) {
 	b.failures++
 	if b.health == healthEjected {
-		b.postponeProbe(now)
+		if probe {
+			b.postponeProbe(now)
+		}
 		return
 	}
 	if b.failures >= ejectFailures {
@@ -174,7 +194,7 @@
 		b.postponeProbe(now)
 		return
 	}
-	b.ceiling = max(1, float64(running-1))
+	b.ceiling = max(1, float64(b.running-1))
 }
 
 func (b *backend) postponeProbe(now time.Duration) {
--- a/internal/coordination/scheduler/exchange.go
+++ b/internal/coordination/scheduler/exchange.go
@@ -139,11 +139,11 @@
 		t.prepaid -= paid
 		rest -= paid
 	}
-	t.add(rest, t.lifts)
+	t.charge(float64(rest)/t.weight, t.lifts)
 	if t.heapPos != notInHeap {
 		s.fair.fix(t)
 	}
-	if len(s.fair) == 0 && (s.last == nil || t.counter() > s.last.counter()) {
+	if len(s.fair) == 0 && (s.last == nil || t.counter > s.last.counter) {
 		s.last = t
 	}
 }
@@ -228,7 +228,7 @@
 	s.record(r.session, r.seq, ending{attempt: r.attempt, kind: endRedirected, to: to})
 	estimate := t.est.estimate(r.hint, s.totals.meanCost)
 	t.prepaid += estimate
-	t.add(estimate, t.lifts)
+	t.charge(float64(estimate)/t.weight, t.lifts)
 	if t.heapPos != notInHeap {
 		s.fair.fix(t)
 	}
--- a/internal/coordination/scheduler/grant.go
+++ b/internal/coordination/scheduler/grant.go
@@ -22,7 +22,7 @@
 		case r.deadline <= s.now:
 			s.reject(r, message.RejectDeadline, out)
 		default:
-			level, granted = t.counter(), true
+			level, granted = t.counter, true
 			s.grant(r, s.choose(r), out)
 		}
 	}
@@ -34,7 +34,7 @@
 // served in their place, so that work nobody could run earns no credit.
 func (s *Scheduler) returnSkipped(level float64, granted bool) {
 	for i, t := range s.skipped {
-		if granted && level > t.counter() {
+		if granted && level > t.counter {
 			t.lift(level)
 		}
 		s.fair.push(t)
@@ -70,7 +70,11 @@
 	t.grants++
 	s.last = t
 	r.backend = b
+	if b.health == healthEjected {
+		b.probe = r
+	}
 	r.lifts = t.lifts
+	r.weight = t.weight
 	r.estimate = t.est.estimate(r.hint, s.totals.meanCost)
 	s.occupy(r)
 	s.remember(r)
@@ -84,11 +88,9 @@
 	r.state = stateGranted
 	r.team.running++
 	s.totals.running++
+	s.totals.maxRunning = max(s.totals.maxRunning, s.totals.running)
 	if b := r.backend; b != nil {
 		b.running++
-		if b.health == healthEjected && b.probe == nil {
-			b.probe = r
-		}
 		b.limit = b.limitAt(s.now)
 	}
 	r.due = s.now + GrantTimeout
@@ -121,7 +123,7 @@
 	if len(s.fair) == 0 {
 		return 0
 	}
-	return int64(math.Round(max(t.counter()-s.fair[0].counter, 0)))
+	return int64(math.Round(max(t.counter-s.fair[0].counter, 0)))
 }
 
 func (s *Scheduler) emitGrant(r *request, out *Decisions) {
@@ -143,7 +145,7 @@
 	}
 	t := r.team
 	r.charge = cost
-	t.add(change, r.lifts)
+	t.charge(float64(change)/r.weight, r.lifts)
 	s.noteUnreported(t, change)
 	if t.heapPos != notInHeap {
 		s.reorder(t)
--- a/internal/coordination/scheduler/heaps.go
+++ b/internal/coordination/scheduler/heaps.go
@@ -81,7 +81,7 @@
 
 func entryOf(t *team) fairEntry {
 	r := t.head()
-	return fairEntry{counter: t.counter(), arrival: r.arrival, serial: r.serial, team: t}
+	return fairEntry{counter: t.counter, arrival: r.arrival, serial: r.serial, team: t}
 }
 
 func (h *fairHeap) push(t *team) {
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -51,6 +51,10 @@
 	if r.attempt != m.Ref.Attempt || r.state == stateQueued {
 		return
 	}
+	if r.backend == nil || !r.backend.accepting() {
+		s.requeue(r, m, out)
+		return
+	}
 	if r.state == stateLost {
 		s.readopt(r)
 	}
@@ -58,6 +62,18 @@
 	s.emitGrant(r, out)
 }
 
+// requeue queues a granted attempt again whose ingress has no grant and whose backend server takes no new work.
+func (s *Scheduler) requeue(r *request, m *message.Enqueue, out *Decisions) {
+	s.leave(r)
+	s.setReported(r, 0)
+	s.setCharge(r, 0)
+	r.backend = nil
+	r.fill(m)
+	r.deadline = s.now + time.Duration(m.DeadlineMS)*time.Millisecond
+	s.enter(r)
+	s.pump(out)
+}
+
 // admit queues a new attempt, or rejects it.
 func (s *Scheduler) admit(ss *session, m *message.Enqueue, out *Decisions) {
 	t := s.teamOf(m.Team)
@@ -112,9 +128,9 @@
 		return s.fair[0].counter
 	}
 	if s.last != nil && s.last != t {
-		return s.last.counter()
+		return s.last.counter
 	}
-	return t.counter()
+	return t.counter
 }
 
 // reorder corrects the team's place after a change of its counter, queue or limits.
@@ -136,8 +152,8 @@
 	if t.grants > 0 || r.redirected {
 		return
 	}
-	if v := float64(lag); v > t.counter() {
-		t.before, t.level, t.after = v, 0, 0
+	if v := float64(lag); v > t.counter {
+		t.counter = v
 	}
 	handedOver := r.arrival < s.startedAt && s.now < s.startedAt+handoverWindow
 	if handedOver && t.lifts == 0 {
--- a/internal/coordination/scheduler/request.go
+++ b/internal/coordination/scheduler/request.go
@@ -38,8 +38,10 @@
 	charge ident.Cost
 	// reported is the cost that the ingress reported.
 	reported ident.Cost
-	lifts    uint32
-	lag      int64
+	// weight and lifts are the team's at the time of the grant.
+	weight float64
+	lifts  uint32
+	lag    int64
 
 	arrival time.Duration
 	// serial breaks ties between equal arrivals.
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -86,6 +86,11 @@
 	for _, c := range list {
 		s.listBackend(c)
 	}
+	for _, b := range s.byID {
+		if b.index < 0 {
+			b.ramp = rampStart
+		}
+	}
 	s.share = make([]float64, len(s.backends))
 	s.forgetUnlisted()
 	s.refresh()
@@ -234,6 +239,7 @@
 	case stateGranted:
 		s.lose(r)
 	case stateLost:
+		s.record(r.session, r.seq, ending{attempt: r.attempt, kind: endSettled})
 		s.drop(r)
 	}
 }
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -52,12 +52,12 @@
 		}
 	case message.SettleRefused:
 		if b != nil {
-			b.refused(s.now, b.running)
+			b.refused(s.now, b.probe == r)
 		}
 	case message.SettleFailed:
 		s.totals.observe(r, cost)
-		if b != nil && b.probe == r {
-			b.postponeProbe(s.now)
+		if b != nil {
+			b.failed(s.now, b.probe == r)
 		}
 	}
 }
@@ -147,6 +147,7 @@
 	r := s.newRequest(ss, m.Ref, t)
 	r.backend = s.byID[m.Backend]
 	r.lifts = t.lifts
+	r.weight = t.weight
 	r.charge = boundCost(m.Cost)
 	r.estimate = r.charge
 	r.reported = r.charge
--- a/internal/coordination/scheduler/stats.go
+++ b/internal/coordination/scheduler/stats.go
@@ -28,8 +28,9 @@
 	Backends []BackendStats
 	// Gap is the largest difference between the counters of two backlogged teams, in weighted cost units.
 	Gap float64
-	// Bound is the gap that the policy allows for the largest cost and charge error seen and the lowest weight of a
-	// backlogged team, in weighted cost units.
+	// Bound is the difference in charged service that the policy allows between two teams that are backlogged over any
+	// interval, in weighted cost units: twice the largest cost plus the charge errors of all requests in flight, for the
+	// largest cost, error and number seen and the lowest weight of a backlogged team. Gap stays below half of it.
 	Bound float64
 }
 
@@ -56,7 +57,9 @@
 type totals struct {
 	queued  int
 	running int
-	served  ident.Cost
+	// maxRunning is the largest number of attempts that ran at once.
+	maxRunning int
+	served     ident.Cost
 	// maxCost and maxError are the largest cost and charge error of an attempt.
 	maxCost   ident.Cost
 	maxError  ident.Cost
@@ -102,7 +105,7 @@
 }
 
 func (t *team) stats() TeamStats {
-	return TeamStats{Team: t.id, Queued: t.queued(), Running: t.running, Served: t.served, Counter: t.counter()}
+	return TeamStats{Team: t.id, Queued: t.queued(), Running: t.running, Served: t.served, Counter: t.counter}
 }
 
 func (s *Scheduler) longestQueues() []TeamStats {
@@ -128,8 +131,9 @@
 		high = max(high, s.fair[i].counter)
 		weight = min(weight, s.fair[i].team.weight)
 	}
-	inFlight := float64(max(limit, s.totals.running))
-	bound = 2 * (float64(s.totals.maxCost) + inFlight*float64(s.totals.maxError))
-	bound += float64(s.siblings-1) * float64(Quantum)
+	inFlight := float64(max(limit, s.totals.maxRunning))
+	bound = float64(s.totals.maxCost) + inFlight*float64(s.totals.maxError)
+	bound += 2 * float64(s.siblings-1) * float64(Quantum)
+	bound *= 2
 	return high - s.fair[0].counter, bound / weight
 }
--- a/internal/coordination/scheduler/team.go
+++ b/internal/coordination/scheduler/team.go
@@ -5,21 +5,28 @@
 // notInHeap is the heap position of an element outside of its heap.
 const notInHeap = -1
 
+// liftHistory is the number of lifts that corrections look back over. A request that outlives more lifts is corrected
+// past the last ones only.
+const liftHistory = 4
+
+// liftRecord describes a lift: the amount that the counter was raised, or its slack above the level when it was not.
+type liftRecord struct {
+	raised float64
+	slack  float64
+}
+
 // team is the account and the queue of a team.
-//
-// The virtual counter is max(before, level) + after. A lift sets level. Corrections of requests granted before the
-// lift change only the part before, so that a refund cannot undo the lift.
 type team struct {
 	id          ident.TeamID
 	weight      float64
 	maxQueued   int
 	maxInFlight int
 
-	before float64
-	level  float64
-	after  float64
-	// lifts numbers the lifts. A request granted under another number belongs to the part before.
-	lifts uint32
+	// counter is the virtual counter, in weighted cost units.
+	counter float64
+	// lifts numbers the lifts; history holds the last ones by number.
+	lifts   uint32
+	history [liftHistory]liftRecord
 	// keepCounter suppresses the next lift, after a hand-over.
 	keepCounter bool
 	// grants counts the grants of this scheduler.
@@ -58,8 +65,6 @@
 	t.maxInFlight = l.MaxInFlight
 }
 
-func (t *team) counter() float64 { return max(t.before, t.level) + t.after }
-
 func (t *team) queued() int { return len(t.free) + len(t.bound) }
 
 // capped says that the team has as many running requests as it may have.
@@ -67,20 +72,37 @@
 
 // lift raises the counter to at least level.
 func (t *team) lift(level float64) {
-	t.before = t.counter()
-	t.level = level
-	t.after = 0
 	t.lifts++
+	t.history[t.lifts%liftHistory] = liftRecord{raised: max(level-t.counter, 0), slack: max(t.counter-level, 0)}
+	t.counter = max(t.counter, level)
+}
+
+// charge changes the counter by v for a request granted after the given lift. The result is as if v had been charged
+// before the later lifts: otherwise a refund of an overcharged request would turn a lift into credit.
+func (t *team) charge(v float64, lift uint32) {
+	if t.lifts-lift > liftHistory {
+		lift = t.lifts - liftHistory
+	}
+	for lift != t.lifts {
+		lift++
+		v = t.history[lift%liftHistory].pass(v)
+	}
+	t.counter += v
 }
 
-// add changes the counter by the cost of a request granted under the given lift number.
-func (t *team) add(cost ident.Cost, lifts uint32) {
-	v := float64(cost) / t.weight
-	if lifts == t.lifts {
-		t.after += v
+// pass returns the part of a change before the lift that remains after it.
+func (l *liftRecord) pass(v float64) float64 {
+	if v < 0 {
+		rest := max(v, -l.slack)
+		l.raised += rest - v
+		v = rest
 	} else {
-		t.before += v
+		absorbed := min(v, l.raised)
+		l.raised -= absorbed
+		v -= absorbed
 	}
+	l.slack += v
+	return v
 }
 
 // head returns the earliest queued request, or nil.
