Bound the gap of backlogged teams

Cause: a team that was handed over and went idle kept its old counter at its next wake-up. Change: only the first join after a hand-over skips the lift; charges that end unused count as errors; property test of the gap and a test of late charge errors. Conclusion: at any time the counters differ by at most (Cmax + F*E)/w when E covers the whole life of a request; errors after the first progress report count too.

--- /dev/null
+++ b/internal/coordination/scheduler/gap_test.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// Guards against a policy step that lets the counters of backlogged teams drift apart: at any time they differ by at most
+// (Cmax + F*E)/w, which is half of the bound for the service in an interval.
+func TestGapOfBackloggedTeamsIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		actions := []func(){
+			m.addEnqueue, m.addEnqueue, m.addEnqueue, m.addEnqueue, m.settleOne, m.settleOne, m.progressOne, m.cancelOne, m.pass,
+		}
+		largest, weight := 0.0, 0.5
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			rapid.SampledFrom(actions).Draw(t, "event")()
+			m.collect()
+			gap, _ := m.s.gap(0)
+			largest = max(largest, gap)
+		}
+		m.settleAll()
+		c := m.s.totals
+		bound := (float64(c.maxCost) + float64(c.maxRunning)*float64(c.maxError)) / weight
+		if largest > bound {
+			t.Fatalf("gap %.0f, bound %.0f (Cmax %d, F %d, E %d)", largest, bound, c.maxCost, c.maxRunning, c.maxError)
+		}
+	})
+}
+
+// settleAll ends all granted attempts at the top of the cost range, so that their errors are known.
+func (m *model) settleAll() {
+	for a, ok := m.anyGranted(); ok; a, ok = m.anyGranted() {
+		m.end(a)
+		m.s.Settle(m.now, message.Settle{Ref: a, Cost: 300, Result: message.SettleOK}, &m.out)
+		m.collect()
+	}
+}
+
+func (m *model) anyGranted() (ident.AttemptRef, bool) {
+	for _, a := range m.order {
+		if m.attempts[a] == granted {
+			return a, true
+		}
+	}
+	return ident.AttemptRef{}, false
+}
+
+// Guards against the assumption that only errors up to the first progress report count. Requests that outgrow their
+// estimates after they were granted hold all slots, and the gap passes twice the largest cost plus the early errors.
+func TestLateChargeErrorsCountInTheBound(t *testing.T) {
+	const slots, hint, cost = 10, 10, 1000
+	r := newRig(1, slots)
+	long := fill(r, "long", slots)
+	r.enqueue("short", hint)
+	r.enqueue("long", hint)
+	for _, a := range long {
+		r.s.Progress(r.now, message.Progress{Ref: a, Cost: hint}) // the first report shows no error
+	}
+	for _, a := range long {
+		r.s.Progress(r.now, message.Progress{Ref: a, Cost: cost})
+	}
+	gap, _ := r.s.gap(0)
+	if early := 2.0 * cost; gap <= early {
+		t.Fatalf("gap %.0f does not pass the bound %.0f without late errors", gap, early)
+	}
+	if late := float64(cost + slots*(cost-hint)); gap > late {
+		t.Fatalf("gap %.0f passes the bound %.0f with late errors", gap, late)
+	}
+}
+
+// fill grants n requests of the team.
+func fill(r *rig, team string, n int) []ident.AttemptRef {
+	list := make([]ident.AttemptRef, n)
+	for i := range list {
+		list[i] = r.enqueue(team, 10)
+	}
+	return list
+}
--- a/internal/coordination/scheduler/property_test.go
+++ b/internal/coordination/scheduler/property_test.go
@@ -27,10 +27,21 @@
 	attempts map[ident.AttemptRef]attemptState
 	order    []ident.AttemptRef
 	enqueued map[ident.AttemptRef]message.Enqueue
+	endedAt  map[ident.AttemptRef]time.Duration
+}
+
+func (m *model) end(a ident.AttemptRef) {
+	m.attempts[a] = over
+	m.endedAt[a] = m.now
 }
 
 func newModel(t *rapid.T) *model {
-	m := &model{t: t, attempts: map[ident.AttemptRef]attemptState{}, enqueued: map[ident.AttemptRef]message.Enqueue{}}
+	m := &model{
+		t:        t,
+		attempts: map[ident.AttemptRef]attemptState{},
+		enqueued: map[ident.AttemptRef]message.Enqueue{},
+		endedAt:  map[ident.AttemptRef]time.Duration{},
+	}
 	m.rig = newRig(rapid.IntRange(1, 4).Draw(t, "backends"), rapid.IntRange(1, 4).Draw(t, "slots"))
 	for i, w := range []float64{1, 1, 2, 0.5} {
 		limits := TeamLimits{Weight: w, MaxQueued: 10, MaxInFlight: rapid.IntRange(0, 3).Draw(t, "cap")}
@@ -81,7 +92,7 @@
 	}
 	results := []message.SettleResult{message.SettleOK, message.SettleOK, message.SettleOK, message.SettleFailed,
 		message.SettleRefused, message.SettleUnused}
-	m.attempts[a] = over
+	m.end(a)
 	m.s.Settle(m.now, message.Settle{
 		Ref: a, Cost: ident.Cost(rapid.IntRange(0, 300).Draw(m.t, "cost")), RunMS: 10,
 		Result: rapid.SampledFrom(results).Draw(m.t, "result"),
@@ -90,7 +101,7 @@
 
 func (m *model) cancelOne() {
 	if a, ok := m.pick(waiting, granted); ok {
-		m.attempts[a] = over
+		m.end(a)
 		m.s.Cancel(m.now, message.Cancel{Ref: a}, &m.out)
 	}
 }
@@ -101,17 +112,24 @@
 	}
 }
 
-// repeatOne sends a late duplicate.
+// repeatOne sends a late duplicate. One that comes after the retention of ended attempts is a new attempt.
 func (m *model) repeatOne() {
 	a, ok := m.pick(waiting, granted, over)
 	if !ok {
 		return
 	}
+	if m.attempts[a] == over && m.now >= m.endedAt[a]+settledRetention {
+		m.attempts[a] = waiting
+	}
 	m.send(m.enqueued[a])
 }
 
+// lateSettle repeats the end of an attempt. One that was forgotten is remembered anew.
 func (m *model) lateSettle() {
 	if a, ok := m.pick(over); ok {
+		if m.now >= m.endedAt[a]+settledRetention {
+			m.end(a)
+		}
 		m.s.Settle(m.now, message.Settle{Ref: a, Cost: 50, Result: message.SettleOK}, &m.out)
 	}
 }
@@ -125,7 +143,12 @@
 	}, &m.out)
 }
 
-func (m *model) pass() { m.tick(time.Duration(rapid.IntRange(1, 30).Draw(m.t, "ticks")) * wheelTick) }
+func (m *model) pass() {
+	for range rapid.IntRange(1, 30).Draw(m.t, "ticks") {
+		m.tick(wheelTick)
+		m.collect()
+	}
+}
 
 // collect checks the decisions against the expected states.
 func (m *model) collect() {
@@ -139,7 +162,9 @@
 		if m.attempts[r.Ref] == granted {
 			m.t.Fatalf("reject of the granted attempt %v", r.Ref)
 		}
-		m.attempts[r.Ref] = over
+		if m.attempts[r.Ref] != over {
+			m.end(r.Ref)
+		}
 	}
 	m.out.Reset()
 }
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -102,22 +102,18 @@
 	t := r.team
 	t.queueOf(r).push(r)
 	s.totals.queued++
-	s.activate(t)
+	s.reorder(t)
 }
 
 // activate brings a team with eligible work into the fair order. A team that joins is lifted.
 func (s *Scheduler) activate(t *team) {
-	if t.heapPos != notInHeap {
-		s.fair.fix(t)
-		return
-	}
 	if t.queued() == 0 || t.capped() {
 		return
 	}
-	if !t.keepCounter {
+	if t.joined || !s.handedOver(t.head()) {
 		t.lift(s.liftLevel(t))
 	}
-	t.keepCounter = false
+	t.joined = true
 	s.fair.push(t)
 }
 
@@ -146,8 +142,7 @@
 }
 
 // restore takes over the lag that a former dispatcher gave the team. The lag counts from the lowest counter at that
-// time, which is 0 here. A request that arrived before this scheduler's first event was backlogged there, so its team
-// is not lifted.
+// time, which is 0 here.
 func (s *Scheduler) restore(t *team, r *request, lag int64) {
 	if t.grants > 0 || r.redirected {
 		return
@@ -155,10 +150,12 @@
 	if v := float64(lag); v > t.counter {
 		t.counter = v
 	}
-	handedOver := r.arrival < s.startedAt && s.now < s.startedAt+handoverWindow
-	if handedOver && t.lifts == 0 {
-		t.keepCounter = true
-	}
+}
+
+// handedOver says whether a request was backlogged at a former dispatcher. Its team is not lifted when it joins: it was
+// backlogged there, and its lag places it among the others.
+func (s *Scheduler) handedOver(r *request) bool {
+	return r.arrival < s.startedAt && s.now < s.startedAt+handoverWindow && !r.redirected
 }
 
 // Cancel withdraws a queued or granted attempt that was not sent.
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -78,6 +78,7 @@
 	if r := s.find(ref); r != nil {
 		if result == message.SettleUnused || result == message.SettleRefused {
 			cost = 0
+			s.totals.observe(r, r.reported)
 		}
 		s.leave(r)
 		s.setReported(r, cost)
@@ -94,6 +95,7 @@
 		b.postponeProbe(s.now)
 	}
 	s.release(r)
+	s.totals.observe(r, r.reported)
 	r.state = stateLost
 	s.setCharge(r, r.reported)
 	r.due = s.now + lostRetention
--- a/internal/coordination/scheduler/team.go
+++ b/internal/coordination/scheduler/team.go
@@ -27,8 +27,8 @@
 	// lifts numbers the lifts; history holds the last ones by number.
 	lifts   uint32
 	history [liftHistory]liftRecord
-	// keepCounter suppresses the next lift, after a hand-over.
-	keepCounter bool
+	// joined says that the team was backlogged here before.
+	joined bool
 	// grants counts the grants of this scheduler.
 	grants uint64
 
