Test the scheduler's policies one by one

Change: tests of fairness, load reports, ramp-up, probes, engine choice, hand-over, duplicates and the exchange between shards; an event-driven test bench. An engine gets one request more than its reported slots only while runs are shorter than 200 ms on average. Conclusion: one queue stays close to the ideal; the extra request pays only for short runs.

--- a/internal/coordination/scheduler/backend.go
+++ b/internal/coordination/scheduler/backend.go
@@ -36,6 +36,8 @@
 	// probe is the request that tests an ejected backend server.
 	probe *request
 
+	// extra is the number of requests beyond the reported slots that keep the batch full over one round trip.
+	extra int
 	// limit is the in-flight limit at the last refresh.
 	limit int
 	// cacheEpoch invalidates the hints recorded before the cache was cleared.
@@ -54,12 +56,11 @@
 // accepting says whether the configuration allows new work.
 func (b *backend) accepting() bool { return b.index >= 0 && !b.Draining }
 
-// base is the limit from slots alone. One request more than the reported slots keeps the batch full over one round
-// trip. Reported slots of 0 say nothing: a backend server that takes no work refuses it.
+// base is the limit from slots alone. Reported slots of 0 say nothing: a backend server that takes no work refuses it.
 func (b *backend) base(now time.Duration) int {
 	switch {
 	case b.reportedSlots > 0 && b.fresh(now):
-		return b.reportedSlots + 1
+		return b.reportedSlots + b.extra
 	case b.Slots > 0:
 		return b.Slots
 	case b.reportedSlots > 0:
--- /dev/null
+++ b/internal/coordination/scheduler/backend_test.go
@@ -0,0 +1,232 @@
+package scheduler
+
+import (
+	"testing"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+func (r *rig) report(slots, running, waiting int) {
+	r.s.Load(r.now, LoadReport{Backend: "engine-0", Slots: slots, Running: running, Waiting: waiting}, &r.out)
+}
+
+func (r *rig) limit() int { return r.s.Stats().Backends[0].Limit }
+
+// Guards against limits that follow wrong, absurd, contradicted or stale load reports.
+func TestLoadReportsAreCheckedBeforeUse(t *testing.T) {
+	cases := []struct {
+		name                                string
+		configured, slots, running, waiting int
+		inFlight, wantLimit, wantAfterStale int
+	}{
+		{"never reported", 8, -1, 0, 0, 0, 8, 8},
+		{"never reported, not configured", 0, -1, 0, 0, 0, unknownSlots, unknownSlots},
+		{"plausible", 8, 6, 3, 0, 0, 6, 8},
+		{"not configured", 0, 6, 3, 0, 0, 6, 6},
+		{"waiting lowers", 8, 8, 8, 4, 0, 5, 8},
+		{"one waiting is normal", 8, 8, 8, 1, 0, 8, 8},
+		{"negative", 8, 6, -3, 0, 0, 8, 8},
+		{"running above four times the slots", 8, 6, 33, 0, 0, 8, 8},
+		{"slots above four times the configured", 8, 33, 0, 0, 0, 8, 8},
+		{"no slots", 8, 0, 1, 0, 0, 8, 8},
+		{"idle against own requests", 8, 6, 0, 0, 2, 8, 8},
+		{"idle", 8, 6, 0, 0, 0, 6, 8},
+	}
+	for _, c := range cases {
+		r := newRig(1, c.configured)
+		fill(r, "a", c.inFlight)
+		r.report(c.slots, c.running, c.waiting)
+		if got := r.limit(); got != c.wantLimit {
+			t.Errorf("%s: limit %d, want %d", c.name, got, c.wantLimit)
+		}
+		r.tick(reportStale + wheelTick)
+		if got := r.limit(); got != c.wantAfterStale {
+			t.Errorf("%s: limit %d when stale, want %d", c.name, got, c.wantAfterStale)
+		}
+	}
+}
+
+// Guards against a batch that runs dry for a round trip where runs are about as short.
+func TestShortRunsGetOneRequestMoreThanSlots(t *testing.T) {
+	r := newRig(1, 4)
+	r.s.Settle(r.now, message.Settle{Ref: r.enqueue("a", 1), Cost: 1, Result: message.SettleOK, RunMS: 5}, &r.out)
+	r.report(4, 0, 0)
+	if got := r.limit(); got != 5 {
+		t.Fatalf("limit %d for short runs, want 5", got)
+	}
+}
+
+// Guards against a herd on a fresh or returning backend server: it starts with two requests and doubles per answer.
+func TestFreshBackendRampsUp(t *testing.T) {
+	r := newRig(1, 4)
+	r.enqueueMany("a", 100, 10)
+	r.grants()
+	check := func(want ...int) {
+		t.Helper()
+		for _, n := range want {
+			g := r.grants()
+			running := r.s.byID["engine-1"].running
+			if running != n {
+				t.Fatalf("%d requests on the fresh engine, want %d", running, n)
+			}
+			r.settle(lastOn(g, "engine-1"), 10)
+		}
+	}
+	r.setBackends(engines(2, 16)...)
+	check(2, 4, 8, 16)
+	drained := engines(2, 16)
+	drained[1].Draining = true
+	r.setBackends(drained...)
+	for rq := r.s.sessions[sessionKey{"r1", 1}].first; rq != nil; rq = rq.next {
+		if rq.backend != nil && rq.backend.ID == "engine-1" {
+			r.s.Settle(r.now, message.Settle{Ref: rq.ref(), Result: message.SettleUnused}, &r.out)
+			rq = r.s.sessions[sessionKey{"r1", 1}].first
+		}
+	}
+	r.grants()
+	r.setBackends(engines(2, 16)...)
+	check(2)
+}
+
+func lastOn(list []message.Grant, id ident.BackendID) (a ident.AttemptRef) {
+	for _, g := range list {
+		if g.Backend == id {
+			a = g.Ref
+		}
+	}
+	return a
+}
+
+// Guards against new work for a backend server that drains or left, and against waiting where none is left.
+func TestLeavingBackendGetsNoWork(t *testing.T) {
+	r := newRig(2, 2)
+	running := fill(r, "a", 4)
+	r.enqueueMany("a", 4, 10)
+	r.out.Reset()
+	list := engines(2, 2)
+	list[0].Draining = true
+	r.setBackends(list...)
+	for _, a := range running {
+		r.settle(a, 10)
+	}
+	for _, g := range r.grants() {
+		if g.Backend == "engine-0" {
+			t.Fatal("granted to a draining backend server")
+		}
+	}
+	r.enqueueMany("b", 1, 10)
+	r.setBackends()
+	for _, j := range r.out.Rejects {
+		if j.Reason != message.RejectNoBackend {
+			t.Fatalf("reject %+v", j)
+		}
+	}
+	if st := r.s.Stats(); st.Queued != 0 || len(r.out.Rejects) != 3 {
+		t.Fatalf("%d queued, %d rejected without a backend server", st.Queued, len(r.out.Rejects))
+	}
+}
+
+// Guards against late refusals that postpone the probe, and against probes in numbers.
+func TestProbesAreSingleAndSlowDown(t *testing.T) {
+	r := newRig(1, 8)
+	list := fill(r, "a", 8)
+	for _, a := range list {
+		r.refuse(a)
+	}
+	r.enqueueMany("a", 5, 10)
+	r.grants()
+	for delay := probeDelayMin; delay <= 4*probeDelayMin; delay *= 2 {
+		r.tick(delay - wheelTick)
+		if g := r.grants(); len(g) != 0 {
+			t.Fatalf("probe before %v", delay)
+		}
+		r.tick(wheelTick)
+		g := r.grants()
+		if len(g) != 1 {
+			t.Fatalf("%d probes after %v", len(g), delay)
+		}
+		r.refuse(g[0].Ref)
+	}
+}
+
+// Guards against requests that keep coming to an engine that refuses some of them.
+func TestRefusalLowersTheLimitUntilAnswersRaiseIt(t *testing.T) {
+	r := newRig(1, 8)
+	list := fill(r, "a", 8)
+	r.refuse(list[0])
+	if got := r.limit(); got != 7 {
+		t.Fatalf("limit %d after a refusal at 8 in flight, want 7", got)
+	}
+	for range 10 {
+		r.settle(r.enqueue("a", 10), 10)
+		r.settle(list[1], 10)
+		list = list[1:]
+		if len(list) < 2 {
+			break
+		}
+	}
+	if got := r.limit(); got != 8 {
+		t.Fatalf("limit %d after a round of answers, want 8", got)
+	}
+}
+
+// Guards against engine choice by load alone, by cache alone, or by old hints.
+func TestEngineChoiceWeighsCacheAgainstLoad(t *testing.T) {
+	r := newRig(2, 10)
+	prompt := []uint64{1, 2, 3}
+	place := func(prefix []uint64, domain ident.DomainID) ident.BackendID {
+		r.send(message.Enqueue{Ref: r.next(), Team: "a", Hint: 1, DeadlineMS: 1000, Prefix: prefix, Domain: domain})
+		return r.grants()[0].Backend
+	}
+	r.s.Cache(r.now, CacheEvent{Backend: "engine-1", Added: prompt})
+	counts := map[ident.BackendID]int{}
+	for range 8 {
+		counts[place(prompt, "")]++
+	}
+	if counts["engine-1"] < 5 || counts["engine-0"] == 0 {
+		t.Fatalf("placement of one prompt: %v, want most on the engine that holds it and some on the idle one", counts)
+	}
+	r = newRig(2, 10)
+	r.s.Cache(r.now, CacheEvent{Backend: "engine-1", Added: prompt})
+	r.s.Cache(r.now, CacheEvent{Backend: "engine-1", Cleared: true, Added: prompt[:1]})
+	r.s.Cache(r.now, CacheEvent{Backend: "engine-0", Added: prompt[:2]})
+	if got := place(prompt, ""); got != "engine-0" {
+		t.Fatalf("placed on %s, want the engine with the longer prefix", got)
+	}
+	r = newRig(2, 10)
+	r.s.Cache(r.now, CacheEvent{Backend: "engine-1", Added: prompt})
+	r.now += hintTTL
+	fill(r, "a", 1) // one of the engines is busier
+	idle := r.s.backends[0]
+	if idle.running > 0 {
+		idle = r.s.backends[1]
+	}
+	r.grants()
+	if got := place(prompt, ""); got != idle.ID {
+		t.Fatalf("an expired hint drew the request to %s", got)
+	}
+	list := engines(2, 10)
+	list[1].Domain = "d1"
+	r = newRig(0, 0)
+	r.setBackends(list...)
+	r.warm()
+	for range 3 {
+		if got := place(nil, "d1"); got != "engine-1" && r.s.backends[1].running == 0 {
+			t.Fatalf("placed on %s outside the ingress router's domain", got)
+		}
+	}
+}
+
+// Guards against a herd of equal prompts on the one engine that is empty.
+func TestEqualPromptsDoNotHerdOnOneEngine(t *testing.T) {
+	r := newRig(4, 8)
+	for range 16 {
+		r.send(message.Enqueue{Ref: r.next(), Team: "a", Hint: 1, DeadlineMS: 1000, Prefix: []uint64{9}})
+	}
+	for _, b := range r.s.backends {
+		if b.running == 0 || b.running == b.limit {
+			t.Fatalf("%s runs %d of %d while 16 of 32 slots are used", b.ID, b.running, b.limit)
+		}
+	}
+}
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -65,7 +65,12 @@
 
 // refresh recomputes the in-flight limits.
 func (s *Scheduler) refresh() {
+	extra := 0
+	if s.totals.meanRunMS > 0 && s.totals.meanRunMS < shortRunMS {
+		extra = 1
+	}
 	for _, b := range s.backends {
+		b.extra = extra
 		b.limit = b.limitAt(s.now)
 	}
 }
--- /dev/null
+++ b/internal/coordination/scheduler/exchange_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// shardRig returns a rig for one of several shards with one engine.
+func shardRig(index uint16, siblings, slots int) *rig {
+	r := &rig{s: New(Options{Shard: shardID(index), Siblings: siblings, Epoch: 7}), now: time.Hour}
+	r.s.SetBackends(r.now, 1, engines(1, slots), siblings, &r.out)
+	r.warm()
+	return r
+}
+
+func shardID(index uint16) ident.ShardID { return ident.ShardID{Pool: testShard.Pool, Index: index} }
+
+// Guards against unreported service, reports below the quantum, and reports that are counted twice or lost by order.
+func TestServiceDeltasPassTheQuantumOnce(t *testing.T) {
+	r := shardRig(0, 3, 1)
+	r.settle(r.enqueue("a", 900), 999)
+	if len(r.out.Deltas) != 0 {
+		t.Fatalf("reported below the quantum: %+v", r.out.Deltas)
+	}
+	r.settle(r.enqueue("a", 1), 1)
+	if len(r.out.Deltas) != 2 || r.out.Deltas[0].Delta != 1000 || r.out.Deltas[0].To != 1 || r.out.Deltas[1].To != 2 {
+		t.Fatalf("reports %+v", r.out.Deltas)
+	}
+	r.settle(r.enqueue("a", 2000), 2000)
+	to := shardRig(1, 3, 1)
+	for _, i := range []int{2, 0, 2, 0} { // out of order, and twice
+		to.s.Delta(to.now, r.out.Deltas[i])
+	}
+	to.s.Delta(to.now, r.out.Deltas[1]) // for another shard
+	second := r.out.Deltas[2]
+	second.Epoch++ // another dispatcher of the shard starts its numbers anew
+	to.s.Delta(to.now, second)
+	if a, _ := to.s.Team("a"); a.Counter != float64(1000+2*second.Delta) {
+		t.Fatalf("counter %.0f after reports of 1000 and twice %d", a.Counter, second.Delta)
+	}
+}
+
+// Guards against a team that gets its share once per shard.
+func TestServiceAtASiblingCountsInTheOrder(t *testing.T) {
+	r := shardRig(0, 2, 1)
+	r.enqueueMany("a", 10, 1000)
+	r.enqueueMany("b", 10, 1000)
+	r.s.Delta(r.now, message.ServiceDelta{Shard: shardID(1), Team: "a", Delta: 4000, Seq: 1, Epoch: 1})
+	if got := r.serve(6, 1000); got != "abbbba" {
+		t.Fatalf("order of grants: %s", got)
+	}
+}
+
+// Guards against idle shards beside backlogged ones, and against redirects that ignore the fair order or go in circles.
+func TestIdleShardDrawsWorkInFairOrder(t *testing.T) {
+	idle, busy := shardRig(1, 2, 4), shardRig(0, 2, 1)
+	idle.tick(announceInterval)
+	if len(idle.out.Free) != 1 || idle.out.Free[0].Count != 4 || idle.out.Free[0].To != 0 {
+		t.Fatalf("announced %+v", idle.out.Free)
+	}
+	busy.send(message.Enqueue{Ref: busy.next(), Team: "c", Hint: 10, DeadlineMS: 60_000, Redirected: true})
+	busy.enqueueMany("a", 8, 1000)
+	busy.enqueueMany("b", 8, 1000)
+	busy.send(message.Enqueue{Ref: busy.next(), Team: "c", Hint: 10, DeadlineMS: 60_000, Redirected: true})
+	busy.out.Reset()
+	busy.s.FreeSlots(busy.now, idle.out.Free[0], &busy.out)
+	teams := map[bool]int{}
+	for _, d := range busy.out.Redirects {
+		teams[d.Ref.Request.Seq <= 9]++
+		if d.To != 1 || d.Ref.Request.Seq == 18 {
+			t.Fatalf("redirect %+v", d)
+		}
+	}
+	if teams[true] != 2 || teams[false] != 2 {
+		t.Fatalf("redirects by team: %v, want 2 each", teams)
+	}
+	before, _ := busy.s.Team("a")
+	busy.s.Delta(busy.now, message.ServiceDelta{Shard: shardID(1), Team: "a", Delta: 2000, Seq: 1, Epoch: 1})
+	if after, _ := busy.s.Team("a"); after.Counter != before.Counter {
+		t.Fatalf("redirected work was charged twice: %.0f, then %.0f", before.Counter, after.Counter)
+	}
+}
--- /dev/null
+++ b/internal/coordination/scheduler/fair_test.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// serve settles each grant at the given cost, n times, and returns the teams in the order of grants.
+func (r *rig) serve(n int, cost ident.Cost) (order string) {
+	for range n {
+		list := r.grants()
+		for _, g := range list {
+			order += string(r.s.find(g.Ref).team.id)
+		}
+		for _, g := range list {
+			r.settle(g.Ref, cost)
+		}
+	}
+	return order
+}
+
+func (r *rig) enqueueMany(team string, n int, hint ident.Cost) {
+	for range n {
+		r.enqueue(team, hint)
+	}
+}
+
+// Guards against idle time that turns into credit: a woken team shares from its wake-up on.
+func TestWokenTeamCannotCashInIdleTime(t *testing.T) {
+	r := newRig(1, 1)
+	r.enqueueMany("a", 50, 10)
+	r.enqueueMany("b", 50, 10)
+	r.serve(60, 10)
+	r.enqueueMany("c", 20, 10)
+	if got := r.serve(10, 10); strings.Count(got, "c") != 3 || strings.Contains(got, "cc") {
+		t.Fatalf("order of grants after the wake-up: %s", got)
+	}
+}
+
+// Guards against a refund that undoes a lift: the team went idle with an overcharged request, woke, and then settled it.
+func TestRefundAfterLiftEarnsNoCredit(t *testing.T) {
+	r := newRig(1, 2)
+	overcharged := r.enqueue("a", 100_000)
+	r.enqueueMany("b", 200, 1000)
+	for range 120 {
+		for _, g := range r.grants() {
+			if g.Ref != overcharged {
+				r.settle(g.Ref, 1000)
+			}
+		}
+	}
+	r.enqueue("a", 100_000)
+	r.settle(overcharged, 10)
+	a, b := r.s.teams["a"], r.s.teams["b"]
+	if a.counter < b.counter-1000 {
+		t.Fatalf("counter %.0f of the woken team is behind %.0f", a.counter, b.counter)
+	}
+}
+
+// Guards against weights without effect.
+func TestServiceFollowsWeights(t *testing.T) {
+	r := newRig(1, 1)
+	r.s.SetTeam("a", TeamLimits{Weight: 3})
+	r.enqueueMany("a", 100, 10)
+	r.enqueueMany("b", 100, 10)
+	r.serve(80, 10)
+	a, _ := r.s.Team("a")
+	b, _ := r.s.Team("b")
+	if a.Served != 600 || b.Served != 200 {
+		t.Fatalf("served %d and %d, want 600 and 200", a.Served, b.Served)
+	}
+}
+
+// Guards against one team's queue that grows without bound, and against waiting past the deadline.
+func TestQueueIsBoundedInLengthAndTime(t *testing.T) {
+	r := newRig(1, 1)
+	r.s.SetTeam("a", TeamLimits{MaxQueued: 2})
+	r.enqueueMany("a", 4, 10)
+	if len(r.out.Rejects) != 1 || r.out.Rejects[0].Reason != message.RejectQueueFull || r.out.Rejects[0].RetryAfterMS == 0 {
+		t.Fatalf("rejects of the full queue: %+v", r.out.Rejects)
+	}
+	r.enqueue("b", 10)
+	r.out.Reset()
+	r.tick(61 * time.Second)
+	if len(r.out.Rejects)+len(r.out.Grants) != 3 {
+		t.Fatalf("%d grants and %d rejects after the deadline", len(r.out.Grants), len(r.out.Rejects))
+	}
+}
+
+// Guards against a team without eligible work that blocks the others, and against credit for the time it was passed over.
+func TestTeamsWithoutEligibleWorkAreSkipped(t *testing.T) {
+	r := newRig(2, 1)
+	r.s.SetTeam("capped", TeamLimits{MaxInFlight: 1})
+	r.enqueueMany("capped", 5, 10)
+	for range 3 {
+		r.send(message.Enqueue{Ref: r.next(), Team: "excluded", Hint: 10, DeadlineMS: 60_000,
+			Exclude: []ident.BackendID{"engine-0", "engine-1"}})
+	}
+	r.enqueueMany("other", 20, 10)
+	r.grants()
+	for range 10 {
+		r.settleTeam("other")
+	}
+	other, _ := r.s.Team("other")
+	capped, _ := r.s.Team("capped")
+	excluded, _ := r.s.Team("excluded")
+	if other.Served != 100 || capped.Running != 1 || excluded.Queued != 3 {
+		t.Fatalf("other %+v, capped %+v, excluded %+v", other, capped, excluded)
+	}
+	if excluded.Counter < other.Counter-20 {
+		t.Fatalf("counter %.0f of the excluded team fell behind %.0f", excluded.Counter, other.Counter)
+	}
+}
+
+// settleTeam settles the earliest running request of a team.
+func (r *rig) settleTeam(team ident.TeamID) {
+	for rq := r.s.sessions[sessionKey{"r1", 1}].first; rq != nil; rq = rq.next {
+		if rq.team.id == team && rq.state == stateGranted {
+			r.settle(rq.ref(), 10)
+			return
+		}
+	}
+}
+
+// Guards against a request that loses its place in its team's queue when it is enqueued again elsewhere.
+func TestOrderInsideATeamIsByArrival(t *testing.T) {
+	r := newRig(1, 1)
+	r.enqueueMany("a", 2, 10)
+	old := r.next()
+	r.send(message.Enqueue{Ref: old, Team: "a", Hint: 10, DeadlineMS: 60_000, WaitedMS: 500})
+	first := r.grants()
+	r.settle(first[0].Ref, 10)
+	if g := r.grants(); len(g) != 1 || g[0].Ref != old {
+		t.Fatalf("granted %+v, want the request that waited longest", g)
+	}
+}
+
+// Guards against decisions that depend on anything but the events.
+func TestDecisionsAreDeterministic(t *testing.T) {
+	run := func() []float64 {
+		o := clusterOptions()
+		o.duration = time.Minute
+		s := newSim(o)
+		s.run(0, large...)
+		return s.delivered()
+	}
+	first := run()
+	for range 3 {
+		for i, w := range run() {
+			if w != first[i] {
+				t.Fatalf("team %d got %v, then %v", i, first[i], w)
+			}
+		}
+	}
+}
--- a/internal/coordination/scheduler/options.go
+++ b/internal/coordination/scheduler/options.go
@@ -47,6 +47,11 @@
 const (
 	// unknownSlots is the limit of a backend server that has never reported and has no configured slots.
 	unknownSlots = 4
+	// shortRunMS is the mean run time, in milliseconds, below which a backend server gets one request more than its
+	// reported slots. The extra request saves a round trip per slot and run, but waits in the engine, out of fair order,
+	// for a slots-th of a run. In simulation, runs of 70 ms gain 1.5 % of utilisation and runs of 7 s nothing, while
+	// small teams then wait six times as long.
+	shortRunMS = 200
 	// reportStale is the age from which a load report is no longer used.
 	reportStale = 5 * time.Second
 	// absurdFactor marks reports of more than this many times the known slots as wrong.
--- /dev/null
+++ b/internal/coordination/scheduler/policy_test.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// small and large list the teams of clusterTeams.
+var (
+	large = []int{0, 1, 2, 3}
+	small = []int{4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15}
+)
+
+// clusterTeams is four large teams that always have a backlog and twelve small ones, unevenly spread over 8 routers.
+func clusterTeams() []simTeam {
+	var teams []simTeam
+	for i := range large {
+		teams = append(teams, simTeam{clients: 60, cost: 200 + 100*float64(i), home: i, spread: 2 + i})
+	}
+	for i := range small {
+		teams = append(teams, simTeam{rate: 0.2, cost: 50, home: i % 3})
+	}
+	return teams
+}
+
+func clusterOptions() simOptions {
+	return simOptions{
+		engines: 12, slots: 8, dispatchers: 1, latency: 500 * time.Microsecond, duration: 10 * time.Minute, seed: 1,
+		teams: clusterTeams(),
+	}
+}
+
+// Guards against a policy whose gap or whose waits of small teams come near those of a queue per router.
+func TestOneDispatcherComesCloseToTheIdealQueue(t *testing.T) {
+	cases := []struct {
+		name                    string
+		dispatchers, overcommit int
+		latency                 time.Duration
+		hints                   [3]float64
+	}{
+		{"ideal queue", 1, 0, 0, [3]float64{1, 1, 1}},
+		{"one dispatcher", 1, 0, 500 * time.Microsecond, [3]float64{0.3, 1, 3}},
+		{"8 queues", 8, 0, 0, [3]float64{1, 1, 1}},
+		{"8 queues, overcommitted", 8, 1, 0, [3]float64{1, 1, 1}},
+	}
+	gaps := map[string]float64{}
+	waits := map[string]time.Duration{}
+	for _, c := range cases {
+		o := clusterOptions()
+		o.dispatchers, o.overcommit, o.latency = c.dispatchers, c.overcommit, c.latency
+		for i := range o.teams {
+			o.teams[i].hintFactor = c.hints[i%3]
+		}
+		s := newSim(o)
+		s.run(30*time.Second, large...)
+		gaps[c.name], waits[c.name] = s.gap(), s.wait(0.95, small...)
+		t.Logf("%-24s gap of large teams %7.0f, wait of small teams p50 %v p95 %v max %v, utilisation %.4f",
+			c.name, s.gap(), s.wait(0.5, small...), s.wait(0.95, small...), s.wait(1, small...), s.utilisation())
+	}
+	if gaps["one dispatcher"] > 2*gaps["ideal queue"] {
+		t.Errorf("gap %.0f is more than twice the ideal %.0f", gaps["one dispatcher"], gaps["ideal queue"])
+	}
+	if waits["one dispatcher"] > 2*waits["ideal queue"] {
+		t.Errorf("wait %v is more than twice the ideal %v", waits["one dispatcher"], waits["ideal queue"])
+	}
+}
+
+// Guards against a flooding team that delays others: neither the waits of small teams nor the service of large ones
+// may depend on how much one team offers.
+func TestFloodingTeamLeavesOthersAlone(t *testing.T) {
+	run := func(clients int) *sim {
+		o := clusterOptions()
+		o.teams[0].clients = clients
+		o.duration = 3 * time.Minute
+		s := newSim(o)
+		s.run(30*time.Second, large...)
+		return s
+	}
+	calm, flood := run(60), run(3000)
+	before, after := calm.wait(0.95, small...), flood.wait(0.95, small...)
+	t.Logf("p95 wait of small teams %v, with a flood of 50 times %v", before, after)
+	if after > before*5/4 {
+		t.Errorf("the flood raised the wait from %v to %v", before, after)
+	}
+	for _, i := range large[1:] {
+		if got, want := flood.delivered()[i], calm.delivered()[i]; got < 0.95*want {
+			t.Errorf("team %d got %.0f units instead of %.0f", i, got, want)
+		}
+	}
+}
+
+// Guards against teams that gain service by wrong hints.
+func TestWrongHintsGainNoShare(t *testing.T) {
+	o := clusterOptions()
+	o.teams = nil
+	for _, f := range []float64{0.1, 1, 10} {
+		o.teams = append(o.teams, simTeam{clients: 100, cost: 300, hintFactor: f})
+	}
+	s := newSim(o)
+	s.run(0)
+	w := s.delivered()
+	t.Logf("work with hints of 0.1, 1 and 10 times the cost: %.0f", w)
+	for _, got := range w {
+		if share := got / (w[0] + w[1] + w[2]); share < 0.32 || share > 0.35 {
+			t.Errorf("share %.3f, want a third", share)
+		}
+	}
+}
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -66,7 +66,7 @@
 	s.totals.observe(r, cost)
 	r.team.est.learn(r.hint, cost)
 	s.totals.meanCost = decayed(s.totals.meanCost, float64(cost))
-	s.totals.meanRunMS = decayed(s.totals.meanRunMS, float64(runMS))
+	s.totals.meanRunMS = decayed(s.totals.meanRunMS, float64(max(runMS, 1)))
 }
 
 // finish ends an attempt, known or not, so that its late messages are ignored.
