--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -51,6 +51,10 @@
 	if r.attempt != m.Ref.Attempt || r.state == stateQueued {
 		return
 	}
+	if r.backend == nil || !r.backend.accepting() {
+		s.requeue(r, m, out)
+		return
+	}
 	if r.state == stateLost {
 		s.readopt(r)
 	}
@@ -58,6 +62,18 @@
 	s.emitGrant(r, out)
 }
 
+// requeue queues a granted attempt again whose ingress has no grant and whose backend server takes no new work.
+func (s *Scheduler) requeue(r *request, m *message.Enqueue, out *Decisions) {
+	s.leave(r)
+	s.setReported(r, 0)
+	s.setCharge(r, 0)
+	r.backend = nil
+	r.fill(m)
+	r.deadline = s.now + time.Duration(m.DeadlineMS)*time.Millisecond
+	s.enter(r)
+	s.pump(out)
+}
+
 // admit queues a new attempt, or rejects it.
 func (s *Scheduler) admit(ss *session, m *message.Enqueue, out *Decisions) {
 	t := s.teamOf(m.Team)
@@ -86,22 +102,18 @@
 	t := r.team
 	t.queueOf(r).push(r)
 	s.totals.queued++
-	s.activate(t)
+	s.reorder(t)
 }
 
 // activate brings a team with eligible work into the fair order. A team that joins is lifted.
 func (s *Scheduler) activate(t *team) {
-	if t.heapPos != notInHeap {
-		s.fair.fix(t)
-		return
-	}
 	if t.queued() == 0 || t.capped() {
 		return
 	}
-	if !t.keepCounter {
+	if t.joined || !s.handedOver(t.head()) {
 		t.lift(s.liftLevel(t))
 	}
-	t.keepCounter = false
+	t.joined = true
 	s.fair.push(t)
 }
 
@@ -112,9 +124,9 @@
 		return s.fair[0].counter
 	}
 	if s.last != nil && s.last != t {
-		return s.last.counter()
+		return s.last.counter
 	}
-	return t.counter()
+	return t.counter
 }
 
 // reorder corrects the team's place after a change of its counter, queue or limits.
@@ -130,21 +142,22 @@
 }
 
 // restore takes over the lag that a former dispatcher gave the team. The lag counts from the lowest counter at that
-// time, which is 0 here. A request that arrived before this scheduler's first event was backlogged there, so its team
-// is not lifted.
+// time, which is 0 here.
 func (s *Scheduler) restore(t *team, r *request, lag int64) {
 	if t.grants > 0 || r.redirected {
 		return
 	}
-	if v := float64(lag); v > t.counter() {
-		t.before, t.level, t.after = v, 0, 0
-	}
-	handedOver := r.arrival < s.startedAt && s.now < s.startedAt+handoverWindow
-	if handedOver && t.lifts == 0 {
-		t.keepCounter = true
+	if v := float64(lag); v > t.counter {
+		t.counter = v
 	}
 }
 
+// handedOver says whether a request was backlogged at a former dispatcher. Its team is not lifted when it joins: it was
+// backlogged there, and its lag places it among the others.
+func (s *Scheduler) handedOver(r *request) bool {
+	return r.arrival < s.startedAt && s.now < s.startedAt+handoverWindow && !r.redirected
+}
+
 // Cancel withdraws a queued or granted attempt that was not sent.
 func (s *Scheduler) Cancel(now time.Duration, m message.Cancel, out *Decisions) {
 	s.at(now)
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -52,12 +52,12 @@
 		}
 	case message.SettleRefused:
 		if b != nil {
-			b.refused(s.now, b.running)
+			b.refused(s.now, b.probe == r)
 		}
 	case message.SettleFailed:
 		s.totals.observe(r, cost)
-		if b != nil && b.probe == r {
-			b.postponeProbe(s.now)
+		if b != nil {
+			b.failed(s.now, b.probe == r)
 		}
 	}
 }
@@ -66,7 +66,7 @@
 	s.totals.observe(r, cost)
 	r.team.est.learn(r.hint, cost)
 	s.totals.meanCost = decayed(s.totals.meanCost, float64(cost))
-	s.totals.meanRunMS = decayed(s.totals.meanRunMS, float64(runMS))
+	s.totals.meanRunMS = decayed(s.totals.meanRunMS, float64(max(runMS, 1)))
 }
 
 // finish ends an attempt, known or not, so that its late messages are ignored.
@@ -78,6 +78,7 @@
 	if r := s.find(ref); r != nil {
 		if result == message.SettleUnused || result == message.SettleRefused {
 			cost = 0
+			s.totals.observe(r, r.reported)
 		}
 		s.leave(r)
 		s.setReported(r, cost)
@@ -94,6 +95,7 @@
 		b.postponeProbe(s.now)
 	}
 	s.release(r)
+	s.totals.observe(r, r.reported)
 	r.state = stateLost
 	s.setCharge(r, r.reported)
 	r.due = s.now + lostRetention
@@ -147,6 +149,7 @@
 	r := s.newRequest(ss, m.Ref, t)
 	r.backend = s.byID[m.Backend]
 	r.lifts = t.lifts
+	r.weight = t.weight
 	r.charge = boundCost(m.Cost)
 	r.estimate = r.charge
 	r.reported = r.charge
