Shorten messages between routers and test the failure detector

Cause: names and references made frequent messages larger than their budget, and the detector sent 5.3 KB/s per node at 400 members. Change: shards and members travel as one index after their first use, sequence numbers as differences, and addresses only to members that lack them. News that others pass on is passed on less.

--- /dev/null
+++ b/internal/coordination/membership/cost_test.go
@@ -0,0 +1,107 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
+)
+
+// Guards against control traffic that grows with the fleet. The budget of all control traffic is 3 KB/s per node; the
+// packets of the detector may take half, as requests need the rest.
+func TestTraffic(t *testing.T) {
+	const budget = 1500
+	// A round has pings to 3 members, to 3 suspects and to one candidate. A period brings as many pings from others on
+	// average, which are answered, and a few indirect pings.
+	const maxMessages = 30
+	for _, n := range []int{8, 64, 400} {
+		if testing.Short() && n > 64 {
+			continue
+		}
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			s := newSim(t, n, 3)
+			s.measured = min(n, 16)
+			start, _ := s.runUntil(time.Minute, func() bool { return s.allSee(n) })
+			if !s.allSee(n) {
+				t.Fatal("not converged")
+			}
+			s.run(60 * time.Second)
+			steady := s.window(30 * time.Second)
+			s.nodes[n-1].down = true
+			detect, ok := s.runUntil(20*time.Second, func() bool { return s.allSee(n - 1) })
+			if !ok {
+				t.Fatal("crash not detected")
+			}
+			t.Logf("%3d members: converged in %v; %.0f B/s, %.2f connections/s and %.1f messages per period, each per node; crash seen by all in %v",
+				n, start, steady.bytes, steady.opens, steady.messages, detect)
+			if steady.bytes > budget {
+				t.Errorf("%.0f B/s per node, above %d", steady.bytes, budget)
+			}
+			if steady.messages > maxMessages {
+				t.Errorf("%.1f messages per period and node, above %d", steady.messages, maxMessages)
+			}
+		})
+	}
+}
+
+// rates are means per node.
+type rates struct {
+	// bytes is per second, over the measured nodes.
+	bytes float64
+	// messages is per period of the detector.
+	messages float64
+	// peak is the largest number of messages of one node, per period.
+	peak float64
+	// opens is the number of connections opened per second.
+	opens float64
+}
+
+// window runs the simulation and returns the rates of that time.
+func (s *sim) window(d time.Duration) rates {
+	for _, nd := range s.nodes {
+		nd.sent, nd.bytes = 0, 0
+	}
+	s.opens = 0
+	s.run(d)
+	r := rates{opens: float64(s.opens) / d.Seconds() / float64(len(s.nodes))}
+	periods := float64(d / membership.Period)
+	for _, nd := range s.nodes[:s.measured] {
+		r.bytes += float64(nd.bytes) / d.Seconds() / float64(s.measured)
+	}
+	for _, nd := range s.nodes {
+		r.messages += float64(nd.sent) / periods / float64(len(s.nodes))
+		r.peak = max(r.peak, float64(nd.sent)/periods)
+	}
+	return r
+}
+
+// Guards against message storms when a failure domain of a large fleet dies at once.
+func TestMassFailureStaysBounded(t *testing.T) {
+	if testing.Short() {
+		t.Skip("large fleet")
+	}
+	const n, dead = 400, 100
+	s := newSim(t, n, 5)
+	s.measured = 0
+	s.runUntil(time.Minute, func() bool { return s.allSee(n) })
+	for _, nd := range s.nodes[:dead] {
+		nd.down = true
+	}
+	var worst rates
+	for range 20 {
+		r := s.window(membership.Period)
+		worst.messages = max(worst.messages, r.messages)
+		worst.peak = max(worst.peak, r.peak)
+	}
+	took, ok := s.runUntil(30*time.Second, func() bool { return s.allSee(n - dead) })
+	t.Logf("worst period: mean %.1f and peak %.0f messages per node; all gone after %v", worst.messages, worst.peak, 10*time.Second+took)
+	if !ok {
+		t.Error("dead members remain")
+	}
+	// 7 pings, 6 ping-reqs for each of 5 ticks, 16 relayed pings with their acks, and acks to as many pings of others.
+	const limit = 7 + 30 + 32 + 31
+	if worst.peak > limit {
+		t.Errorf("%.0f messages in a period, above %d", worst.peak, limit)
+	}
+}
--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -44,8 +44,8 @@
 	maxRelays    = 16
 	maxRows      = 4096
 	leaveFanout  = 16
-	// fillers is the number of rows without news added to a packet, so that tables converge after any loss.
-	fillers = 2
+	// fillers is the number of rows without news added to a ping, so that tables converge after any loss.
+	fillers = 1
 )
 
 // Options configure a detector.
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -1,29 +1,50 @@
 package membership
 
 import (
-	"math/bits"
+	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
-// gossipFactor times log2 of the members is how often an update is passed on; 3 reaches all members with high probability.
-const gossipFactor = 3
+// gossipFactor times the digits of the number of members is how often a member passes an update on. Each packet that
+// follows reaches a random member, so the news spreads to all with high probability; fillers find the rest.
+const gossipFactor = 4
 
 // announce passes a row on with the next packets.
 func (d *Detector) announce(r *row) {
-	r.gossip = gossipFactor * (bits.Len(uint(len(d.order))) + 1)
+	r.gossip = gossipFactor * len(strconv.Itoa(len(d.order)))
 	d.changed = true
 }
 
 // packet builds a packet with updates for the receiver.
 func (d *Detector) packet(now time.Duration, kind Kind, seq uint32, to *row) Packet {
 	p := Packet{Kind: kind, Seq: seq, From: d.self.Member, Joining: d.stale}
+	if to.told && !to.joining {
+		p.From = p.From.brief()
+	}
 	// A receiver that others doubt must hear it first, to refute.
 	if to.known && (to.State != Alive || to.behind) {
 		p.Updates = append(p.Updates, d.update(now, to))
 	}
 	p.Updates = d.news(now, p.Updates, to)
-	p.Updates = d.fill(now, p.Updates, to, min(len(p.Updates)+fillers, MaxUpdates))
+	if to.joining {
+		return d.introduce(now, p, to)
+	}
+	if kind == Ping {
+		p.Updates = d.fill(now, p.Updates, to, min(len(p.Updates)+fillers, MaxUpdates))
+	}
+	return p
+}
+
+// introduce fills a packet to a member that has just started with full rows.
+func (d *Detector) introduce(now time.Duration, p Packet, to *row) Packet {
+	p.Updates = d.fill(now, p.Updates, to, MaxUpdates)
+	for i, u := range p.Updates {
+		if r := d.rows[u.Member.ID]; r.State == Alive {
+			p.Updates[i].Member = r.Member
+		}
+	}
 	return p
 }
 
@@ -35,17 +56,37 @@
 			fresh = append(fresh, r)
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *row) int { return b.gossip - a.gossip })
+	slices.SortStableFunc(fresh, byUrgency)
 	for _, r := range fresh {
 		if len(list) >= MaxUpdates {
 			break
 		}
 		r.gossip--
-		list = append(list, d.update(now, r))
+		u := d.update(now, r)
+		if r.State == Alive {
+			u.Member = r.Member
+		}
+		list = append(list, u)
 	}
 	return list
 }
 
+// byUrgency puts failures first, as requests wait for them, and then the rows passed on least so far.
+func byUrgency(a, b *row) int {
+	if a.State == Alive != (b.State == Alive) {
+		return cmp.Compare(boolRank(a.State == Alive), boolRank(b.State == Alive))
+	}
+	return cmp.Compare(b.gossip, a.gossip)
+}
+
+// boolRank orders false before true.
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // fill appends random live rows until the list has n entries.
 func (d *Detector) fill(now time.Duration, list []Update, to *row, n int) []Update {
 	start := d.rand.IntN(len(d.order))
@@ -67,9 +108,9 @@
 	return slices.ContainsFunc(list, func(u Update) bool { return u.Member.ID == r.ID })
 }
 
-// update states what this router knows of a member.
+// update states what this router knows of a member, without addresses.
 func (d *Detector) update(now time.Duration, r *row) Update {
-	u := Update{Member: r.Member}
+	u := Update{Member: r.brief()}
 	if r.State == Suspect {
 		u.SuspectMS = uint32(max(now-r.since, 0) / time.Millisecond)
 	}
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -61,6 +61,26 @@
 	return m.Version > o.Version
 }
 
+// brief returns the row without addresses and domain, which receivers mostly know.
+func (m Member) brief() Member {
+	m.PeerAddr, m.CallerAddr, m.Domain = "", "", ""
+	return m
+}
+
+// keep fills addresses and domain that a brief row lacks from what was known.
+func (m Member) keep(old Member) Member {
+	if m.PeerAddr == "" {
+		m.PeerAddr = old.PeerAddr
+	}
+	if m.CallerAddr == "" {
+		m.CallerAddr = old.CallerAddr
+	}
+	if m.Domain == "" {
+		m.Domain = old.Domain
+	}
+	return m
+}
+
 // same reports whether both rows speak of one process and version.
 func (m Member) same(o Member) bool {
 	return m.Incarnation == o.Incarnation && m.Version == o.Version
@@ -73,7 +93,7 @@
 	Domain   ident.DomainID
 }
 
-// Update is a statement about a member that is passed on from member to member.
+// Update is a statement about a member that is passed on from member to member. Addresses and domain may be empty.
 type Update struct {
 	Member Member
 	// SuspectMS is how long a suspect has been suspected, in milliseconds, so that all members time it out together.
@@ -113,9 +133,9 @@
 	Seq uint32
 	// Target is the member to ping (PingReq), or the member that answered a relayed ping (Ack).
 	Target ident.RouterID
-	// From is the sender's own row.
+	// From is the sender's own row. Addresses and domain are empty where the receiver knows them.
 	From Member
-	// Joining asks the receiver to fill its answer with rows of its table.
+	// Joining says that the sender's view is stale, and asks for full rows.
 	Joining bool
 	// Updates holds at most MaxUpdates statements.
 	Updates []Update
@@ -143,4 +163,8 @@
 	// behind says that the member's latest packet came from an older process or version than its row, as after a restart
 	// with a clock that went back. It must hear of its row to move past it.
 	behind bool
+	// joining says that the member's latest packet asked for rows.
+	joining bool
+	// told says that the member answered a ping that had this router's addresses.
+	told bool
 }
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -16,6 +16,8 @@
 	indirect bool
 	// contact marks a ping to a router that is not live; its silence changes nothing.
 	contact bool
+	// full says that the ping had this router's addresses.
+	full bool
 }
 
 // relay is a ping sent on behalf of another member.
@@ -116,8 +118,10 @@
 // ping starts a probe.
 func (d *Detector) ping(now time.Duration, r *row, contact bool) Outbound {
 	d.seq++
-	d.probes[d.seq] = &probe{target: r.ID, sent: now, deadline: now + ackTimeout, contact: contact}
-	return Outbound{To: r.ID, Packet: d.packet(now, Ping, d.seq, r)}
+	packet := d.packet(now, Ping, d.seq, r)
+	full := packet.From == d.self.Member
+	d.probes[d.seq] = &probe{target: r.ID, sent: now, deadline: now + ackTimeout, contact: contact, full: full}
+	return Outbound{To: r.ID, Packet: packet}
 }
 
 // expireProbes sends indirect pings for late acks, and suspects members that did not answer those either.
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -21,6 +21,7 @@
 	if r == nil {
 		return nil
 	}
+	r.joining = p.Joining
 	for _, u := range p.Updates {
 		d.apply(now, u)
 	}
@@ -56,6 +57,7 @@
 		d.setState(r, Left, now)
 		return r
 	}
+	r.Member = r.keep(m)
 	r.Generation = max(r.Generation, m.Generation)
 	r.Load = m.Load
 	return r
@@ -65,8 +67,10 @@
 func (d *Detector) replace(now time.Duration, r *row, m Member) {
 	if r.known && r.Incarnation == m.Incarnation {
 		m.Generation = max(m.Generation, r.Generation)
+	} else {
+		r.told = false
 	}
-	r.Member = m
+	r.Member = m.keep(r.Member)
 	r.known = true
 	r.since = now
 	d.announce(r)
@@ -91,9 +95,14 @@
 		d.date(now, r, u)
 		return
 	}
-	if !u.Member.same(r.Member) {
+	if !u.Member.same(r.Member) || u.Member.State < r.State {
+		r.gossip = max(r.gossip, 1) // the sender missed the news
 		return
 	}
+	if u.Member.State == r.State {
+		r.gossip = max(r.gossip-1, 0) // others pass it on already
+	}
+	r.Member = r.keep(u.Member)
 	r.Generation = max(r.Generation, u.Member.Generation)
 	if u.Member.State > r.State {
 		d.setState(r, u.Member.State, now)
@@ -162,11 +171,7 @@
 	if p.From.State == Left {
 		return nil
 	}
-	packet := d.packet(now, Ack, p.Seq, r)
-	if p.Joining {
-		packet.Updates = d.fill(now, packet.Updates, r, MaxUpdates)
-	}
-	return []Outbound{{To: r.ID, Packet: packet}}
+	return []Outbound{{To: r.ID, Packet: d.packet(now, Ack, p.Seq, r)}}
 }
 
 // relay pings the target of a ping-req.
@@ -190,6 +195,7 @@
 		delete(d.probes, p.Seq)
 		r.heard = max(r.heard, pr.sent)
 		r.isHeard = true
+		r.told = r.told || pr.full
 		return nil
 	}
 	re, ok := d.relays[p.Seq]
--- a/internal/coordination/membership/sim_test.go
+++ b/internal/coordination/membership/sim_test.go
@@ -16,12 +16,15 @@
 	tick = 100 * time.Millisecond
 	// recordOverhead is the length, the MAC and the frame's list header around one packet, in bytes.
 	recordOverhead = 11
+	// handshakeBytes is what each end sends to open a link.
+	handshakeBytes = 150
+	// idleTimeout closes links, which then forget the names they carried.
+	idleTimeout = time.Minute
 )
 
 // node is a router of the simulation.
 type node struct {
 	id     ident.RouterID
-	inc    ident.Incarnation
 	d      *membership.Detector
 	down   bool
 	paused bool
@@ -72,18 +75,31 @@
 	loss float64
 	// measured nodes send their packets through the codec.
 	measured int
-	encoders map[[2]ident.RouterID]*peer.Encoder
-	decoders map[[2]ident.RouterID]*peer.Decoder
+	links    map[[2]ident.RouterID]*link
+	conns    map[[2]ident.RouterID]*conn
+	// opens counts connections.
+	opens int
+}
+
+// link is the codec of one direction of a connection. Only measured senders have one.
+type link struct {
+	enc *peer.Encoder
+	dec *peer.Decoder
+	// opened is when the connection was opened.
+	opened time.Duration
 }
 
+// conn is a connection of a pair.
+type conn struct{ opened, used time.Duration }
+
 func routerID(i int) ident.RouterID { return ident.RouterID(fmt.Sprintf("router-%03d", i)) }
 
 // newSim returns n routers that all have the full VM list.
 func newSim(t *testing.T, n int, seed uint64) *sim {
 	s := &sim{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), byID: map[ident.RouterID]*node{}, measured: n,
-		cut:      func(a, b ident.RouterID) bool { return false },
-		encoders: map[[2]ident.RouterID]*peer.Encoder{}, decoders: map[[2]ident.RouterID]*peer.Decoder{},
+		cut:   func(a, b ident.RouterID) bool { return false },
+		links: map[[2]ident.RouterID]*link{}, conns: map[[2]ident.RouterID]*conn{},
 	}
 	for i := range n {
 		nd := &node{id: routerID(i)}
@@ -98,7 +114,6 @@
 
 // start gives a node an empty detector.
 func (s *sim) start(nd *node, inc ident.Incarnation) {
-	nd.inc = inc
 	nd.d = membership.New(membership.Options{Seed: s.rand.Uint64() | 1}, membership.Member{
 		ID: nd.id, Incarnation: inc, Generation: 7, Domain: "fd-1",
 		PeerAddr: fmt.Sprintf("10.0.0.%s:7400", nd.id[7:]), CallerAddr: fmt.Sprintf("10.0.0.%s:8080", nd.id[7:]),
@@ -187,25 +202,22 @@
 	}
 }
 
-// encode passes the packet through the codec and counts its bytes. A link is in place between each two processes.
+// encode passes the packet through the codec of the link, opening one if needed, and counts its bytes.
 func (s *sim) encode(from, to *node, p membership.Packet) membership.Packet {
+	opened := s.connect(from, to)
 	if from.id >= routerID(s.measured) {
 		return p
 	}
-	key := [2]ident.RouterID{from.id, to.id}
-	if s.encoders[key] == nil {
-		a, b := peer.Party{Router: from.id, Incarnation: from.inc}, peer.Party{Router: to.id, Incarnation: to.inc}
-		s.encoders[key], s.decoders[key] = peer.NewEncoder(a, b), peer.NewDecoder(a, b)
-	}
-	size, err := s.encoders[key].Add(peer.Envelope{Membership: &p})
+	l := s.link(from, to, opened)
+	size, err := l.enc.Add(peer.Envelope{Membership: &p})
 	if err != nil {
 		s.t.Fatalf("%s to %s: %v", from.id, to.id, err)
 	}
-	data, err := s.encoders[key].Take()
+	data, err := l.enc.Take()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	frame, err := s.decoders[key].Decode(data)
+	frame, err := l.dec.Decode(data)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -213,6 +225,34 @@
 	return *frame.Envelopes[0].Membership
 }
 
+// connect returns when the open connection of a pair was opened, and opens one if there is none.
+func (s *sim) connect(a, b *node) time.Duration {
+	key := [2]ident.RouterID{min(a.id, b.id), max(a.id, b.id)}
+	c := s.conns[key]
+	if c == nil || s.now-c.used > idleTimeout {
+		c = &conn{opened: s.now}
+		s.conns[key] = c
+		a.bytes += handshakeBytes
+		b.bytes += handshakeBytes
+		s.opens++
+	}
+	c.used = s.now
+	return c.opened
+}
+
+// link returns the codec of one direction of the pair's open connection.
+func (s *sim) link(from, to *node, opened time.Duration) *link {
+	key := [2]ident.RouterID{from.id, to.id}
+	l := s.links[key]
+	if l == nil || l.opened != opened {
+		a := peer.Party{Router: from.id, Incarnation: from.d.SelfIncarnation()}
+		b := peer.Party{Router: to.id, Incarnation: to.d.SelfIncarnation()}
+		l = &link{enc: peer.NewEncoder(a, b), dec: peer.NewDecoder(a, b), opened: opened}
+		s.links[key] = l
+	}
+	return l
+}
+
 // allSee reports whether all running nodes have exactly n live members.
 func (s *sim) allSee(n int) bool {
 	for _, nd := range s.nodes {
--- a/internal/protocol/peer/codec.go
+++ b/internal/protocol/peer/codec.go
@@ -9,6 +9,7 @@
 type Encoder struct {
 	ends  ends
 	ring  ring
+	seqs  sequences
 	items []cbor.RawMessage
 	size  int
 }
@@ -29,6 +30,7 @@
 	for _, n := range w.names() {
 		e.ring.shorten(n)
 	}
+	e.seqs.shorten(&w)
 	data, err := encMode.Marshal(w)
 	if err != nil {
 		return 0, inside(env.Class().String(), err)
@@ -63,6 +65,7 @@
 type Decoder struct {
 	ends ends
 	ring ring
+	seqs sequences
 }
 
 // NewDecoder returns a decoder for frames from the sender to the receiver.
@@ -105,7 +108,11 @@
 			return Envelope{}, err
 		}
 	}
-	env := unpack(w, d.ends)
+	d.seqs.expand(&w)
+	env, err := unpack(w, d.ends)
+	if err != nil {
+		return Envelope{}, err
+	}
 	return env, validate(env)
 }
 
--- a/internal/protocol/peer/limits.go
+++ b/internal/protocol/peer/limits.go
@@ -16,12 +16,14 @@
 	MaxEnvelopes = 1024
 	// MaxName is the length of a name or an address in bytes.
 	MaxName = 255
+	// maxText is the length of a name or a member's identity in bytes.
+	maxText = 4*MaxName + 20
 	// MaxPrefix bounds the prefix hashes of an Enqueue.
 	MaxPrefix = 8
 	// MaxExclude bounds the excluded backend servers of an Enqueue.
 	MaxExclude = 4
 
-	// fullFrame is the size in bytes from which a frame takes no more messages. The largest message has 36 names of at
+	// fullFrame is the size in bytes from which a frame takes no more messages. The largest message has 37 names of at
 	// most 255 bytes, which leaves it within MaxFrame.
 	fullFrame = 32 << 10
 )
@@ -33,6 +35,8 @@
 	ErrNotOne     = errors.New("not exactly one message")
 	ErrRange      = errors.New("out of range")
 	ErrUnknown    = errors.New("unknown value")
+	ErrIdentity   = errors.New("not an identity of a member")
+	ErrNUL        = errors.New("contains a NUL")
 	ErrUTF8       = errors.New("not UTF-8")
 	ErrDanglingID = errors.New("reference to a name that was not sent")
 )
--- a/internal/protocol/peer/names.go
+++ b/internal/protocol/peer/names.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
@@ -90,7 +91,7 @@
 	if text == "" {
 		return nil
 	}
-	if len(text) > MaxName {
+	if len(text) > maxText {
 		return at("name", ErrTooLarge)
 	}
 	r.push(text)
@@ -105,6 +106,9 @@
 	if !utf8.ValidString(text) {
 		return at(place, ErrUTF8)
 	}
+	if strings.Contains(text, identitySeparator) {
+		return at(place, ErrNUL)
+	}
 	return nil
 }
 
--- a/internal/protocol/peer/wire.go
+++ b/internal/protocol/peer/wire.go
@@ -22,14 +22,14 @@
 }
 
 // wireHead is the shard and the reference that most messages start with. Router and Incarnation are left out when the
-// request belongs to the end that the kind of message implies; Attempt is left out when it is 1.
+// request belongs to the end that the kind of message implies; Attempt is left out when it is 1. Seq is then the
+// difference to the previous sequence number of that end on this connection, which is small.
 type wireHead struct {
-	Seq         uint64 `cbor:"1,keyasint"`
+	Seq         int64  `cbor:"1,keyasint,omitempty"`
 	Attempt     uint32 `cbor:"2,keyasint,omitempty"`
 	Router      name   `cbor:"3,keyasint,omitzero"`
 	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
-	Pool        name   `cbor:"5,keyasint,omitzero"`
-	Index       uint16 `cbor:"6,keyasint,omitempty"`
+	Shard       name   `cbor:"5,keyasint,omitzero"`
 }
 
 type wireEnqueue struct {
@@ -89,8 +89,7 @@
 }
 
 type wireDelta struct {
-	Pool  name   `cbor:"1,keyasint,omitzero"`
-	Index uint16 `cbor:"2,keyasint,omitempty"`
+	Shard name   `cbor:"1,keyasint,omitzero"`
 	To    uint16 `cbor:"3,keyasint,omitempty"`
 	Team  name   `cbor:"4,keyasint,omitzero"`
 	Delta int64  `cbor:"5,keyasint,omitempty"`
@@ -100,26 +99,21 @@
 }
 
 type wireFree struct {
-	Pool  name   `cbor:"1,keyasint,omitzero"`
-	Index uint16 `cbor:"2,keyasint,omitempty"`
+	Shard name   `cbor:"1,keyasint,omitzero"`
 	To    uint16 `cbor:"3,keyasint,omitempty"`
 	Count uint16 `cbor:"4,keyasint,omitempty"`
 }
 
-// wireMember is a row of the member table. ID is left out when it is the sender; Incarnation when it is the sender's;
-// State when it is alive.
+// wireMember is a row of the member table. Identity joins what stays the same while the process lives, so that all of it
+// travels as one index after its first use; it is left out for the sender's row without addresses. State is left out when it is alive.
 type wireMember struct {
-	ID          name    `cbor:"1,keyasint,omitzero"`
-	Incarnation *uint64 `cbor:"2,keyasint,omitempty"`
-	Version     uint32  `cbor:"3,keyasint,omitempty"`
-	State       uint8   `cbor:"4,keyasint,omitempty"`
-	PeerAddr    name    `cbor:"5,keyasint,omitzero"`
-	CallerAddr  name    `cbor:"6,keyasint,omitzero"`
-	Domain      name    `cbor:"7,keyasint,omitzero"`
-	Draining    bool    `cbor:"8,keyasint,omitempty"`
-	Generation  uint64  `cbor:"9,keyasint,omitempty"`
-	Load        uint32  `cbor:"10,keyasint,omitempty"`
-	SuspectMS   uint32  `cbor:"11,keyasint,omitempty"`
+	Identity   name   `cbor:"1,keyasint,omitzero"`
+	Version    uint32 `cbor:"2,keyasint,omitempty"`
+	State      uint8  `cbor:"3,keyasint,omitempty"`
+	Draining   bool   `cbor:"4,keyasint,omitempty"`
+	Generation uint64 `cbor:"5,keyasint,omitempty"`
+	Load       uint32 `cbor:"6,keyasint,omitempty"`
+	SuspectMS  uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 type wirePacket struct {
@@ -136,7 +130,7 @@
 
 // packHead leaves out what the owner implies.
 func packHead(ref ident.AttemptRef, shard ident.ShardID, owner Party) wireHead {
-	h := wireHead{Seq: ref.Request.Seq, Pool: name{text: string(shard.Pool)}, Index: shard.Index}
+	h := wireHead{Seq: int64(ref.Request.Seq), Shard: packShard(shard)}
 	if ref.Attempt != 1 {
 		h.Attempt = ref.Attempt
 	}
@@ -150,7 +144,7 @@
 // ref restores the reference.
 func (h wireHead) ref(owner Party) ident.AttemptRef {
 	ref := ident.AttemptRef{Attempt: max(h.Attempt, 1)}
-	ref.Request = ident.RequestRef{Router: owner.Router, Incarnation: owner.Incarnation, Seq: h.Seq}
+	ref.Request = ident.RequestRef{Router: owner.Router, Incarnation: owner.Incarnation, Seq: uint64(h.Seq)}
 	if !h.Router.IsZero() {
 		ref.Request.Router = ident.RouterID(h.Router.text)
 		ref.Request.Incarnation = ident.Incarnation(h.Incarnation)
@@ -158,11 +152,6 @@
 	return ref
 }
 
-// shard restores the shard.
-func (h wireHead) shard() ident.ShardID {
-	return ident.ShardID{Pool: ident.PoolID(h.Pool.text), Index: h.Index}
-}
-
 // unless leaves out a number that the other end can tell.
 func unless(implied, v uint64) *uint64 {
 	if v == implied {
@@ -179,51 +168,6 @@
 	return *v
 }
 
-// packMember converts a row.
-func packMember(m membership.Member, suspectMS uint32, e ends) wireMember {
-	w := wireMember{
-		Incarnation: unless(uint64(e.sender.Incarnation), uint64(m.Incarnation)),
-		Version:     m.Version,
-		PeerAddr:    name{text: m.PeerAddr},
-		CallerAddr:  name{text: m.CallerAddr},
-		Domain:      name{text: string(m.Domain)},
-		Draining:    m.Draining,
-		Generation:  uint64(m.Generation),
-		Load:        m.Load,
-		SuspectMS:   suspectMS,
-	}
-	if m.ID != e.sender.Router {
-		w.ID = name{text: string(m.ID)}
-	}
-	if m.State != membership.Alive {
-		w.State = uint8(m.State)
-	}
-	return w
-}
-
-// member restores a row.
-func (w wireMember) member(e ends) membership.Member {
-	m := membership.Member{
-		ID:          e.sender.Router,
-		Incarnation: ident.Incarnation(or(w.Incarnation, uint64(e.sender.Incarnation))),
-		Version:     w.Version,
-		PeerAddr:    w.PeerAddr.text,
-		CallerAddr:  w.CallerAddr.text,
-		Domain:      ident.DomainID(w.Domain.text),
-		State:       membership.Alive,
-		Draining:    w.Draining,
-		Generation:  ident.Generation(w.Generation),
-		Load:        w.Load,
-	}
-	if !w.ID.IsZero() {
-		m.ID = ident.RouterID(w.ID.text)
-	}
-	if w.State != 0 {
-		m.State = membership.State(w.State)
-	}
-	return m
-}
-
 // packNames converts a list of backend servers.
 func packNames(list []ident.BackendID) []name {
 	var out []name
@@ -275,12 +219,12 @@
 			Result: uint8(m.Result), RunMS: m.RunMS}
 	case env.ServiceDelta != nil:
 		m := env.ServiceDelta
-		w.ServiceDelta = &wireDelta{Pool: name{text: string(m.Shard.Pool)}, Index: m.Shard.Index, To: m.To,
+		w.ServiceDelta = &wireDelta{Shard: packShard(m.Shard), To: m.To,
 			Team: name{text: string(m.Team)}, Delta: int64(m.Delta), Seq: m.Seq,
 			Epoch: unless(uint64(e.sender.Incarnation), m.Epoch)}
 	case env.FreeSlots != nil:
 		m := env.FreeSlots
-		w.FreeSlots = &wireFree{Pool: name{text: string(m.Shard.Pool)}, Index: m.Shard.Index, To: m.To, Count: m.Count}
+		w.FreeSlots = &wireFree{Shard: packShard(m.Shard), To: m.To, Count: m.Count}
 	case env.Membership != nil:
 		w.Membership = packPacket(env.Membership, e)
 	}
@@ -299,9 +243,9 @@
 // packPacket converts a membership packet.
 func packPacket(p *membership.Packet, e ends) *wirePacket {
 	w := &wirePacket{Kind: uint8(p.Kind), Seq: p.Seq, Target: name{text: string(p.Target)}, Joining: p.Joining}
-	w.From = packMember(p.From, 0, e)
+	w.From = packMember(p.From, 0, e.sender)
 	for _, u := range p.Updates {
-		w.Updates = append(w.Updates, packMember(u.Member, u.SuspectMS, e))
+		w.Updates = append(w.Updates, packMember(u.Member, u.SuspectMS, e.sender))
 	}
 	return w
 }
