--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -309,9 +309,14 @@
 
 // publish swaps the view.
 func (d *Detector) publish() {
-	v := &View{Self: d.self.ID, Stale: d.stale, addrs: make(map[ident.RouterID]string, len(d.order))}
+	v := &View{Self: d.self.ID, Stale: d.stale, unheard: map[ident.RouterID]string{}}
+	v.members = make([]Member, 0, len(d.order))
+	v.live = make([]Member, 0, len(d.order))
+	v.voters = make([]voter, 0, len(d.order))
 	for _, r := range d.order {
-		v.addrs[r.ID] = r.PeerAddr
+		if !r.known {
+			v.unheard[r.ID] = r.PeerAddr
+		}
 		if d.votes(r) {
 			v.voters = append(v.voters, voter{self: r == d.self, heard: r.heard, isHeard: r.isHeard})
 		}
--- a/internal/coordination/membership/sim_test.go
+++ b/internal/coordination/membership/sim_test.go
@@ -39,7 +39,6 @@
 	order  int
 	from   ident.RouterID
 	to     ident.RouterID
-	inc    ident.Incarnation
 	packet *membership.Packet
 }
 
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -18,7 +18,8 @@
 	members []Member
 	live    []Member
 	voters  []voter
-	addrs   map[ident.RouterID]string
+	// unheard holds the peer addresses of candidates that were never live.
+	unheard map[ident.RouterID]string
 }
 
 // voter is a member that counts for majorities.
@@ -43,10 +44,13 @@
 	return v.members[i], true
 }
 
-// PeerAddr returns the peer address of a member or a listed candidate.
+// PeerAddr returns the peer address of a member or a listed candidate, and false while none is known.
 func (v *View) PeerAddr(id ident.RouterID) (string, bool) {
-	addr, ok := v.addrs[id]
-	return addr, ok
+	addr, ok := v.unheard[id]
+	if m, known := v.Member(id); known {
+		addr, ok = m.PeerAddr, true
+	}
+	return addr, ok && addr != ""
 }
 
 // Listed returns the number of routers that majorities are counted over: the VMs of the last list that was not empty,
--- a/internal/transport/peerlink/accept.go
+++ b/internal/transport/peerlink/accept.go
@@ -90,7 +90,7 @@
 	if !n.track(conn, s.peer.Router) {
 		return false
 	}
-	return !n.cut(s.peer.Router)
+	return s.self == n.self() && !n.cut(s.peer.Router)
 }
 
 // countHandshake counts the bytes of a handshake.
--- a/internal/transport/peerlink/call.go
+++ b/internal/transport/peerlink/call.go
@@ -25,10 +25,17 @@
 	// dialing admits one dial at a time.
 	dialing chan struct{}
 
-	mu      sync.Mutex
-	conn    *jsonrpc2.Conn
+	mu   sync.Mutex
+	conn *callConn
+	used time.Time
+}
+
+// callConn is a connection for calls. The caller's lock guards the counts.
+type callConn struct {
+	*jsonrpc2.Conn
 	running int
-	used    time.Time
+	// broken says that no more calls may use it.
+	broken bool
 }
 
 // Call calls a JSON-RPC method of a peer. Errors: *RefusedError, *jsonrpc2.Error from the peer, ErrBlocked,
@@ -41,13 +48,36 @@
 	if err != nil {
 		return err
 	}
-	conn, err := c.begin(ctx)
+	err = c.call(ctx, method, params, result)
+	return errors.Wrapf(err, "peerlink: call %s of %s", method, to)
+}
+
+// call sends a request and waits for its response. A request that could not be written whole is refused by the peer's
+// record check, so it is sent again once over a new connection.
+func (c *caller) call(ctx context.Context, method string, params, result any) error {
+	conn, waiter, err := c.dispatch(ctx, method, params)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		conn, waiter, err = c.dispatch(ctx, method, params)
+	}
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, method, params, result)
-	c.end(conn, err)
-	return errors.Wrapf(err, "peerlink: call %s of %s", method, to)
+	err = waiter.Wait(ctx, result)
+	c.end(conn, errors.Is(err, context.DeadlineExceeded))
+	return err
+}
+
+// dispatch sends a request over the open connection or a new one.
+func (c *caller) dispatch(ctx context.Context, method string, params any) (*callConn, jsonrpc2.Waiter, error) {
+	conn, err := c.begin(ctx)
+	if err != nil {
+		return nil, jsonrpc2.Waiter{}, err
+	}
+	waiter, err := conn.DispatchCall(ctx, method, params)
+	if err != nil {
+		c.end(conn, errors.Is(err, jsonrpc2.ErrClosed))
+	}
+	return conn, waiter, err
 }
 
 // caller returns the peer's entry for calls.
@@ -66,7 +96,7 @@
 }
 
 // begin returns an open connection and keeps it from being retired.
-func (c *caller) begin(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (c *caller) begin(ctx context.Context) (*callConn, error) {
 	select {
 	case c.dialing <- struct{}{}:
 	case <-ctx.Done():
@@ -80,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := c.n.open(raw, s)
+	conn := &callConn{Conn: c.n.open(raw, s), running: 1}
 	if !c.n.spawn(func() { c.watch(conn, raw) }) {
 		_ = conn.Close()
 		c.n.release(raw)
@@ -89,34 +119,40 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
-	c.running++
 	return conn, nil
 }
 
 // reuse returns the open connection, or nil.
-func (c *caller) reuse() *jsonrpc2.Conn {
+func (c *caller) reuse() *callConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil {
-		c.running++
+		c.conn.running++
 	}
 	return c.conn
 }
 
-// end counts a call as over. A connection whose call timed out is closed once unused, because the peer may be gone.
-func (c *caller) end(conn *jsonrpc2.Conn, err error) {
+// end counts a call as over. A connection that failed or did not answer in time is not used again, because the peer may
+// be gone; it closes when its other calls are over.
+func (c *caller) end(conn *callConn, broken bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running--
 	c.used = time.Now()
-	timedOut := errors.Is(err, context.DeadlineExceeded)
-	if timedOut && c.running == 0 {
+	conn.running--
+	conn.broken = conn.broken || broken
+	if !conn.broken {
+		return
+	}
+	if c.conn == conn {
+		c.conn = nil
+	}
+	if conn.running == 0 {
 		_ = conn.Close()
 	}
 }
 
 // watch forgets the connection when it closes.
-func (c *caller) watch(conn *jsonrpc2.Conn, raw net.Conn) {
+func (c *caller) watch(conn *callConn, raw net.Conn) {
 	<-conn.DisconnectNotify()
 	c.n.release(raw)
 	c.mu.Lock()
@@ -130,13 +166,16 @@
 func (c *caller) retire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.running > 0 || time.Since(c.used) < c.n.opts.IdleTimeout {
+	if time.Since(c.used) < c.n.opts.IdleTimeout {
 		return false
 	}
 	if c.conn == nil {
 		return true
 	}
-	_ = c.conn.Close()
+	if c.conn.running == 0 {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
 	return false
 }
 
--- a/internal/transport/peerlink/handshake.go
+++ b/internal/transport/peerlink/handshake.go
@@ -99,6 +99,7 @@
 		return nil, &RefusedError{Peer: to, Reason: ReasonMalformed}
 	}
 	if err := g.checkProof(labelAcceptor, to); err != nil {
+		g.refuse()
 		return nil, err
 	}
 	if err := g.writeBlob(g.mac(labelDialer)); err != nil {
@@ -130,8 +131,7 @@
 		return nil, err
 	}
 	if err := g.checkProof(labelDialer, from); err != nil {
-		// A verdict of one byte is the reason. It is not authenticated, and only helps the other end's log.
-		_ = g.writeBlob([]byte{byte(ReasonWrongKey)})
+		g.refuse()
 		return nil, err
 	}
 	if err := g.writeBlob(g.mac(labelVerdict)); err != nil {
@@ -141,6 +141,9 @@
 	return g.session(party, h.Kind, labelInward, labelOutward), nil
 }
 
+// refuse sends a reason of one byte in place of a MAC. It is not authenticated, and only helps the other end's log.
+func (g *greeter) refuse() { _ = g.writeBlob([]byte{byte(ReasonWrongKey)}) }
+
 // judge returns why a hello is refused, or 0.
 func (g *greeter) judge(h hello, check func(ident.RouterID) Reason) Reason {
 	switch {
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -146,6 +146,20 @@
 	}
 }
 
+// Guards against handshakes above what the traffic test of the failure detector assumes for each end.
+func TestHandshakeSize(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("router-001", 1_790_000_000_000, nil), f.start("router-002", 1_790_000_000_001, nil)
+	if err := echo(a, "router-002"); err != nil {
+		t.Fatal(err)
+	}
+	s := a.Stats().Classes[peer.ClassLink]
+	t.Logf("handshake: the dialing end sends %d B, the other %d B", s.BytesOut, s.BytesIn)
+	if s.BytesOut > 150 || s.BytesIn > 150 {
+		t.Error("above 150 B")
+	}
+}
+
 // Guards against calls that fail between healthy routers.
 func TestCall(t *testing.T) {
 	f := newFleet(t)
