--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -168,6 +168,7 @@
 	d.expireSuspects(now)
 	if now >= d.nextRound {
 		d.nextRound = now + Period
+		d.forget(now)
 		out = d.round(now, out)
 	}
 	d.endStale()
@@ -254,14 +255,13 @@
 	return r.listed || r == d.self || (r.known && r.State != Left)
 }
 
-// expireSuspects declares members dead that did not refute their suspicion in time, and forgets old ones.
+// expireSuspects declares members dead that did not refute their suspicion in time.
 func (d *Detector) expireSuspects(now time.Duration) {
 	for _, r := range d.order {
 		if r.State == Suspect && now-r.since >= suspectTimeout {
 			d.setState(r, Dead, now)
 		}
 	}
-	d.forget(now)
 }
 
 // forget removes rows that are neither listed nor of use.
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -48,19 +48,9 @@
 	return p
 }
 
-// news appends the rows that were passed on least so far.
+// news appends the rows that are most urgent to pass on.
 func (d *Detector) news(now time.Duration, list []Update, to *row) []Update {
-	var fresh []*row
-	for _, r := range d.order {
-		if r.gossip > 0 && r != d.self && r != to && r.known {
-			fresh = append(fresh, r)
-		}
-	}
-	slices.SortStableFunc(fresh, byUrgency)
-	for _, r := range fresh {
-		if len(list) >= MaxUpdates {
-			break
-		}
+	for _, r := range d.mostUrgent(MaxUpdates-len(list), to) {
 		r.gossip--
 		u := d.update(now, r)
 		if r.State == Alive {
@@ -71,6 +61,26 @@
 	return list
 }
 
+// mostUrgent returns up to n rows to pass on, in order of urgency.
+func (d *Detector) mostUrgent(n int, to *row) []*row {
+	best := make([]*row, 0, MaxUpdates+1)
+	for _, r := range d.order {
+		if r.gossip == 0 || r == d.self || r == to || !r.known {
+			continue
+		}
+		if len(best) == n && (n == 0 || byUrgency(best[n-1], r) <= 0) {
+			continue
+		}
+		at := len(best)
+		for at > 0 && byUrgency(best[at-1], r) > 0 {
+			at--
+		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(len(best), n)]
+	}
+	return best
+}
+
 // byUrgency puts failures first, as requests wait for them, and then the rows passed on least so far.
 func byUrgency(a, b *row) int {
 	if a.State == Alive != (b.State == Alive) {
--- /dev/null
+++ b/internal/coordination/membership/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package membership_test
+
+const raceEnabled = false
