--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -44,8 +44,8 @@
 	maxRelays    = 16
 	maxRows      = 4096
 	leaveFanout  = 16
-	// fillers is the number of rows without news added to a packet, so that tables converge after any loss.
-	fillers = 2
+	// fillers is the number of rows without news added to a ping, so that tables converge after any loss.
+	fillers = 1
 )
 
 // Options configure a detector.
@@ -168,6 +168,7 @@
 	d.expireSuspects(now)
 	if now >= d.nextRound {
 		d.nextRound = now + Period
+		d.forget(now)
 		out = d.round(now, out)
 	}
 	d.endStale()
@@ -254,14 +255,13 @@
 	return r.listed || r == d.self || (r.known && r.State != Left)
 }
 
-// expireSuspects declares members dead that did not refute their suspicion in time, and forgets old ones.
+// expireSuspects declares members dead that did not refute their suspicion in time.
 func (d *Detector) expireSuspects(now time.Duration) {
 	for _, r := range d.order {
 		if r.State == Suspect && now-r.since >= suspectTimeout {
 			d.setState(r, Dead, now)
 		}
 	}
-	d.forget(now)
 }
 
 // forget removes rows that are neither listed nor of use.
@@ -309,9 +309,14 @@
 
 // publish swaps the view.
 func (d *Detector) publish() {
-	v := &View{Self: d.self.ID, Stale: d.stale, addrs: make(map[ident.RouterID]string, len(d.order))}
+	v := &View{Self: d.self.ID, Stale: d.stale, unheard: map[ident.RouterID]string{}}
+	v.members = make([]Member, 0, len(d.order))
+	v.live = make([]Member, 0, len(d.order))
+	v.voters = make([]voter, 0, len(d.order))
 	for _, r := range d.order {
-		v.addrs[r.ID] = r.PeerAddr
+		if !r.known {
+			v.unheard[r.ID] = r.PeerAddr
+		}
 		if d.votes(r) {
 			v.voters = append(v.voters, voter{self: r == d.self, heard: r.heard, isHeard: r.isHeard})
 		}
