--- /dev/null
+++ b/internal/coordination/publish/errors.go
@@ -0,0 +1,65 @@
+package publish
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+)
+
+var (
+	// ErrNoQuorum reports that the router hears less than a majority of the listed VMs. Nothing was published.
+	ErrNoQuorum = errors.New("publish: no contact with a majority of the listed VMs")
+	// ErrContended reports that other writers or old reads kept the publish from starting. Nothing was published.
+	ErrContended = errors.New("publish: store too contended")
+	// ErrCorrupt reports content of the store that does not match its hash or form.
+	ErrCorrupt = errors.New("publish: corrupt content in the store")
+)
+
+// ConflictError reports that the configuration changed since the base. Nothing was published.
+type ConflictError struct {
+	// Generation is the generation in force.
+	Generation ident.Generation
+	// Objects are the objects that both sides changed; empty when the changes are disjoint.
+	Objects []object.ID
+	// Approximate says that the base is too old or could not be read. Objects are then all that differ between
+	// the two sides, or none when the generation in force could not be read either.
+	Approximate bool
+}
+
+// Error names the objects.
+func (e *ConflictError) Error() string {
+	names := make([]string, len(e.Objects))
+	for i, id := range e.Objects {
+		names[i] = id.String()
+	}
+	text := fmt.Sprintf("publish: generation %d was published in the meantime", e.Generation)
+	switch {
+	case len(names) > 0 && e.Approximate:
+		return text + "; objects that differ: " + strings.Join(names, ", ")
+	case len(names) > 0:
+		return text + "; both sides changed " + strings.Join(names, ", ")
+	case e.Approximate:
+		return text
+	}
+	return text + "; the changes are disjoint"
+}
+
+// UncertainError reports that the store's answer was lost and could not be settled. The publish may be in force
+// now, later, or never. It unwraps to kv.ErrUncertain.
+type UncertainError struct {
+	// Generation is the generation that the publish gets if it takes effect.
+	Generation ident.Generation
+	PublishID  string
+	Cause      error
+}
+
+// Error names the generation.
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("publish: generation %d may or may not be in force: %v", e.Generation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UncertainError) Unwrap() error { return e.Cause }
--- a/internal/state/kv/fake.go
+++ b/internal/state/kv/fake.go
@@ -136,6 +136,14 @@
 	return f.at(key, 0)
 }
 
+// Versions returns all entries that a key had, oldest first; a deletion has a nil Value. It is not counted as a call
+// and has no faults.
+func (f *Fake) Versions(key string) []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Entry(nil), f.versions[key]...)
+}
+
 // begin counts a call, waits for its delay, and returns its fault. The error is set when the call is refused.
 func (f *Fake) begin(ctx context.Context, op Op, key string) (Fault, error) {
 	f.mu.Lock()
--- a/internal/state/object/set.go
+++ b/internal/state/object/set.go
@@ -1,7 +1,9 @@
 package object
 
 import (
+	"cmp"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 
@@ -29,6 +31,14 @@
 	return ID{Kind: Kind(kind), Name: name}, nil
 }
 
+// CompareIDs orders names canonically: by kind in the order of Kinds, then by name.
+func CompareIDs(a, b ID) int {
+	if order := cmp.Compare(slices.Index(Kinds, a.Kind), slices.Index(Kinds, b.Kind)); order != 0 {
+		return order
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
 // Kinds are all kinds in canonical order: an object refers only to kinds before its own, except that a model
 // refers to its default version.
 var Kinds = []Kind{
@@ -195,6 +205,9 @@
 }
 
 func (s *Set) setSource(id ID, file string) {
+	if file == "" {
+		return
+	}
 	if s.sources == nil {
 		s.sources = make(map[ID]string)
 	}
