--- a/internal/coordination/claim/begin.go
+++ b/internal/coordination/claim/begin.go
@@ -19,7 +19,7 @@
 	if m.background.Err() != nil {
 		return nil, nil, ErrClosed
 	}
-	if !m.writes.take(writesPerCall) {
+	if !m.writes.take(c.Team, writesPerCall) {
 		return nil, nil, ErrBudget
 	}
 	b := &beginning{m: m, call: c, key: storeKey(c), holder: m.nextHolder(), poll: newBackoff(pollMin, pollMax)}
@@ -103,7 +103,11 @@
 				c, r, err = b.giveUp(cause)
 				return c, r, false, err
 			}
-			return nil, nil, true, nil
+			if b.writes < settleTries || pause(ctx, b.poll.NextBackOff()) {
+				return nil, nil, true, nil
+			}
+			c, r, err = b.giveUp(context.Cause(ctx))
+			return c, r, false, err
 		}
 		if !pause(ctx, b.poll.NextBackOff()) {
 			c, r, err = b.giveUp(context.Cause(ctx))
--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,29 +171,76 @@
 	})
 }
 
-// Guards against claims during an outage, and against an unlimited rate of writes.
-func TestOutageAndBudgetAreTyped(t *testing.T) {
+// Guards against a claim during an outage that is not reported as such.
+func TestOutageIsTyped(t *testing.T) {
+	store := newFakeStore()
+	store.onWrite = func(string, []byte) fault { return faultRefuse }
+	var outage *StoreError
+	if _, _, err := newManager(t, store, "r1").Begin(t.Context(), testCall); !errors.As(err, &outage) {
+		t.Fatalf("outage: %v", err)
+	}
+}
+
+// beginMany begins n calls of a team with new keys and returns how many were within the budget.
+func beginMany(t *testing.T, m *Manager, team ident.TeamID, n int) (begun int) {
+	t.Helper()
+	for i := range n {
+		c := testCall
+		c.Team = team
+		c.Key = fmt.Sprintf("%v-%d", time.Now(), i)
+		_, _, err := m.Begin(t.Context(), c)
+		if err != nil && !errors.Is(err, ErrBudget) {
+			t.Fatal(err)
+		}
+		begun += boolInt(err == nil)
+	}
+	return begun
+}
+
+// Guards against more writes than the budget, writes that stay unused, and a flooding team that takes the writes of
+// all others.
+func TestBudgetIsKeptAndShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		const rate = 40
 		store := newFakeStore()
-		store.onWrite = func(string, []byte) fault { return faultRefuse }
-		m := New(Options{Store: store, Self: "r1", Budget: func() int { return 4 }})
+		m := New(Options{Store: store, Self: "r1", Budget: func() int { return rate }})
 		defer m.Close()
-		var outage *StoreError
-		if _, _, err := m.Begin(t.Context(), testCall); !errors.As(err, &outage) {
-			t.Fatalf("outage: %v", err)
+		flood, small := 0, 0
+		const seconds = 20
+		for range seconds * 10 {
+			flood += beginMany(t, m, "flood", 100)
+			small += beginMany(t, m, "small", 1)
+			time.Sleep(time.Second / 10)
+			if store.writes > rate*(seconds+1) {
+				t.Fatalf("%d writes", store.writes)
+			}
 		}
-		store.setFaults(nil, nil)
-		time.Sleep(time.Second)
-		for _, key := range []string{"a", "b"} {
-			c := testCall
-			c.Key = key
-			mustBegin(t, m, c)
+		if got := (flood + small) * writesPerCall; got < rate*seconds*9/10 || got > rate*(seconds+1) {
+			t.Fatalf("%d writes reserved in %d s at %d a second", got, seconds, rate)
+		}
+		// The small team asks for its equal share, half of the budget. A tenth is left for the time that the shares
+		// need to settle.
+		if small < seconds*10*9/10 {
+			t.Fatalf("the small team began %d of %d calls beside a flood", small, seconds*10)
+		}
+		t.Logf("flood %d, small %d of %d", flood, small, seconds*10)
+	})
+}
+
+// Guards against a budget that stays in force after the number of live members has changed.
+func TestBudgetFollowsItsSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rate := 0
+		m := New(Options{Store: newFakeStore(), Self: "r1", Budget: func() int { return rate }})
+		defer m.Close()
+		if n := beginMany(t, m, "a", 5); n != 0 {
+			t.Fatalf("%d calls without a budget", n)
 		}
-		if _, _, err := m.Begin(t.Context(), testCall); !errors.Is(err, ErrBudget) {
-			t.Fatalf("third call in a second: %v", err)
+		rate = 100
+		time.Sleep(time.Second)
+		if n := beginMany(t, m, "a", 5); n != 5 {
+			t.Fatalf("%d calls of 5", n)
 		}
-		time.Sleep(500 * time.Millisecond)
-		mustBegin(t, m, testCall)
 	})
 }
 
--- a/internal/coordination/claim/reconcile.go
+++ b/internal/coordination/claim/reconcile.go
@@ -66,7 +66,7 @@
 	if err == nil && !e.writable(entry) {
 		return true
 	}
-	if !e.m.writes.take(1) {
+	if !e.m.writes.takeOne(false) {
 		return false
 	}
 	_, err = e.m.swap(ctx, e.key, entry.Revision, e.call.ended(e.holder, e.result, e.m.clock()))
--- a/internal/coordination/claim/store_test.go
+++ b/internal/coordination/claim/store_test.go
@@ -62,14 +62,18 @@
 func (s *fakeStore) List(_ context.Context, prefix, after string, limit int) ([]kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []kv.Entry
-	for key, e := range s.entries {
+	var keys []string
+	for key := range s.entries {
 		if strings.HasPrefix(key, prefix) && key > after {
-			list = append(list, e)
+			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(list, func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return list[:min(limit, len(list))], nil
+	slices.Sort(keys)
+	var list []kv.Entry
+	for _, key := range keys[:min(limit, len(keys))] {
+		list = append(list, s.entries[key])
+	}
+	return list, nil
 }
 
 func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expect kv.Revision, value []byte) (kv.Revision, error) {
@@ -171,3 +175,18 @@
 		return kinds[random.below(int64(len(kinds)))]
 	}
 }
+
+// all returns all records by key.
+func (s *fakeStore) all() map[string]record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := map[string]record{}
+	for key, e := range s.entries {
+		r, err := decodeRecord(e.Value)
+		if err != nil {
+			panic(err)
+		}
+		records[key] = r
+	}
+	return records
+}
