--- a/internal/coordination/claim/begin.go
+++ b/internal/coordination/claim/begin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
@@ -22,7 +23,14 @@
 	if !m.writes.take(c.Team, writesPerCall) {
 		return nil, nil, ErrBudget
 	}
-	b := &beginning{m: m, call: c, key: storeKey(c), holder: m.nextHolder(), poll: newBackoff(pollMin, pollMax)}
+	b := &beginning{
+		m:        m,
+		call:     c,
+		key:      storeKey(c),
+		holder:   m.nextHolder(),
+		settleBy: m.clock().Add(settleFor),
+		poll:     newBackoff(pollMin, pollMax),
+	}
 	claim, result, err := b.run(ctx)
 	if claim == nil {
 		m.writes.refund(1) // the write that would have recorded the end
@@ -46,7 +54,9 @@
 	heldBy string
 	// writes counts the claim's writes.
 	writes int
-	poll   *backoff.ExponentialBackOff
+	// settleBy is when tries to settle a lost write end.
+	settleBy time.Time
+	poll     *backoff.ExponentialBackOff
 }
 
 // run tries to claim until it has the claim, a result or an error.
@@ -99,7 +109,7 @@
 		case stepResult:
 			return nil, verdict.result, false, nil
 		case stepWrite:
-			if b.lost && b.writes >= settleTries {
+			if b.lost && (b.writes >= settleTries || b.m.clock().After(b.settleBy)) {
 				c, r, err = b.giveUp(cause)
 				return c, r, false, err
 			}
@@ -120,14 +130,14 @@
 func (b *beginning) readBack(ctx context.Context) (kv.Entry, error) {
 	waits := newBackoff(settlePause, pollMax)
 	for try := 1; ; try++ {
-		entry, err := b.m.read(ctx, b.key)
+		entry, err := b.read(ctx)
 		if err == nil {
 			return entry, nil
 		}
 		if errors.Is(err, kv.ErrNotFound) {
 			return kv.Entry{Key: b.key}, nil
 		}
-		if !b.held && try >= settleTries {
+		if !b.held && (try >= settleTries || b.m.clock().After(b.settleBy)) {
 			return kv.Entry{}, err
 		}
 		if !pause(ctx, waits.NextBackOff()) {
@@ -136,6 +146,16 @@
 	}
 }
 
+// read reads the record once, in the time that is left to settle a write.
+func (b *beginning) read(ctx context.Context) (kv.Entry, error) {
+	if b.held {
+		return b.m.read(ctx, b.key)
+	}
+	bounded, cancel := context.WithTimeout(ctx, max(b.settleBy.Sub(b.m.clock()), settlePause))
+	defer cancel()
+	return b.m.read(bounded, b.key)
+}
+
 // step is what a Begin does after it has read the record.
 type step int
 
--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -244,6 +244,21 @@
 	})
 }
 
+// Guards against callers that are held for long by a store that hangs.
+func TestHangingStoreIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newManager(t, hangingStore{newFakeStore()}, "r1")
+		began := time.Now()
+		var unsettled *UnsettledError
+		if _, _, err := m.Begin(t.Context(), testCall); !errors.As(err, &unsettled) {
+			t.Fatalf("error %v", err)
+		}
+		if waited := time.Since(began); waited > settleFor+time.Second {
+			t.Fatalf("given up after %v", waited)
+		}
+	})
+}
+
 // Guards against a policy "run" that leaves a repeat after the outage without the result.
 func TestUnclaimedRunIsRecordedAfterTheOutage(t *testing.T) {
 	for name, f := range map[string]fault{"refused": faultRefuse, "lost": faultLost, "dropped": faultDropped} {
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -21,6 +21,9 @@
 	storeTimeout = 2 * time.Second
 	// settleTries bounds the writes and the reads that settle a lost answer while the caller waits.
 	settleTries = 3
+	// settleFor bounds the time of these tries, so that a store that hangs holds a caller no longer than one write and
+	// one read.
+	settleFor = 4 * time.Second
 	// settlePause is the first pause between these tries; it doubles.
 	settlePause = 50 * time.Millisecond
 	// pollMin and pollMax bound the pause between looks at a claim that another request holds.
--- a/internal/coordination/claim/store_test.go
+++ b/internal/coordination/claim/store_test.go
@@ -190,3 +190,16 @@
 	}
 	return records
 }
+
+// hangingStore gives up with the context, as a client does whose store does not answer.
+type hangingStore struct{ *fakeStore }
+
+func (h hangingStore) Get(ctx context.Context, _ string) (kv.Entry, error) {
+	<-ctx.Done()
+	return kv.Entry{}, kv.ErrUnavailable
+}
+
+func (h hangingStore) CompareAndSwap(ctx context.Context, _ string, _ kv.Revision, _ []byte) (kv.Revision, error) {
+	<-ctx.Done()
+	return 0, kv.ErrUncertain
+}
--- a/internal/coordination/execute/api.go
+++ b/internal/coordination/execute/api.go
@@ -34,6 +34,7 @@
 	ReasonNoBackend      Reason = "no-backend-server"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonNotServing     Reason = "not-serving"
+	ReasonMemory         Reason = "memory"
 	ReasonUnknownService Reason = "unknown-service"
 	ReasonUnknownModel   Reason = "unknown-model"
 	ReasonUnknownVersion Reason = "unknown-version"
@@ -65,7 +66,7 @@
 	Backoff(attempt int) time.Duration
 }
 
-// Options configure an executor. All fields but Logger, Clock and MaxResponseBytes are required.
+// Options configure an executor. Admitter, Backends, Claims, Retry and Objects are required.
 type Options struct {
 	Admitter dispatch.Admitter
 	Backends Backends
@@ -73,6 +74,9 @@
 	Retry    RetryBudget
 	// Objects returns the configuration in force, or nil before the first.
 	Objects func() *object.Set
+	// Serving reports whether the router may take new requests. Default: always. It is asked before anything is
+	// claimed or queued.
+	Serving func() bool
 	// MaxResponseBytes bounds the body of a service's answer. Default 8 MB.
 	MaxResponseBytes int64
 	// Logger gets failures that no caller sees. Default: none.
--- a/internal/coordination/execute/call.go
+++ b/internal/coordination/execute/call.go
@@ -43,9 +43,9 @@
 }
 
 func (e *Executor) service(name string) (*object.Service, *verdict) {
-	set := e.objects()
-	if set == nil {
-		return nil, &verdict{outcome: NotRun, reason: ReasonNotServing, retryAfter: defaultRetryAfter, err: errNoSnapshot}
+	set, refused := e.configuration()
+	if refused != nil {
+		return nil, refused
 	}
 	service, ok := set.Services[name]
 	if !ok {
--- a/internal/coordination/execute/complete.go
+++ b/internal/coordination/execute/complete.go
@@ -55,9 +55,9 @@
 
 // model returns the request's model and fills in the version.
 func (e *Executor) model(r *CompletionRequest) (*object.Model, *verdict) {
-	set := e.objects()
-	if set == nil {
-		return nil, &verdict{outcome: NotRun, reason: ReasonNotServing, retryAfter: defaultRetryAfter, err: errNoSnapshot}
+	set, refused := e.configuration()
+	if refused != nil {
+		return nil, refused
 	}
 	model, ok := set.Models[r.Model]
 	if !ok {
--- a/internal/coordination/execute/executor.go
+++ b/internal/coordination/execute/executor.go
@@ -30,8 +30,12 @@
 	recordTimeout = 3 * time.Second
 )
 
-// errNoSnapshot reports that no configuration is in force yet.
-var errNoSnapshot = errors.New("execute: no configuration in force")
+var (
+	// errNoConfiguration reports that no configuration is in force yet.
+	errNoConfiguration = errors.New("execute: no configuration in force")
+	// errNotServing reports that the router may not take new requests.
+	errNotServing = errors.New("execute: not serving")
+)
 
 // Executor runs callers' requests. It is safe for concurrent use.
 type Executor struct {
@@ -40,6 +44,7 @@
 	claims      Claims
 	retry       RetryBudget
 	objects     func() *object.Set
+	serving     func() bool
 	maxResponse int64
 	log         *zap.Logger
 	// abandoning counts claims that are given up in the background.
@@ -51,6 +56,9 @@
 	if opts.MaxResponseBytes <= 0 {
 		opts.MaxResponseBytes = defaultMaxResponseBytes
 	}
+	if opts.Serving == nil {
+		opts.Serving = func() bool { return true }
+	}
 	if opts.Logger == nil {
 		opts.Logger = zap.NewNop()
 	}
@@ -60,6 +68,7 @@
 		claims:      opts.Claims,
 		retry:       opts.Retry,
 		objects:     opts.Objects,
+		serving:     opts.Serving,
 		maxResponse: opts.MaxResponseBytes,
 		log:         opts.Logger.Named("execute"),
 	}
@@ -71,6 +80,21 @@
 // Wait waits until no claim is being given up in the background. Call it after the last request has ended.
 func (e *Executor) Wait() { e.abandoning.Wait() }
 
+// configuration returns the objects in force, or why new requests are not taken.
+func (e *Executor) configuration() (*object.Set, *verdict) {
+	refused := &verdict{outcome: NotRun, reason: ReasonNotServing, retryAfter: defaultRetryAfter}
+	set := e.objects()
+	if set == nil {
+		refused.err = errNoConfiguration
+		return nil, refused
+	}
+	if !e.serving() {
+		refused.err = errNotServing
+		return nil, refused
+	}
+	return set, nil
+}
+
 // attempts numbers the attempts of one request and remembers which backend servers to leave out.
 type attempts struct {
 	executor *Executor
--- a/internal/protocol/caller/answer.go
+++ b/internal/protocol/caller/answer.go
@@ -25,6 +25,7 @@
 var notRunStatus = map[execute.Reason]int{
 	execute.ReasonQueueFull:      http.StatusTooManyRequests,
 	execute.ReasonClaimBudget:    http.StatusTooManyRequests,
+	execute.ReasonMemory:         http.StatusTooManyRequests,
 	execute.ReasonDeadline:       http.StatusGatewayTimeout,
 	execute.ReasonUnknownModel:   http.StatusNotFound,
 	execute.ReasonUnknownVersion: http.StatusNotFound,
@@ -56,6 +57,7 @@
 	execute.ReasonNoBackend:      "no backend server is available",
 	execute.ReasonCancelled:      "the caller left",
 	execute.ReasonNotServing:     "this router takes no new requests",
+	execute.ReasonMemory:         "too many bytes of requests are waiting",
 	execute.ReasonUnknownService: "no such service",
 	execute.ReasonUnknownModel:   "no such model",
 	execute.ReasonUnknownVersion: "the model has no such version",
--- a/internal/protocol/caller/service.go
+++ b/internal/protocol/caller/service.go
@@ -23,6 +23,12 @@
 	Key string
 }
 
+// methods are the methods of service calls. Tunnels and upgrades are not calls.
+var methods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true, http.MethodPut: true, http.MethodPatch: true,
+	http.MethodDelete: true, http.MethodOptions: true,
+}
+
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
@@ -40,6 +46,9 @@
 	if len(body) > MaxBodyBytes {
 		return nil, ErrTooLarge("body", MaxBodyBytes)
 	}
+	if !methods[method] {
+		return nil, invalid("method", "not supported")
+	}
 	if len(target) > MaxPathBytes {
 		return nil, ErrTooLarge("path", MaxPathBytes)
 	}
--- a/internal/transport/callerhttp/encode.go
+++ b/internal/transport/callerhttp/encode.go
@@ -29,12 +29,10 @@
 	s.writeError(ctx, w, refused, execute.NotRun, 0)
 }
 
-// refuseDrained answers a request that came after the drain.
-func (s *Server) refuseDrained(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Connection", "close")
+// refuse answers a request that the server does not take. Nothing has run.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, reason execute.Reason) {
 	s.metrics.ended(execute.NotRun, 0)
-	refused := caller.NewError(execute.NotRun, execute.ReasonNotServing)
-	s.writeError(r.Context(), w, refused, execute.NotRun, drainRetryAfter)
+	s.writeError(r.Context(), w, caller.NewError(execute.NotRun, reason), execute.NotRun, refuseRetryAfter)
 }
 
 // writeError writes the JSON body of an error.
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
 	"gooseberrytide.example/gooseberrytide/internal/protocol/caller"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 )
@@ -41,7 +42,8 @@
 		w.Header().Set(caller.HeaderRequestID, state.ref.String())
 		r = r.WithContext(withState(r.Context(), state))
 		if !s.gate.enter() {
-			s.refuseDrained(w, r)
+			w.Header().Set("Connection", "close")
+			s.refuse(w, r, execute.ReasonNotServing)
 			return
 		}
 		s.metrics.inFlight.Add(1)
@@ -54,6 +56,12 @@
 			s.encodeError(r.Context(), err, w)
 			return
 		}
+		release, ok := s.buffers.reserve(state.team, bodySize(r))
+		if !ok {
+			s.refuse(w, r, execute.ReasonMemory)
+			return
+		}
+		defer release()
 		if err := readBody(w, r); err != nil {
 			s.encodeError(r.Context(), err, w)
 			return
@@ -82,6 +90,14 @@
 	return key, ok && strings.EqualFold(scheme, "Bearer") && key != ""
 }
 
+// bodySize returns the most bytes that a request's body can take.
+func bodySize(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > caller.MaxBodyBytes {
+		return caller.MaxBodyBytes
+	}
+	return r.ContentLength
+}
+
 // readBody replaces the body by a whole copy, so that a caller's disconnect is noticed while the request runs.
 func readBody(w http.ResponseWriter, r *http.Request) error {
 	control := http.NewResponseController(w)
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -20,8 +20,8 @@
 	idleTimeout = 120 * time.Second
 	// writeTimeout bounds one write to a caller. A caller who stops reading frees the engine after it.
 	writeTimeout = 30 * time.Second
-	// drainRetryAfter is told to callers who come after the drain.
-	drainRetryAfter = time.Second
+	// refuseRetryAfter is told to callers who come after the drain, or when bodies fill the memory.
+	refuseRetryAfter = time.Second
 )
 
 // Executor runs requests. *execute.Executor implements it.
@@ -46,6 +46,8 @@
 	Ready func() error
 	// Prefixes hashes prompts. Default: no hashes.
 	Prefixes caller.PrefixHashes
+	// MaxBufferedBytes bounds the bodies of all requests that are being answered. Default 256 MB.
+	MaxBufferedBytes int64
 	// Logger gets faults of connections. It never gets API keys or bodies. Default: none.
 	Logger *zap.Logger
 }
@@ -55,6 +57,7 @@
 	opts    Options
 	log     *zap.Logger
 	gate    *gate
+	buffers *buffers
 	metrics *metrics
 	http    *http.Server
 }
@@ -67,7 +70,13 @@
 	if opts.Logger == nil {
 		opts.Logger = zap.NewNop()
 	}
-	s := &Server{opts: opts, log: opts.Logger.Named("callerhttp"), gate: newGate(), metrics: sharedMetrics()}
+	s := &Server{
+		opts:    opts,
+		log:     opts.Logger.Named("callerhttp"),
+		gate:    newGate(),
+		buffers: newBuffers(opts.MaxBufferedBytes),
+		metrics: sharedMetrics(),
+	}
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: readTimeout,
