--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -237,7 +237,7 @@
 	if first != second {
 		t.Errorf("first answer %s, second %s", first, second)
 	}
-	if counts := f.service.Counts(); counts.ByKey["call-out-7"] != 1 {
+	if counts := f.service.Counts(); counts.ByKey["alarms/call-out-7"] != 1 {
 		t.Errorf("executions %+v", counts)
 	}
 }
--- a/internal/protocol/peer/envelope.go
+++ b/internal/protocol/peer/envelope.go
@@ -18,6 +18,7 @@
 	Settle       *message.Settle
 	ServiceDelta *message.ServiceDelta
 	FreeSlots    *message.FreeSlots
+	Takeover     *message.Takeover
 	Membership   *membership.Packet
 }
 
@@ -38,6 +39,7 @@
 	ClassServiceDelta
 	ClassFreeSlots
 	ClassMembership
+	ClassTakeover
 	ClassRPC
 	// Classes is the number of classes.
 	Classes
@@ -46,7 +48,7 @@
 // classNames are the names in statistics and in the places of errors.
 var classNames = [Classes]string{
 	"link", "enqueue", "running", "cancel", "grant", "reject", "redirect", "progress", "settle", "service-delta",
-	"free-slots", "membership", "rpc",
+	"free-slots", "membership", "takeover", "rpc",
 }
 
 // String returns the class's name.
@@ -80,6 +82,8 @@
 		return ClassServiceDelta
 	case e.FreeSlots != nil:
 		return ClassFreeSlots
+	case e.Takeover != nil:
+		return ClassTakeover
 	case e.Membership != nil:
 		return ClassMembership
 	}
@@ -91,7 +95,7 @@
 	n := 0
 	for _, set := range []bool{e.Enqueue != nil, e.Running != nil, e.Cancel != nil, e.Grant != nil, e.Reject != nil,
 		e.Redirect != nil, e.Progress != nil, e.Settle != nil, e.ServiceDelta != nil, e.FreeSlots != nil,
-		e.Membership != nil} {
+		e.Takeover != nil, e.Membership != nil} {
 		if set {
 			n++
 		}
--- a/internal/protocol/peer/unpack.go
+++ b/internal/protocol/peer/unpack.go
@@ -46,6 +46,9 @@
 		m := w.FreeSlots
 		env.FreeSlots = &message.FreeSlots{Shard: splitShard(m.Shard),
 			To: m.To, Count: m.Count}
+	case w.Takeover != nil:
+		m := w.Takeover
+		env.Takeover = &message.Takeover{Shard: ident.ShardID{Pool: ident.PoolID(m.Pool.text), Index: m.Index}}
 	case w.Membership != nil:
 		env.Membership, err = unpackPacket(w.Membership, e)
 	}
@@ -85,7 +88,7 @@
 	n := 0
 	for _, set := range []bool{w.Enqueue != nil, w.Running != nil, w.Cancel != nil, w.Grant != nil, w.Reject != nil,
 		w.Redirect != nil, w.Progress != nil, w.Settle != nil, w.ServiceDelta != nil, w.FreeSlots != nil,
-		w.Membership != nil} {
+		w.Takeover != nil, w.Membership != nil} {
 		if set {
 			n++
 		}
@@ -121,6 +124,8 @@
 		return []*name{&w.ServiceDelta.Shard, &w.ServiceDelta.Team}
 	case w.FreeSlots != nil:
 		return []*name{&w.FreeSlots.Shard}
+	case w.Takeover != nil:
+		return []*name{&w.Takeover.Pool}
 	case w.Membership != nil:
 		return w.Membership.names()
 	}
--- a/internal/protocol/peer/validate.go
+++ b/internal/protocol/peer/validate.go
@@ -81,6 +81,8 @@
 		c.needed("team", string(env.ServiceDelta.Team))
 	case env.FreeSlots != nil:
 		c.needed("shard.pool", string(env.FreeSlots.Shard.Pool))
+	case env.Takeover != nil:
+		c.needed("shard.pool", string(env.Takeover.Shard.Pool))
 	case env.Membership != nil:
 		c.packet(env.Membership)
 	}
--- a/internal/protocol/peer/wire.go
+++ b/internal/protocol/peer/wire.go
@@ -19,6 +19,7 @@
 	ServiceDelta *wireDelta    `cbor:"9,keyasint,omitempty"`
 	FreeSlots    *wireFree     `cbor:"10,keyasint,omitempty"`
 	Membership   *wirePacket   `cbor:"11,keyasint,omitempty"`
+	Takeover     *wireTakeover `cbor:"12,keyasint,omitempty"`
 }
 
 // wireHead is the shard and the reference that most messages start with. Router and Incarnation are left out when the
@@ -104,6 +105,11 @@
 	Count uint16 `cbor:"4,keyasint,omitempty"`
 }
 
+type wireTakeover struct {
+	Pool  name   `cbor:"1,keyasint,omitzero"`
+	Index uint16 `cbor:"2,keyasint,omitempty"`
+}
+
 // wireMember is a row of the member table. Identity joins what stays the same while the process lives, so that all of it
 // travels as one index after its first use; it is left out for the sender's row without addresses. State is left out when it is alive.
 type wireMember struct {
@@ -225,6 +231,9 @@
 	case env.FreeSlots != nil:
 		m := env.FreeSlots
 		w.FreeSlots = &wireFree{Shard: packShard(m.Shard), To: m.To, Count: m.Count}
+	case env.Takeover != nil:
+		m := env.Takeover
+		w.Takeover = &wireTakeover{Pool: name{text: string(m.Shard.Pool)}, Index: m.Shard.Index}
 	case env.Membership != nil:
 		w.Membership = packPacket(env.Membership, e)
 	}
