--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+)
+
+// publishFile is the place that findings of a publish name.
+const publishFile = "request"
+
+// publishObjects checks and publishes a configuration.
+func (d *Daemon) publishObjects(ctx context.Context, base ident.Generation, objects []json.RawMessage) (ident.Generation, error) {
+	set := object.NewSet()
+	if findings := object.Decode(publishFile, object.Document(objects), set); len(findings) > 0 {
+		return 0, findings
+	}
+	generation, err := d.publisher.Publish(ctx, base, set)
+	if err != nil {
+		return 0, err
+	}
+	d.syncer.Published(generation)
+	return generation, nil
+}
+
+// status describes the fleet as this router sees it.
+func (d *Daemon) status() admin.Status {
+	s := admin.Status{
+		Self:    ident.RouterID(d.settings.ID),
+		Serving: d.syncer.Serving(),
+		Owners:  make(map[string]ident.RouterID),
+	}
+	if current := d.holder.Load(); current != nil {
+		s.Generation = current.Generation()
+		s.Drained = drained(current.Set())
+	}
+	for _, m := range d.view().Members() {
+		s.Members = append(s.Members, memberStatus(m))
+	}
+	d.addShards(&s)
+	s.Problems = d.problems(&s)
+	return s
+}
+
+func memberStatus(m membership.Member) admin.Member {
+	return admin.Member{
+		ID:          m.ID,
+		Incarnation: m.Incarnation,
+		State:       m.State.String(),
+		Draining:    m.Draining,
+		Generation:  m.Generation,
+		Address:     m.CallerAddr,
+		Domain:      m.Domain,
+	}
+}
+
+// addShards adds the dispatchers of all shards and the state of the shards of this router.
+func (d *Daemon) addShards(s *admin.Status) {
+	routes := d.routes.Load()
+	if routes == nil {
+		return
+	}
+	for id, pool := range routes.Pools {
+		for index, owner := range pool.Owners {
+			shard := ident.ShardID{Pool: id, Index: uint16(index)}
+			s.Owners[shard.String()] = owner.Router
+		}
+	}
+	for id, stats := range d.router.Dispatcher().Stats() {
+		s.Pools = append(s.Pools, admin.Pool{
+			Shard:   id.String(),
+			Queued:  stats.Queued,
+			Running: stats.Running,
+			Limit:   stats.Limit,
+			Gap:     stats.Gap,
+			Bound:   stats.Bound,
+		})
+	}
+	sort.Slice(s.Pools, func(i, j int) bool { return s.Pools[i].Shard < s.Pools[j].Shard })
+}
+
+// drained lists the objects that an operator drains.
+func drained(set *object.Set) []string {
+	var list []string
+	for name, server := range set.BackendServers {
+		if server.State == object.StateDraining {
+			list = append(list, string(object.KindBackendServer)+"/"+name)
+		}
+	}
+	for name, vm := range set.VMs {
+		if vm.State == object.StateDraining {
+			list = append(list, string(object.KindVM)+"/"+name)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// problems lists what an operator should look at.
+func (d *Daemon) problems(s *admin.Status) []string {
+	var list []string
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	if !s.Serving {
+		add("%s does not serve: its configuration was not confirmed within the last seconds", s.Self)
+	}
+	if !d.majority() {
+		add("%s hears less than a majority of the listed VMs; publishing is refused", s.Self)
+	}
+	for _, m := range s.Members {
+		switch {
+		case m.State == membership.Suspect.String() || m.State == membership.Dead.String():
+			add("router %s is %s", m.ID, m.State)
+		case m.State == membership.Alive.String() && m.Generation < s.Generation:
+			add("router %s has generation %d, below %d", m.ID, m.Generation, s.Generation)
+		}
+	}
+	for shard, owner := range s.Owners {
+		if owner == "" {
+			add("shard %s has no dispatcher", shard)
+		}
+	}
+	for _, p := range s.Pools {
+		if p.Limit == 0 {
+			add("shard %s has no backend server that takes work", p.Shard)
+		}
+		if p.Gap > p.Bound {
+			add("shard %s: service gap %.0f is above its bound %.0f", p.Shard, p.Gap, p.Bound)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -41,6 +41,7 @@
 		Team:      d.teamByKey,
 		Ready:     d.ready,
 		Prefixes:  engine.PrefixHashes,
+		Operators: d.operatorHandler(),
 		Logger:    d.log,
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,7 @@
 	d.composeDispatch()
 	d.composeCallers()
 	d.composed.Store(true)
+	d.exportMetrics()
 	return d, nil
 }
 
--- /dev/null
+++ b/internal/protocol/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin defines the requests and answers of the operators' endpoints.
+package admin
--- a/internal/transport/callerhttp/routes.go
+++ b/internal/transport/callerhttp/routes.go
@@ -23,6 +23,9 @@
 	mux.Handle("GET /v1/addresses", s.serve(s.addressEndpoint(), decodeAddresses, encodeJSON))
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("GET /readyz", s.ready)
+	if s.opts.Operators != nil {
+		mux.Handle("/v1/admin/", s.opts.Operators)
+	}
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.encodeError(r.Context(), caller.ErrNoRoute(), w)
 	})
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -48,6 +48,8 @@
 	Prefixes caller.PrefixHashes
 	// MaxBufferedBytes bounds the bodies of all requests that are being answered. Default 256 MB.
 	MaxBufferedBytes int64
+	// Operators serves the paths below /v1/admin/. Default: none.
+	Operators http.Handler
 	// Logger gets faults of connections. It never gets API keys or bodies. Default: none.
 	Logger *zap.Logger
 }
--- a/test/fleet/admin.go
+++ b/test/fleet/admin.go
@@ -90,7 +90,7 @@
 
 // Apply publishes the fleet's set over the base generation at the first router.
 func (f *Fleet) Apply(ctx context.Context, base ident.Generation) (ident.Generation, error) {
-	objects, err := object.EncodeObjects(f.Set)
+	objects, err := object.EncodeList(f.Set)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/test/load/caller.go
@@ -0,0 +1,269 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/protocol/caller"
+	"gooseberrytide.example/gooseberrytide/test/fleet"
+)
+
+// Outcomes that a caller sees when no answer with an outcome came.
+const (
+	// OutcomeCut is a connection that broke before the outcome.
+	OutcomeCut = "cut"
+	// OutcomeUnreachable is a connection that could not be opened. Nothing was sent.
+	OutcomeUnreachable = "unreachable"
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	RequestID string
+	Outcome   string
+	Status    int
+	Reason    string
+	Text      string
+	// Wait is the time from sending to the first token or the answer's header.
+	Wait time.Duration
+	// Total is the time from sending to the end.
+	Total  time.Duration
+	Tokens int
+	Err    error
+}
+
+// Caller sends the requests of one team from one place. It is safe for concurrent use.
+type Caller struct {
+	Team   string
+	Domain string
+	// Entries returns the addresses of routers that a caller knows from its own settings. They are asked in turn.
+	Entries func() []string
+
+	mu    sync.Mutex
+	known map[string]cachedAddresses
+}
+
+type cachedAddresses struct {
+	list  []string
+	until time.Time
+}
+
+// address returns the router to use for a pool, given as "model=NAME" or "service=NAME".
+func (c *Caller) address(ctx context.Context, pool string) (string, error) {
+	c.mu.Lock()
+	cached, ok := c.known[pool]
+	c.mu.Unlock()
+	if ok && time.Now().Before(cached.until) {
+		return pick(cached.list), nil
+	}
+	var err error
+	for _, entry := range shuffled(c.Entries()) {
+		var answer caller.AddressAnswer
+		query := fmt.Sprintf("http://%s/v1/addresses?team=%s&%s&failure_domain=%s", entry, url.QueryEscape(c.Team), pool, c.Domain)
+		err = c.ask(ctx, query, &answer)
+		if err != nil || len(answer.Addresses) == 0 {
+			continue
+		}
+		return c.keep(pool, answer), nil
+	}
+	return "", errors.Wrap(err, "no router answers with addresses")
+}
+
+func (c *Caller) ask(ctx context.Context, query string, answer *caller.AddressAnswer) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	return fleet.Do(ctx, http.MethodGet, query, nil, answer)
+}
+
+func (c *Caller) keep(pool string, answer caller.AddressAnswer) string {
+	var list []string
+	for _, a := range answer.Addresses {
+		list = append(list, a.Address)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known == nil {
+		c.known = make(map[string]cachedAddresses)
+	}
+	c.known[pool] = cachedAddresses{list: list, until: time.Now().Add(time.Duration(answer.LifetimeMS) * time.Millisecond)}
+	return pick(list)
+}
+
+// forget drops the addresses of a pool after a failure to connect.
+func (c *Caller) forget(pool string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.known, pool)
+}
+
+// pick returns the best address, and sometimes a later one, as callers that balance over an answer do.
+func pick(list []string) string {
+	if len(list) > 1 && rand.IntN(4) == 0 {
+		return list[1+rand.IntN(len(list)-1)]
+	}
+	return list[0]
+}
+
+func shuffled(list []string) []string {
+	out := append([]string(nil), list...)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// CompletionBody is the body of a streamed completion.
+func CompletionBody(model, prompt string, maxTokens int) []byte {
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": maxTokens, "stream": true})
+	if err != nil {
+		panic(err) // Strings and numbers can always be encoded.
+	}
+	return body
+}
+
+// Complete sends a streamed completion. OnTokens is called for each received chunk with its number of tokens.
+func (c *Caller) Complete(ctx context.Context, model string, body []byte, onTokens func(int)) Answer {
+	pool := "model=" + url.QueryEscape(model)
+	return c.send(ctx, pool, "/v1/completions", body, nil, func(resp *http.Response, start time.Time, a *Answer) {
+		readStream(resp.Body, start, a, onTokens)
+	})
+}
+
+// Call sends a call to a plain service.
+func (c *Caller) Call(ctx context.Context, service, path, key string, body []byte) Answer {
+	header := http.Header{}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	pool := "service=" + url.QueryEscape(service)
+	return c.send(ctx, pool, "/v1/services/"+service+path, body, header, nil)
+}
+
+// send posts a request and reads its answer. A streamed answer is read by read.
+func (c *Caller) send(ctx context.Context, pool, path string, body []byte, header http.Header, read func(*http.Response, time.Time, *Answer)) Answer {
+	start := time.Now()
+	address, err := c.address(ctx, pool)
+	if err != nil {
+		return Answer{Outcome: OutcomeUnreachable, Err: err, Total: time.Since(start)}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{Outcome: OutcomeUnreachable, Err: err}
+	}
+	// The client must not repeat a request on its own, or a lost answer would be hidden.
+	req.GetBody = nil
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.APIKey(c.Team))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := fleet.Client.Do(req)
+	if err != nil {
+		c.forget(pool)
+		return Answer{Outcome: connectionOutcome(err), Err: err, Total: time.Since(start)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := Answer{Status: resp.StatusCode, RequestID: resp.Header.Get(caller.HeaderRequestID), Wait: time.Since(start)}
+	a.Outcome = resp.Header.Get(caller.HeaderOutcome)
+	if read != nil && resp.StatusCode == http.StatusOK {
+		read(resp, start, &a)
+	} else {
+		readBody(resp.Body, &a)
+	}
+	a.Total = time.Since(start)
+	return a
+}
+
+func connectionOutcome(err error) string {
+	if strings.Contains(err.Error(), "connection refused") {
+		return OutcomeUnreachable
+	}
+	return OutcomeCut
+}
+
+// readBody reads a whole answer. An answer that is cut has no outcome, whatever its header says.
+func readBody(body io.Reader, a *Answer) {
+	data, err := io.ReadAll(body)
+	a.Text = string(data)
+	if err != nil {
+		a.Outcome = OutcomeCut
+		a.Err = err
+		return
+	}
+	var e struct {
+		Outcome string `json:"outcome"`
+		Error   struct {
+			Type    string `json:"type"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(data, &e) == nil {
+		a.Reason = e.Error.Type + ": " + e.Error.Message
+	}
+	if a.Outcome == "" {
+		a.Outcome = OutcomeCut
+		a.Err = errors.Errorf("status %d without outcome", a.Status)
+	}
+}
+
+type streamEvent struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Outcome string `json:"outcome"`
+	Error   *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// readStream reads server-sent events up to the outcome.
+func readStream(body io.Reader, start time.Time, a *Answer, onTokens func(int)) {
+	a.Outcome = OutcomeCut
+	a.Wait = 0
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), 1<<20)
+	var text strings.Builder
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var e streamEvent
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			a.Err = err
+			return
+		}
+		if e.Outcome != "" {
+			a.Outcome = e.Outcome
+			if e.Error != nil {
+				a.Reason = e.Error.Message
+			}
+			break
+		}
+		if len(e.Choices) == 0 || e.Choices[0].Text == "" {
+			continue
+		}
+		if a.Wait == 0 {
+			a.Wait = time.Since(start)
+		}
+		text.WriteString(e.Choices[0].Text)
+		n := strings.Count(e.Choices[0].Text, " ")
+		a.Tokens += n
+		if onTokens != nil {
+			onTokens(n)
+		}
+	}
+	a.Text = text.String()
+	if a.Outcome == OutcomeCut {
+		a.Err = errors.Wrap(scanner.Err(), "stream without outcome")
+	}
+}
