Test the survivors of a mutation trial

Change: tests for lifts in a row, weight changes, ramp-up by reports, adoption and errors, domain preference, service at siblings while idle, and a second wake-up after a hand-over.

--- a/internal/coordination/scheduler/backend_test.go
+++ b/internal/coordination/scheduler/backend_test.go
@@ -98,6 +98,30 @@
 	return a
 }
 
+// Guards against a slow start after a hand-over, and against a ramp-up that stops where answers are errors.
+func TestRampUpFollowsSignsOfUse(t *testing.T) {
+	ramp := func(change func(*rig)) int {
+		r := newRig(1, 16)
+		r.s.backends[0].ramp = rampStart
+		change(r)
+		return r.limit()
+	}
+	reported := ramp(func(r *rig) { r.report(16, 9, 0) })
+	adopted := ramp(func(r *rig) {
+		for i := range uint64(9) {
+			r.s.Running(r.now, message.Running{Ref: ref("r1", i, 1), Team: "a", Backend: "engine-0"})
+		}
+	})
+	failed := ramp(func(r *rig) {
+		for range 7 {
+			r.s.Settle(r.now, message.Settle{Ref: r.enqueue("a", 1), Result: message.SettleFailed}, &r.out)
+		}
+	})
+	if reported != 9 || adopted != 9 || failed != 9 {
+		t.Fatalf("limits %d after a report, %d after adoption, %d after errors, want 9", reported, adopted, failed)
+	}
+}
+
 // Guards against new work for a backend server that drains or left, and against waiting where none is left.
 func TestLeavingBackendGetsNoWork(t *testing.T) {
 	r := newRig(2, 2)
@@ -211,10 +235,11 @@
 	r = newRig(0, 0)
 	r.setBackends(list...)
 	r.warm()
-	for range 3 {
-		if got := place(nil, "d1"); got != "engine-1" && r.s.backends[1].running == 0 {
+	for range 4 {
+		if got := place(nil, "d1"); got != "engine-1" {
 			t.Fatalf("placed on %s outside the ingress router's domain", got)
 		}
+		r.settle(ref("r1", r.seq, 1), 1)
 	}
 }
 
--- a/internal/coordination/scheduler/exchange_test.go
+++ b/internal/coordination/scheduler/exchange_test.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// Guards against service that a team took elsewhere while this shard had no backlog, and that counts against it later.
+func TestServiceElsewhereLiftsThoseWhoWakeLater(t *testing.T) {
+	r := shardRig(0, 2, 1)
+	r.s.Delta(r.now, message.ServiceDelta{Shard: shardID(1), Team: "a", Delta: 50_000, Seq: 1, Epoch: 1})
+	r.enqueueMany("b", 10, 100)
+	r.enqueueMany("a", 10, 100)
+	if got := r.serve(6, 100); got != "bbabab" {
+		t.Fatalf("order of grants: %s", got)
+	}
+}
+
 // Guards against idle shards beside backlogged ones, and against redirects that ignore the fair order or go in circles.
 func TestIdleShardDrawsWorkInFairOrder(t *testing.T) {
 	idle, busy := shardRig(1, 2, 4), shardRig(0, 2, 1)
--- a/internal/coordination/scheduler/fair_test.go
+++ b/internal/coordination/scheduler/fair_test.go
@@ -61,6 +61,35 @@
 	}
 }
 
+// Guards against a refund that passes a lift because another lift followed.
+func TestRefundStopsAtEachLift(t *testing.T) {
+	r := newRig(1, 3)
+	overcharged := r.enqueue("a", 100_000)
+	r.enqueueMany("b", 2, 100)
+	r.s.Delta(r.now, message.ServiceDelta{Shard: shardID(1), Team: "b", Delta: 900_000, Seq: 1})
+	r.enqueue("a", 100_000) // lifted to b
+	r.enqueue("b", 100)
+	r.settle(r.grants()[1].Ref, 100)
+	r.enqueue("a", 100_000) // above b, not lifted
+	before, _ := r.s.Team("a")
+	r.settle(overcharged, 10)
+	if after, _ := r.s.Team("a"); after.Counter < before.Counter {
+		t.Fatalf("counter fell from %.0f to %.0f", before.Counter, after.Counter)
+	}
+}
+
+// Guards against a refund at another weight than the charge.
+func TestWeightChangeKeepsCharges(t *testing.T) {
+	r := newRig(1, 1)
+	r.s.SetTeam("a", TeamLimits{Weight: 10})
+	a := r.enqueue("a", 1000)
+	r.s.SetTeam("a", TeamLimits{Weight: 0.1})
+	r.settle(a, 0)
+	if st, _ := r.s.Team("a"); st.Counter != 0 {
+		t.Fatalf("counter %.0f after a full refund", st.Counter)
+	}
+}
+
 // Guards against weights without effect.
 func TestServiceFollowsWeights(t *testing.T) {
 	r := newRig(1, 1)
--- a/internal/coordination/scheduler/handover_test.go
+++ b/internal/coordination/scheduler/handover_test.go
@@ -155,6 +155,19 @@
 	}
 }
 
+// Guards against a team that was handed over, went idle, and wakes with its old counter.
+func TestHandOverSkipsOneLiftOnly(t *testing.T) {
+	r := successor(1)
+	r.enqueueMany("a", 50, 100)
+	r.send(handedOver(1000, "b", 0))
+	r.s.Cancel(r.now, message.Cancel{Ref: ref("r1", 1000, 1)}, &r.out)
+	r.serve(20, 100)
+	r.send(handedOver(1001, "b", 0))
+	if st, _ := r.s.Team("b"); st.Counter < 1900 {
+		t.Fatalf("counter %.0f after a second wake-up", st.Counter)
+	}
+}
+
 // Guards against a new dispatcher that fills slots which running attempts still hold, or loses their cost.
 func TestRunningAttemptsAreAdopted(t *testing.T) {
 	r := successor(4)
