--- a/internal/coordination/claim/begin.go
+++ b/internal/coordination/claim/begin.go
@@ -63,14 +63,17 @@
 func (b *beginning) run(ctx context.Context) (*Claim, *Result, error) {
 	for {
 		if err := ctx.Err(); err != nil {
-			return b.giveUp(err)
+			return b.giveUp(ctx, err)
+		}
+		if b.writes == 0 && b.m.silent() {
+			return b.refused(ctx, errSilent)
 		}
 		revision, err := b.write(ctx)
 		switch {
 		case err == nil:
 			return b.claim(revision), nil, nil
 		case isRefused(err):
-			return b.refused(err)
+			return b.refused(ctx, err)
 		case !errors.Is(err, kv.ErrConflict):
 			b.lost = true
 		case !b.lost:
@@ -96,7 +99,7 @@
 	for {
 		entry, err := b.readBack(ctx)
 		if err != nil {
-			c, r, err = b.giveUp(err)
+			c, r, err = b.giveUp(ctx, err)
 			return c, r, false, err
 		}
 		verdict, err := b.examine(entry)
@@ -110,17 +113,17 @@
 			return nil, verdict.result, false, nil
 		case stepWrite:
 			if b.lost && (b.writes >= settleTries || b.m.clock().After(b.settleBy)) {
-				c, r, err = b.giveUp(cause)
+				c, r, err = b.giveUp(ctx, cause)
 				return c, r, false, err
 			}
 			if b.writes < settleTries || pause(ctx, b.poll.NextBackOff()) {
 				return nil, nil, true, nil
 			}
-			c, r, err = b.giveUp(context.Cause(ctx))
+			c, r, err = b.giveUp(ctx, context.Cause(ctx))
 			return c, r, false, err
 		}
 		if !pause(ctx, b.poll.NextBackOff()) {
-			c, r, err = b.giveUp(context.Cause(ctx))
+			c, r, err = b.giveUp(ctx, context.Cause(ctx))
 			return c, r, false, err
 		}
 	}
@@ -130,6 +133,9 @@
 func (b *beginning) readBack(ctx context.Context) (kv.Entry, error) {
 	waits := newBackoff(settlePause, pollMax)
 	for try := 1; ; try++ {
+		if err := ctx.Err(); err != nil {
+			return kv.Entry{}, err
+		}
 		entry, err := b.read(ctx)
 		if err == nil {
 			return entry, nil
@@ -203,9 +209,9 @@
 }
 
 // refused ends a Begin whose write the store refused.
-func (b *beginning) refused(err error) (*Claim, *Result, error) {
+func (b *beginning) refused(ctx context.Context, err error) (*Claim, *Result, error) {
 	if b.lost {
-		return b.giveUp(err)
+		return b.giveUp(ctx, err)
 	}
 	if b.call.RunUnclaimed {
 		return b.unclaimed(), nil, nil
@@ -214,10 +220,14 @@
 }
 
 // giveUp ends a Begin that could not be settled.
-func (b *beginning) giveUp(cause error) (*Claim, *Result, error) {
+func (b *beginning) giveUp(ctx context.Context, cause error) (*Claim, *Result, error) {
 	if b.held && !b.lost {
 		return nil, nil, &OpenError{RequestID: b.heldBy, Err: cause}
 	}
+	// A caller who left while the write was under way says nothing about the store.
+	if b.lost && ctx.Err() == nil {
+		b.m.markSilent()
+	}
 	if b.call.RunUnclaimed {
 		return b.unclaimed(), nil, nil
 	}
--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -51,6 +51,10 @@
 		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
 		return nil
 	}
+	if c.m.silent() {
+		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
+		return &StoreError{Err: errSilent}
+	}
 	rec := c.call.ended(c.holder, result, c.m.clock())
 	_, err := c.m.swap(ctx, c.key, c.revision, rec)
 	if err == nil {
--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -256,6 +256,38 @@
 		if waited := time.Since(began); waited > settleFor+time.Second {
 			t.Fatalf("given up after %v", waited)
 		}
+		began = time.Now()
+		var refused *StoreError
+		if _, _, err := m.Begin(t.Context(), testCall); !errors.As(err, &refused) || time.Since(began) != 0 {
+			t.Fatalf("next call: %v after %v", err, time.Since(began))
+		}
+		c := testCall
+		c.RunUnclaimed = true
+		if held := mustBegin(t, m, c); !held.Unsettled() || time.Since(began) != 0 {
+			t.Fatalf("next call of policy run: after %v", time.Since(began))
+		}
+	})
+}
+
+// Guards against a caller who leaves early and by that stops the claims of others, or leaves a claim open.
+func TestCallerWhoLeavesDuringTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.delay = func() time.Duration { return 100 * time.Millisecond }
+		m := newManager(t, store, "r1")
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		var unsettled *UnsettledError
+		if _, _, err := m.Begin(ctx, testCall); !errors.As(err, &unsettled) || time.Since(began) != 50*time.Millisecond {
+			t.Fatalf("error %v after %v", err, time.Since(began))
+		}
+		other := testCall
+		other.Key = "other"
+		mustBegin(t, m, other)
+		if err := m.Drain(t.Context()); err != nil || store.record(testCall).State != stateNotRun {
+			t.Fatalf("record %+v, %v", store.record(testCall), err)
+		}
 	})
 }
 
--- a/internal/coordination/claim/errors.go
+++ b/internal/coordination/claim/errors.go
@@ -12,6 +12,8 @@
 	ErrKey = errors.New("claim: invalid idempotency key")
 	// ErrFinished reports a claim that was finished or abandoned before.
 	ErrFinished = errors.New("claim: already finished")
+	// errSilent stands for the store's refusal while it is not asked.
+	errSilent = errors.New("claim: store gave no answer a moment ago")
 	// ErrClosed reports that the manager was closed.
 	ErrClosed = errors.New("claim: manager closed")
 )
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -24,6 +24,9 @@
 	// settleFor bounds the time of these tries, so that a store that hangs holds a caller no longer than one write and
 	// one read.
 	settleFor = 4 * time.Second
+	// storeRest is how long claims are refused without a write after a store gave no answer, so that a store that hangs
+	// does not hold every caller.
+	storeRest = time.Second
 	// settlePause is the first pause between these tries; it doubles.
 	settlePause = 50 * time.Millisecond
 	// pollMin and pollMax bound the pause between looks at a claim that another request holds.
@@ -63,6 +66,8 @@
 	log         *zap.Logger
 	writes      *bucket
 	seq         atomic.Uint64
+	// silentUntil is when the store is tried again after it gave no answer, in nanoseconds since 1970.
+	silentUntil atomic.Int64
 
 	background context.Context
 	stop       context.CancelFunc
@@ -101,6 +106,22 @@
 	return m.settling
 }
 
+// Drain waits until no record is being settled in the background. It returns the context's error when some still are.
+func (m *Manager) Drain(ctx context.Context) error {
+	for m.Settling() > 0 {
+		if !pause(ctx, settlePause) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// silent reports whether the store gave no answer a moment ago.
+func (m *Manager) silent() bool { return m.clock().UnixNano() < m.silentUntil.Load() }
+
+// markSilent notes that the store gave no answer.
+func (m *Manager) markSilent() { m.silentUntil.Store(m.clock().Add(storeRest).UnixNano()) }
+
 // Close stops the background work and waits for it. Records that are not settled stay as they are.
 func (m *Manager) Close() {
 	m.mu.Lock()
--- a/internal/coordination/execute/complete.go
+++ b/internal/coordination/execute/complete.go
@@ -141,7 +141,8 @@
 		c.settleUnstarted(ctx, g, err)
 		return Chunk{}, err
 	}
-	defer stream.Close() //nolint:errcheck // the stream's end is known by now
+	// By the time of Close the end of the stream is known, so its error tells nothing.
+	defer func() { _ = stream.Close() }()
 	last, err := c.forward(ctx, g, stream, begun)
 	if err == nil {
 		g.settle(message.SettleOK, c.cost(last.PromptTokens, c.next-begun))
--- a/internal/coordination/execute/complete_test.go
+++ b/internal/coordination/execute/complete_test.go
@@ -17,11 +17,16 @@
 
 var promptRequest = CompletionRequest{Team: "fernleigh", Model: "m", Prompt: "alarm", MaxTokens: 8, PromptTokens: 5, OutputTokens: 8}
 
-// tokensFrom returns the chunks of an 8-token answer from a token on, one token each.
+// tokensFrom returns the chunks of an 8-token answer from a token on. Tokens 4 and 5 come in one chunk.
 func tokensFrom(from, until int) []Chunk {
 	var chunks []Chunk
 	for i := from; i < until; i++ {
-		chunks = append(chunks, Chunk{Index: i, Tokens: 1, Text: fmt.Sprintf("%d ", i)})
+		c := Chunk{Index: i, Tokens: 1, Text: fmt.Sprintf("%d ", i)}
+		if i == 4 && i+1 < until {
+			i++
+			c.Tokens, c.Text = 2, "4 5 "
+		}
+		chunks = append(chunks, c)
 	}
 	if until == 8 {
 		last := &chunks[len(chunks)-1]
