Run unclaimed calls once per router and bound results that wait for the store

Cause: with the policy run a router ran a repeat again during an outage of the store, although only at-most-once across routers is given up; results that wait for the store had no limit in bytes; a result was dropped when another request of the same key held an open record. Change: a table of local calls for services with that policy, a limit of 64 MB for waiting results, and another look while the key is held; impossible statuses of services become failed.

--- a/internal/coordination/claim/begin.go
+++ b/internal/coordination/claim/begin.go
@@ -20,6 +20,14 @@
 	if m.background.Err() != nil {
 		return nil, nil, ErrClosed
 	}
+	if c.RunUnclaimed {
+		return m.beginLocal(ctx, c)
+	}
+	return m.beginStored(ctx, c)
+}
+
+// beginStored claims the call's key in the store.
+func (m *Manager) beginStored(ctx context.Context, c Call) (*Claim, *Result, error) {
 	if !m.writes.take(c.Team, writesPerCall) {
 		return nil, nil, ErrBudget
 	}
--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -17,7 +17,9 @@
 	revision kv.Revision
 	// unsettled says that the call runs without a confirmed claim.
 	unsettled bool
-	ended     atomic.Bool
+	// local is the router's own record of the call, or nil.
+	local *localCall
+	ended atomic.Bool
 }
 
 // Fence returns the store revision of the claim, to be sent as fencing number. It is 0 for an unsettled claim.
@@ -47,6 +49,9 @@
 	if c.ended.Swap(true) {
 		return ErrFinished
 	}
+	if c.local != nil {
+		c.local.end(result)
+	}
 	if c.unsettled {
 		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
 		return nil
--- /dev/null
+++ b/internal/coordination/claim/local_test.go
@@ -0,0 +1,91 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a second run at the same router while the store is down, before or after the first has ended, and
+// against a memory that grows without bound.
+func TestRouterRunsUnclaimedCallsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		m := newManager(t, store, "r1")
+		c := testCall
+		c.RunUnclaimed = true
+		first := mustBegin(t, m, c)
+		store.setFaults(func(string, []byte) fault { return faultRefuse }, func(string) fault { return faultRefuse })
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var open *OpenError
+		if _, _, err := m.Begin(short, c); !errors.As(err, &open) {
+			t.Fatalf("while the first runs: %v", err)
+		}
+		time.AfterFunc(time.Second, func() { _ = first.Abandon(context.Background()) })
+		second := mustBegin(t, m, c)
+		_ = second.Finish(t.Context(), Result{Outcome: Completed, Status: 200, Body: []byte("rung")})
+		if _, r, err := m.Begin(t.Context(), c); err != nil || string(r.Body) != "rung" {
+			t.Fatalf("after the end: %+v, %v", r, err)
+		}
+		other := c
+		other.Fingerprint = NewFingerprint()
+		var mismatch *MismatchError
+		if _, _, err := m.Begin(t.Context(), other); !errors.As(err, &mismatch) {
+			t.Fatalf("other request: %v", err)
+		}
+		store.setFaults(nil, nil)
+		time.Sleep(2 * reconcileMax)
+		if r := store.record(c); r.State != stateDone {
+			t.Fatalf("after the outage: %+v", r)
+		}
+		c.Key = "large"
+		_ = mustBegin(t, m, c).Finish(t.Context(), Result{Outcome: Completed, Body: make([]byte, localBody+1)})
+		if _, r, err := m.Begin(t.Context(), c); err != nil || r.BodyOmitted || len(r.Body) != localBody+1 {
+			t.Fatalf("large result: omitted %v, %v", r.BodyOmitted, err)
+		}
+		for i := range localMax + 10 {
+			c.Key = fmt.Sprint(i)
+			local, _ := m.local.enter(storeKey(c), c)
+			local.end(&Result{Body: make([]byte, localBody+1)})
+		}
+		if n := len(m.local.calls); n != localMax || len(m.local.ended) != localMax {
+			t.Fatalf("%d calls remembered", n)
+		}
+	})
+}
+
+// Guards against results that wait for the store and fill the memory.
+func TestWaitingResultsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		m := newManager(t, store, "r1")
+		m.settlingLimit = 4 * MaxResultBody
+		const calls = 8
+		var held []*Claim
+		for i := range calls {
+			c := testCall
+			c.Key = fmt.Sprint(i)
+			held = append(held, mustBegin(t, m, c))
+		}
+		store.setFaults(func(string, []byte) fault { return faultRefuse }, nil)
+		for _, h := range held {
+			_ = h.Finish(t.Context(), Result{Outcome: Completed, Body: make([]byte, MaxResultBody)})
+		}
+		if m.settlingBytes > m.settlingLimit || m.settlingBytes == 0 || m.Settling() != calls {
+			t.Fatalf("%d bytes of %d results wait", m.settlingBytes, m.Settling())
+		}
+		store.setFaults(nil, nil)
+		if err := m.Drain(t.Context()); err != nil || m.settlingBytes != 0 {
+			t.Fatalf("%v, %d bytes left", err, m.settlingBytes)
+		}
+		for key, r := range store.all() {
+			if r.State != stateDone {
+				t.Fatalf("%s: %s", key, r.State)
+			}
+		}
+	})
+}
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -40,6 +40,8 @@
 	reconcileFor = 30 * time.Minute
 	// maxReconcile bounds the records that are settled in the background at once.
 	maxReconcile = 4096
+	// maxReconcileBytes bounds the bodies of their results. Results beyond it are recorded without a body.
+	maxReconcileBytes = 64 << 20
 )
 
 // Options configure a manager. Store, Self and Budget are required.
@@ -65,6 +67,7 @@
 	clock       func() time.Time
 	log         *zap.Logger
 	writes      *bucket
+	local       *localTable
 	seq         atomic.Uint64
 	// silentUntil is when the store is tried again after it gave no answer, in nanoseconds since 1970.
 	silentUntil atomic.Int64
@@ -75,6 +78,8 @@
 	mu         sync.Mutex
 	closed     bool
 	settling   int
+	// settlingBytes is the size of the bodies of results that are being settled, and settlingLimit its bound.
+	settlingBytes, settlingLimit int
 }
 
 // New returns a manager. Close ends its background work.
@@ -94,8 +99,11 @@
 		clock:       opts.Clock,
 		log:         opts.Logger.Named("claim"),
 		writes:      newBucket(opts.Budget, opts.Clock),
-		background:  ctx,
-		stop:        cancel,
+		local:       newLocalTable(),
+
+		settlingLimit: maxReconcileBytes,
+		background:    ctx,
+		stop:          cancel,
 	}
 }
 
--- a/internal/coordination/claim/reconcile.go
+++ b/internal/coordination/claim/reconcile.go
@@ -12,18 +12,11 @@
 // reconcile brings a record to its final state in the background: done with the result, or not-run when result is
 // nil. expect is the revision that the holder's last write expected or made.
 func (m *Manager) reconcile(c Call, key string, holder holderID, expect kv.Revision, result *Result) {
-	m.mu.Lock()
-	refused := m.closed || m.settling >= maxReconcile
-	if !refused {
-		m.settling++
-		m.running.Add(1)
-	}
-	m.mu.Unlock()
-	if refused {
+	e := &ending{m: m, call: c, key: key, holder: holder, expect: expect}
+	if !e.enter(result) {
 		m.log.Warn("claim: record left open, too many records are being settled", zap.String("key", key))
 		return
 	}
-	e := &ending{m: m, call: c, key: key, holder: holder, expect: expect, result: result}
 	go e.run()
 }
 
@@ -51,10 +44,35 @@
 	}
 }
 
+// enter counts the work, and keeps the result within the limit of all results.
+func (e *ending) enter(result *Result) bool {
+	m := e.m
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed || m.settling >= maxReconcile {
+		return false
+	}
+	if result != nil {
+		kept := result.limited()
+		if m.settlingBytes+len(kept.Body) > m.settlingLimit {
+			kept = kept.bare()
+		}
+		m.settlingBytes += len(kept.Body)
+		e.result = &kept
+	}
+	m.settling++
+	m.running.Add(1)
+	return true
+}
+
 func (e *ending) leave() {
-	e.m.mu.Lock()
-	e.m.settling--
-	e.m.mu.Unlock()
+	m := e.m
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settling--
+	if e.result != nil {
+		m.settlingBytes -= len(e.result.Body)
+	}
 }
 
 // try makes one attempt and reports whether the record is settled.
@@ -63,8 +81,13 @@
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return false
 	}
-	if err == nil && !e.writable(entry) {
-		return true
+	if err == nil {
+		switch e.stepFor(entry) {
+		case stepWait:
+			return false
+		case stepResult:
+			return true
+		}
 	}
 	if !e.m.writes.takeOne(false) {
 		return false
@@ -73,19 +96,30 @@
 	return err == nil
 }
 
-// writable reports whether the holder may replace the record that was read.
-func (e *ending) writable(entry kv.Entry) bool {
+// stepFor decides from the record that was read: stepWrite to replace it, stepWait to look again later, stepResult when
+// it is settled.
+func (e *ending) stepFor(entry kv.Entry) step {
 	rec, err := decodeRecord(entry.Value)
-	if err != nil {
-		return false
+	switch {
+	case err != nil || rec.State == stateDone || rec.Fingerprint != e.call.Fingerprint.String():
+		return stepResult
+	case rec.Holder == e.holder && rec.State == stateOpen:
+		return stepWrite
+	case rec.Holder == e.holder:
+		return stepResult
+	case e.result == nil:
+		return e.stepToNotRun(entry, rec)
+	case rec.State == stateNotRun:
+		return stepWrite // another request's not-run is replaced by the result
 	}
-	if rec.Holder == e.holder {
-		return rec.State == stateOpen
-	}
-	if rec.State != stateNotRun || rec.Fingerprint != e.call.Fingerprint.String() {
-		return false
+	return stepWait // another request holds the key and may yet give it up
+}
+
+// stepToNotRun decides how to give up a claim when another request's record is found. A lost write of the claim can
+// still take effect while the record has not changed since; replacing it prevents that.
+func (e *ending) stepToNotRun(entry kv.Entry, rec record) step {
+	if rec.State == stateNotRun && entry.Revision == e.expect {
+		return stepWrite
 	}
-	// Over another request's not-run record, a result is worth recording. A lost write of a claim can still take
-	// effect if the record has not changed since; replacing the record prevents that.
-	return e.result != nil || entry.Revision == e.expect
+	return stepResult
 }
--- a/internal/coordination/claim/types.go
+++ b/internal/coordination/claim/types.go
@@ -50,7 +50,7 @@
 	// Retention is how long the result is kept. 0 means DefaultRetention.
 	Retention time.Duration
 	// RunUnclaimed asks for an unsettled claim instead of an error while the store is down. The call may then run
-	// more than once in the fleet.
+	// at several routers, but only once at each that remembers it.
 	RunUnclaimed bool
 }
 
@@ -93,11 +93,19 @@
 	return keyPrefix + c.Service + "/" + digest.String()
 }
 
-// limited returns the result as it is recorded, without a header or body that exceeds its limit.
-func (r Result) limited() Result {
-	if len(r.Body) <= MaxResultBody && headerBytes(r.Header) <= maxResultHeader {
+// limited returns the result as it is recorded.
+func (r Result) limited() Result { return r.limitedTo(MaxResultBody) }
+
+// limitedTo returns the result without its header and body if one of them exceeds its limit.
+func (r Result) limitedTo(body int) Result {
+	if len(r.Body) <= body && headerBytes(r.Header) <= maxResultHeader {
 		return r
 	}
+	return r.bare()
+}
+
+// bare returns the result without its header and body.
+func (r Result) bare() Result {
 	r.Header = nil
 	r.Body = nil
 	r.BodyOmitted = true
--- a/internal/coordination/execute/api.go
+++ b/internal/coordination/execute/api.go
@@ -56,6 +56,8 @@
 	Begin(ctx context.Context, c claim.Call) (*claim.Claim, *claim.Result, error)
 }
 
+var _ Claims = (*claim.Manager)(nil)
+
 // RetryBudget limits retries. It is safe for concurrent use.
 type RetryBudget interface {
 	// Deposit records a first attempt, which earns a part of a retry.
--- a/internal/coordination/execute/call.go
+++ b/internal/coordination/execute/call.go
@@ -118,7 +118,7 @@
 // answerResult treats an answer that blames the caller as served, so that a caller's bad requests do not count
 // against the backend server.
 func answerResult(r *Response) message.SettleResult {
-	if r.Status >= http.StatusInternalServerError {
+	if r.Status >= http.StatusInternalServerError || r.Status < http.StatusOK {
 		return message.SettleFailed
 	}
 	return message.SettleOK
@@ -141,7 +141,7 @@
 // answered returns the result of a whole answer.
 func (c *call) answered(response *Response) CallResult {
 	result := CallResult{RequestID: c.request.Ref.String(), Outcome: Completed, Response: response}
-	if response.Status >= http.StatusBadRequest {
+	if response.Status >= http.StatusBadRequest || response.Status < http.StatusOK {
 		result.Outcome = Failed
 		result.Reason = ReasonServiceError
 	}
--- a/internal/transport/callerhttp/encode.go
+++ b/internal/transport/callerhttp/encode.go
@@ -14,6 +14,9 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/caller"
 )
 
+// maxStatus is the largest status that HTTP allows.
+const maxStatus = 999
+
 // encodeError answers a request that was refused before it reached the executor.
 func (s *Server) encodeError(ctx context.Context, err error, w http.ResponseWriter) {
 	var refused *caller.Error
@@ -82,7 +85,7 @@
 // encodeCall writes the answer of a service, or the error that took its place.
 func (s *Server) encodeCall(ctx context.Context, w http.ResponseWriter, response any) error {
 	r := response.(execute.CallResult)
-	if r.Response == nil {
+	if r.Response == nil || !finalStatus(r.Response.Status) {
 		s.callHeaders(w.Header(), r)
 		s.writeError(ctx, w, caller.NewError(r.Outcome, r.Reason), r.Outcome, r.RetryAfter)
 		return nil
@@ -97,7 +100,7 @@
 	for name, values := range trailer {
 		h[http.TrailerPrefix+name] = values
 	}
-	if !bodyAllowed(r.Response.Status) {
+	if r.Response.Status == http.StatusNoContent || r.Response.Status == http.StatusNotModified {
 		w.WriteHeader(r.Response.Status)
 		return nil
 	}
@@ -122,7 +125,5 @@
 	}
 }
 
-// bodyAllowed reports whether an answer with the status may have a body.
-func bodyAllowed(status int) bool {
-	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
-}
+// finalStatus reports whether a status may end an answer. Others would be taken for interim ones, or are no HTTP status.
+func finalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -31,6 +31,8 @@
 	Complete(ctx context.Context, r execute.CompletionRequest, emit func(execute.Chunk) error) execute.CompletionResult
 }
 
+var _ Executor = (*execute.Executor)(nil)
+
 // Addresses answers queries for entry addresses.
 type Addresses interface {
 	Addresses(ctx context.Context, q caller.AddressQuery) (caller.AddressAnswer, error)
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -133,3 +133,16 @@
 		}
 	}
 }
+
+// Guards against a status of a service that crashes the answer or passes for an interim one.
+func TestImpossibleStatusIsAFailure(t *testing.T) {
+	for _, status := range []int{0, 103, 1000} {
+		f := &fakeExecutor{call: func(context.Context, execute.CallRequest) execute.CallResult {
+			return execute.CallResult{Outcome: execute.Failed, Reason: execute.ReasonServiceError, Response: &execute.Response{Status: status}}
+		}}
+		_, web := newTestServer(t, f)
+		if r := request(t, web, "POST", "/v1/services/s/x", ""); r.StatusCode != 502 || r.Header.Get(caller.HeaderOutcome) != "failed" {
+			t.Errorf("status %d became %d", status, r.StatusCode)
+		}
+	}
+}
