Pass a service's answer through without a guessed content type

Cause: the HTTP server added a Content-Type that the service had not stated. Change: no type is guessed. Conclusion: answers pass through unchanged but for headers of one connection and of the routers.

--- a/internal/transport/callerhttp/encode.go
+++ b/internal/transport/callerhttp/encode.go
@@ -94,6 +94,9 @@
 	for name, values := range caller.ResponseHeader(r.Response.Header) {
 		h[name] = values
 	}
+	if h.Get("Content-Type") == "" {
+		h["Content-Type"] = nil // keeps the server from guessing a type that the service did not state
+	}
 	s.callHeaders(h, r)
 	h.Set(caller.HeaderOutcome, string(r.Outcome))
 	trailer := caller.ResponseHeader(r.Response.Trailer)
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -91,7 +91,7 @@
 	if r.StatusCode != http.StatusTeapot || body != "short and stout" || r.Header.Get("X-Stock") != "7" || r.Trailer.Get("X-Sum") != "9" {
 		t.Fatalf("status %d, body %q, header %v, trailer %v", r.StatusCode, body, r.Header, r.Trailer)
 	}
-	if r.Header.Get("X-Hop") != "" || r.Header.Get(caller.HeaderOutcome) != "failed" || r.Header.Get(caller.HeaderIdempotencyKey) != "k1" {
+	if r.Header.Get("X-Hop") != "" || r.Header.Get("Content-Type") != "" || r.Header.Get(caller.HeaderOutcome) != "failed" || r.Header.Get(caller.HeaderIdempotencyKey) != "k1" {
 		t.Fatalf("header %v", r.Header)
 	}
 	if got.Service != "stock" || got.Path != "/cups/7?size=l" || got.Method != "PUT" || got.Team != "fernleigh" || string(got.Body) != "body" {
