--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -17,7 +17,9 @@
 	revision kv.Revision
 	// unsettled says that the call runs without a confirmed claim.
 	unsettled bool
-	ended     atomic.Bool
+	// local is the router's own record of the call, or nil.
+	local *localCall
+	ended atomic.Bool
 }
 
 // Fence returns the store revision of the claim, to be sent as fencing number. It is 0 for an unsettled claim.
@@ -47,10 +49,17 @@
 	if c.ended.Swap(true) {
 		return ErrFinished
 	}
+	if c.local != nil {
+		c.local.end(result)
+	}
 	if c.unsettled {
 		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
 		return nil
 	}
+	if c.m.silent() {
+		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
+		return &StoreError{Err: errSilent}
+	}
 	rec := c.call.ended(c.holder, result, c.m.clock())
 	_, err := c.m.swap(ctx, c.key, c.revision, rec)
 	if err == nil {
