--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -18,8 +18,10 @@
 
 	// loadedFactor times the mean load of the live routers makes a router loaded.
 	loadedFactor = 2
-	// loadedFloor is the number of requests below which no router is loaded, however idle the others are.
-	loadedFloor = 64
+	// loadedFloor is the number of requests below which no router is loaded, however idle the others are. With 64, a
+	// dispatcher with a long queue was left out and half of the requests needed messages between routers. A waiting
+	// request holds some tens of kilobytes, so this many stay within a node's memory.
+	loadedFloor = 1024
 )
 
 // Query asks for entry addresses.
--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -33,6 +33,7 @@
 		Claims:   d.claims,
 		Retry:    retryBudget{retry.NewBudget(retry.Options{})},
 		Objects:  d.objects,
+		Serving:  d.syncer.Serving,
 		Logger:   d.log,
 	})
 	d.callers = callerhttp.New(callerhttp.Options{
--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,16 +84,16 @@
 
 // watches reports whether this router is one of those that watch the store.
 func (d *Daemon) watches() bool {
+	return d.ranked(publish.HeadKey, watchers)
+}
+
+// ranked reports whether this router is among the n best of the live routers for a key.
+func (d *Daemon) ranked(key string, n int) bool {
 	var live []ident.RouterID
 	for _, m := range d.view().Live() {
 		live = append(live, m.ID)
 	}
-	for _, id := range ownership.Top(publish.HeadKey, live, watchers) {
-		if id == ident.RouterID(d.settings.ID) {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(ownership.Top(key, live, n), ident.RouterID(d.settings.ID))
 }
 
 // peers are the other routers, for the configuration.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/claim"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
@@ -56,6 +59,7 @@
 	group.Go(func() { d.router.Run(ctx) })
 	group.Go(func() { _ = d.orders.Run(ctx) })
 	group.Go(func() { d.runCollect(ctx) })
+	group.Go(func() { d.claims.Sweep(ctx, claim.SweepOptions{Services: d.services, Owns: d.sweeps}) })
 	group.Go(func() { d.checkIncarnation(ctx, stop) })
 }
 
@@ -81,6 +85,9 @@
 	defer cancel()
 	err := errors.Wrap(d.callers.Drain(ctx, d.settings.AddressLifetime()), "drain")
 	d.executor.Wait()
+	if drainErr := d.claims.Drain(ctx); drainErr != nil {
+		log.Error("claims not settled", zap.Int("claims", d.claims.Settling()))
+	}
 	if err != nil {
 		log.Error("drain limit reached", zap.Int("requests", d.callers.InFlight()))
 	}
@@ -181,3 +188,17 @@
 		}
 	}
 }
+
+// services returns the names of the services in force.
+func (d *Daemon) services() []string {
+	set := d.objects()
+	if set == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(set.Services))
+}
+
+// sweeps reports whether this router deletes the expired claims with a key prefix.
+func (d *Daemon) sweeps(prefix string) bool {
+	return d.ranked(prefix, 1)
+}
--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -67,6 +67,11 @@
 		}
 		data, _ := json.Marshal(f) // Numbers and strings can always be encoded.
 		fmt.Printf("%-10s %-6s %s\n", d.shape.Name, v.name, data)
+		for class, bytes := range f.Classes {
+			if bytes > 0 {
+				fmt.Printf("%-10s %-6s control %-14s %8.0f B/s\n", d.shape.Name, v.name, class, bytes)
+			}
+		}
 		for reason, n := range f.reasons {
 			fmt.Printf("%-10s %-6s %6d x %s\n", d.shape.Name, v.name, n, reason)
 		}
