Keep the bound across hand-overs

Cause: an adopted attempt was charged its cost from the adoption on, although the lag of its team held its estimate already; the whole lag set back teams with large requests at each hand-over. A shard's queue is bounded in total (65,536); free slots are announced at most once each.

--- a/internal/coordination/scheduler/exchange.go
+++ b/internal/coordination/scheduler/exchange.go
@@ -163,10 +163,10 @@
 	}
 	e.announced = true
 	e.announcedAt = s.now
-	n := min(s.siblings-1, announceFanOut)
+	n := min(s.siblings-1, announceFanOut, free)
 	for range n {
 		out.Free = append(out.Free, message.FreeSlots{
-			Shard: s.opts.Shard, To: e.nextSibling(s), Count: uint16(min((free+n-1)/n, 1<<16-1)),
+			Shard: s.opts.Shard, To: e.nextSibling(s), Count: uint16(min(free/n, 1<<16-1)),
 		})
 	}
 }
--- a/internal/coordination/scheduler/fair_test.go
+++ b/internal/coordination/scheduler/fair_test.go
@@ -120,6 +120,34 @@
 	}
 }
 
+// Guards against a shard's queue that outgrows its memory, and against a small team that is turned away for it.
+func TestFullShardRejectsTheLargestTeams(t *testing.T) {
+	r := newRig(1, 1)
+	r.s.SetTeam("big", TeamLimits{MaxQueued: 2 * maxShardQueued})
+	r.enqueueMany("big", maxShardQueued+100, 1)
+	r.enqueue("small", 1)
+	big, _ := r.s.Team("big")
+	small, _ := r.s.Team("small")
+	if big.Queued != maxShardQueued || small.Queued != 1 || len(r.out.Rejects) != 99 {
+		t.Fatalf("queued %d and %d, rejected %d", big.Queued, small.Queued, len(r.out.Rejects))
+	}
+}
+
+// Guards against metrics that grow with the number of teams, and against totals that miss some.
+func TestStatsAreBounded(t *testing.T) {
+	r := newRig(2, 1)
+	for i := range 30 {
+		r.enqueueMany(string(teamName(i)), i+1, 10)
+	}
+	st := r.s.Stats()
+	if len(st.Teams) != StatsTeams || st.Teams[0].Team != "team-29" || st.Teams[0].Queued != 30 {
+		t.Fatalf("%d teams, first %+v", len(st.Teams), st.Teams[0])
+	}
+	if st.Queued != 30*31/2-2 || st.Running != 2 || st.Limit != 2 || st.KnownTeams != 30 || len(st.Backends) != 2 {
+		t.Fatalf("totals %+v", st)
+	}
+}
+
 // Guards against a team without eligible work that blocks the others, and against credit for the time it was passed over.
 func TestTeamsWithoutEligibleWorkAreSkipped(t *testing.T) {
 	r := newRig(2, 1)
--- a/internal/coordination/scheduler/grant.go
+++ b/internal/coordination/scheduler/grant.go
@@ -137,14 +137,15 @@
 	})
 }
 
-// setCharge replaces what the team's counter holds for the request.
+// setCharge replaces what the team's counter holds for the request. An adopted attempt changes nothing: the lag that came
+// with the hand-over holds its whole estimate, which is not known here, so that its cost would count twice.
 func (s *Scheduler) setCharge(r *request, cost ident.Cost) {
 	change := cost - r.charge
-	if change == 0 {
+	r.charge = cost
+	if change == 0 || r.adopted {
 		return
 	}
 	t := r.team
-	r.charge = cost
 	t.charge(float64(change)/r.weight, r.lifts)
 	s.noteUnreported(t, change)
 	if t.heapPos != notInHeap {
--- a/internal/coordination/scheduler/options.go
+++ b/internal/coordination/scheduler/options.go
@@ -27,6 +27,10 @@
 	DefaultMaxQueued = 256
 )
 
+// maxShardQueued is the number of waiting requests from which teams with more than an even part of it are rejected: about
+// 25 MB. Without it, 1,100 full queues of a shard would take 100 MB.
+const maxShardQueued = 1 << 16
+
 // Times of grants.
 const (
 	// GrantTimeout releases a grant after this time without Progress or Settle: three progress intervals of 2 s.
--- a/internal/coordination/scheduler/policy_test.go
+++ b/internal/coordination/scheduler/policy_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// Guards against a change of dispatcher that forgets who is ahead. The service granted to two teams may differ by twice
+// the largest cost plus the charge errors in flight, and by one more largest cost for each hand-over, because counters
+// are then one grant old.
+func TestHandOversKeepTheBound(t *testing.T) {
+	const largestCost, inFlight, hintError = 750, 96, 0 // hints are exact
+	for _, handOvers := range []int{0, 10} {
+		o := clusterOptions()
+		s := newSim(o)
+		s.measure = func() []float64 { return s.charged }
+		if handOvers > 0 {
+			s.every(o.duration/time.Duration(handOvers+1), s.handOver)
+		}
+		s.run(30*time.Second, large...)
+		bound := float64(2*(largestCost+inFlight*hintError) + handOvers*largestCost)
+		t.Logf("%d hand-overs: gap %.0f, bound %.0f, utilisation %.4f", handOvers, s.gap(), bound, s.utilisation())
+		if s.gap() > bound {
+			t.Errorf("%d hand-overs: gap %.0f, bound %.0f", handOvers, s.gap(), bound)
+		}
+	}
+}
+
 // Guards against teams that gain service by wrong hints.
 func TestWrongHintsGainNoShare(t *testing.T) {
 	o := clusterOptions()
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -86,7 +86,7 @@
 		s.reject(r, message.RejectDeadline, out)
 	case s.configured && !s.accepting():
 		s.turnAway(r, out)
-	case t.queued() >= t.maxQueued:
+	case t.queued() >= t.maxQueued || s.crowded(t):
 		s.reject(r, message.RejectQueueFull, out)
 	default:
 		s.restore(t, r, m.Lag)
@@ -94,6 +94,11 @@
 	}
 }
 
+// crowded says whether the shard's queue is full and the team has more than an even part of it.
+func (s *Scheduler) crowded(t *team) bool {
+	return s.totals.queued >= maxShardQueued && t.queued() >= maxShardQueued/max(len(s.fair), 1)
+}
+
 // enter puts a request into its team's queue.
 func (s *Scheduler) enter(r *request) {
 	r.state = stateQueued
@@ -141,13 +146,14 @@
 	}
 }
 
-// restore takes over the lag that a former dispatcher gave the team. The lag counts from the lowest counter at that
-// time, which is 0 here.
+// restore takes over the lag that a former dispatcher gave the team with its last grant. It counts from the lowest counter
+// at that time, which is 0 here. Since then the others caught up with the team by a part of it that is not known, half on
+// average; taking all of it would set back teams with large requests at each hand-over.
 func (s *Scheduler) restore(t *team, r *request, lag int64) {
 	if t.grants > 0 || r.redirected {
 		return
 	}
-	if v := float64(lag); v > t.counter {
+	if v := float64(lag) / 2; v > t.counter {
 		t.counter = v
 	}
 }
--- a/internal/coordination/scheduler/request.go
+++ b/internal/coordination/scheduler/request.go
@@ -36,6 +36,8 @@
 	estimate ident.Cost
 	// charge is what the team's counter holds for the attempt.
 	charge ident.Cost
+	// adopted says that another dispatcher granted the attempt and charged its estimate.
+	adopted bool
 	// reported is the cost that the ingress reported.
 	reported ident.Cost
 	// weight and lifts are the team's at the time of the grant.
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -109,8 +109,7 @@
 	s.reorder(r.team)
 }
 
-// Running adopts an attempt that runs under a grant of another dispatcher. The cost so far is part of the lag that the
-// team's Enqueue messages return, so only later cost is charged.
+// Running adopts an attempt that runs under a grant of another dispatcher.
 func (s *Scheduler) Running(now time.Duration, m message.Running) {
 	s.at(now)
 	ss := s.lookup(m.Ref.Request)
@@ -148,11 +147,8 @@
 	t := s.teamOf(m.Team)
 	r := s.newRequest(ss, m.Ref, t)
 	r.backend = s.byID[m.Backend]
-	r.lifts = t.lifts
-	r.weight = t.weight
-	r.charge = boundCost(m.Cost)
-	r.estimate = r.charge
-	r.reported = r.charge
+	r.adopted = true
+	r.reported = boundCost(m.Cost)
 	s.occupy(r)
 	s.warm(r.backend)
 	s.reorder(t)
--- a/internal/coordination/scheduler/stats.go
+++ b/internal/coordination/scheduler/stats.go
@@ -69,6 +69,9 @@
 
 // observe takes in the cost of an attempt that was granted here.
 func (c *totals) observe(r *request, cost ident.Cost) {
+	if r.adopted {
+		return
+	}
 	c.maxCost = max(c.maxCost, cost, r.estimate)
 	c.maxError = max(c.maxError, cost-r.estimate, r.estimate-cost)
 }
