Test the gap across shards

Cause: the bound for several shards was untested. Change: a test with one team backlogged in two shards and one in the first only. Conclusion: the deltas keep the bound 2*(Cmax + F*E + 2*(S-1)*Q)/w.

--- a/internal/coordination/scheduler/exchange_test.go
+++ b/internal/coordination/scheduler/exchange_test.go
@@ -54,6 +54,51 @@
 	}
 }
 
+// Guards against a team that gets a share in each shard: one is backlogged in both shards, the other in the first only. The
+// shards are equally fast, so that both can get the same. The bound for an interval is twice the largest cost plus two
+// quanta, one for the unreported service of each team; hints are exact.
+func TestGapAcrossShardsIsBounded(t *testing.T) {
+	const largestCost = 500
+	shards := []*rig{shardRig(0, 2, 4), shardRig(1, 2, 4)}
+	hints := map[ident.AttemptRef]ident.Cost{}
+	enqueue := func(i int, team string) {
+		hint := ident.Cost(100 + (shards[i].seq*7919)%(largestCost-99))
+		hints[shards[i].enqueue(team, hint)] = hint
+	}
+	for range 20 {
+		enqueue(0, "a")
+		enqueue(0, "b")
+		enqueue(1, "a")
+	}
+	low, high, gap := 0.0, 0.0, 0.0
+	running := [2][]message.Grant{}
+	for step := range 4000 {
+		i := step % 2
+		r := shards[i]
+		for _, g := range r.out.Grants {
+			sign := 1.0
+			if r.s.find(g.Ref).team.id == "b" {
+				sign = -1
+			}
+			gap += sign * float64(hints[g.Ref])
+		}
+		low, high = min(low, gap), max(high, gap)
+		running[i] = append(running[i], r.out.Grants...)
+		for _, d := range r.out.Deltas {
+			shards[1-i].s.Delta(r.now, d)
+		}
+		r.out.Reset()
+		first := running[i][0].Ref
+		running[i] = running[i][1:]
+		enqueue(i, string(r.s.find(first).team.id))
+		r.settle(first, hints[first])
+	}
+	t.Logf("gap %.0f", high-low)
+	if bound := 2.0 * (largestCost + 2*float64(Quantum)); high-low > bound {
+		t.Fatalf("gap %.0f, bound %.0f", high-low, bound)
+	}
+}
+
 // Guards against service that a team took elsewhere while this shard had no backlog, and that counts against it later.
 func TestServiceElsewhereLiftsThoseWhoWakeLater(t *testing.T) {
 	r := shardRig(0, 2, 1)
