Cover configuration changes and router restarts in the conservation property

Cause: a late report of a released grant was counted on a forgotten backend account, found by the extended property. Change: such a grant is counted on the current account; the property changes backend servers and restarts a router, and checks that grants go to backend servers that take work. Conclusion: in-flight counts stay exact across configuration changes.

--- a/internal/coordination/scheduler/property_test.go
+++ b/internal/coordination/scheduler/property_test.go
@@ -28,6 +28,8 @@
 	order    []ident.AttemptRef
 	enqueued map[ident.AttemptRef]message.Enqueue
 	endedAt  map[ident.AttemptRef]time.Duration
+	// incarnation is that of the second router.
+	incarnation ident.Incarnation
 }
 
 func (m *model) end(a ident.AttemptRef) {
@@ -41,6 +43,8 @@
 		attempts: map[ident.AttemptRef]attemptState{},
 		enqueued: map[ident.AttemptRef]message.Enqueue{},
 		endedAt:  map[ident.AttemptRef]time.Duration{},
+
+		incarnation: 1,
 	}
 	m.rig = newRig(rapid.IntRange(1, 4).Draw(t, "backends"), rapid.IntRange(1, 4).Draw(t, "slots"))
 	for i, w := range []float64{1, 1, 2, 0.5} {
@@ -70,7 +74,7 @@
 
 func (m *model) addEnqueue() {
 	e := message.Enqueue{
-		Ref:        m.next(),
+		Ref:        m.nextRef(),
 		Team:       teamName(rapid.IntRange(0, 3).Draw(m.t, "team")),
 		Hint:       ident.Cost(rapid.IntRange(0, 100).Draw(m.t, "hint")),
 		DeadlineMS: uint32(rapid.IntRange(1, 20_000).Draw(m.t, "deadline")),
@@ -112,6 +116,38 @@
 	}
 }
 
+// nextRef names a request of one of two routers, of which the second restarts now and then.
+func (m *model) nextRef() ident.AttemptRef {
+	a := m.next()
+	if rapid.Bool().Draw(m.t, "second router") {
+		a.Request.Router, a.Request.Incarnation = "r2", m.incarnation
+	}
+	return a
+}
+
+func (m *model) restartRouter() {
+	m.s.RouterGone(m.now, "r2", m.incarnation, &m.out)
+	for _, a := range m.order {
+		if a.Request.Router == "r2" {
+			m.attempts[a] = over
+			m.endedAt[a] = m.now + goneRetention
+		}
+	}
+	m.incarnation++
+}
+
+// reconfigure lists a random part of the backend servers, some of them draining.
+func (m *model) reconfigure() {
+	var list []Backend
+	for _, b := range engines(4, 2) {
+		if rapid.IntRange(0, 3).Draw(m.t, "listed") > 0 {
+			b.Draining = rapid.IntRange(0, 3).Draw(m.t, "draining") == 0
+			list = append(list, b)
+		}
+	}
+	m.setBackends(list...)
+}
+
 // repeatOne sends a late duplicate. One that comes after the retention of ended attempts is a new attempt.
 func (m *model) repeatOne() {
 	a, ok := m.pick(waiting, granted, over)
@@ -121,6 +157,9 @@
 	if m.attempts[a] == over && m.now >= m.endedAt[a]+settledRetention {
 		m.attempts[a] = waiting
 	}
+	if r := m.s.find(a); m.attempts[a] == granted && r != nil && !r.backend.accepting() {
+		m.attempts[a] = waiting
+	}
 	m.send(m.enqueued[a])
 }
 
@@ -156,6 +195,9 @@
 		if st, ok := m.attempts[g.Ref]; !ok || st == over {
 			m.t.Fatalf("grant of %v, which is over or unknown", g.Ref)
 		}
+		if b := m.s.byID[g.Backend]; b == nil || !b.accepting() {
+			m.t.Fatalf("grant of %v on %s, which takes no work", g.Ref, g.Backend)
+		}
 		m.attempts[g.Ref] = granted
 	}
 	for _, r := range m.out.Rejects {
@@ -180,7 +222,7 @@
 		m.checkTeam(t)
 	}
 	onBackends := 0
-	for _, b := range m.s.backends {
+	for _, b := range m.s.byID {
 		onBackends += b.running
 	}
 	if queued != m.s.totals.queued || running != m.s.totals.running || running != onBackends {
@@ -225,7 +267,7 @@
 		m := newModel(t)
 		actions := []func(){
 			m.addEnqueue, m.addEnqueue, m.addEnqueue, m.settleOne, m.settleOne, m.cancelOne, m.progressOne,
-			m.repeatOne, m.lateSettle, m.load, m.pass,
+			m.repeatOne, m.lateSettle, m.load, m.pass, m.pass, m.restartRouter, m.reconfigure,
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "events") {
 			rapid.SampledFrom(actions).Draw(t, "event")()
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// current returns the account that counts for b, which may have been forgotten, and listed anew, since b was stored.
+func (s *Scheduler) current(b *backend) *backend {
+	if b == nil {
+		return nil
+	}
+	if known := s.byID[b.ID]; known != nil {
+		return known
+	}
+	s.byID[b.ID] = b
+	return b
+}
+
 // accepting says whether the configuration has a backend server for new work.
 func (s *Scheduler) accepting() bool {
 	for _, b := range s.backends {
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -104,6 +104,7 @@
 
 // readopt counts a lost attempt as running again.
 func (s *Scheduler) readopt(r *request) {
+	r.backend = s.current(r.backend)
 	s.occupy(r)
 	s.setCharge(r, max(r.estimate, r.reported))
 	s.reorder(r.team)
