Report a router as serving only when it knows the dispatchers

Ruled out: the freshness rule, which never changed in the logs. Change: serving needs routes; a router that is alone in the VM list does not wait for answers of others. Conclusion: a focused test covers it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,8 @@
 	// composed is set when all parts exist. The network runs before that; its messages are dropped until then.
 	composed atomic.Bool
 	draining atomic.Bool
+	// listRead is set when the VM list was read for the first time.
+	listRead atomic.Bool
 	routes   atomic.Pointer[dispatch.Routes]
 	control  controlState
 }
@@ -175,7 +177,7 @@
 		Remote:      remote{d.network},
 		Loads:       d.backends,
 		Events:      d.events,
-		Serving:     d.syncer.Serving,
+		Serving:     d.serving,
 	})
 	d.orders = order.New(order.Options{
 		Store:       d.store,
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -266,3 +266,21 @@
 		}
 	}
 }
+
+// Guards against a router that reports itself ready before it knows the dispatchers, and against a fleet of one router
+// that waits for answers of others.
+func TestReadyRouterTakesRequestsAtOnce(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.publish()
+	d := f.daemons[0]
+	f.eventually("serves", func() error {
+		if !d.status().Serving {
+			return errNotServing
+		}
+		return nil
+	})
+	resp, text := f.post(d, "/v1/completions", `{"model":"summary","prompt":"p","max_tokens":2}`, nil)
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d: %s", resp.StatusCode, text)
+	}
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -33,7 +33,7 @@
 func (d *Daemon) metrics() Metrics {
 	link := d.network.Stats()
 	m := Metrics{
-		Serving:         d.syncer.Serving(),
+		Serving:         d.serving(),
 		ActiveRequests:  d.router.Ingress().Active(),
 		ControlBytesIn:  link.Total().BytesIn,
 		ControlBytesOut: link.Total().BytesOut,
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"go.uber.org/zap"
+
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
@@ -23,8 +25,10 @@
 		}
 	}
 	d.control.members = current
-	if serving := d.syncer.Serving(); serving != d.control.serving {
+	if serving := d.serving(); serving != d.control.serving {
 		d.control.serving = serving
+		d.log.Named("daemon").Info("serving changed", zap.Bool("serving", serving),
+			zap.Int("listed", d.view().Listed()), zap.Bool("majority", d.majority()))
 		d.events.Add(timeline.Event{Kind: timeline.KindServing, Detail: fmt.Sprint(serving)})
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -165,6 +165,7 @@
 	d.detection.Lock()
 	defer d.detection.Unlock()
 	d.detector.SetCandidates(d.now(), candidates)
+	d.listRead.Store(true)
 }
 
 // collectPeriod is how often unused chunks of former configurations are deleted.
