Let a busy router use more of the claim budget; measure a small team beside a flood

Cause: callers of a service meet at one router, whose equal part of the write budget refused calls while the rest of the fleet's budget was unused. The measured small team used two thirds of its share, so its wait grew with any further team. Change: a router's part starts at half of the budget, halves when the store throttles a write and grows again slowly.

--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -20,11 +20,12 @@
 var errNotServing = errors.New("configuration not confirmed recently")
 
 func (d *Daemon) composeCallers() {
+	share := claim.NewShare(d.settings.ClaimWritesPerSecond, d.liveRouters, time.Now)
 	d.claims = claim.New(claim.Options{
-		Store:       d.store,
+		Store:       share.Watch(d.store),
 		Self:        ident.RouterID(d.settings.ID),
 		Incarnation: d.incarnation,
-		Budget:      d.claimBudget,
+		Budget:      share.Writes,
 		Logger:      d.log,
 	})
 	d.executor = execute.New(execute.Options{
@@ -80,10 +81,8 @@
 	return d.routes.Load() != nil && d.syncer.Serving()
 }
 
-// claimBudget is this router's share of the fleet's store writes for claims, in writes per second.
-func (d *Daemon) claimBudget() int {
-	return max(d.settings.ClaimWritesPerSecond/max(len(d.view().Live()), 1), 2)
-}
+// liveRouters returns the number of live routers, this one included.
+func (d *Daemon) liveRouters() int { return len(d.view().Live()) }
 
 // retryBudget joins budget and backoff for the executor.
 type retryBudget struct {
