Bound reported slots by what an engine was seen to run

Cause: an engine that reports four times its slots drew requests into its own queue, out of fair order. Change: configured slots bound the reported ones; without them the limit is twice the largest reported number of running requests, or one more than it once it stops growing. Conclusion: configure slots for engines whose reports cannot be trusted.

--- a/internal/coordination/scheduler/backend.go
+++ b/internal/coordination/scheduler/backend.go
@@ -21,8 +21,13 @@
 	// reportedSlots is 0 until a valid report came.
 	reportedSlots int
 	waiting       int
-	reportedAt    time.Duration
-	reported      bool
+	// peak is the largest number of running requests reported, lastRunning the latest.
+	peak        int
+	lastRunning int
+	// stuck says that the reported number did not grow with the requests in flight.
+	stuck      bool
+	reportedAt time.Duration
+	reported   bool
 
 	// ramp bounds a fresh or returning backend server; 0 means no bound.
 	ramp int
@@ -60,16 +65,42 @@
 func (b *backend) base(now time.Duration) int {
 	switch {
 	case b.reportedSlots > 0 && b.fresh(now):
-		return b.reportedSlots + b.extra
+		return b.believedSlots() + b.extra
 	case b.Slots > 0:
 		return b.Slots
 	case b.reportedSlots > 0:
-		return b.reportedSlots
+		return b.believedSlots()
 	default:
 		return unknownSlots
 	}
 }
 
+// believedSlots bounds the reported slots: by the configured ones, or else by twice the largest number of requests that
+// the backend server was seen to run, and by one more than that number when it stopped growing. An engine that claims
+// slots it does not have would queue requests out of fair order.
+func (b *backend) believedSlots() int {
+	seen := max(2*b.peak, unknownSlots)
+	switch {
+	case b.Slots > 0:
+		return min(b.reportedSlots, b.Slots)
+	case b.stuck:
+		seen = b.peak + 1
+	}
+	return min(b.reportedSlots, seen)
+}
+
+// observeRunning compares the reported number of running requests with those in flight. Reports lag, so that only a
+// number that did not grow since the last report counts as stuck.
+func (b *backend) observeRunning(running int) {
+	if running > b.peak {
+		b.stuck = false
+	} else if b.running > b.peak+1 && running <= b.lastRunning {
+		b.stuck = true
+	}
+	b.peak = max(b.peak, running)
+	b.lastRunning = running
+}
+
 // limitAt returns the number of requests that may run at once.
 func (b *backend) limitAt(now time.Duration) int {
 	if !b.accepting() {
@@ -116,6 +147,7 @@
 	b.reportedAt = now
 	b.reportedSlots = r.Slots
 	b.waiting = r.Waiting
+	b.observeRunning(r.Running)
 	if b.ramp > 0 && r.Running > b.ramp {
 		b.ramp = r.Running
 	}
--- a/internal/coordination/scheduler/backend_test.go
+++ b/internal/coordination/scheduler/backend_test.go
@@ -24,6 +24,8 @@
 		{"never reported, not configured", 0, -1, 0, 0, 0, unknownSlots, unknownSlots},
 		{"plausible", 8, 6, 3, 0, 0, 6, 8},
 		{"not configured", 0, 6, 3, 0, 0, 6, 6},
+		{"more than configured", 8, 16, 8, 0, 0, 8, 8},
+		{"more than seen running", 0, 500, 8, 0, 0, 16, 16},
 		{"waiting lowers", 8, 8, 8, 4, 0, 5, 8},
 		{"one waiting is normal", 8, 8, 8, 1, 0, 8, 8},
 		{"negative", 8, 6, -3, 0, 0, 8, 8},
--- a/internal/coordination/scheduler/policy_test.go
+++ b/internal/coordination/scheduler/policy_test.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// firstTokenTarget is the time to the first token that section 1.4 of the design allows at p95.
+const firstTokenTarget = 1300 * time.Millisecond
+
 // small and large list the teams of clusterTeams.
 var (
 	large = []int{0, 1, 2, 3}
@@ -110,6 +113,40 @@
 	}
 }
 
+// Guards against lying engines that draw work they cannot run, or that idle: one reports four times its slots, one
+// negative numbers, one an idle engine without slots.
+func TestLyingEnginesNeitherQueueNorIdle(t *testing.T) {
+	for _, configured := range []bool{true, false} {
+		o := clusterOptions()
+		o.unconfigured = !configured
+		o.onReport = func(_ time.Duration, r *LoadReport) {
+			switch r.Backend {
+			case "engine-0":
+				r.Slots, r.Waiting = 4*r.Slots, 0
+			case "engine-1":
+				r.Slots, r.Running, r.Waiting = -r.Slots, -1, -1
+			case "engine-2":
+				r.Slots, r.Running, r.Waiting = 0, 0, 0
+			}
+		}
+		s := newSim(o)
+		s.run(30*time.Second, large...)
+		t.Logf("configured %v: wait of small teams p95 %v, utilisation %.4f, at most %d waiting in an engine",
+			configured, s.wait(0.95, small...), s.utilisation(), s.maxWaiting)
+		most, least := 0, 0.99
+		if !configured {
+			// Learning takes as many as twice the slots; two engines that report no slots get 4 of 8.
+			most, least = o.slots, 0.99-2*0.5/float64(o.engines)
+		}
+		if s.maxWaiting > most || s.utilisation() < least {
+			t.Errorf("configured %v: %d waiting in an engine, utilisation %.4f", configured, s.maxWaiting, s.utilisation())
+		}
+		if w := s.wait(0.95, small...); w > firstTokenTarget {
+			t.Errorf("configured %v: small teams wait %v at p95", configured, w)
+		}
+	}
+}
+
 // Guards against teams that gain service by wrong hints.
 func TestWrongHintsGainNoShare(t *testing.T) {
 	o := clusterOptions()
--- a/internal/coordination/scheduler/sim_test.go
+++ b/internal/coordination/scheduler/sim_test.go
@@ -46,9 +46,11 @@
 	// overcommit is added to each dispatcher's share of slots, to keep engines full while some routers have no work.
 	overcommit int
 	latency    time.Duration
-	duration   time.Duration
-	seed       uint64
-	teams      []simTeam
+	// unconfigured hides the slots from the dispatchers, which then learn them from load reports.
+	unconfigured bool
+	duration     time.Duration
+	seed         uint64
+	teams        []simTeam
 	// onReport may change an engine's load report.
 	onReport func(now time.Duration, r *LoadReport)
 }
@@ -129,7 +131,11 @@
 	for i := range o.dispatchers {
 		d := New(Options{Shard: testShard, Epoch: 1, Generation: 1, Seed: uint64(i)})
 		s.scheds = append(s.scheds, d)
-		s.decide(i, func(out *Decisions) { d.SetBackends(0, 1, engines(o.engines, o.slots/o.dispatchers), 1, out) })
+		slots := o.slots/o.dispatchers + o.overcommit
+		if o.unconfigured {
+			slots = 0
+		}
+		s.decide(i, func(out *Decisions) { d.SetBackends(0, 1, engines(o.engines, slots), 1, out) })
 	}
 	return s
 }
@@ -311,10 +317,16 @@
 }
 
 func (s *sim) progress() {
+	report := func(r *simRequest, cost float64) {
+		m := message.Progress{Shard: testShard, Ref: r.ref, Cost: ident.Cost(cost)}
+		s.after(s.opts.latency, func() { s.scheds[r.dispatcher].Progress(s.now, m) })
+	}
 	for _, e := range s.engines {
 		for _, r := range e.running {
-			m := message.Progress{Shard: testShard, Ref: r.ref, Cost: ident.Cost(s.partOf(r))}
-			s.after(s.opts.latency, func() { s.scheds[r.dispatcher].Progress(s.now, m) })
+			report(r, s.partOf(r))
+		}
+		for _, r := range e.waiting {
+			report(r, 0)
 		}
 	}
 }
