--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -19,7 +19,7 @@
 
 // packet builds a packet with updates for the receiver.
 func (d *Detector) packet(now time.Duration, kind Kind, seq uint32, to *row) Packet {
-	p := Packet{Kind: kind, Seq: seq, From: d.self.Member, Joining: d.stale}
+	p := Packet{Kind: kind, Seq: seq, From: d.self.Member, Joining: d.stale || lacksAddress(to)}
 	if to.told && !to.joining {
 		p.From = p.From.brief()
 	}
@@ -37,6 +37,10 @@
 	return p
 }
 
+// lacksAddress reports whether a member became known only through brief rows. Whether a member was told can be wrong after
+// crossed restarts, so it asks.
+func lacksAddress(r *row) bool { return r.known && r.PeerAddr == "" }
+
 // introduce fills a packet to a member that has just started with full rows.
 func (d *Detector) introduce(now time.Duration, p Packet, to *row) Packet {
 	p.Updates = d.fill(now, p.Updates, to, MaxUpdates)
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -135,7 +135,7 @@
 	Target ident.RouterID
 	// From is the sender's own row. Addresses and domain are empty where the receiver knows them.
 	From Member
-	// Joining says that the sender's view is stale, and asks for full rows.
+	// Joining says that the sender's view is stale or lacks the receiver's addresses, and asks for full rows.
 	Joining bool
 	// Updates holds at most MaxUpdates statements.
 	Updates []Update
