Probe members whose link broke

Cause: a crash closes a router's links at once, but detection waited for the member's turn. Change: Detector.Probe pings a member out of turn.

--- a/internal/coordination/membership/fault_test.go
+++ b/internal/coordination/membership/fault_test.go
@@ -219,6 +219,23 @@
 	}
 }
 
+// Guards against a broken link that does not speed up detection, and against one that condemns a member that answers.
+func TestProbeAfterBrokenLink(t *testing.T) {
+	s := settled(t, 15)
+	s.send(s.nodes[0], s.nodes[0].d.Probe(s.now, routerID(2)))
+	s.run(4 * time.Second)
+	if !s.allSee(8) {
+		t.Fatal("a member that answers was removed")
+	}
+	s.nodes[3].down = true
+	for _, nd := range s.nodes[:3] {
+		s.send(nd, nd.d.Probe(s.now, routerID(3)))
+	}
+	if took := s.until(4*time.Second, "detection", func() bool { return s.allSee(7) }); took > 2300*time.Millisecond {
+		t.Errorf("detection took %v", took)
+	}
+}
+
 // Guards against draining and generation that others learn late or not at all.
 func TestSelfChangesSpread(t *testing.T) {
 	s := settled(t, 14)
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -124,6 +124,16 @@
 	return Outbound{To: r.ID, Packet: packet}
 }
 
+// Probe pings a member out of turn. The daemon calls it when a link broke, so that a crash is found before the member's
+// turn comes.
+func (d *Detector) Probe(now time.Duration, id ident.RouterID) []Outbound {
+	r := d.rows[id]
+	if r == nil || r == d.self || r.State != Alive {
+		return nil
+	}
+	return []Outbound{d.ping(now, r, false)}
+}
+
 // expireProbes sends indirect pings for late acks, and suspects members that did not answer those either.
 func (d *Detector) expireProbes(now time.Duration, out []Outbound) []Outbound {
 	budget := maxIndirect
