Keep routers from serving replaced configurations

Cause: a random test of five routers found three ways to serve a configuration that was replaced more than 6 s before: a publisher cut off from all others changed the head unnoticed; a router that came out of a partition counted the news as a confirmation; a restarted router without configuration counted as heard. Change: AwaitMajority confirms a publish at a majority; a router that learns of a generation while it is not fresh stops serving at once, and otherwise after 2 s; routers announce 0 until their start is complete. Methods of Peers are not called under the syncer's lock.

--- a/internal/coordination/publish/errors.go
+++ b/internal/coordination/publish/errors.go
@@ -12,6 +12,8 @@
 var (
 	// ErrNoQuorum reports that the router hears less than a majority of the listed VMs. Nothing was published.
 	ErrNoQuorum = errors.New("publish: no contact with a majority of the listed VMs")
+	// ErrUnconfirmed reports that the set was published, and that too few routers are known to have it in force.
+	ErrUnconfirmed = errors.New("publish: published, not confirmed by a majority of the listed VMs")
 	// ErrContended reports that other writers or old reads kept the publish from starting. Nothing was published.
 	ErrContended = errors.New("publish: store too contended")
 	// ErrCorrupt reports content of the store that does not match its hash or form.
--- a/internal/coordination/publish/pull.go
+++ b/internal/coordination/publish/pull.go
@@ -14,8 +14,13 @@
 	Live() []ident.RouterID
 	// Listed returns the number of listed VMs, this one included.
 	Listed() int
-	// HeardSince returns how many of the listed VMs were heard within the window, this one included.
+	// HeardSince returns how many of the listed VMs sent a heartbeat with a generation above 0 within the window,
+	// plus one for this router. A router announces 0 until its start is complete, because after a restart it does
+	// not know what it had confirmed before.
 	HeardSince(window time.Duration) int
+	// AtGeneration returns how many of the listed VMs last reported this or a higher generation in force, this one
+	// included.
+	AtGeneration(gen ident.Generation) int
 	// Pull sends a request to another router, which answers it with Syncer.HandlePull.
 	Pull(ctx context.Context, from ident.RouterID, req PullRequest) (PullResponse, error)
 }
--- a/internal/coordination/publish/sync_store.go
+++ b/internal/coordination/publish/sync_store.go
@@ -48,6 +48,8 @@
 	s.mu.Lock()
 	after := s.revision
 	s.mu.Unlock()
+	// The event may have been under way for some time, so it confirms the head as of the watch's begin.
+	began := s.opts.Clock()
 	entry, err := s.opts.Store.Watch(limited, HeadKey, after)
 	if err != nil {
 		_ = s.confirm(ctx)
@@ -58,7 +60,7 @@
 		s.opts.Logger.Error("sync: head is corrupt", zap.Error(err))
 		return
 	}
-	s.noteHead(h, entry.Revision, s.opts.Clock())
+	s.noteHead(h, entry.Revision, began)
 }
 
 // confirm reads the head and records what it says.
@@ -77,6 +79,7 @@
 // noteHead records a head that a call returned which began at a time. A head below the generation in force is an
 // old read and confirms nothing.
 func (s *Syncer) noteHead(h head, revision kv.Revision, began time.Time) {
+	hears := s.hearsMajority()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if h.Generation < s.generation() {
@@ -84,12 +87,13 @@
 		return
 	}
 	s.revision = max(s.revision, revision)
+	// Learning comes first: a head above the generation in force does not make the router fresh.
+	if h.Generation > s.generation() {
+		s.learn(h.Generation, hears)
+	}
 	if began.After(s.confirmed) {
 		s.confirmed = began
 	}
-	if h.Generation > s.generation() {
-		s.learn(h.Generation)
-	}
 }
 
 // pullStore brings the store's configuration into force if it is higher.
--- a/internal/coordination/publish/syncer.go
+++ b/internal/coordination/publish/syncer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +15,13 @@
 
 const (
 	// FreshWindow is the time for which a confirmation of the head, or the last word from a majority of the listed
-	// VMs, lets a router serve. With 2 s for the news of a publish, it keeps within the 6 s of promise P9.
+	// VMs, lets a router serve. A router that serves so long after a publish was confirmed has heard of it.
 	FreshWindow = 4 * time.Second
+	// lateLimit is how long a router serves while it knows of a higher generation than the one in force. Together
+	// with FreshWindow it makes the 6 s of promise P9.
+	lateLimit = 2 * time.Second
+	// confirmPoll is the time between looks at the generations of the other routers.
+	confirmPoll = 20 * time.Millisecond
 	// confirmInterval is the time between reads of the head while no majority is heard. Several reads fit into the
 	// fresh window, and a fleet of 400 takes a fifth of the store's reads.
 	confirmInterval = time.Second
@@ -28,8 +34,8 @@
 	storeTick = 250 * time.Millisecond
 	// confirmLimit bounds a read of the head. An answer that took half of the fresh window is of little use.
 	confirmLimit = 2 * time.Second
-	// pullLimit bounds one page from another router.
-	pullLimit = 2 * time.Second
+	// pullLimit bounds one page from another router. It is half of lateLimit, so that the store can be asked in time.
+	pullLimit = time.Second
 	// probeLimit bounds a probe at the start.
 	probeLimit = time.Second
 	// startGrace is how long a start waits to hear a majority before it goes on with the store alone.
@@ -74,10 +80,11 @@
 	counts   SyncCounts
 }
 
-// missing is a generation with the time at which it became known.
+// missing is a generation that is known and not in force.
 type missing struct {
 	generation ident.Generation
-	since      time.Time
+	// until is when the router stops serving without it.
+	until time.Time
 }
 
 // maxMissing bounds the list of missing generations.
@@ -122,33 +129,38 @@
 	return ctx.Err()
 }
 
-// PeerGeneration records the generation that another router announced. It does not block.
+// PeerGeneration records the generation that another router announced. It is to be called with each heartbeat,
+// before Peers.HeardSince counts that heartbeat. Otherwise a router that comes out of a partition would serve with
+// its old configuration for a moment. It does not block.
 func (s *Syncer) PeerGeneration(from ident.RouterID, gen ident.Generation) {
 	if gen <= s.generation() {
 		return
 	}
+	hears := s.hearsMajority()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sources[from] = max(gen, s.sources[from])
-	s.learn(gen)
-	s.mu.Unlock()
+	s.learn(gen, hears)
 }
 
 // Published records that this router published a generation, so that it does not wait for a watch. It does not
 // block.
 func (s *Syncer) Published(gen ident.Generation) {
+	hears := s.hearsMajority()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.learn(gen)
+	s.learn(gen, hears)
 }
 
-// learn records a generation and wakes the pull loop. The caller holds mu.
-func (s *Syncer) learn(gen ident.Generation) {
+// learn records a generation and wakes the pull loop. Hears says whether a majority was heard before. The caller holds
+// mu, and calls no method of Peers under it.
+func (s *Syncer) learn(gen ident.Generation, hears bool) {
 	highest := s.generation()
 	if n := len(s.missing); n > 0 {
 		highest = s.missing[n-1].generation
 	}
 	if gen > highest {
-		s.record(gen)
+		s.record(gen, hears)
 	}
 	select {
 	case s.wake <- struct{}{}:
@@ -156,13 +168,27 @@
 	}
 }
 
-func (s *Syncer) record(gen ident.Generation) {
+// record adds a generation to the missing ones. A router that was fresh may serve on for a while; one that was not
+// may have missed the generation for long. The caller holds mu.
+func (s *Syncer) record(gen ident.Generation, hears bool) {
+	until := s.opts.Clock()
+	if hears || s.confirmedLately() {
+		until = until.Add(lateLimit)
+	}
 	if n := len(s.missing); n == maxMissing {
 		// The earlier time stays, so that the router stops serving no later than it should.
 		s.missing[n-1].generation = gen
 		return
 	}
-	s.missing = append(s.missing, missing{generation: gen, since: s.opts.Clock()})
+	s.missing = append(s.missing, missing{generation: gen, until: until})
+}
+
+// Announced returns the generation to announce in heartbeats: the one in force, or 0 until the start is complete.
+func (s *Syncer) Announced() ident.Generation {
+	if !s.Ready() {
+		return 0
+	}
+	return s.generation()
 }
 
 // generation returns the generation in force, or 0.
@@ -181,19 +207,40 @@
 }
 
 // Serving says whether the router may serve new callers: its start is complete, it has a configuration, it has not
-// known of a higher one for longer than FreshWindow, and within FreshWindow it confirmed the head at the store or
+// known of a higher one for longer than lateLimit, and within FreshWindow it confirmed the head at the store or
 // heard a majority of the listed VMs.
 func (s *Syncer) Serving() bool {
-	now := s.opts.Clock()
+	hears := s.hearsMajority()
 	s.mu.Lock()
-	ready := s.ready && s.opts.Holder.Load() != nil
-	late := len(s.missing) > 0 && now.Sub(s.missing[0].since) > FreshWindow
-	confirmed := !s.confirmed.IsZero() && now.Sub(s.confirmed) <= FreshWindow
-	s.mu.Unlock()
-	if !ready || late {
+	defer s.mu.Unlock()
+	return s.ready && s.opts.Holder.Load() != nil && !s.late() && (hears || s.confirmedLately())
+}
+
+// late says whether the router must not serve without a missing generation. The caller holds mu.
+func (s *Syncer) late() bool {
+	if len(s.missing) == 0 {
 		return false
 	}
-	return confirmed || s.hearsMajority()
+	now := s.opts.Clock()
+	return slices.ContainsFunc(s.missing, func(m missing) bool { return !now.Before(m.until) })
+}
+
+// confirmedLately says whether the head was confirmed within FreshWindow. The caller holds mu.
+func (s *Syncer) confirmedLately() bool {
+	return !s.confirmed.IsZero() && s.opts.Clock().Sub(s.confirmed) <= FreshWindow
+}
+
+// AwaitMajority waits until a majority of the listed VMs have a generation in force. After that no router serves a
+// lower one for longer than 6 s: whoever serves hears a majority, and so one of these, or reads the store. Without
+// it, a publisher that was cut off from all others but not from the store could change the head unnoticed.
+// It returns ErrUnconfirmed when the context ends first.
+func (s *Syncer) AwaitMajority(ctx context.Context, gen ident.Generation) error {
+	for !majority(s.opts.Peers.AtGeneration(gen), s.opts.Peers.Listed()) {
+		if !sleep(ctx, confirmPoll) {
+			return ErrUnconfirmed
+		}
+	}
+	return nil
 }
 
 func (s *Syncer) hearsMajority() bool {
