--- /dev/null
+++ b/internal/transport/adminhttp/errors.go
@@ -0,0 +1,73 @@
+package adminhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/publish"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+)
+
+// encodeError maps errors to statuses: 400, 409 for conflicts, 422 for findings, 503 when nothing or nothing certain
+// was done, and 500 otherwise.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	body := admin.ErrorResponse{Error: err.Error()}
+	var (
+		findings  object.Findings
+		conflict  *publish.ConflictError
+		uncertain *publish.UncertainError
+	)
+	switch {
+	case errors.As(err, &findings):
+		body.Error = "the configuration has faults"
+		body.Findings = findings
+		writeError(w, http.StatusUnprocessableEntity, body)
+	case errors.As(err, &conflict):
+		body.Conflicts = names(conflict.Objects)
+		body.Approximate = conflict.Approximate
+		body.Generation = conflict.Generation
+		writeError(w, http.StatusConflict, body)
+	case errors.As(err, &uncertain):
+		body.Uncertain = true
+		body.Generation = uncertain.Generation
+		writeError(w, http.StatusServiceUnavailable, body)
+	case errors.Is(err, errBadRequest):
+		writeError(w, http.StatusBadRequest, body)
+	case retriable(err):
+		writeError(w, http.StatusServiceUnavailable, body)
+	default:
+		writeError(w, http.StatusInternalServerError, body)
+	}
+}
+
+func retriable(err error) bool {
+	for _, known := range []error{
+		admin.ErrUnavailable, kv.ErrUnavailable, kv.ErrThrottled,
+		publish.ErrNoQuorum, publish.ErrContended,
+		context.DeadlineExceeded, context.Canceled,
+	} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
+}
+
+func names(ids []object.ID) []string {
+	list := make([]string, len(ids))
+	for i, id := range ids {
+		list[i] = id.String()
+	}
+	return list
+}
+
+func writeError(w http.ResponseWriter, status int, body admin.ErrorResponse) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
