Serve the operators' endpoints and the time line

Cause: operators need one view of the fleet and of a request over all routers. Change: the daemon implements the operators' endpoints; a request's events are collected from all live routers; a publish is answered after a majority has it in force; requests and outcomes are recorded. Conclusion: stamps are not yet carried by frames, so order across routers still rests on their clocks.

--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -318,7 +318,7 @@
 			v.unheard[r.ID] = r.PeerAddr
 		}
 		if d.votes(r) {
-			v.voters = append(v.voters, voter{self: r == d.self, heard: r.heard, isHeard: r.isHeard})
+			v.voters = append(v.voters, voter{self: r == d.self, heard: r.heard, isHeard: r.isHeard, generation: r.Generation})
 		}
 		if r.known {
 			v.members = append(v.members, r.Member)
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -27,6 +27,8 @@
 	self    bool
 	heard   time.Duration
 	isHeard bool
+	// generation is the last announced one. A router announces 0 until its start is complete.
+	generation ident.Generation
 }
 
 // Live returns the members that are alive or suspect, self included, sorted by ID. The slice is not to be modified.
@@ -70,6 +72,29 @@
 	return count
 }
 
+// ConfiguredSince returns how many of the routers counted by Listed announced a configuration and answered a ping that was
+// sent within the window, self included.
+func (v *View) ConfiguredSince(now, window time.Duration) int {
+	count := 0
+	for _, m := range v.voters {
+		if m.self || (m.isHeard && m.heard >= now-window && m.generation > 0) {
+			count++
+		}
+	}
+	return count
+}
+
+// AtGeneration returns how many of the routers counted by Listed last announced this or a higher generation.
+func (v *View) AtGeneration(generation ident.Generation) int {
+	count := 0
+	for _, m := range v.voters {
+		if m.generation >= generation {
+			count++
+		}
+	}
+	return count
+}
+
 // Majority reports whether a majority of the routers counted by Listed answered a ping sent within the window.
 func (v *View) Majority(now, window time.Duration) bool {
 	return 2*v.HeardSince(now, window) > v.Listed()
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sort"
+	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
@@ -12,23 +12,42 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
 
-// publishFile is the place that findings of a publish name.
-const publishFile = "request"
+// confirmLimit bounds the wait for a majority to have a published configuration in force.
+const confirmLimit = 6 * time.Second
 
-// publishObjects checks and publishes a configuration.
-func (d *Daemon) publishObjects(ctx context.Context, base ident.Generation, objects []json.RawMessage) (ident.Generation, error) {
-	set := object.NewSet()
-	if findings := object.Decode(publishFile, object.Document(objects), set); len(findings) > 0 {
-		return 0, findings
+// operators implements admin.Backend.
+type operators struct {
+	d *Daemon
+}
+
+// Config implements admin.Backend.
+func (o operators) Config(ctx context.Context) (ident.Generation, *object.Set, bool, error) {
+	generation, set, err := o.d.publisher.Head(ctx)
+	if err == nil {
+		return generation, set, false, nil
+	}
+	current := o.d.holder.Load()
+	if current == nil {
+		return 0, nil, false, err
 	}
-	generation, err := d.publisher.Publish(ctx, base, set)
+	return current.Generation(), current.Set(), true, nil
+}
+
+// Apply implements admin.Backend.
+func (o operators) Apply(ctx context.Context, base ident.Generation, set *object.Set) (ident.Generation, error) {
+	generation, err := o.d.publisher.Publish(ctx, base, set)
 	if err != nil {
 		return 0, err
 	}
-	d.syncer.Published(generation)
-	return generation, nil
+	o.d.syncer.Published(generation)
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	return generation, o.d.syncer.AwaitMajority(ctx, generation)
 }
 
+// Status implements admin.Backend.
+func (o operators) Status(context.Context) (admin.Status, error) { return o.d.status(), nil }
+
 // status describes the fleet as this router sees it.
 func (d *Daemon) status() admin.Status {
 	s := admin.Status{
--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -38,7 +38,7 @@
 		Logger:   d.log,
 	})
 	d.callers = callerhttp.New(callerhttp.Options{
-		Executor:  d.executor,
+		Executor:  observedExecutor{d.executor, d.events},
 		Addresses: addresses{d},
 		Team:      d.teamByKey,
 		Ready:     d.ready,
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zaptest"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/publish"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 	"gooseberrytide.example/gooseberrytide/internal/transport/etcdkv"
@@ -284,3 +285,26 @@
 		t.Fatalf("status %d: %s", resp.StatusCode, text)
 	}
 }
+
+// Guards against a time line that misses the part of a request at its dispatcher or puts it out of order.
+func TestTimelineOfARequestCoversItsRouters(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.publish()
+	f.awaitServing()
+	resp, _ := f.post(f.daemons[0], "/v1/completions", `{"model":"summary","prompt":"p","max_tokens":2}`, nil)
+	id := resp.Header.Get("Gooseberrytide-Request-Id")
+	for _, d := range f.daemons {
+		line, err := operators{d}.Timeline(context.Background(), admin.TimelineQuery{Request: id, Limit: 100})
+		if err != nil || len(line.Unreachable) > 0 {
+			t.Fatalf("%v, unreachable %v", err, line.Unreachable)
+		}
+		var kinds []string
+		for _, e := range line.Events {
+			kinds = append(kinds, e.Kind)
+		}
+		want := "request enqueue grant settle outcome"
+		if got := strings.Join(kinds, " "); got != want {
+			t.Errorf("%s: events %q, want %q", d.settings.ID, got, want)
+		}
+	}
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"net/http"
 	"sync"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
@@ -63,6 +62,3 @@
 		expvar.Publish("gooseberrytide", expvar.Func(func() any { return d.metrics() }))
 	})
 }
-
-// metricsHandler serves expvar's values.
-func metricsHandler() http.Handler { return expvar.Handler() }
--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -117,7 +117,12 @@
 
 // HeardSince implements publish.Peers.
 func (p peers) HeardSince(window time.Duration) int {
-	return p.d.view().HeardSince(p.d.now(), window)
+	return p.d.view().ConfiguredSince(p.d.now(), window)
+}
+
+// AtGeneration implements publish.Peers.
+func (p peers) AtGeneration(generation ident.Generation) int {
+	return p.d.view().AtGeneration(generation)
 }
 
 // Pull implements publish.Peers.
@@ -131,6 +136,7 @@
 func (d *Daemon) methods() map[string]peerlink.Method {
 	return map[string]peerlink.Method{
 		peer.MethodConfigPull: d.servePull,
+		peer.MethodTimeline:   d.serveTimeline,
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/timeline.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/peer"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
+)
+
+// timelineLimit bounds the wait for the events of another router.
+const timelineLimit = 2 * time.Second
+
+// timelineParams are the parameters of the timeline method between routers.
+type timelineParams struct {
+	Request string `json:"request"`
+	Limit   int    `json:"limit"`
+}
+
+// Timeline implements admin.Backend.
+func (o operators) Timeline(ctx context.Context, q admin.TimelineQuery) (admin.Timeline, error) {
+	self := ident.RouterID(o.d.settings.ID)
+	if q.Request == "" {
+		return admin.Timeline{Router: self, Events: adminEvents(o.d.events.Since(q.Since, q.Limit))}, nil
+	}
+	events, unreachable := o.d.collectEvents(ctx, timelineParams{Request: q.Request, Limit: q.Limit})
+	return admin.Timeline{Router: self, Events: adminEvents(events), Unreachable: unreachable}, nil
+}
+
+// collectEvents merges the events of a request from all routers. Routers that do not answer are named.
+func (d *Daemon) collectEvents(ctx context.Context, params timelineParams) ([]timeline.Event, []ident.RouterID) {
+	ctx, cancel := context.WithTimeout(ctx, timelineLimit)
+	defer cancel()
+	var (
+		mu          sync.Mutex
+		lists       = [][]timeline.Event{d.requestEvents(params)}
+		unreachable []ident.RouterID
+		group       sync.WaitGroup
+	)
+	for _, id := range (peers{d}).Live() {
+		group.Go(func() {
+			var events []timeline.Event
+			err := d.network.Call(ctx, id, peer.MethodTimeline, params, &events)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreachable = append(unreachable, id)
+				return
+			}
+			lists = append(lists, events)
+		})
+	}
+	group.Wait()
+	return timeline.Merge(lists...), unreachable
+}
+
+// requestEvents returns this router's latest events of a request.
+func (d *Daemon) requestEvents(params timelineParams) []timeline.Event {
+	out := []timeline.Event{}
+	for _, e := range d.events.Since(0, eventCapacity) {
+		if e.Request == params.Request {
+			out = append(out, e)
+		}
+	}
+	return out[max(len(out)-params.Limit, 0):]
+}
+
+func (d *Daemon) serveTimeline(_ context.Context, _ peer.Party, params json.RawMessage) (any, error) {
+	if !d.composed.Load() {
+		return nil, errNotServing
+	}
+	var p timelineParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, errors.Wrap(err, "timeline: params")
+	}
+	if p.Limit < 1 || p.Limit > admin.MaxTimelineLimit {
+		return nil, errors.Errorf("timeline: limit: must be from 1 to %d, got %d", admin.MaxTimelineLimit, p.Limit)
+	}
+	return d.requestEvents(p), nil
+}
+
+// adminEvents converts events for operators. Times are the causal stamps.
+func adminEvents(events []timeline.Event) []admin.Event {
+	out := make([]admin.Event, 0, len(events))
+	for _, e := range events {
+		out = append(out, admin.Event{
+			Seq:     e.Seq,
+			Time:    time.UnixMicro(int64(e.Stamp)).UTC(),
+			Router:  e.Router,
+			Kind:    string(e.Kind),
+			Request: e.Request,
+			Attempt: e.Attempt,
+			Team:    e.Team,
+			Pool:    ident.PoolID(e.Shard),
+			Backend: e.Backend,
+			Peer:    e.Peer,
+			Gen:     e.Generation,
+			Detail:  e.Detail,
+		})
+	}
+	return out
+}
--- a/internal/transport/adminhttp/handler.go
+++ b/internal/transport/adminhttp/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -24,6 +25,8 @@
 	Backend admin.Backend
 	// Token is what operators send as bearer token. An empty token refuses all calls.
 	Token string
+	// TokenHash is the hexadecimal SHA-256 hash of the token. It is used when Token is empty.
+	TokenHash string
 }
 
 // NewHandler returns a handler for the paths of package admin.
@@ -31,7 +34,7 @@
 	mux := http.NewServeMux()
 	handle := func(pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
 		server := kithttp.NewServer(e, decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(encodeError))
-		mux.Handle(pattern, authorize(opts.Token, server))
+		mux.Handle(pattern, authorize(opts.hash(), server))
 	}
 	handle("GET "+admin.PathConfig, configEndpoint(opts.Backend), decodeNothing)
 	handle("POST "+admin.PathConfig, applyEndpoint(opts.Backend), decodeApply)
@@ -40,13 +43,28 @@
 	return mux
 }
 
-// authorize compares hashes, so that the time taken does not depend on the token.
-func authorize(token string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(token))
+// hash returns the hash of the token, or an empty one when none is set.
+func (o Options) hash() []byte {
+	if o.Token != "" {
+		sum := sha256.Sum256([]byte(o.Token))
+		return sum[:]
+	}
+	sum, err := hex.DecodeString(o.TokenHash)
+	if err != nil {
+		return nil
+	}
+	return sum
+}
+
+// Authorize passes on requests with the operators' token.
+func (o Options) Authorize(next http.Handler) http.Handler { return authorize(o.hash(), next) }
+
+// authorize compares hashes, so that the time taken does not depend on the token. An empty hash refuses all calls.
+func authorize(want []byte, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		got := sha256.Sum256([]byte(given))
-		if token == "" || !bearer || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if len(want) == 0 || !bearer || subtle.ConstantTimeCompare(got[:], want) != 1 {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeError(w, http.StatusUnauthorized, admin.ErrorResponse{Error: "operator token is missing or wrong"})
 			return
--- a/test/fleet/admin.go
+++ b/test/fleet/admin.go
@@ -94,9 +94,9 @@
 	if err != nil {
 		return 0, err
 	}
-	var resp admin.PublishResponse
+	var resp admin.ApplyResponse
 	url := "http://" + f.Routers[0].Caller + "/v1/admin/config"
-	err = Do(ctx, http.MethodPost, url, admin.PublishRequest{Base: base, Objects: objects}, &resp)
+	err = Do(ctx, http.MethodPost, url, admin.ApplyRequest{Base: base, Objects: objects}, &resp)
 	return resp.Generation, err
 }
 
