Keep one link of two crossed dials, and take moved addresses

Cause: two routers that dial each other at once kept two links for good; a VM replaced under its name was pinged at its old address; a version at the top of its range could not be refuted. Change: both ends send on the link that the lower name dialed, and the other idles out. Addresses of the VM list replace those of dead members. The top version raises the incarnation. Conclusion: tests cover the first and the last.

--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -138,11 +139,12 @@
 		return
 	}
 	r.listed = true
-	if r.known {
+	if r.State.Live() {
 		return
 	}
-	r.PeerAddr = c.PeerAddr
-	r.Domain = c.Domain
+	// A VM that was replaced may come back at another address.
+	r.PeerAddr = cmp.Or(c.PeerAddr, r.PeerAddr)
+	r.Domain = cmp.Or(c.Domain, r.Domain)
 }
 
 // SetSelf changes what this router says about itself.
--- a/internal/coordination/membership/fault_test.go
+++ b/internal/coordination/membership/fault_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 func TestPartitionAndRejoin(t *testing.T) {
 	for seed := uint64(1); seed <= 10; seed++ {
 		s := settled(t, seed)
+		s.measured = 2
 		side := func(id ident.RouterID) bool { return id < routerID(3) }
 		s.cut = func(a, b ident.RouterID) bool { return side(a) != side(b) }
 		s.run(time.Minute)
@@ -281,6 +283,11 @@
 	if d.SelfIncarnation() != 3 {
 		t.Errorf("incarnation %d", d.SelfIncarnation())
 	}
+	p.Updates[0].Member = membership.Member{ID: "a", Incarnation: 3, Version: math.MaxUint32, State: membership.Dead}
+	out := d.Receive(0, "b", p)
+	if from := out[0].Packet.From; from.Incarnation != 4 || from.Version != 0 {
+		t.Errorf("the top version was refuted with %+v", from)
+	}
 }
 
 // Guards against duplicated and late acks that count as fresh signs of life.
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
@@ -69,18 +70,18 @@
 
 // keep fills addresses and domain that a brief row lacks from what was known.
 func (m Member) keep(old Member) Member {
-	if m.PeerAddr == "" {
-		m.PeerAddr = old.PeerAddr
-	}
-	if m.CallerAddr == "" {
-		m.CallerAddr = old.CallerAddr
-	}
-	if m.Domain == "" {
-		m.Domain = old.Domain
-	}
+	m.PeerAddr = cmp.Or(m.PeerAddr, old.PeerAddr)
+	m.CallerAddr = cmp.Or(m.CallerAddr, old.CallerAddr)
+	m.Domain = cmp.Or(m.Domain, old.Domain)
 	return m
 }
 
+// relocate takes the addresses and domain that a member states of itself.
+func (m *Member) relocate(stated Member) {
+	stated = stated.keep(*m)
+	m.PeerAddr, m.CallerAddr, m.Domain = stated.PeerAddr, stated.CallerAddr, stated.Domain
+}
+
 // same reports whether both rows speak of one process and version.
 func (m Member) same(o Member) bool {
 	return m.Incarnation == o.Incarnation && m.Version == o.Version
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
@@ -57,7 +58,7 @@
 		d.setState(r, Left, now)
 		return r
 	}
-	r.Member = r.keep(m)
+	r.relocate(m)
 	r.Generation = max(r.Generation, m.Generation)
 	r.Load = m.Load
 	return r
@@ -142,7 +143,8 @@
 	}
 	switch {
 	case m.Incarnation > self.Incarnation,
-		m.Incarnation == self.Incarnation && m.Version > self.Version && m.State == Alive:
+		m.Incarnation == self.Incarnation && m.Version > self.Version && m.State == Alive,
+		m.Incarnation == self.Incarnation && m.Version == math.MaxUint32:
 		self.Incarnation = m.Incarnation + 1
 		self.Version = 0
 	case m.Incarnation == self.Incarnation && m.Version >= self.Version && m.State != Alive:
--- a/internal/transport/peerlink/fault_test.go
+++ b/internal/transport/peerlink/fault_test.go
@@ -323,6 +323,20 @@
 	}
 }
 
+// Guards against two routers that dial each other at once and keep two links for good.
+func TestCrossedDialsLeaveOneLink(t *testing.T) {
+	f := newFleet(t)
+	idle := func(o *peerlink.Options) { o.IdleTimeout = 300 * time.Millisecond }
+	a, b := f.start("a", 1, idle), f.start("b", 2, idle)
+	go a.Send("b", cancelOf("a", 1, 0))
+	b.Send("a", cancelOf("b", 2, 0))
+	eventually(t, "one link", func() bool {
+		a.Send("b", cancelOf("a", 1, 1))
+		b.Send("a", cancelOf("b", 2, 1))
+		return a.Stats().Links == 1 && b.Stats().Links == 1 && a.count() > 100
+	})
+}
+
 // Guards against a farewell that is lost because the network closes right after it.
 func TestCloseSendsQueue(t *testing.T) {
 	f := newFleet(t)
--- a/internal/transport/peerlink/handshake.go
+++ b/internal/transport/peerlink/handshake.go
@@ -62,9 +62,11 @@
 
 // session is the outcome of a handshake.
 type session struct {
-	self    peer.Party
-	peer    peer.Party
-	kind    linkKind
+	self peer.Party
+	peer peer.Party
+	kind linkKind
+	// dialer is the router that opened the connection.
+	dialer  ident.RouterID
 	send    []byte
 	receive []byte
 }
@@ -161,7 +163,11 @@
 
 // session derives the keys of the connection.
 func (g *greeter) session(party peer.Party, kind linkKind, send, receive string) *session {
-	return &session{self: g.self, peer: party, kind: kind, send: g.mac(send), receive: g.mac(receive)}
+	s := &session{self: g.self, peer: party, kind: kind, dialer: g.self.Router, send: g.mac(send), receive: g.mac(receive)}
+	if send == labelInward {
+		s.dialer = party.Router
+	}
+	return s
 }
 
 // mac authenticates the hello and the reply, which hold both names, incarnations and nonces.
--- a/internal/transport/peerlink/link.go
+++ b/internal/transport/peerlink/link.go
@@ -21,6 +21,9 @@
 	records *records
 	encoder *peer.Encoder
 	decoder *peer.Decoder
+	// preferred says that the router with the lower name dialed. When both dial at once, both ends send on that link, and
+	// the other one idles out.
+	preferred bool
 	// pending is the size of the messages in the unsent frame, in bytes.
 	pending int
 	// written is when the last frame was sent, in Unix nanoseconds.
@@ -32,6 +35,7 @@
 	l := &link{n: n, conn: conn, peer: s.peer, records: newRecords(conn, s, peer.MaxFrame)}
 	l.encoder = peer.NewEncoder(s.self, s.peer)
 	l.decoder = peer.NewDecoder(s.peer, s.self)
+	l.preferred = s.dialer == min(s.self.Router, s.peer.Router)
 	return l
 }
 
--- a/internal/transport/peerlink/remote.go
+++ b/internal/transport/peerlink/remote.go
@@ -143,9 +143,9 @@
 // drop counts messages that were not sent.
 func (r *remote) drop(count int) { r.n.counters.dropped.Add(uint64(count)) }
 
-// link returns the newest open link, or dials one. It returns nil when the peer cannot be reached.
+// link returns an open link, or dials one. It returns nil when the peer cannot be reached.
 func (r *remote) link() *link {
-	if l := r.newest(); l != nil {
+	if l := r.open(); l != nil {
 		return l
 	}
 	if time.Now().Before(r.notBefore) {
@@ -155,7 +155,7 @@
 	if err != nil {
 		r.notBefore = time.Now().Add(r.backoff.NextBackOff())
 		r.n.opts.Logger.Debug("peerlink: dial failed", zap.String("peer", string(r.id)), zap.Error(err))
-		return r.newest()
+		return r.open()
 	}
 	r.backoff.Reset()
 	l := newLink(r.n, conn, s)
@@ -171,17 +171,20 @@
 	return l
 }
 
-// newest returns the latest open link, or nil.
-func (r *remote) newest() *link {
+// open returns the link to send on, or nil: the newest of the preferred ones, or else the newest.
+func (r *remote) open() *link {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.links) == 0 {
-		return nil
+	var best *link
+	for _, l := range r.links {
+		if best == nil || l.preferred || !best.preferred {
+			best = l
+		}
 	}
-	return r.links[len(r.links)-1]
+	return best
 }
 
-// attach registers a link as the one to send on. Links of an earlier process of the peer are closed.
+// attach registers a link. Links of an earlier process of the peer are closed.
 func (n *Network) attach(l *link) bool {
 	n.mu.Lock()
 	r := n.remoteLocked(l.peer.Router)
