--- /dev/null
+++ b/cmd/gooseberrytide/status.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+)
+
+// Rows of each table, so that a fleet of any size fits one screen.
+const (
+	maxProblems = 12
+	maxMembers  = 10
+	maxPools    = 10
+)
+
+func jsonFlag() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "print JSON"} }
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the fleet on one screen, with what is wrong first",
+		Flags: []cli.Flag{jsonFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := client(c)
+			if err != nil {
+				return err
+			}
+			status, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return json.NewEncoder(c.Root().Writer).Encode(status)
+			}
+			renderStatus(c.Root().Writer, status)
+			return nil
+		},
+	}
+}
+
+// renderStatus prints problems, a summary, members and shards; rows with faults come first.
+func renderStatus(w io.Writer, s admin.Status) {
+	renderProblems(w, problems(s))
+	alive := 0
+	for _, m := range s.Members {
+		if m.State == admin.StateAlive {
+			alive++
+		}
+	}
+	fmt.Fprintf(w, "\nrouter %s  generation %d  serving %s  routers %d/%d alive  shards %d\n",
+		s.Self, s.Generation, yesNo(s.Serving), alive, len(s.Members), len(s.Pools))
+	if len(s.Drained) > 0 {
+		fmt.Fprintf(w, "drained: %s\n", shorten(s.Drained, maxProblems))
+	}
+	renderMembers(w, s)
+	renderPools(w, s)
+}
+
+// problems returns the router's own findings and those that follow from the tables, without repeats.
+func problems(s admin.Status) []string {
+	var list []string
+	if !s.Serving {
+		list = append(list, fmt.Sprintf("router %s refuses new callers", s.Self))
+	}
+	list = append(list, s.Problems...)
+	for _, m := range s.Members {
+		if fault := memberFault(m, s.Generation); fault != "" {
+			list = append(list, fmt.Sprintf("router %s %s", m.ID, fault))
+		}
+	}
+	for _, p := range s.Pools {
+		for _, fault := range poolFaults(p, s.Owners) {
+			list = append(list, fmt.Sprintf("shard %s %s", p.Shard, fault))
+		}
+	}
+	return unique(list)
+}
+
+func unique(list []string) []string {
+	seen := make(map[string]bool, len(list))
+	var kept []string
+	for _, text := range list {
+		if !seen[text] {
+			seen[text] = true
+			kept = append(kept, text)
+		}
+	}
+	return kept
+}
+
+func memberFault(m admin.Member, gen ident.Generation) string {
+	switch {
+	case m.State != admin.StateAlive:
+		return "is " + m.State
+	case m.Generation < gen:
+		return fmt.Sprintf("has generation %d, not %d", m.Generation, gen)
+	}
+	return ""
+}
+
+// poolFaults says all that is wrong with a shard.
+func poolFaults(p admin.Pool, owners map[string]ident.RouterID) []string {
+	var faults []string
+	if owners[p.Shard] == "" {
+		faults = append(faults, "has no dispatcher")
+	}
+	if p.Bound > 0 && p.Gap > p.Bound {
+		faults = append(faults, fmt.Sprintf("has a service gap of %.0f, above the bound of %.0f", p.Gap, p.Bound))
+	}
+	if p.Queued > 0 && p.Limit == 0 {
+		faults = append(faults, fmt.Sprintf("has %d waiting requests and no backend server to run them", p.Queued))
+	}
+	return faults
+}
+
+func renderProblems(w io.Writer, list []string) {
+	if len(list) == 0 {
+		fmt.Fprintln(w, "no problems")
+		return
+	}
+	fmt.Fprintf(w, "PROBLEMS (%d)\n", len(list))
+	for i, text := range list {
+		if i == maxProblems {
+			fmt.Fprintf(w, "  and %d more\n", len(list)-i)
+			return
+		}
+		fmt.Fprintf(w, "  ! %s\n", text)
+	}
+}
+
+func renderMembers(w io.Writer, s admin.Status) {
+	members := append([]admin.Member(nil), s.Members...)
+	sort.SliceStable(members, func(i, j int) bool {
+		a, b := memberFault(members[i], s.Generation) != "", memberFault(members[j], s.Generation) != ""
+		if a != b {
+			return a
+		}
+		return members[i].ID < members[j].ID
+	})
+	owned := make(map[ident.RouterID]int)
+	for _, owner := range s.Owners {
+		owned[owner]++
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nROUTER\tSTATE\tGENERATION\tDOMAIN\tADDRESS\tSHARDS")
+	for _, m := range members[:min(len(members), maxMembers)] {
+		state := m.State
+		if m.Draining {
+			state += ", draining"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%d\n", m.ID, state, m.Generation, m.Domain, m.Address, owned[m.ID])
+	}
+	_ = table.Flush()
+	renderRest(w, len(members)-maxMembers)
+}
+
+func renderPools(w io.Writer, s admin.Status) {
+	pools := append([]admin.Pool(nil), s.Pools...)
+	sort.SliceStable(pools, func(i, j int) bool {
+		a, b := len(poolFaults(pools[i], s.Owners)) > 0, len(poolFaults(pools[j], s.Owners)) > 0
+		if a != b {
+			return a
+		}
+		if pools[i].Queued != pools[j].Queued {
+			return pools[i].Queued > pools[j].Queued
+		}
+		return pools[i].Shard < pools[j].Shard
+	})
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nSHARD\tDISPATCHER\tQUEUED\tRUNNING\tLIMIT\tGAP\tBOUND")
+	for _, p := range pools[:min(len(pools), maxPools)] {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%.0f\t%.0f\n",
+			p.Shard, s.Owners[p.Shard], p.Queued, p.Running, p.Limit, p.Gap, p.Bound)
+	}
+	_ = table.Flush()
+	renderRest(w, len(pools)-maxPools)
+}
+
+func renderRest(w io.Writer, rest int) {
+	if rest > 0 {
+		fmt.Fprintf(w, "and %d more\n", rest)
+	}
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
+func shorten(list []string, limit int) string {
+	if len(list) <= limit {
+		return strings.Join(list, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(list[:limit], ", "), len(list)-limit)
+}
--- a/internal/coordination/publish/sync_peers.go
+++ b/internal/coordination/publish/sync_peers.go
@@ -206,8 +206,7 @@
 		set.Remove(id)
 	}
 	for _, id := range p.changes.IDs() {
-		spec, _ := p.changes.Get(id)
-		set.Put(id, spec)
+		set.Copy(id, p.changes)
 	}
 	return set
 }
--- a/internal/state/object/diff.go
+++ b/internal/state/object/diff.go
@@ -46,9 +46,7 @@
 	all := &Set{}
 	for _, set := range sets {
 		for _, id := range set.IDs() {
-			if spec, ok := set.Get(id); ok {
-				all.Put(id, spec)
-			}
+			all.Copy(id, set)
 		}
 	}
 	return all.IDs()
@@ -87,8 +85,7 @@
 			continue
 		}
 		if keep {
-			merged.Put(id, want)
-			merged.setSource(id, mine.sources[id])
+			merged.Copy(id, mine)
 			continue
 		}
 		merged.Remove(id)
--- a/internal/state/object/set.go
+++ b/internal/state/object/set.go
@@ -173,6 +173,14 @@
 // Put adds or replaces an object. Spec is a pointer to the kind's type.
 func (s *Set) Put(id ID, spec any) { tables[id.Kind].put(s, id.Name, spec) }
 
+// Copy adds or replaces an object with the one of another set, if that has it. Both sets then share the object.
+func (s *Set) Copy(id ID, from *Set) {
+	if spec, ok := from.Get(id); ok {
+		s.Put(id, spec)
+		s.setSource(id, from.sources[id])
+	}
+}
+
 // Remove removes an object if it exists.
 func (s *Set) Remove(id ID) {
 	tables[id.Kind].remove(s, id.Name)
