Estimate requests of a new team by the pool's mean cost

Cause: a team that joins with many requests and hints three times too high was charged three times for its first grants. Change: hints count once the team's ratio is known; local attempts report progress every 200 ms.

--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -95,6 +95,8 @@
 func (i *Ingress) Run(ctx context.Context) {
 	maintain := time.NewTicker(maintainPeriod)
 	defer maintain.Stop()
+	local := time.NewTicker(localProgressPeriod)
+	defer local.Stop()
 	progress := time.NewTicker(progressPeriod)
 	defer progress.Stop()
 	for {
@@ -103,8 +105,10 @@
 			return
 		case now := <-maintain.C:
 			i.maintain(now)
+		case <-local.C:
+			i.reportProgress(func(to ident.RouterID) bool { return to == i.opts.Self })
 		case <-progress.C:
-			i.reportProgress()
+			i.reportProgress(func(to ident.RouterID) bool { return to != i.opts.Self })
 		}
 	}
 }
@@ -137,19 +141,22 @@
 	return out
 }
 
-// reportProgress tells dispatchers the cost so far of each running attempt. The report also keeps the attempt's
-// slot reserved.
-func (i *Ingress) reportProgress() {
+// reportProgress tells the selected dispatchers the cost so far of each running attempt. The report also keeps the
+// attempt's slot reserved.
+func (i *Ingress) reportProgress(selected func(to ident.RouterID) bool) {
 	for n := range i.tables {
-		i.flush(i.tables[n].progress())
+		i.flush(i.tables[n].progress(selected))
 	}
 }
 
-func (t *table) progress() []outgoing {
+func (t *table) progress(selected func(to ident.RouterID) bool) []outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []outgoing
 	for _, a := range t.running {
+		if !selected(a.owner.Router) {
+			continue
+		}
 		cost := ident.Cost(a.cost.Load())
 		out = append(out, outgoing{a.owner.Router, &message.Progress{Shard: a.shard, Ref: a.work.Ref, Cost: cost}})
 	}
--- a/internal/coordination/dispatch/ingress.go
+++ b/internal/coordination/dispatch/ingress.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// progressPeriod is how often running attempts are reported to their dispatchers.
+	// progressPeriod is how often running attempts are reported to other routers.
 	progressPeriod = 2 * time.Second
+	// localProgressPeriod is how often running attempts are reported to the dispatcher of the same process, which costs
+	// no traffic.
+	localProgressPeriod = 200 * time.Millisecond
 	// resendPeriod is how often a waiting request is enqueued again in case a message was lost without a link event.
 	resendPeriod = 10 * time.Second
 	// notOwnerDelay is the wait before a request is enqueued again after its dispatcher said that it is not the owner.
--- a/internal/coordination/scheduler/team.go
+++ b/internal/coordination/scheduler/team.go
@@ -133,9 +133,11 @@
 	mean  float64
 }
 
-// estimate returns the expected cost of a request with the given hint. fallback is used before anything was learned.
+// estimate returns the expected cost of a request with the given hint. fallback, the mean cost in the pool, is used
+// before anything was learned. Hints may be ten times off, and a team that starts with many requests would be charged
+// for all of them before the first one settles; so a hint counts only after its team's ratio is known.
 func (e *estimator) estimate(hint ident.Cost, fallback float64) ident.Cost {
-	if hint > 0 {
+	if hint > 0 && (e.hints > 0 || fallback <= 0) {
 		return clampCost(float64(hint) * e.ratio())
 	}
 	if e.mean > 0 {
