--- a/internal/coordination/scheduler/exchange.go
+++ b/internal/coordination/scheduler/exchange.go
@@ -148,10 +148,11 @@
 	}
 }
 
-// announce tells some siblings of free slots when this shard has no eligible work.
+// announce tells some siblings of free slots. Queued work of this shard, if any, excludes the backend servers that have
+// them.
 func (s *Scheduler) announce(out *Decisions) {
 	e := &s.exchange
-	if s.siblings == 1 || len(s.fair) > 0 {
+	if s.siblings == 1 {
 		return
 	}
 	if e.announced && s.now < e.announcedAt+announceInterval {
--- a/internal/coordination/scheduler/exchange_test.go
+++ b/internal/coordination/scheduler/exchange_test.go
@@ -34,7 +34,9 @@
 	for _, i := range []int{2, 0, 2, 0} { // out of order, and twice
 		to.s.Delta(to.now, r.out.Deltas[i])
 	}
-	to.s.Delta(to.now, r.out.Deltas[1]) // for another shard
+	other := r.out.Deltas[1] // for another shard
+	other.Seq = 9
+	to.s.Delta(to.now, other)
 	second := r.out.Deltas[2]
 	second.Epoch++ // another dispatcher of the shard starts its numbers anew
 	to.s.Delta(to.now, second)
