Charge attempts that end while queued at the weight of their team

Cause: the settlement of a queued attempt, which ran under a former dispatcher's grant, divided by an unset weight and made the team's counter infinite. Found by review. Change: the weight is taken at registration and again at the grant; the conservation property ends queued attempts and checks counters. Backend lists of an older generation are ignored. Conclusion: fixed.

--- a/internal/coordination/scheduler/limits_test.go
+++ b/internal/coordination/scheduler/limits_test.go
@@ -158,6 +158,17 @@
 	}
 }
 
+// Guards against a backend server that comes back with an old configuration.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	r := newRig(2, 1)
+	r.s.SetBackends(r.now, 5, engines(1, 1), 1, &r.out)
+	r.s.SetBackends(r.now, 4, engines(2, 1), 1, &r.out)
+	r.enqueueMany("a", 2, 10)
+	if g := r.grants(); len(g) != 1 || g[0].Generation != 5 {
+		t.Fatalf("granted %+v", g)
+	}
+}
+
 // Guards against an engine without configured slots that stays at its first limit once it seemed stuck.
 func TestLearnedSlotsGrowAgain(t *testing.T) {
 	r := newRig(1, 0)
--- a/internal/coordination/scheduler/property_test.go
+++ b/internal/coordination/scheduler/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -103,6 +104,14 @@
 	}, &m.out)
 }
 
+// settleWaiting ends an attempt that ran under the grant of a former dispatcher.
+func (m *model) settleWaiting() {
+	if a, ok := m.pick(waiting); ok {
+		m.end(a)
+		m.s.Settle(m.now, message.Settle{Ref: a, Cost: 50, Result: message.SettleOK}, &m.out)
+	}
+}
+
 func (m *model) cancelOne() {
 	if a, ok := m.pick(waiting, granted); ok {
 		m.end(a)
@@ -241,6 +250,9 @@
 }
 
 func (m *model) checkTeam(t *team) {
+	if math.IsNaN(t.counter) || math.IsInf(t.counter, 0) {
+		m.t.Fatalf("team %s: counter %v", t.id, t.counter)
+	}
 	active := t.queued() > 0 && !t.capped()
 	if active != (t.heapPos != notInHeap) {
 		m.t.Fatalf("team %s: eligible %v, in fair order %v", t.id, active, t.heapPos != notInHeap)
@@ -267,7 +279,7 @@
 		m := newModel(t)
 		actions := []func(){
 			m.addEnqueue, m.addEnqueue, m.addEnqueue, m.settleOne, m.settleOne, m.cancelOne, m.progressOne,
-			m.repeatOne, m.lateSettle, m.load, m.pass, m.pass, m.restartRouter, m.reconfigure,
+			m.repeatOne, m.lateSettle, m.load, m.pass, m.settleWaiting, m.restartRouter, m.reconfigure,
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "events") {
 			rapid.SampledFrom(actions).Draw(t, "event")()
--- a/internal/coordination/scheduler/request.go
+++ b/internal/coordination/scheduler/request.go
@@ -40,7 +40,7 @@
 	adopted bool
 	// reported is the cost that the ingress reported.
 	reported ident.Cost
-	// weight and lifts are the team's at the time of the grant.
+	// weight and lifts are the team's at the time of the grant, and before that at the time of registration.
 	weight float64
 	lifts  uint32
 	lag    int64
@@ -120,6 +120,8 @@
 	r.seq = ref.Request.Seq
 	r.attempt = ref.Attempt
 	r.team = t
+	r.weight = t.weight
+	r.lifts = t.lifts
 	r.serial = s.serial
 	ss.add(r)
 	return r
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -73,10 +73,13 @@
 }
 
 // SetBackends replaces the backend servers of the shard. Those that stay keep their state; new ones and those that
-// return from draining ramp up.
+// return from draining ramp up. A list of an older generation is ignored.
 func (s *Scheduler) SetBackends(now time.Duration, gen ident.Generation, list []Backend, siblings int, out *Decisions) {
 	s.at(now)
-	s.opts.Generation = max(s.opts.Generation, gen)
+	if gen < s.opts.Generation {
+		return
+	}
+	s.opts.Generation = gen
 	s.siblings = max(siblings, 1)
 	s.configured = true
 	for _, b := range s.backends {
