--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -52,7 +52,11 @@
 		return
 	}
 	if r.backend == nil || !r.backend.accepting() {
-		s.requeue(r, m, out)
+		// The ingress has no grant, and the backend server takes no new work.
+		ss := r.session
+		s.abandon(r)
+		s.admit(ss, m, out)
+		s.pump(out)
 		return
 	}
 	if r.state == stateLost {
@@ -62,18 +66,6 @@
 	s.emitGrant(r, out)
 }
 
-// requeue queues a granted attempt again whose ingress has no grant and whose backend server takes no new work.
-func (s *Scheduler) requeue(r *request, m *message.Enqueue, out *Decisions) {
-	s.leave(r)
-	s.setReported(r, 0)
-	s.setCharge(r, 0)
-	r.backend = nil
-	r.fill(m)
-	r.deadline = s.now + time.Duration(m.DeadlineMS)*time.Millisecond
-	s.enter(r)
-	s.pump(out)
-}
-
 // admit queues a new attempt, or rejects it.
 func (s *Scheduler) admit(ss *session, m *message.Enqueue, out *Decisions) {
 	t := s.teamOf(m.Team)
