Refuse to publish before the VM list names a VM; add the demo

Cause: the demo's publish was accepted by a router that knew only itself, because its VM list was still empty, and was reported in force on 1 of 3 routers. Change: an empty list gives no majority; the list is read every 500 ms until it names a VM. make demo shows the whole path. Conclusion: covered by a test that fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,11 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+demo: build
+	./$(BIN)/demo --bin $(BIN)
+
+measure: build
+	./$(BIN)/measure --bin $(BIN)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -103,7 +103,7 @@
 // holdStale reports whether a stale view should not be acted on yet.
 func (d *Daemon) holdStale(view *membership.View) bool {
 	// A router that is the only one listed hears a majority without any answer.
-	if !view.Stale || (d.listRead.Load() && d.majority()) {
+	if !view.Stale || d.majority() {
 		d.control.staleSince = 0
 		return false
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,8 @@
 	tickPeriod = 100 * time.Millisecond
 	// listPeriod is how often the VM list is read.
 	listPeriod = 5 * time.Second
+	// firstListPeriod is how often it is read until it names a VM.
+	firstListPeriod = 500 * time.Millisecond
 )
 
 // Daemon is one router process.
@@ -63,7 +65,7 @@
 	// composed is set when all parts exist. The network runs before that; its messages are dropped until then.
 	composed atomic.Bool
 	draining atomic.Bool
-	// listRead is set when the VM list was read for the first time.
+	// listRead is set when the VM list has named a VM. Before that a router would take itself for the whole fleet.
 	listRead atomic.Bool
 	routes   atomic.Pointer[dispatch.Routes]
 	control  controlState
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -308,3 +309,27 @@
 		}
 	}
 }
+
+// Guards against a publish by a router that takes itself for the whole fleet because the VM list is still empty.
+func TestEmptyVMListGivesNoMajority(t *testing.T) {
+	f := &testFleet{t: t, list: vmlist.New(vmlist.Options{}), store: kvstore.New(kvstore.Options{})}
+	f.stores = serveHandler(t, f.store)
+	f.lists = serveHandler(t, f.list)
+	f.startDaemon("r1")
+	t.Cleanup(f.stopAll)
+	d := f.daemons[0]
+	f.eventually("reads the list", func() error {
+		if f.list.Calls() == 0 {
+			return errNotServing
+		}
+		return nil
+	})
+	if _, err := (operators{d}).Apply(context.Background(), 0, object.NewSet()); !errors.Is(err, publish.ErrNoQuorum) {
+		t.Fatalf("publish without a VM list: %v", err)
+	}
+	f.publishVMs()
+	f.eventually("publishes", func() error {
+		_, err := operators{d}.Apply(context.Background(), 0, object.NewSet())
+		return err
+	})
+}
--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -79,7 +79,7 @@
 
 // majority reports whether a majority of the listed VMs was heard recently.
 func (d *Daemon) majority() bool {
-	return d.view().Majority(d.now(), quorumWindow)
+	return d.listRead.Load() && d.view().Majority(d.now(), quorumWindow)
 }
 
 // watches reports whether this router is one of those that watch the store.
@@ -113,7 +113,12 @@
 }
 
 // Listed implements publish.Peers.
-func (p peers) Listed() int { return p.d.view().Listed() }
+func (p peers) Listed() int {
+	if !p.d.listRead.Load() {
+		return 0
+	}
+	return p.d.view().Listed()
+}
 
 // HeardSince implements publish.Peers.
 func (p peers) HeardSince(window time.Duration) int {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -133,14 +133,16 @@
 
 // runList reads the VM list. A failed read keeps the former list.
 func (d *Daemon) runList(ctx context.Context) {
-	ticker := time.NewTicker(listPeriod)
-	defer ticker.Stop()
 	for {
 		d.readList(ctx)
+		period := listPeriod
+		if !d.listRead.Load() {
+			period = firstListPeriod
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(period):
 		}
 	}
 }
@@ -165,7 +167,9 @@
 	d.detection.Lock()
 	defer d.detection.Unlock()
 	d.detector.SetCandidates(d.now(), candidates)
-	d.listRead.Store(true)
+	if len(candidates) > 0 {
+		d.listRead.Store(true)
+	}
 }
 
 // collectPeriod is how often unused chunks of former configurations are deleted.
--- a/test/fleet/admin.go
+++ b/test/fleet/admin.go
@@ -109,6 +109,36 @@
 	return status, err
 }
 
+// AwaitMembers waits until each router sees all routers as alive.
+func (f *Fleet) AwaitMembers(ctx context.Context) error {
+	for _, r := range f.Routers {
+		err := Await(ctx, readyLimit, r.ID+" sees all routers", func() error {
+			status, err := r.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return allAlive(status, len(f.Routers))
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func allAlive(status admin.Status, want int) error {
+	alive := 0
+	for _, m := range status.Members {
+		if m.State == admin.StateAlive {
+			alive++
+		}
+	}
+	if alive < want {
+		return errors.Errorf("%d routers alive, want %d", alive, want)
+	}
+	return nil
+}
+
 // AwaitServing waits until all routers serve and see each other.
 func (f *Fleet) AwaitServing(ctx context.Context) error {
 	want := len(f.Routers)
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -31,6 +31,8 @@
 	Dir string
 	// Isolated gives each router a VM list that names only itself, so that each router queues alone.
 	Isolated bool
+	// SkipPublish leaves the publish to the caller; Start then does not wait until routers serve.
+	SkipPublish bool
 	// Settings changes the settings of a router before it starts.
 	Settings func(s *daemon.Settings)
 	// StoreArgs and VMListArgs are further arguments of the stand-ins.
@@ -85,8 +87,9 @@
 		f.startEngines,
 		f.startServices,
 		f.startRouters,
-		f.publish,
-		f.AwaitServing,
+	}
+	if !opts.SkipPublish {
+		steps = append(steps, f.publish, f.AwaitServing)
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
