Carry a hybrid logical clock in frames between routers

Cause: events of several routers were merged by their wall clocks, which differ. Change: each frame carries the advance of the sender's clock; receivers move theirs past it; absurd stamps are ignored. Conclusion: an event that a message caused sorts after the one that sent it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,6 +110,7 @@
 		OnMessage:   d.onMessage,
 		OnLink:      d.onLink,
 		Methods:     d.methods(),
+		Clock:       d.events,
 		Logger:      d.log,
 	})
 	if err != nil {
--- a/internal/protocol/peer/codec.go
+++ b/internal/protocol/peer/codec.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
 // Encoder builds the frames of one direction of one connection. Not safe for concurrent use.
@@ -12,6 +14,8 @@
 	seqs  sequences
 	items []cbor.RawMessage
 	size  int
+	// stamp is the sender's clock for the next frame, last that of the frame before.
+	stamp, last timeline.Stamp
 }
 
 // NewEncoder returns an encoder for frames from the sender to the receiver.
@@ -40,6 +44,9 @@
 	return len(data), nil
 }
 
+// SetStamp gives the next frame the sender's clock. Frames carry only what it has advanced by since the one before.
+func (e *Encoder) SetStamp(s timeline.Stamp) { e.stamp = s }
+
 // Full reports whether the frame must be taken before another message is added.
 func (e *Encoder) Full() bool { return e.size >= fullFrame || len(e.items) >= MaxEnvelopes }
 
@@ -48,7 +55,7 @@
 	if len(e.items) == 0 {
 		return nil, nil
 	}
-	data, err := encMode.Marshal(e.items)
+	data, err := encMode.Marshal(e.stamped())
 	e.items = e.items[:0]
 	e.size = 0
 	if err != nil {
@@ -60,12 +67,27 @@
 	return data, nil
 }
 
+// stamped returns the items after the advance of the clock, if it has one.
+func (e *Encoder) stamped() []any {
+	list := make([]any, 0, len(e.items)+1)
+	if e.stamp > e.last {
+		list = append(list, uint64(e.stamp-e.last))
+		e.last = e.stamp
+	}
+	for _, item := range e.items {
+		list = append(list, item)
+	}
+	return list
+}
+
 // Decoder reads the frames of one direction of one connection, in the order in which they were encoded. Not safe for
 // concurrent use.
 type Decoder struct {
 	ends ends
 	ring ring
 	seqs sequences
+	// last is the sender's clock in the latest frame that had one.
+	last timeline.Stamp
 }
 
 // NewDecoder returns a decoder for frames from the sender to the receiver.
@@ -83,6 +105,11 @@
 	if err := decMode.Unmarshal(data, &items); err != nil {
 		return f, at("frame", err)
 	}
+	items, err := d.stamp(items)
+	if err != nil {
+		return f, inside("stamp", err)
+	}
+	f.Stamp = d.last
 	for i, item := range items {
 		env, err := d.envelope(item)
 		if err != nil {
@@ -94,6 +121,23 @@
 	return f, nil
 }
 
+// stamp takes the advance of the sender's clock off a frame, if it has one. It is the only item that is a number.
+func (d *Decoder) stamp(items []cbor.RawMessage) ([]cbor.RawMessage, error) {
+	const unsignedMajorType = 0
+	if len(items) == 0 || len(items[0]) == 0 || items[0][0]>>5 != unsignedMajorType {
+		return items, nil
+	}
+	var advance uint64
+	if err := decMode.Unmarshal(items[0], &advance); err != nil {
+		return nil, err
+	}
+	if advance > maxStamp-uint64(d.last) {
+		return nil, ErrRange
+	}
+	d.last += timeline.Stamp(advance)
+	return items[1:], nil
+}
+
 // envelope reads one message.
 func (d *Decoder) envelope(data []byte) (Envelope, error) {
 	var w wireEnvelope
--- a/internal/protocol/peer/codec_test.go
+++ b/internal/protocol/peer/codec_test.go
@@ -12,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
 // Guards against messages that change on the way, alone or because the two ends' name rings drift apart.
@@ -158,3 +159,23 @@
 		t.Errorf("a refused message left %d bytes, %v", len(data), err)
 	}
 }
+
+// Guards against stamps that get lost, repeat or run backwards between frames of a connection.
+func TestFramesCarryTheSendersClock(t *testing.T) {
+	enc := NewEncoder(ingress, dispatcher)
+	dec := NewDecoder(ingress, dispatcher)
+	for _, stamp := range []timeline.Stamp{1_700_000_000_000_000, 1_700_000_000_000_001, 1_700_000_000_000_001, 1_700_000_009_000_000} {
+		enc.SetStamp(stamp)
+		if _, err := enc.Add(Envelope{Takeover: &message.Takeover{Shard: ident.ShardID{Pool: "model/a"}}}); err != nil {
+			t.Fatal(err)
+		}
+		data, err := enc.Take()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, err := dec.Decode(data)
+		if err != nil || f.Stamp != stamp || len(f.Envelopes) != 1 {
+			t.Fatalf("stamp %d, want %d, %d envelopes: %v", f.Stamp, stamp, len(f.Envelopes), err)
+		}
+	}
+}
--- a/internal/protocol/peer/envelope.go
+++ b/internal/protocol/peer/envelope.go
@@ -4,6 +4,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
 // Envelope holds exactly one message.
@@ -113,7 +114,9 @@
 type Frame struct {
 	Router      ident.RouterID
 	Incarnation ident.Incarnation
-	Envelopes   []Envelope
+	// Stamp is the sender's clock, or 0 when it sends none.
+	Stamp     timeline.Stamp
+	Envelopes []Envelope
 	// Sizes are the sizes of the envelopes on the wire, in bytes.
 	Sizes []int
 }
--- a/internal/protocol/peer/limits.go
+++ b/internal/protocol/peer/limits.go
@@ -65,3 +65,6 @@
 	}
 	return &FormatError{Place: place, Err: err}
 }
+
+// maxStamp bounds a router's clock, so that sums cannot overflow.
+const maxStamp = uint64(1) << 62
--- a/internal/state/timeline/ring.go
+++ b/internal/state/timeline/ring.go
@@ -46,11 +46,17 @@
 	return r.advance()
 }
 
-// Observe moves the clock past the stamp of a received message.
+// maxAhead bounds how far a received stamp may be ahead of the wall clock. A router with a clock that is off by more
+// would otherwise take the clocks of all others with it.
+const maxAhead = Stamp(24 * time.Hour / time.Microsecond)
+
+// Observe moves the clock past the stamp of a received message. Stamps that are absurdly high are ignored.
 func (r *Ring) Observe(s Stamp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last = max(r.last, s)
+	if s <= Stamp(r.now().UnixMicro())+maxAhead {
+		r.last = max(r.last, s)
+	}
 }
 
 // advance returns a stamp above all earlier ones.
--- a/internal/state/timeline/timeline_test.go
+++ b/internal/state/timeline/timeline_test.go
@@ -50,3 +50,12 @@
 		t.Fatalf("first %d, rest %+v", len(first), rest)
 	}
 }
+
+// Guards against one router with a broken clock that moves the clocks of all others.
+func TestObserveIgnoresAbsurdStamps(t *testing.T) {
+	ring := NewWithClock(8, "r1", clockAt(1_000_000))
+	ring.Observe(Stamp(1_000_000) + maxAhead + 1)
+	if got := ring.Stamp(); got > 2_000_000 {
+		t.Fatalf("stamp %d", got)
+	}
+}
--- a/internal/transport/peerlink/link.go
+++ b/internal/transport/peerlink/link.go
@@ -63,6 +63,9 @@
 			return err
 		}
 		l.count(frame, size)
+		if l.n.opts.Clock != nil {
+			l.n.opts.Clock.Observe(frame.Stamp)
+		}
 		l.deliver(frame)
 	}
 }
@@ -150,6 +153,9 @@
 
 // flush writes the frame. The record's size less its messages counts as overhead.
 func (l *link) flush() error {
+	if l.n.opts.Clock != nil {
+		l.encoder.SetStamp(l.n.opts.Clock.Stamp())
+	}
 	data, err := l.encoder.Take()
 	if err != nil || data == nil {
 		return err
--- a/internal/transport/peerlink/options.go
+++ b/internal/transport/peerlink/options.go
@@ -11,6 +11,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/peer"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
 // Times and limits of links.
@@ -62,12 +63,22 @@
 	// Methods are the JSON-RPC methods by name.
 	Methods map[string]Method
 	Logger  *zap.Logger
+	// Clock stamps frames, so that events on different routers can be put into causal order. Nil sends no stamps.
+	Clock Clock
 	// Filter cuts links in tests: nothing is exchanged with a peer for which it returns false.
 	Filter func(to ident.RouterID) bool
 	// IdleTimeout closes links that carry nothing. 0 means DefaultIdleTimeout.
 	IdleTimeout time.Duration
 }
 
+// Clock is a logical clock. *timeline.Ring implements it.
+type Clock interface {
+	// Stamp returns a new stamp for an outgoing frame.
+	Stamp() timeline.Stamp
+	// Observe takes in the stamp of a received frame, before its messages are handled.
+	Observe(s timeline.Stamp)
+}
+
 // complete checks the options and fills in defaults.
 func (o *Options) complete() error {
 	if o.Self == "" {
