Speed up the assignment of shards

Change: scores are computed once per shard and compared directly. Conclusion: still to be called on changes of the members or shards only.

--- a/internal/coordination/ownership/assign.go
+++ b/internal/coordination/ownership/assign.go
@@ -19,8 +19,8 @@
 // best with it, at most its cap. The result does not depend on the order in which shards ask, and a change of one
 // member moves few shards of the others.
 type assignment struct {
-	shards  []uint64
-	members []uint64
+	// ranks holds the members' scores for each shard.
+	ranks [][]candidate
 	// asked is the member that each shard asked last; its member is -1 before the first.
 	asked []candidate
 	held  [][]proposal
@@ -58,14 +58,13 @@
 
 func newAssignment(ids []ident.ShardID, members []uint64) *assignment {
 	a := &assignment{
-		shards:  make([]uint64, len(ids)),
-		members: members,
-		asked:   make([]candidate, len(ids)),
-		held:    make([][]proposal, len(members)),
-		cap:     (len(ids) + len(members) - 1) / len(members),
+		ranks: make([][]candidate, len(ids)),
+		asked: make([]candidate, len(ids)),
+		held:  make([][]proposal, len(members)),
+		cap:   (len(ids) + len(members) - 1) / len(members),
 	}
 	for i, id := range ids {
-		a.shards[i] = xxhash.Sum64String(id.String())
+		a.ranks[i] = scores(xxhash.Sum64String(id.String()), members)
 		a.asked[i].member = -1
 	}
 	return a
@@ -85,12 +84,11 @@
 func (a *assignment) nextOf(shard int) candidate {
 	last := a.asked[shard]
 	best := candidate{member: -1}
-	for i, m := range a.members {
-		c := candidate{member: i, score: score(a.shards[shard], m)}
-		if last.member >= 0 && compare(c, last) <= 0 {
+	for _, c := range a.ranks[shard] {
+		if last.member >= 0 && !last.better(c) {
 			continue
 		}
-		if best.member < 0 || compare(c, best) < 0 {
+		if best.member < 0 || c.better(best) {
 			best = c
 		}
 	}
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 
@@ -24,9 +23,24 @@
 	return xxhash.Sum64(buf[:])
 }
 
-// compare orders candidates from best to worst. Members are sorted by name, so equal scores go to the first name.
+// better says whether a ranks before b. Members are sorted by name, so equal scores go to the first name.
+func (a candidate) better(b candidate) bool {
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	return a.member < b.member
+}
+
+// compare orders candidates from best to worst.
 func compare(a, b candidate) int {
-	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member, b.member))
+	switch {
+	case a.better(b):
+		return -1
+	case b.better(a):
+		return 1
+	default:
+		return 0
+	}
 }
 
 // scores ranks all members for a key.
