--- a/cmd/gooseberrytide/publish.go
+++ b/cmd/gooseberrytide/publish.go
@@ -73,7 +73,7 @@
 func moved(base, mine *object.Set, current version, rebase bool) (*object.Set, error) {
 	merged, conflicts := object.Merge(base, mine, current.set)
 	if len(conflicts) > 0 {
-		return nil, conflictError(idNames(conflicts), current)
+		return nil, conflictError(object.Names(conflicts), current)
 	}
 	if !rebase && len(object.Diff(base, current.set)) > 0 {
 		return nil, fail(exitConflict,
@@ -90,14 +90,6 @@
 		current.generation, strings.Join(names, ", "))
 }
 
-func idNames(ids []object.ID) []string {
-	list := make([]string, len(ids))
-	for i, id := range ids {
-		list[i] = id.String()
-	}
-	return list
-}
-
 // attempt publishes once, and says whether the caller is to fetch the configuration and try again.
 func attempt(ctx context.Context, client *adminhttp.Client, current version, target *object.Set, rebase bool) (published, bool, error) {
 	if !current.old && len(object.Diff(current.set, target)) == 0 {
--- a/internal/coordination/publish/errors.go
+++ b/internal/coordination/publish/errors.go
@@ -33,10 +33,7 @@
 
 // Error names the objects.
 func (e *ConflictError) Error() string {
-	names := make([]string, len(e.Objects))
-	for i, id := range e.Objects {
-		names[i] = id.String()
-	}
+	names := object.Names(e.Objects)
 	text := fmt.Sprintf("publish: generation %d was published in the meantime", e.Generation)
 	switch {
 	case len(names) > 0 && e.Approximate:
--- a/internal/coordination/publish/force_test.go
+++ b/internal/coordination/publish/force_test.go
@@ -29,8 +29,6 @@
 
 // publish publishes through a router as its operator endpoint does, and records an accepted generation.
 func (o *observer) publish(ctx context.Context, r *testRouter) {
-	ctx, cancel := context.WithTimeout(ctx, settled)
-	defer cancel()
 	o.mu.Lock()
 	o.serial++
 	name := fmt.Sprintf("op-%d", o.serial)
@@ -40,14 +38,10 @@
 	if err != nil {
 		return
 	}
-	gen, err := publisher.Publish(ctx, base, vms(name))
+	gen, err := Apply(ctx, publisher, syncer, base, vms(name))
 	if err != nil {
 		return
 	}
-	syncer.Published(gen)
-	if syncer.AwaitMajority(ctx, gen) != nil {
-		return
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.accepted = append(o.accepted, missing{generation: gen, until: time.Now().Add(inForceWithin)})
--- a/internal/coordination/publish/property_test.go
+++ b/internal/coordination/publish/property_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -168,7 +169,7 @@
 		previous := ident.Generation(0)
 		written := ident.Generation(0)
 		for _, h := range heads {
-			if written == 0 && equal(h.Chunks, tried.chunks) {
+			if written == 0 && slices.Equal(h.Chunks, tried.chunks) {
 				written = h.Generation
 				if previous != tried.base {
 					w.t.Fatalf("try %d on base %d replaced generation %d", i, tried.base, previous)
--- a/internal/coordination/publish/publisher.go
+++ b/internal/coordination/publish/publisher.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -131,7 +132,7 @@
 		// An old read, or a store that lost content. The last try's conflict is reported.
 		return 0, again, &ConflictError{Generation: h.Generation, Approximate: true}
 	}
-	if h.Generation > 0 && equal(h.Chunks, hashes(j.chunks)) {
+	if h.Generation > 0 && slices.Equal(h.Chunks, hashes(j.chunks)) {
 		return h.Generation, done, nil
 	}
 	if h.Generation > j.base {
@@ -149,18 +150,6 @@
 	return j.swap(ctx, h, revision)
 }
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // swap replaces the head.
 func (j *publishJob) swap(ctx context.Context, h head, revision kv.Revision) (ident.Generation, outcome, error) {
 	gen := j.nextGeneration(h)
@@ -258,12 +247,5 @@
 
 // pause waits before the next try and says whether the context still runs.
 func pause(ctx context.Context, pauses *backoff.ExponentialBackOff) bool {
-	timer := time.NewTimer(pauses.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep(ctx, pauses.NextBackOff())
 }
--- a/internal/coordination/publish/sync_store.go
+++ b/internal/coordination/publish/sync_store.go
@@ -82,11 +82,11 @@
 	hears := s.hearsMajority()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.revision = max(s.revision, revision)
 	if h.Generation < s.generation() {
 		s.counts.OldReads++
 		return
 	}
-	s.revision = max(s.revision, revision)
 	// Learning comes first: a head above the generation in force does not make the router fresh.
 	if h.Generation > s.generation() {
 		s.learn(h.Generation, hears)
--- a/internal/coordination/publish/syncer_test.go
+++ b/internal/coordination/publish/syncer_test.go
@@ -295,3 +295,63 @@
 		}
 	})
 }
+
+// Guards against a router that counts one that restarted and forgot the newest generation as a witness that there is
+// none.
+func TestRestartedRouterIsNoWitness(t *testing.T) {
+	inFleet(t, 5, func(t *testing.T, f *fleet) {
+		gen := started(t, f)
+		old, forgetful := f.routers[3:], f.routers[2]
+		for _, r := range old {
+			f.cutStore(r, true)
+			for _, other := range f.routers[:3] {
+				f.setCut(r, other, true)
+			}
+		}
+		next := mustPublish(t, f.routers[0].publisher(), gen, vms("x"))
+		if err := f.routers[0].syncer.AwaitMajority(t.Context(), next); err != nil {
+			t.Fatal(err)
+		}
+		forgetful.shutdown()
+		f.isolate(forgetful, true)
+		f.cutStore(forgetful, true)
+		forgetful.start(t.Context())
+		for _, r := range old {
+			f.setCut(r, forgetful, false)
+		}
+		time.Sleep(2 * settled)
+		for _, r := range old {
+			f.expect(t, r, gen, false)
+		}
+	})
+}
+
+// Guards against empty routers that complete their start on each other's answers and then take an old configuration
+// from the first router that has one.
+func TestEmptyRoutersTakeNoOldConfiguration(t *testing.T) {
+	inFleet(t, 5, func(t *testing.T, f *fleet) {
+		gen := started(t, f)
+		old := f.routers[4]
+		f.isolate(old, true)
+		f.cutStore(old, true)
+		next := mustPublish(t, f.routers[0].publisher(), gen, vms("x"))
+		if err := f.routers[0].syncer.AwaitMajority(t.Context(), next); err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetOutage(true)
+		for _, r := range f.routers[:4] {
+			r.shutdown()
+		}
+		for _, r := range f.routers[:4] {
+			r.start(t.Context())
+		}
+		time.Sleep(settled)
+		f.isolate(old, false)
+		time.Sleep(2 * settled)
+		for _, r := range f.routers {
+			if r.syncer.Serving() {
+				t.Errorf("%s serves with generation %d; %d was accepted", r.id, r.syncer.generation(), next)
+			}
+		}
+	})
+}
--- a/internal/state/object/set.go
+++ b/internal/state/object/set.go
@@ -19,6 +19,15 @@
 // String returns "KIND/NAME".
 func (id ID) String() string { return string(id.Kind) + "/" + id.Name }
 
+// Names returns the names as KIND/NAME.
+func Names(ids []ID) []string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = id.String()
+	}
+	return names
+}
+
 // ParseID reads an ID of the form KIND/NAME.
 func ParseID(text string) (ID, error) {
 	kind, name, ok := strings.Cut(text, "/")
--- a/internal/transport/adminhttp/errors.go
+++ b/internal/transport/adminhttp/errors.go
@@ -28,7 +28,7 @@
 		body.Findings = findings
 		writeError(w, http.StatusUnprocessableEntity, body)
 	case errors.As(err, &conflict):
-		body.Conflicts = names(conflict.Objects)
+		body.Conflicts = object.Names(conflict.Objects)
 		body.Approximate = conflict.Approximate
 		body.Generation = conflict.Generation
 		writeError(w, http.StatusConflict, body)
@@ -58,14 +58,6 @@
 	return false
 }
 
-func names(ids []object.ID) []string {
-	list := make([]string, len(ids))
-	for i, id := range ids {
-		list[i] = id.String()
-	}
-	return list
-}
-
 func writeError(w http.ResponseWriter, status int, body admin.ErrorResponse) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(status)
