Check connection use in dropped-call tests

Cause: a trial change that took idempotent GET calls off the pool passed the tests. Change: the tests count connections in both directions; methods other than GET, HEAD, DELETE and OPTIONS with an empty body go over fresh connections. Conclusion: the trial change is caught now.

--- a/internal/transport/backend/call_test.go
+++ b/internal/transport/backend/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -49,17 +50,19 @@
 		call execute.Call
 		// first is answered on a kept connection before the call, so that a pooled connection exists.
 		first bool
+		// pooled says that the call uses the kept connection.
+		pooled bool
 	}{
-		{"fresh connection", execute.Call{Method: "POST", Path: "/credit", Body: []byte("x")}, false},
-		{"after a kept connection", execute.Call{Method: "POST", Path: "/credit", Body: []byte("x")}, true},
-		{"idempotency key", execute.Call{Method: "POST", Path: "/credit", Body: []byte("x"), Key: "k"}, true},
-		{"idempotency key without body", execute.Call{Method: "POST", Path: "/credit", Key: "k"}, true},
-		{"non-idempotent GET", execute.Call{Method: "GET", Path: "/ring"}, true},
-		{"non-idempotent DELETE", execute.Call{Method: "DELETE", Path: "/ring"}, true},
-		{"pooled GET", execute.Call{Method: "GET", Path: "/stock", Idempotent: true}, true},
-		{"pooled PUT", execute.Call{Method: "PUT", Path: "/stock", Body: []byte("x"), Idempotent: true}, true},
-		{"pooled POST with key", execute.Call{Method: "POST", Path: "/", Body: []byte("x"), Key: "k", Idempotent: true}, true},
-		{"pooled POST with key, no body", execute.Call{Method: "POST", Path: "/", Key: "k", Idempotent: true}, true},
+		{"fresh connection", execute.Call{Method: "POST", Path: "/credit", Body: []byte("x")}, false, false},
+		{"after a kept connection", execute.Call{Method: "POST", Path: "/credit", Body: []byte("x")}, true, false},
+		{"idempotency key", execute.Call{Method: "POST", Path: "/credit", Body: []byte("x"), Key: "k"}, true, false},
+		{"idempotency key without body", execute.Call{Method: "POST", Path: "/credit", Key: "k"}, true, false},
+		{"non-idempotent GET", execute.Call{Method: "GET", Path: "/ring"}, true, false},
+		{"non-idempotent DELETE", execute.Call{Method: "DELETE", Path: "/ring"}, true, false},
+		{"pooled GET", execute.Call{Method: "GET", Path: "/stock", Idempotent: true}, true, true},
+		{"pooled PUT", execute.Call{Method: "PUT", Path: "/stock", Body: []byte("x"), Idempotent: true}, true, true},
+		{"pooled POST with key", execute.Call{Method: "POST", Path: "/", Body: []byte("x"), Key: "k", Idempotent: true}, true, true},
+		{"pooled POST with key, no body", execute.Call{Method: "POST", Path: "/", Key: "k", Idempotent: true}, true, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -85,8 +88,8 @@
 			if executions != before+1 {
 				t.Fatalf("%d executions, want %d", executions, before+1)
 			}
-			if !tc.call.Idempotent && connections != before+1 {
-				t.Fatalf("%d connections: a non-idempotent call used an old one", connections)
+			if wantNew := !tc.pooled; wantNew != (connections == before+1) {
+				t.Fatalf("%d connections; new one wanted: %v", connections, wantNew)
 			}
 		})
 	}
@@ -212,6 +215,7 @@
 func TestSealedConnectionWritesNothing(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
 	conn := &trackedConn{Conn: near}
 	if !conn.seal() {
 		t.Fatal("untouched connection reported as written")
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -79,15 +79,20 @@
 	req.GetBody = nil
 	req.ContentLength = int64(len(body))
 	req.Body = &onceBody{data: body}
-	if len(body) == 0 && usuallyHasBody(method) {
-		// An unknown length would be sent as a chunked body. Requests of this shape go over the single transport.
+	if len(body) == 0 && !lacksBody(method) {
+		// An empty reader would be sent as a chunked body. Requests of this shape go over the single transport.
 		req.Body = http.NoBody
 	}
 	return req, nil
 }
 
-func usuallyHasBody(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+// lacksBody reports a method whose empty body net/http recognises before it writes the header.
+func lacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
 }
 
 // onceBody is a body that is read once.
