Run scenarios of faults against real processes

Cause: the promises were tested with parts in one process, not with whole routers that are killed, paused or cut off. With the setting fault_injection a router takes POST /v1/admin/blocked, which cuts links to named peers.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -14,6 +14,9 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
 
+// maxBlockedBytes bounds a list of blocked routers. 400 names take 15 KB.
+const maxBlockedBytes = 64 << 10
+
 // operatorHandler serves the operators' endpoints to holders of the operators' token.
 func (d *Daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -22,6 +25,9 @@
 	})
 	mux.HandleFunc("POST /v1/admin/config", d.servePublish)
 	mux.Handle("GET /v1/admin/metrics", metricsHandler())
+	if d.settings.FaultInjection {
+		mux.HandleFunc("POST /v1/admin/blocked", d.serveBlocked)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !d.operator(r) {
 			writeJSON(w, http.StatusUnauthorized, map[string]string{"error": "operator token missing or wrong"})
@@ -59,6 +65,17 @@
 	}
 }
 
+// serveBlocked cuts the links to exactly the named routers.
+func (d *Daemon) serveBlocked(w http.ResponseWriter, r *http.Request) {
+	var req admin.BlockedRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBlockedBytes)).Decode(&req); err != nil {
+		writeJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return
+	}
+	d.network.SetBlocked(req.Routers)
+	writeJSON(w, http.StatusOK, req)
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/protocol/admin/types.go
+++ b/internal/protocol/admin/types.go
@@ -18,6 +18,11 @@
 	Generation ident.Generation `json:"generation"`
 }
 
+// BlockedRequest names the routers whose links are cut until the next request. It is for tests of faults.
+type BlockedRequest struct {
+	Routers []ident.RouterID `json:"routers"`
+}
+
 // Status is the state of the fleet as one router sees it.
 type Status struct {
 	Self       ident.RouterID            `json:"self"`
--- /dev/null
+++ b/test/faults/publish.go
@@ -0,0 +1,125 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/test/fleet"
+)
+
+const (
+	// publishLimit bounds one publish. A refused or lost one is not repeated.
+	publishLimit = 15 * time.Second
+	pollPeriod   = 100 * time.Millisecond
+)
+
+// publish sends a configuration with another weight of a team, over the generation that the router has in force. An
+// accepted generation is recorded.
+func (w *world) publish(ctx context.Context, r *fleet.Router, team string, weight float64) error {
+	ctx, cancel := context.WithTimeout(ctx, publishLimit)
+	defer cancel()
+	status, err := r.Status(ctx)
+	if err != nil {
+		return err
+	}
+	objects, err := object.EncodeList(w.changed(team, weight))
+	if err != nil {
+		return err
+	}
+	var resp admin.PublishResponse
+	req := admin.PublishRequest{Base: status.Generation, Objects: objects}
+	if err := fleet.Do(ctx, http.MethodPost, "http://"+r.Caller+"/v1/admin/config", req, &resp); err != nil {
+		return err
+	}
+	w.accept(resp.Generation, fmt.Sprintf("%s: weight of %s is %v", r.ID, team, weight))
+	return nil
+}
+
+// publishEventually publishes until one publish is accepted. Without faults this has to succeed.
+func (w *world) publishEventually(ctx context.Context, weight float64) error {
+	return fleet.Await(ctx, serveLimit, "publish after the faults", func() error {
+		return w.publish(ctx, w.current()[0], teams[0].Name, weight)
+	})
+}
+
+// accept records an accepted generation. Two publishes must not be accepted with the same one.
+func (w *world) accept(g ident.Generation, what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if other, ok := w.accepted[uint64(g)]; ok {
+		w.violations = append(w.violations, fmt.Sprintf("generation %d accepted twice: %s, and %s", g, other, what))
+	}
+	w.accepted[uint64(g)] = what
+}
+
+// newest returns the highest accepted generation.
+func (w *world) newest() ident.Generation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	highest := uint64(1) // the fleet's first configuration
+	for g := range w.accepted {
+		highest = max(highest, g)
+	}
+	return ident.Generation(highest)
+}
+
+// changed returns the fleet's configuration with another weight of a team.
+func (w *world) changed(team string, weight float64) *object.Set {
+	set := *w.fleet.Set
+	set.Teams = maps.Clone(set.Teams)
+	other := *set.Teams[team]
+	other.Weight = weight
+	set.Teams[team] = &other
+	return &set
+}
+
+// watch polls a router's generation until the process ends. A lower one than before is a reversion.
+func (w *world) watch(r *fleet.Router) {
+	w.polls.Go(func() {
+		highest := ident.Generation(0)
+		for !r.Ended() && sleep(w.polling, pollPeriod) {
+			status, err := r.Status(w.polling)
+			if err != nil {
+				continue
+			}
+			if status.Generation < highest {
+				w.revert(fmt.Sprintf("%s went from generation %d to %d", r.ID, highest, status.Generation))
+			}
+			highest = max(highest, status.Generation)
+		}
+	})
+}
+
+func (w *world) revert(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reverted = append(w.reverted, text)
+}
+
+// awaitNewest waits until all routers serve with the newest accepted configuration.
+func (w *world) awaitNewest(ctx context.Context) error {
+	for _, r := range w.current() {
+		err := fleet.Await(ctx, serveLimit, r.ID+" has the newest configuration", func() error {
+			status, err := r.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if status.Generation < w.newest() || !status.Serving {
+				return errors.Errorf("generation %d of %d, serving %t", status.Generation, w.newest(), status.Serving)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/test/fleet/admin.go
+++ b/test/fleet/admin.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -22,7 +23,20 @@
 // Client is used for all calls of drivers.
 var Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxIdleConns: 4096}}
 
-// Do sends a JSON request with the operators' token and decodes the answer. A status other than 200 is an error.
+// StatusError is an answer with a status other than 2xx.
+type StatusError struct {
+	URL    string
+	Status int
+	Body   string
+}
+
+// Error describes the answer.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.URL, e.Status, e.Body)
+}
+
+// Do sends a JSON request with the operators' token and decodes the answer. Errors: *StatusError and
+// errors of the connection.
 func Do(ctx context.Context, method, url string, body, answer any) error {
 	var reader io.Reader
 	if body != nil {
@@ -48,7 +62,7 @@
 		return errors.Wrap(err, "read answer")
 	}
 	if resp.StatusCode/100 != 2 {
-		return errors.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, data)
+		return &StatusError{URL: url, Status: resp.StatusCode, Body: string(data)}
 	}
 	if answer == nil {
 		return nil
--- a/test/load/caller.go
+++ b/test/load/caller.go
@@ -31,10 +31,12 @@
 // Answer is what a caller got.
 type Answer struct {
 	RequestID string
-	Outcome   string
-	Status    int
-	Reason    string
-	Text      string
+	// Router is the address of the router that was asked.
+	Router  string
+	Outcome string
+	Status  int
+	Reason  string
+	Text    string
 	// Wait is the time from sending to the first token or the answer's header.
 	Wait time.Duration
 	// Total is the time from sending to the end.
@@ -133,31 +135,62 @@
 // Complete sends a streamed completion. OnTokens is called for each received chunk with its number of tokens.
 func (c *Caller) Complete(ctx context.Context, model string, body []byte, onTokens func(int)) Answer {
 	pool := "model=" + url.QueryEscape(model)
-	return c.send(ctx, pool, "/v1/completions", body, nil, func(resp *http.Response, start time.Time, a *Answer) {
+	return c.send(ctx, pool, "/v1/completions", body, nil, streamReader(onTokens))
+}
+
+// CompleteAt sends a streamed completion to a given router.
+func (c *Caller) CompleteAt(ctx context.Context, address string, body []byte) Answer {
+	return c.post(ctx, address, "/v1/completions", body, nil, streamReader(nil))
+}
+
+func streamReader(onTokens func(int)) readFunc {
+	return func(resp *http.Response, start time.Time, a *Answer) {
 		readStream(resp.Body, start, a, onTokens)
-	})
+	}
 }
 
 // Call sends a call to a plain service.
 func (c *Caller) Call(ctx context.Context, service, path, key string, body []byte) Answer {
+	pool := "service=" + url.QueryEscape(service)
+	return c.send(ctx, pool, "/v1/services/"+service+path, body, keyHeader(key), nil)
+}
+
+// CallAt sends a call to a plain service through a given router.
+func (c *Caller) CallAt(ctx context.Context, address, service, path, key string, body []byte) Answer {
+	return c.post(ctx, address, "/v1/services/"+service+path, body, keyHeader(key), nil)
+}
+
+func keyHeader(key string) http.Header {
 	header := http.Header{}
 	if key != "" {
 		header.Set("Idempotency-Key", key)
 	}
-	pool := "service=" + url.QueryEscape(service)
-	return c.send(ctx, pool, "/v1/services/"+service+path, body, header, nil)
+	return header
 }
 
-// send posts a request and reads its answer. A streamed answer is read by read.
-func (c *Caller) send(ctx context.Context, pool, path string, body []byte, header http.Header, read func(*http.Response, time.Time, *Answer)) Answer {
+// readFunc reads a streamed answer.
+type readFunc func(*http.Response, time.Time, *Answer)
+
+// send posts a request to a router of the pool's addresses and reads its answer.
+func (c *Caller) send(ctx context.Context, pool, path string, body []byte, header http.Header, read readFunc) Answer {
 	start := time.Now()
 	address, err := c.address(ctx, pool)
 	if err != nil {
 		return Answer{Outcome: OutcomeUnreachable, Err: err, Total: time.Since(start)}
 	}
+	a := c.post(ctx, address, path, body, header, read)
+	if a.Status == 0 {
+		c.forget(pool)
+	}
+	return a
+}
+
+// post sends a request to a router and reads its answer. A streamed answer is read by read.
+func (c *Caller) post(ctx context.Context, address, path string, body []byte, header http.Header, read readFunc) Answer {
+	start := time.Now()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return Answer{Outcome: OutcomeUnreachable, Err: err}
+		return Answer{Router: address, Outcome: OutcomeUnreachable, Err: err}
 	}
 	// The client must not repeat a request on its own, or a lost answer would be hidden.
 	req.GetBody = nil
@@ -168,11 +201,11 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := fleet.Client.Do(req)
 	if err != nil {
-		c.forget(pool)
-		return Answer{Outcome: connectionOutcome(err), Err: err, Total: time.Since(start)}
+		return Answer{Router: address, Outcome: connectionOutcome(err), Err: err, Total: time.Since(start)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a := Answer{Status: resp.StatusCode, RequestID: resp.Header.Get(caller.HeaderRequestID), Wait: time.Since(start)}
+	a := Answer{Router: address, Status: resp.StatusCode, Wait: time.Since(start)}
+	a.RequestID = resp.Header.Get(caller.HeaderRequestID)
 	a.Outcome = resp.Header.Get(caller.HeaderOutcome)
 	if read != nil && resp.StatusCode == http.StatusOK {
 		read(resp, start, &a)
