Serve a router again that was held dead and returns

Cause: a dispatcher that saw a router die ignored the requests of its process for ten minutes. Change: when a router is live again, schedulers take requests of that process, and the dispatcher asks it for what it holds. Earlier processes stay gone.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -79,6 +79,7 @@
 		}
 	}
 	d.releaseGone(previous, routes)
+	d.readmit(previous, routes)
 	d.announceNew(old, next, routes)
 }
 
@@ -137,6 +138,26 @@
 	}
 }
 
+// readmit takes requests again of routers that were held gone and live on as the same process, after a pause or a
+// partition. What they held was forgotten, so they are asked for it.
+func (d *Dispatcher) readmit(previous, routes *Routes) {
+	if previous == nil {
+		return
+	}
+	for router, is := range routes.Live {
+		was, live := previous.Live[router]
+		if live && was == is {
+			continue
+		}
+		for id, h := range *d.hosts.Load() {
+			d.apply(h, func(s *scheduler.Scheduler, _ *scheduler.Decisions) {
+				s.RouterBack(d.now(), router, is)
+			})
+			d.opts.Sender.Send(router, &message.Takeover{Shard: id})
+		}
+	}
+}
+
 // Handle takes a message for one of this router's shards. Requests for other shards are refused; other messages for
 // them are late and have no effect.
 func (d *Dispatcher) Handle(from ident.RouterID, m message.Message) {
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -191,6 +191,17 @@
 	s.pump(out)
 }
 
+// RouterBack takes requests again of a router's process that was held gone and is not. Earlier processes stay gone.
+func (s *Scheduler) RouterBack(now time.Duration, router ident.RouterID, incarnation ident.Incarnation) {
+	s.at(now)
+	g, ok := s.gone[router]
+	if !ok || g.through < incarnation || incarnation == 0 {
+		return
+	}
+	g.through = incarnation - 1
+	s.gone[router] = g
+}
+
 // sessionsOf lists the sessions of a router's processes up to an incarnation, in order.
 func (s *Scheduler) sessionsOf(router ident.RouterID, through ident.Incarnation) []*session {
 	var found []*session
