--- a/test/faults/publish.go
+++ b/test/faults/publish.go
@@ -94,10 +94,25 @@
 				w.revert(fmt.Sprintf("%s went from generation %d to %d", r.ID, highest, status.Generation))
 			}
 			highest = max(highest, status.Generation)
+			w.logStatus(r, status)
 		}
 	})
 }
 
+// logStatus keeps a router's view beside the logs when it differs from the one before.
+func (w *world) logStatus(r *fleet.Router, status admin.Status) {
+	line := fmt.Sprintf("serving %t, generation %d, owners %v, pools %+v, problems %q", status.Serving, status.Generation,
+		status.Owners, status.Pools, status.Problems)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.seen[r.ID] == line {
+		return
+	}
+	w.seen[r.ID] = line
+	// The file is best effort, for the search of causes.
+	_, _ = fmt.Fprintf(w.views, "%s %s: %s\n", time.Now().Format(time.StampMilli), r.ID, line)
+}
+
 func (w *world) revert(text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/test/faults/world.go
+++ b/test/faults/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/url"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -68,6 +69,9 @@
 	violations []string
 	reverted   []string
 
+	// views is the file of what routers see; seen is the last line of each.
+	views *os.File
+	seen  map[string]string
 	// polling ends the polls of generations.
 	polling  context.Context
 	stopPoll context.CancelFunc
@@ -83,7 +87,11 @@
 	w := &world{
 		opts: opts, dir: dir,
 		offered: map[string]bool{}, excused: map[string][]span{}, relays: map[string][]*relay{},
-		accepted: map[uint64]string{},
+		accepted: map[uint64]string{}, seen: map[string]string{},
+	}
+	w.views, err = os.Create(filepath.Join(dir, "views.log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "make file of views")
 	}
 	w.polling, w.stopPoll = context.WithCancel(ctx)
 	var failed error
@@ -134,6 +142,7 @@
 func (w *world) stop(failed bool) {
 	w.stopPoll()
 	w.polls.Wait()
+	_ = w.views.Close()
 	w.fleet.Stop()
 	for _, list := range w.relays {
 		for _, r := range list {
