--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -93,16 +93,25 @@
 
 // complete sends a completion: one half to an address that the fleet names, the other to any router.
 func (t *traffic) complete(ctx context.Context, c *load.Caller, rng *rand.Rand) load.Answer {
+	router := ""
+	if rng.IntN(2) == 0 {
+		router = t.any(rng)
+	}
+	return t.completeAt(ctx, c, rng, router)
+}
+
+// completeAt sends a completion to a router, or to an address that the fleet names.
+func (t *traffic) completeAt(ctx context.Context, c *load.Caller, rng *rand.Rand, router string) load.Answer {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	prompt := fmt.Sprintf("%s reports the state of shed %d", c.Team, rng.Uint64())
 	body := load.CompletionBody(modelName, prompt, maxTokens)
 	start := time.Now()
 	var a load.Answer
-	if rng.IntN(2) == 0 {
+	if router == "" {
 		a = c.Complete(ctx, modelName, body, nil)
 	} else {
-		a = c.CompleteAt(ctx, t.any(rng), body)
+		a = c.CompleteAt(ctx, router, body)
 	}
 	want := engine.Text(0, prompt, 0, engine.Length(0, prompt, maxTokens, true))
 	whole := a.Text == want
@@ -192,6 +201,25 @@
 	return a
 }
 
+// probeAll checks after the faults that each router completes both kinds of requests again.
+func (t *traffic) probeAll(ctx context.Context, rng *rand.Rand) error {
+	c := &load.Caller{Team: teams[0].Name, Domain: "a", Entries: t.w.entries}
+	for _, r := range t.w.current() {
+		err := fleet.Await(ctx, serveLimit, r.ID+" completes requests after the faults", func() error {
+			call := t.send(ctx, c, r.Caller, "/credits", fmt.Sprintf("key-%d", rng.Uint64()), "{}")
+			completion := t.completeAt(ctx, c, rng, r.Caller)
+			if call.Outcome != "completed" || completion.Outcome != "completed" {
+				return fmt.Errorf("call %s (%s), completion %s (%s)", call.Outcome, call.Reason, completion.Outcome, completion.Reason)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func ownAnswer(text, team, key, body string) bool {
 	var answer service.Answer
 	if json.Unmarshal([]byte(text), &answer) != nil || answer.Echo != body {
@@ -215,6 +243,9 @@
 // record notes the end of a request.
 func (t *traffic) record(kind string, a load.Answer, start time.Time, own bool) {
 	end := time.Now()
+	if a.Outcome != "completed" {
+		t.w.logLine(fmt.Sprintf("caller: %s %s at %s after %v: %s, %s", kind, a.RequestID, t.w.name(a.Router), end.Sub(start), a.Outcome, a.Reason))
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a.Outcome == load.OutcomeUnreachable {
--- a/test/faults/publish.go
+++ b/test/faults/publish.go
@@ -26,6 +26,12 @@
 func (w *world) publish(ctx context.Context, r *fleet.Router, team string, weight float64) error {
 	ctx, cancel := context.WithTimeout(ctx, publishLimit)
 	defer cancel()
+	err := w.send(ctx, r, team, weight)
+	w.traffic.notePublish(err)
+	return err
+}
+
+func (w *world) send(ctx context.Context, r *fleet.Router, team string, weight float64) error {
 	status, err := r.Status(ctx)
 	if err != nil {
 		return err
@@ -50,6 +56,21 @@
 	})
 }
 
+// notePublish counts a publish by its answer.
+func (t *traffic) notePublish(err error) {
+	what := "publish accepted"
+	var refused *fleet.StatusError
+	switch {
+	case errors.As(err, &refused):
+		what = fmt.Sprintf("publish answered with status %d", refused.Status)
+	case err != nil:
+		what = "publish without answer"
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outcomes[what]++
+}
+
 // accept records an accepted generation. Two publishes must not be accepted with the same one.
 func (w *world) accept(g ident.Generation, what string) {
 	w.mu.Lock()
@@ -109,8 +130,21 @@
 		return
 	}
 	w.seen[r.ID] = line
-	// The file is best effort, for the search of causes.
-	_, _ = fmt.Fprintf(w.views, "%s %s: %s\n", time.Now().Format(time.StampMilli), r.ID, line)
+	w.logLocked(r.ID + ": " + line)
+}
+
+// logLine adds a line beside the logs, for the search of causes.
+func (w *world) logLine(line string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.logLocked(line)
+}
+
+// logLocked is best effort. The lock is held.
+func (w *world) logLocked(line string) {
+	if w.views != nil {
+		_, _ = fmt.Fprintf(w.views, "%s %s\n", time.Now().Format(time.StampMilli), line)
+	}
 }
 
 func (w *world) revert(text string) {
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -115,6 +115,7 @@
 	err := s.inject(ctx, w, rand.New(rand.NewPCG(seed, 1)))
 	if err == nil {
 		sleep(ctx, calm)
+		err = t.probeAll(ctx, rand.New(rand.NewPCG(seed, 2)))
 	}
 	t.end()
 	if err == nil {
