Refuse as not serving where a router has no current configuration

The executor was not told whether the router serves. Change: unknown keys are not blamed while the router is not ready, the executor asks the router, and a router is ready once it has routes.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -33,7 +33,7 @@
 func (d *Daemon) status() admin.Status {
 	s := admin.Status{
 		Self:    ident.RouterID(d.settings.ID),
-		Serving: d.syncer.Serving(),
+		Serving: d.serving(),
 		Owners:  make(map[string]ident.RouterID),
 	}
 	if current := d.holder.Load(); current != nil {
--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -33,6 +33,7 @@
 		Claims:   d.claims,
 		Retry:    retryBudget{retry.NewBudget(retry.Options{})},
 		Objects:  d.objects,
+		Serving:  d.serving,
 		Logger:   d.log,
 	})
 	d.callers = callerhttp.New(callerhttp.Options{
@@ -68,12 +69,18 @@
 }
 
 func (d *Daemon) ready() error {
-	if !d.syncer.Serving() {
+	if !d.serving() {
 		return errNotServing
 	}
 	return nil
 }
 
+// serving reports whether new requests are taken. A router that has a configuration and no routes yet would refuse
+// them.
+func (d *Daemon) serving() bool {
+	return d.routes.Load() != nil && d.syncer.Serving()
+}
+
 // claimBudget is this router's share of the fleet's store writes for claims, in writes per second.
 func (d *Daemon) claimBudget() int {
 	return max(d.settings.ClaimWritesPerSecond/max(len(d.view().Live()), 1), 2)
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -53,7 +53,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if err := s.identify(r, state); err != nil {
-			s.encodeError(r.Context(), err, w)
+			s.refuseUnidentified(w, r, err)
 			return
 		}
 		release, ok := s.buffers.reserve(state.team, bodySize(r))
@@ -79,11 +79,27 @@
 	}
 	state.team, ok = s.opts.Team(key)
 	if !ok {
-		return caller.ErrUnauthenticated()
+		return errUnknownKey
 	}
 	return nil
 }
 
+// errUnknownKey says that the configuration in force has no team with the API key.
+var errUnknownKey = errors.New("callerhttp: unknown API key")
+
+// refuseUnidentified answers a request without a known API key. A router that is not ready may lack the configuration
+// with the key, so it does not blame the key.
+func (s *Server) refuseUnidentified(w http.ResponseWriter, r *http.Request, err error) {
+	if errors.Is(err, errUnknownKey) {
+		if s.opts.Ready() != nil {
+			s.refuse(w, r, execute.ReasonNotServing)
+			return
+		}
+		err = caller.ErrUnauthenticated()
+	}
+	s.encodeError(r.Context(), err, w)
+}
+
 func bearerKey(value string) (string, bool) {
 	scheme, key, ok := strings.Cut(value, " ")
 	key = strings.TrimSpace(key)
