--- a/test/faults/actions.go
+++ b/test/faults/actions.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+// take reserves a router as the victim of a fault, so that two faults at once do not hit the same process. It reports
+// false when it is taken.
+func (w *world) take(r *fleet.Router) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.victims[r.ID] {
+		return false
+	}
+	w.victims[r.ID] = true
+	return true
+}
+
 // kill ends a router at once.
 func (w *world) kill(r *fleet.Router) {
 	w.excuse(r)
@@ -77,10 +89,10 @@
 	return r, w.fleet.PublishVMs(ctx)
 }
 
-// awaitServing waits until a router takes new requests.
-func (w *world) awaitServing(ctx context.Context, r *fleet.Router) error {
-	return fleet.Await(ctx, serveLimit, r.ID+" serves", func() error {
-		status, err := r.Status(ctx)
+// awaitServing waits until the present process of a router takes new requests.
+func (w *world) awaitServing(ctx context.Context, id string) error {
+	return fleet.Await(ctx, serveLimit, id+" serves", func() error {
+		status, err := w.router(id).Status(ctx)
 		if err != nil {
 			return err
 		}
@@ -113,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	return w.awaitServing(ctx, started)
+	return w.awaitServing(ctx, started.ID)
 }
 
 // partition cuts routers off from the others, and with platform also from the store and the VM list.
@@ -151,17 +163,19 @@
 	}
 }
 
+// block cuts a router off from exactly the given ones. A router that has ended, by another fault, is passed over.
 func (w *world) block(ctx context.Context, r *fleet.Router, list []ident.RouterID) error {
-	return fleet.Do(ctx, http.MethodPost, "http://"+r.Caller+"/v1/admin/blocked", admin.BlockedRequest{Routers: list}, nil)
+	err := fleet.Do(ctx, http.MethodPost, "http://"+r.Caller+"/v1/admin/blocked", admin.BlockedRequest{Routers: list}, nil)
+	if r.Ended() {
+		return nil
+	}
+	return err
 }
 
-// heal ends all partitions. Routers that have ended are passed over.
+// heal ends all partitions.
 func (w *world) heal(ctx context.Context) error {
 	for _, r := range w.current() {
 		w.cutPlatform(r.ID, false)
-		if r.Ended() {
-			continue
-		}
 		if err := w.block(ctx, r, nil); err != nil {
 			return err
 		}
--- a/test/faults/check.go
+++ b/test/faults/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sort"
+	"time"
 )
 
 // Result is what one scenario with one seed showed.
@@ -21,6 +22,8 @@
 	Cut  int
 	// Reverted is the number of times a router process went back to a lower generation.
 	Reverted int
+	// Stalest is the longest time for which a router was seen to serve after the next configuration was accepted.
+	Stalest time.Duration
 	// Details describe each failure.
 	Details []string
 	// Outcomes are the numbers of requests by kind and outcome.
@@ -98,6 +101,7 @@
 	r.Lost = t.lost
 	r.Cut = t.cut
 	r.Reverted = len(w.reverted)
+	r.Stalest = w.stalest
 	r.Outcomes = t.outcomes
 	r.Details = append(r.Details, t.details...)
 	r.Details = append(r.Details, w.reverted...)
--- a/test/faults/check_test.go
+++ b/test/faults/check_test.go
@@ -10,7 +10,7 @@
 )
 
 func emptyWorld() *world {
-	w := &world{offered: map[string]bool{}, excused: map[string][]span{}, accepted: map[uint64]string{}}
+	w := &world{offered: map[string]bool{}, excused: map[string][]span{}, accepted: map[uint64]acceptance{}}
 	w.traffic = newTraffic(w)
 	return w
 }
--- a/test/faults/cmd/faults/main.go
+++ b/test/faults/cmd/faults/main.go
@@ -33,6 +33,7 @@
 	flag.Uint64Var(&opts.FirstSeed, "first-seed", 1, "first seed")
 	flag.DurationVar(&opts.Duration, "duration", 8*time.Second, "length of a fault")
 	flag.DurationVar(&opts.Pause, "pause", 20*time.Second, "length of a router's pause")
+	flag.BoolVar(&opts.CheckFresh, "check-fresh", true, "check that a configuration is in force within 6 s")
 	flag.IntVar(&opts.Parallel, "parallel", 4, "runs at the same time")
 	verbose := flag.Bool("verbose", false, "print the numbers of requests by outcome")
 	flag.Parse()
@@ -73,8 +74,9 @@
 	if r.Failed() {
 		verdict = "FAILED, logs in " + r.Dir
 	}
-	fmt.Printf("%-24s seed %-4d %6d requests  executed twice %d, not-run but executed %d, lost %d, cut %d, reverted %d  %s\n",
-		r.Scenario, r.Seed, r.Requests, r.ExecutedTwice, r.NotRunButExecuted, r.Lost, r.Cut, r.Reverted, verdict)
+	fmt.Printf("%-24s seed %-4d %6d requests  executed twice %d, not-run but executed %d, lost %d, cut %d, reverted %d, stalest %.1f s  %s\n",
+		r.Scenario, r.Seed, r.Requests, r.ExecutedTwice, r.NotRunButExecuted, r.Lost, r.Cut, r.Reverted,
+		r.Stalest.Seconds(), verdict)
 	if r.Err != nil {
 		fmt.Printf("    error: %v\n", r.Err)
 	}
--- a/test/faults/publish.go
+++ b/test/faults/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -19,6 +20,8 @@
 	// publishLimit bounds one publish. A refused or lost one is not repeated.
 	publishLimit = 15 * time.Second
 	pollPeriod   = 100 * time.Millisecond
+	// publishPause is the mean pause between publishes beside the faults.
+	publishPause = 1500 * time.Millisecond
 )
 
 // publish sends a configuration with another weight of a team, over the generation that the router has in force. An
@@ -71,14 +74,20 @@
 	t.outcomes[what]++
 }
 
+// acceptance is an accepted publish.
+type acceptance struct {
+	what string
+	at   time.Time
+}
+
 // accept records an accepted generation. Two publishes must not be accepted with the same one.
 func (w *world) accept(g ident.Generation, what string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if other, ok := w.accepted[uint64(g)]; ok {
-		w.violations = append(w.violations, fmt.Sprintf("generation %d accepted twice: %s, and %s", g, other, what))
+		w.violations = append(w.violations, fmt.Sprintf("generation %d accepted twice: %s, and %s", g, other.what, what))
 	}
-	w.accepted[uint64(g)] = what
+	w.accepted[uint64(g)] = acceptance{what: what, at: time.Now()}
 }
 
 // newest returns the highest accepted generation.
@@ -107,6 +116,7 @@
 	w.polls.Go(func() {
 		highest := ident.Generation(0)
 		for !r.Ended() && sleep(w.polling, pollPeriod) {
+			asked := time.Now()
 			status, err := r.Status(w.polling)
 			if err != nil {
 				continue
@@ -115,6 +125,9 @@
 				w.revert(fmt.Sprintf("%s went from generation %d to %d", r.ID, highest, status.Generation))
 			}
 			highest = max(highest, status.Generation)
+			if status.Serving {
+				w.checkFresh(r, status.Generation, asked)
+			}
 			w.logStatus(r, status)
 		}
 	})
@@ -147,6 +160,36 @@
 	}
 }
 
+// inForceLimit is the time within which an accepted configuration is in force at every router that serves.
+const inForceLimit = 6 * time.Second
+
+// checkFresh finds a router that serves with a configuration that was replaced too long ago.
+func (w *world) checkFresh(r *fleet.Router, g ident.Generation, asked time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next, ok := w.accepted[uint64(g)+1]
+	if !ok {
+		return
+	}
+	late := asked.Sub(next.at)
+	w.stalest = max(w.stalest, late)
+	if w.opts.CheckFresh && late > inForceLimit && !w.stale[r.Caller] {
+		w.stale[r.Caller] = true
+		w.violations = append(w.violations, fmt.Sprintf("%s serves with generation %d at %s, %v after the next one was accepted",
+			r.ID, g, asked.Format(time.StampMilli), late))
+	}
+}
+
+// publishLoop publishes at random routers from time to time until the load ends.
+func (w *world) publishLoop(ctx context.Context, rng *rand.Rand) {
+	for n := 0; w.traffic.running(ctx); n++ {
+		list := w.current()
+		// A publish may be refused, by a conflict or for lack of a majority, and its answer may be lost.
+		_ = w.publish(ctx, list[rng.IntN(len(list))], teams[n%len(teams)].Name, 1+float64(n%7)/2)
+		sleep(ctx, time.Duration(rng.Int64N(int64(2*publishPause))))
+	}
+}
+
 func (w *world) revert(text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -30,6 +30,8 @@
 	// Duration is the length of a fault, Pause that of a router's pause.
 	Duration time.Duration
 	Pause    time.Duration
+	// CheckFresh checks the time within which a configuration is in force. A machine that is too busy may break it.
+	CheckFresh bool
 	// Parallel is the number of runs at the same time.
 	Parallel int
 }
@@ -111,6 +113,7 @@
 	t := newTraffic(w)
 	w.traffic = t
 	t.start(ctx, seed)
+	t.loop.Go(func() { w.publishLoop(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	sleep(ctx, warmUp)
 	err := s.inject(ctx, w, rand.New(rand.NewPCG(seed, 1)))
 	if err == nil {
--- a/test/faults/scenarios.go
+++ b/test/faults/scenarios.go
@@ -46,6 +46,7 @@
 	{name: "engine-drops", inject: engineFault(engine.Faults{Drop: -1, DropAfterTokens: 7})},
 	{name: "service-drops", inject: serviceDrops},
 	{name: "rolling-restart", inject: rollingRestart},
+	{name: "restart-store-lost", inject: restartStoreLost},
 	{name: "publish-partition", inject: publishPartition},
 	{name: "racing-publishes", inject: racingPublishes},
 	{name: "two-faults", routers: 5, inject: twoFaults},
@@ -62,7 +63,9 @@
 	storeFault(kvstore.Faults{Lost: kvstore.LostApplied}),
 	storeFault(kvstore.Faults{Lost: kvstore.LostLate, LateMS: 700}),
 	engineFault(engine.Faults{Drop: -1, DropAfterTokens: 7}),
+	engineFault(engine.Faults{Freeze: true}),
 	serviceDrops,
+	restartOne,
 }
 
 // pools name the shards of the pools.
@@ -73,13 +76,29 @@
 	sleep(ctx, time.Duration(rng.IntN(500))*time.Millisecond)
 }
 
+// pickRouter returns a router that is not yet a victim.
 func pickRouter(w *world, rng *rand.Rand) *fleet.Router {
 	list := w.current()
-	return list[rng.IntN(len(list))]
+	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, r := range list {
+		if w.take(r) {
+			return r
+		}
+	}
+	return list[0]
+}
+
+// pickDispatcher returns the dispatcher of one of the pools, or another router when that is a victim already.
+func pickDispatcher(ctx context.Context, w *world, rng *rand.Rand) (*fleet.Router, error) {
+	r, err := w.dispatcher(ctx, pools[rng.IntN(len(pools))])
+	if err != nil || w.take(r) {
+		return r, err
+	}
+	return pickRouter(w, rng), nil
 }
 
 func killDispatcher(ctx context.Context, w *world, rng *rand.Rand) error {
-	victim, err := w.dispatcher(ctx, pools[rng.IntN(len(pools))])
+	victim, err := pickDispatcher(ctx, w, rng)
 	if err != nil {
 		return err
 	}
@@ -93,22 +112,25 @@
 func killAndReplace(ctx context.Context, w *world, rng *rand.Rand, victim *fleet.Router) error {
 	jitter(ctx, rng)
 	w.kill(victim)
-	sleep(ctx, w.opts.Duration/2)
+	if rng.IntN(2) == 0 {
+		// Otherwise the new process comes before the death of the old one is noticed.
+		sleep(ctx, w.opts.Duration/2)
+	}
 	r, err := w.replace(ctx, victim)
 	if err != nil {
 		return err
 	}
-	return w.awaitServing(ctx, r)
+	return w.awaitServing(ctx, r.ID)
 }
 
 func pauseDispatcher(ctx context.Context, w *world, rng *rand.Rand) error {
-	victim, err := w.dispatcher(ctx, pools[rng.IntN(len(pools))])
+	victim, err := pickDispatcher(ctx, w, rng)
 	if err != nil {
 		return err
 	}
 	jitter(ctx, rng)
 	w.pause(ctx, victim, w.opts.Pause)
-	return w.awaitServing(ctx, victim)
+	return w.awaitServing(ctx, victim.ID)
 }
 
 // burst is the number of calls that are sent to a router just before it is paused.
@@ -126,7 +148,7 @@
 	sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
 	w.pause(ctx, victim, w.opts.Pause)
 	group.Wait()
-	return w.awaitServing(ctx, victim)
+	return w.awaitServing(ctx, victim.ID)
 }
 
 func partitionRouter(ctx context.Context, w *world, rng *rand.Rand) error {
@@ -233,6 +255,27 @@
 	return nil
 }
 
+// restartOne replaces a router. Nothing may be cut.
+func restartOne(ctx context.Context, w *world, rng *rand.Rand) error {
+	r := pickRouter(w, rng)
+	jitter(ctx, rng)
+	return w.restart(ctx, r)
+}
+
+// restartStoreLost replaces two routers while the store loses answers. Nothing may be cut.
+func restartStoreLost(ctx context.Context, w *world, rng *rand.Rand) error {
+	modes := []kvstore.LostMode{kvstore.LostApplied, kvstore.LostLate, kvstore.LostDropped}
+	for range 2 {
+		if err := w.store(ctx, kvstore.Faults{Lost: modes[rng.IntN(len(modes))], LateMS: 700}); err != nil {
+			return err
+		}
+		if err := restartOne(ctx, w, rng); err != nil {
+			return err
+		}
+	}
+	return w.store(ctx, kvstore.Faults{})
+}
+
 // publishPartition publishes at random routers while one router is cut off and another one is restarted.
 func publishPartition(ctx context.Context, w *world, rng *rand.Rand) error {
 	list := w.current()
--- a/test/faults/world.go
+++ b/test/faults/world.go
@@ -65,9 +65,14 @@
 	relays  map[string][]*relay
 	engines []engineExecution
 	// accepted holds the generations of accepted publishes.
-	accepted   map[uint64]string
+	accepted map[uint64]acceptance
+	// victims are the routers that a fault has reserved.
+	victims    map[string]bool
 	violations []string
 	reverted   []string
+	// stale holds the routers that were seen to serve with a stale configuration, and stalest the longest such time.
+	stale   map[string]bool
+	stalest time.Duration
 
 	// views is the file of what routers see; seen is the last line of each.
 	views *os.File
@@ -87,7 +92,7 @@
 	w := &world{
 		opts: opts, dir: dir,
 		offered: map[string]bool{}, excused: map[string][]span{}, relays: map[string][]*relay{},
-		accepted: map[uint64]string{}, seen: map[string]string{},
+		accepted: map[uint64]acceptance{}, seen: map[string]string{}, victims: map[string]bool{}, stale: map[string]bool{},
 	}
 	w.views, err = os.Create(filepath.Join(dir, "views.log"))
 	if err != nil {
