--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,9 @@
 measure: build
 	./$(BIN)/measure --bin $(BIN)
 
+# The summary in JSON is the last line; the status is 1 when a promise was broken.
+faults: build
+	$(BIN)/faults --bin $(BIN)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -4,17 +4,14 @@
 	"context"
 	"fmt"
 	"sort"
-	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/publish"
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
 
-// confirmLimit bounds the wait for a majority to have a published configuration in force.
-const confirmLimit = 6 * time.Second
-
 // operators implements admin.Backend.
 type operators struct {
 	d *Daemon
@@ -35,14 +32,7 @@
 
 // Apply implements admin.Backend.
 func (o operators) Apply(ctx context.Context, base ident.Generation, set *object.Set) (ident.Generation, error) {
-	generation, err := o.d.publisher.Publish(ctx, base, set)
-	if err != nil {
-		return 0, err
-	}
-	o.d.syncer.Published(generation)
-	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
-	defer cancel()
-	return generation, o.d.syncer.AwaitMajority(ctx, generation)
+	return publish.Apply(ctx, o.d.publisher, o.d.syncer, base, set)
 }
 
 // Status implements admin.Backend.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -57,10 +57,7 @@
 }
 
 func (d *Daemon) tickDetector() {
-	var generation ident.Generation
-	if s := d.holder.Load(); s != nil && d.syncer.Ready() {
-		generation = s.Generation()
-	}
+	generation := d.syncer.Announced()
 	d.detection.Lock()
 	d.detector.SetSelf(d.isDraining(), generation, uint32(d.router.Ingress().Active()))
 	out := d.detector.Tick(d.now())
--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -57,11 +57,13 @@
 
 // onPacket passes a packet to the failure detector and notes the announced generations.
 func (d *Daemon) onPacket(from ident.RouterID, p membership.Packet) {
+	// The generation comes first: a router that hears a majority again after a partition must know at once that its
+	// configuration is old.
+	d.syncer.PeerGeneration(from, p.From.Generation)
 	d.detection.Lock()
 	answers := d.detector.Receive(d.now(), from, p)
 	d.detection.Unlock()
 	d.sendPackets(answers)
-	d.syncer.PeerGeneration(from, p.From.Generation)
 }
 
 func (d *Daemon) sendPackets(list []membership.Outbound) {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -1,17 +1,37 @@
 package daemon
 
 import (
+	"encoding/json"
 	"expvar"
 	"net/http"
 
+	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
+// maxBlockedBytes bounds a list of blocked routers. 400 names take 15 KB.
+const maxBlockedBytes = 64 << 10
+
 // operatorHandler serves the operators' endpoints to holders of the operators' token.
 func (d *Daemon) operatorHandler() http.Handler {
 	opts := adminhttp.Options{Backend: operators{d}, TokenHash: d.settings.OperatorTokenHash}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/admin/", adminhttp.NewHandler(opts))
 	mux.Handle("GET /v1/admin/metrics", opts.Authorize(expvar.Handler()))
+	if d.settings.FaultInjection {
+		mux.Handle("POST /v1/admin/blocked", opts.Authorize(http.HandlerFunc(d.serveBlocked)))
+	}
 	return mux
 }
+
+// serveBlocked cuts the links to exactly the named routers.
+func (d *Daemon) serveBlocked(w http.ResponseWriter, r *http.Request) {
+	var req admin.BlockedRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBlockedBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	d.network.SetBlocked(req.Routers)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte("{}\n"))
+}
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -27,7 +27,11 @@
 func (o operators) Timeline(ctx context.Context, q admin.TimelineQuery) (admin.Timeline, error) {
 	self := ident.RouterID(o.d.settings.ID)
 	if q.Request == "" {
-		return admin.Timeline{Router: self, Events: adminEvents(o.d.events.Since(q.Since, q.Limit))}, nil
+		return admin.Timeline{
+			Router: self,
+			Events: adminEvents(o.d.events.Since(q.Since, q.Limit)),
+			Last:   o.d.events.Last(),
+		}, nil
 	}
 	events, unreachable := o.d.collectEvents(ctx, timelineParams{Request: q.Request, Limit: q.Limit})
 	return admin.Timeline{Router: self, Events: adminEvents(events), Unreachable: unreachable}, nil
--- a/internal/protocol/admin/types.go
+++ b/internal/protocol/admin/types.go
@@ -43,6 +43,11 @@
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
+// BlockedRequest names the routers whose links are cut until the next request. It is for tests of faults.
+type BlockedRequest struct {
+	Routers []ident.RouterID `json:"routers"`
+}
+
 // ErrorResponse is the body of an answer with another status than 200.
 type ErrorResponse struct {
 	Error string `json:"error"`
--- a/internal/state/timeline/ring.go
+++ b/internal/state/timeline/ring.go
@@ -84,6 +84,13 @@
 	return out
 }
 
+// Last returns the sequence number of the newest event, or 0 when there is none.
+func (r *Ring) Last() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next - 1
+}
+
 func (r *Ring) oldest() uint64 {
 	size := uint64(len(r.events))
 	if r.next <= size {
