--- a/internal/coordination/scheduler/exchange_test.go
+++ b/internal/coordination/scheduler/exchange_test.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// Guards against a request that waits for a backend server of its shard while a sibling shard has free slots.
+func TestBlockedRequestMovesToASibling(t *testing.T) {
+	r := shardRig(0, 2, 2)
+	blocked := r.next()
+	r.send(message.Enqueue{Ref: blocked, Team: "a", Hint: 1, DeadlineMS: 60_000, Exclude: []ident.BackendID{"engine-0"}})
+	r.s.FreeSlots(r.now, message.FreeSlots{Shard: shardID(1), Count: 1}, &r.out)
+	if len(r.out.Redirects) != 1 || r.out.Redirects[0].Ref != blocked {
+		t.Fatalf("redirects %+v", r.out.Redirects)
+	}
+}
+
 // Guards against idle shards beside backlogged ones, and against redirects that ignore the fair order or go in circles.
 func TestIdleShardDrawsWorkInFairOrder(t *testing.T) {
 	idle, busy := shardRig(1, 2, 4), shardRig(0, 2, 1)
--- a/internal/coordination/scheduler/fair_test.go
+++ b/internal/coordination/scheduler/fair_test.go
@@ -184,6 +184,32 @@
 	}
 }
 
+// Guards against credit for the time that a team waited for a busy backend server while others were served elsewhere.
+func TestWaitingForABusyBackendEarnsNoCredit(t *testing.T) {
+	r := newRig(2, 1)
+	long := fill(r, "long", 2)
+	onOne := lastOn(r.grants(), "engine-1")
+	for range 5 {
+		r.send(message.Enqueue{Ref: r.next(), Team: "picky", Hint: 10, DeadlineMS: 60_000,
+			Exclude: []ident.BackendID{"engine-0"}})
+	}
+	r.enqueueMany("other", 30, 10)
+	for _, a := range long {
+		if a != onOne {
+			r.settle(a, 10)
+		}
+	}
+	for range 20 {
+		r.settleTeam("other")
+	}
+	r.settle(onOne, 10)
+	picky, _ := r.s.Team("picky")
+	other, _ := r.s.Team("other")
+	if picky.Running != 1 || picky.Counter < other.Counter-20 {
+		t.Fatalf("picky %+v, other %+v", picky, other)
+	}
+}
+
 // Guards against idle slots where a shard has more backend servers than a set has bits.
 func TestLargeShardsUseAllSlots(t *testing.T) {
 	r := newRig(maskBits+10, 1)
--- a/internal/coordination/scheduler/helpers_test.go
+++ b/internal/coordination/scheduler/helpers_test.go
@@ -10,7 +10,7 @@
 
 var testShard = ident.ShardID{Pool: ident.ModelPool("m")}
 
-// bench drives a scheduler with explicit time and collects its decisions.
+// rig drives a scheduler with explicit time and collects its decisions.
 type rig struct {
 	s   *Scheduler
 	now time.Duration
