Test the send window of orders and cancellation of streams

Change: separate cases for a pause and for a lost engine before sending; a test that counts cancellation requests.

--- a/internal/coordination/order/fake_test.go
+++ b/internal/coordination/order/fake_test.go
@@ -157,10 +157,11 @@
 type pausedEngines struct {
 	Engines
 	reached, resume chan struct{}
+	once            sync.Once
 }
 
 func (p *pausedEngines) Order(ctx context.Context, server *object.BackendServer, c Command) error {
-	close(p.reached)
+	p.once.Do(func() { close(p.reached) })
 	<-p.resume
 	return p.Engines.Order(ctx, server, c)
 }
--- a/internal/coordination/order/order_test.go
+++ b/internal/coordination/order/order_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
 
@@ -125,24 +125,39 @@
 	})
 }
 
-// An owner that was paused between the write of its record and the sending must notice it and not send.
+// An owner that was paused, or lost the engine, between the write of its record and the sending must notice it and not
+// send.
 func TestOrderOlderThanItsWindowIsNotSent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store, engines := newFakeStore(), newFakeEngines(false, "e0")
-		f := newFleet(1, "v2")
-		var asked atomic.Int32
-		c := New(Options{Store: store, Engines: engines, Config: f.config, Self: "a", StableFor: time.Nanosecond,
-			Owns: func(ident.BackendID) bool {
-				if asked.Add(1) == 4 { // the first pass asks once, the second twice before the sending
-					time.Sleep(time.Minute)
-				}
-				return asked.Load() < 4
-			}})
-		steps(c, 3*time.Second)
-		if engines.sent() != 0 || c.Stats().Abandoned != 1 {
-			t.Fatalf("%d orders, %+v", engines.sent(), c.Stats())
-		}
-	})
+	for _, tc := range []struct {
+		pause time.Duration
+		keeps bool
+	}{{time.Minute, true}, {0, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			store, engines := newFakeStore(), newFakeEngines(false, "e0")
+			f := newFleet(1, "v2")
+			written := func() bool { _, err := store.Get(context.Background(), engineKey); return err == nil }
+			c := New(Options{Store: &slowStore{store, tc.pause}, Engines: engines, Config: f.config, Self: "a",
+				Owns: func(ident.BackendID) bool { return tc.keeps || !written() }})
+			steps(c, 6*time.Second)
+			if engines.sent() != 0 || c.Stats().Abandoned != 1 || !written() {
+				t.Fatalf("%d orders, %+v", engines.sent(), c.Stats())
+			}
+		})
+	}
+}
+
+// slowStore answers writes of the order key late, as a paused owner sees it.
+type slowStore struct {
+	*fakeStore
+	pause time.Duration
+}
+
+func (s *slowStore) CompareAndSwap(ctx context.Context, key string, expect kv.Revision, value []byte) (kv.Revision, error) {
+	revision, err := s.fakeStore.CompareAndSwap(ctx, key, expect, value)
+	if key == engineKey {
+		time.Sleep(s.pause)
+	}
+	return revision, err
 }
 
 // A lost answer must be settled by reading back: the order is sent if and only if its record is there.
--- a/internal/transport/backend/stream_test.go
+++ b/internal/transport/backend/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +112,33 @@
 	waitFor(t, "slot free", func() bool { return e.Stats().Running == 0 })
 }
 
+// The cancellation must be sent, because an engine need not notice a closed connection; a broken stream must not send
+// one, because it could hit the attempt that resumes it.
+func TestCancellationIsSentForRunningStreams(t *testing.T) {
+	for _, running := range []bool{true, false} {
+		var cancelled atomic.Int32
+		s := newRawServer(t, func(_ int, r *http.Request) (string, bool) {
+			if r.Method == http.MethodDelete && r.URL.Path == protocol.PathRequests+"r-1" {
+				cancelled.Add(1)
+				return "HTTP/1.1 204 No Content\r\n\r\n", true
+			}
+			return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", running
+		})
+		stream, err := newTestClient(t, Options{}).Stream(testContext(t), s.object(), completion("p", 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !running {
+			_, err = stream.Next()
+			wantKind(t, err, execute.SendBroken)
+		}
+		_ = stream.Close()
+		if (cancelled.Load() == 1) != running {
+			t.Fatalf("running %v: %d cancellations", running, cancelled.Load())
+		}
+	}
+}
+
 // An engine that stops sending without closing must end as a broken stream after the idle timeout.
 func TestFrozenEngineBreaksTheStream(t *testing.T) {
 	e, server := startEngine(t, engine.Options{DecodeRate: 1000})
