Notice a cache event lost right after the first

Cause: number 0 of the first event was taken for 'none yet', so the loss of the second one went unnoticed. Change: a flag of its own, and a test of the numbers. Conclusion: a jump from 0 to 2 leads to a resynchronisation.

--- a/internal/transport/backend/stream_test.go
+++ b/internal/transport/backend/stream_test.go
@@ -292,3 +292,19 @@
 		t.Fatalf("Subscribe returned %v", err)
 	}
 }
+
+// Numbers that were seen already must be ignored, and a jump must be noticed even right after the first event.
+func TestCacheEventNumbers(t *testing.T) {
+	events := 0
+	s := &subscription{client: New(Options{}), server: &object.BackendServer{}, onCache: func(scheduler.CacheEvent) { events++ }}
+	for _, step := range []struct {
+		seq  uint64
+		want int
+		lost bool
+	}{{0, 1, false}, {0, 1, false}, {2, 2, true}, {1, 2, true}} {
+		s.deliver(protocol.Report{Cache: &protocol.Cache{Seq: step.seq}})
+		if events != step.want || s.lost != step.lost {
+			t.Fatalf("after number %d: %d events, lost %v", step.seq, events, s.lost)
+		}
+	}
+}
--- a/internal/transport/backend/subscribe.go
+++ b/internal/transport/backend/subscribe.go
@@ -26,8 +26,9 @@
 	onCache func(scheduler.CacheEvent)
 	// opened says that the last connection delivered a report.
 	opened bool
-	// seq is the number of the last cache event of the connection; 0 before the first.
-	seq uint64
+	// synced says that the connection delivered a cache event, and seq is the number of the last one.
+	synced bool
+	seq    uint64
 	// lost says that cache events of the connection were lost.
 	lost bool
 	// lastSync is when the whole cache was last received.
@@ -76,7 +77,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Wrapf(errStatus, "%d", resp.StatusCode)
 	}
-	s.seq, s.lost = 0, false
+	s.synced, s.lost = false, false
 	decoder := engine.NewReportDecoder(&idleReader{in: resp.Body, idle: idle})
 	for {
 		report, err := decoder.Next()
@@ -97,13 +98,13 @@
 		s.onLoad(scheduler.LoadReport{Backend: id, Slots: r.Load.Slots, Running: r.Load.Running, Waiting: r.Load.Waiting})
 		return
 	}
-	if s.seq != 0 && r.Cache.Seq <= s.seq {
+	if s.synced && r.Cache.Seq <= s.seq {
 		return
 	}
-	if s.seq != 0 && r.Cache.Seq != s.seq+1 {
+	if s.synced && r.Cache.Seq != s.seq+1 {
 		s.lost = true
 	}
-	s.seq = r.Cache.Seq
+	s.synced, s.seq = true, r.Cache.Seq
 	if r.Cache.Cleared {
 		s.lastSync = time.Now()
 	}
