--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,10 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./test/...
 
+TESTFLAGS ?=
+
 test:
-	$(GO) test ./...
+	$(GO) test $(TESTFLAGS) ./...
 
 race:
 	$(GO) test -race ./...
@@ -33,5 +35,9 @@
 faults: build
 	$(BIN)/faults --bin $(BIN)
 
+# Checks the models with spin, and that seeded mistakes are found.
+model:
+	bash spec/check.sh
+
 clean:
 	rm -rf $(BIN)
