Test that a leaving process yields to its successor

Cause: without the guard, a process that leaves would raise its incarnation above that of the next process of its name. Change: a test and the reason at the guard.

--- a/internal/coordination/membership/fault_test.go
+++ b/internal/coordination/membership/fault_test.go
@@ -229,6 +229,13 @@
 	if l := s.nodes[0].d.View().Listed(); l != 8 {
 		t.Fatalf("listed %d", l)
 	}
+	old := membership.New(membership.Options{Seed: 1}, membership.Member{ID: "a", Incarnation: 3})
+	old.Leave(0)
+	p := membership.Packet{Kind: membership.Ping, From: membership.Member{ID: "b", Incarnation: 1, State: membership.Alive}}
+	p.Updates = []membership.Update{{Member: membership.Member{ID: "a", Incarnation: 9, State: membership.Alive}}}
+	if old.Receive(0, "b", p); old.SelfIncarnation() != 3 {
+		t.Error("a process that leaves contradicts its successor")
+	}
 }
 
 // Guards against a broken link that does not speed up detection, and against one that condemns a member that answers.
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -135,7 +135,8 @@
 	r.since = min(r.since, now-age)
 }
 
-// refute contradicts a statement about this process, and moves past earlier processes of the same name.
+// refute contradicts a statement about this process, and moves past earlier processes of the same name. A process that
+// leaves does neither, as its successor may have started.
 func (d *Detector) refute(m Member) {
 	self := d.self
 	if self.State == Left {
