Estimate majorities of large fleets from a sample of pings

Cause: a router pings 24 others within the freshness window of 4 s, so at 400 routers no majority was ever counted: during a store outage the whole fleet would have stopped taking requests, and no publish would have been accepted. A broken link probes its peer at once. Conclusion: the estimate may err for a moment; a publish is still answered only after a majority announced it.

--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -78,6 +78,9 @@
 	rotation []ident.RouterID
 	contact  int
 	suspects int
+
+	samples    []sample
+	nextSample int
 }
 
 // New returns a detector that knows only itself.
@@ -207,6 +210,8 @@
 	d.nextRound = now
 	clear(d.probes)
 	clear(d.relays)
+	d.samples = d.samples[:0]
+	d.nextSample = 0
 	for _, r := range d.order {
 		if r.State == Suspect {
 			r.since = now
@@ -329,6 +334,7 @@
 			v.live = append(v.live, r.Member)
 		}
 	}
+	v.samples = slices.Clone(d.samples)
 	d.view.Store(v)
 	d.dirty = false
 	d.changed = false
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -16,6 +16,8 @@
 	indirect bool
 	// contact marks a ping to a router that is not live; its silence changes nothing.
 	contact bool
+	// regular marks a ping to a member whose turn it was. Only these are samples of the fleet.
+	regular bool
 	// full says that the ping had this router's addresses.
 	full bool
 }
@@ -38,6 +40,7 @@
 		}
 		targets = append(targets, r)
 		out = append(out, d.ping(now, r, false))
+		d.probes[d.seq].regular = true
 	}
 	out = d.pingSuspects(now, targets, out)
 	contacts := contactPings + Fanout - len(targets)
@@ -145,6 +148,10 @@
 			continue
 		}
 		p.indirect = true
+		if p.regular {
+			d.addSample(sample{sent: p.sent})
+			p.regular = false
+		}
 		p.deadline += indirectTimeout - ackTimeout
 		for _, helper := range d.helpers(p.target, min(indirectPings, budget)) {
 			budget--
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -199,6 +199,9 @@
 		r.heard = max(r.heard, pr.sent)
 		r.isHeard = true
 		r.told = r.told || pr.full
+		if pr.regular {
+			d.addSample(sample{sent: pr.sent, answered: true, generation: p.From.Generation})
+		}
 		return nil
 	}
 	re, ok := d.relays[p.Seq]
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -18,6 +18,7 @@
 	members []Member
 	live    []Member
 	voters  []voter
+	samples []sample
 	// unheard holds the peer addresses of candidates that were never live.
 	unheard map[ident.RouterID]string
 }
@@ -73,7 +74,7 @@
 }
 
 // ConfiguredSince returns how many of the routers counted by Listed announced a configuration and answered a ping that was
-// sent within the window, self included.
+// sent within the window, self included. In large fleets a majority is estimated from a sample.
 func (v *View) ConfiguredSince(now, window time.Duration) int {
 	count := 0
 	for _, m := range v.voters {
@@ -81,21 +82,26 @@
 			count++
 		}
 	}
-	return count
+	return max(count, v.estimate(now, window, func(s sample) bool { return s.generation > 0 }))
 }
 
-// AtGeneration returns how many of the routers counted by Listed last announced this or a higher generation.
-func (v *View) AtGeneration(generation ident.Generation) int {
+// AtGeneration returns how many of the routers counted by Listed last announced this or a higher generation. In large
+// fleets a majority is estimated from a sample.
+func (v *View) AtGeneration(now time.Duration, generation ident.Generation) int {
 	count := 0
 	for _, m := range v.voters {
 		if m.generation >= generation {
 			count++
 		}
 	}
-	return count
+	return max(count, v.estimate(now, generationWindow, func(s sample) bool { return s.generation >= generation }))
 }
 
-// Majority reports whether a majority of the routers counted by Listed answered a ping sent within the window.
+// Majority reports whether a majority of the routers counted by Listed answered a ping sent within the window. In large
+// fleets it is estimated from a sample.
 func (v *View) Majority(now, window time.Duration) bool {
-	return 2*v.HeardSince(now, window) > v.Listed()
+	if 2*v.HeardSince(now, window) > v.Listed() {
+		return true
+	}
+	return v.estimate(now, window, func(sample) bool { return true }) > 0
 }
--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -21,7 +21,7 @@
 const watchers = 3
 
 // quorumWindow is how recently a majority must have been heard for a publish.
-const quorumWindow = 2 * time.Second
+const quorumWindow = 4 * time.Second
 
 // remote sends messages of the dispatch package over links.
 type remote struct {
@@ -72,11 +72,20 @@
 	}
 }
 
-// onLink sends again what the peer may have missed while the link was down.
+// onLink sends again what the peer may have missed while the link was down, and probes a peer whose link broke.
 func (d *Daemon) onLink(id ident.RouterID, _ ident.Incarnation, up bool) {
-	if up && d.composed.Load() {
+	if !d.composed.Load() {
+		return
+	}
+	if up {
 		d.router.Ingress().LinkUp(id)
+		return
 	}
+	// A broken link is often the first sign of a crash.
+	d.detection.Lock()
+	out := d.detector.Probe(d.now(), id)
+	d.detection.Unlock()
+	d.sendPackets(out)
 }
 
 // majority reports whether a majority of the listed VMs was heard recently.
@@ -129,7 +138,7 @@
 
 // AtGeneration implements publish.Peers.
 func (p peers) AtGeneration(generation ident.Generation) int {
-	return p.d.view().AtGeneration(generation)
+	return p.d.view().AtGeneration(p.d.now(), generation)
 }
 
 // Pull implements publish.Peers.
