Refuse requests that exclude every backend server

Cause: a request refused by the only instance of a service excluded it and then waited for its deadline, because the scheduler kept requests without a candidate queued. Change: such requests are answered with no-backend-server at once, also when their last candidate leaves; the ingress drops the exclusions and tries again. The test of skipped teams now keeps a busy candidate, with the same checks. Both tests fail without the change.

--- a/internal/coordination/scheduler/backend_test.go
+++ b/internal/coordination/scheduler/backend_test.go
@@ -153,6 +153,34 @@
 	}
 }
 
+// Guards against a retry that waits for its deadline because it excludes every backend server. Its ingress drops the
+// exclusions when it is refused.
+func TestRequestThatExcludesAllIsRefused(t *testing.T) {
+	r := newRig(2, 2)
+	r.send(message.Enqueue{
+		Ref: r.next(), Team: "a", Hint: 10, DeadlineMS: 60_000,
+		Exclude: []ident.BackendID{"engine-0", "engine-1"},
+	})
+	if len(r.out.Rejects) != 1 || r.out.Rejects[0].Reason != message.RejectNoBackend {
+		t.Fatalf("rejects %+v", r.out.Rejects)
+	}
+}
+
+// Guards against the same wait when the last backend server that a queued request may use leaves.
+func TestQueuedRequestIsRefusedWhenItsLastCandidateLeaves(t *testing.T) {
+	r := newRig(3, 1)
+	fill(r, "a", 3)
+	r.send(message.Enqueue{
+		Ref: r.next(), Team: "b", Hint: 10, DeadlineMS: 60_000,
+		Exclude: []ident.BackendID{"engine-0", "engine-1"},
+	})
+	r.out.Reset()
+	r.setBackends(engines(2, 1)...)
+	if len(r.out.Rejects) != 1 || r.out.Rejects[0].Reason != message.RejectNoBackend {
+		t.Fatalf("rejects %+v", r.out.Rejects)
+	}
+}
+
 // Guards against late refusals that postpone the probe, and against probes in numbers.
 func TestProbesAreSingleAndSlowDown(t *testing.T) {
 	r := newRig(1, 8)
--- a/internal/coordination/scheduler/fair_test.go
+++ b/internal/coordination/scheduler/fair_test.go
@@ -150,7 +150,10 @@
 
 // Guards against a team without eligible work that blocks the others, and against credit for the time it was passed over.
 func TestTeamsWithoutEligibleWorkAreSkipped(t *testing.T) {
-	r := newRig(2, 1)
+	r := newRig(3, 1)
+	// engine-2 stays busy, so the excluded team has a candidate that it waits for.
+	r.send(message.Enqueue{Ref: r.next(), Team: "holder", Hint: 10, DeadlineMS: 60_000,
+		Exclude: []ident.BackendID{"engine-0", "engine-1"}})
 	r.s.SetTeam("capped", TeamLimits{MaxInFlight: 1})
 	r.enqueueMany("capped", 5, 10)
 	for range 3 {
@@ -168,7 +171,7 @@
 	if other.Served != 100 || capped.Running != 1 || excluded.Queued != 3 {
 		t.Fatalf("other %+v, capped %+v, excluded %+v", other, capped, excluded)
 	}
-	r.setBackends(engines(3, 1)...)
+	r.setBackends(engines(4, 1)...)
 	if excluded, _ = r.s.Team("excluded"); excluded.Running != 1 || excluded.Counter < other.Counter {
 		t.Fatalf("with a backend server that it may use: %+v, other %+v", excluded, other)
 	}
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -76,7 +76,7 @@
 	switch {
 	case m.DeadlineMS == 0:
 		s.reject(r, message.RejectDeadline, out)
-	case s.configured && !s.accepting():
+	case s.configured && !s.hasCandidate(r):
 		s.turnAway(r, out)
 	case t.queued() >= t.maxQueued || s.crowded(t):
 		s.reject(r, message.RejectQueueFull, out)
@@ -221,12 +221,31 @@
 	s.reject(r, message.RejectNoBackend, out)
 }
 
-// turnAwayAll empties the queues when no backend server is left, by team name.
-func (s *Scheduler) turnAwayAll(out *Decisions) {
+// turnAwayBlocked answers queued requests that no backend server is left for, by team name and in queue order.
+func (s *Scheduler) turnAwayBlocked(out *Decisions) {
 	for _, id := range slices.Sorted(maps.Keys(s.teams)) {
-		t := s.teams[id]
-		for r := t.head(); r != nil; r = t.head() {
+		for _, r := range s.blocked(s.teams[id]) {
 			s.turnAway(r, out)
 		}
 	}
 }
+
+// blocked returns a team's queued requests without a candidate, earliest first.
+func (s *Scheduler) blocked(t *team) []*request {
+	var list []*request
+	if !s.accepting() {
+		list = append(list, t.free...)
+	}
+	for _, r := range t.bound {
+		if !s.hasCandidate(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int {
+		if a.earlier(b) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -101,9 +101,7 @@
 	s.forgetUnlisted()
 	s.remask()
 	s.refresh()
-	if !s.accepting() {
-		s.turnAwayAll(out)
-	}
+	s.turnAwayBlocked(out)
 	s.pump(out)
 }
 
@@ -153,6 +151,17 @@
 	return false
 }
 
+// hasCandidate reports whether a backend server takes new work that the request does not exclude. A request without one
+// would wait for its deadline; its ingress may drop the exclusions instead.
+func (s *Scheduler) hasCandidate(r *request) bool {
+	for _, b := range s.backends {
+		if !b.Draining && !r.excluded(b.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetTeam sets a team's weight and limits.
 func (s *Scheduler) SetTeam(id ident.TeamID, limits TeamLimits) {
 	t := s.teamOf(id)
