Keep a request waiting when its grant names an unknown backend server

Cause: a grant on a backend server that the ingress did not know was returned unused while its request went on waiting. The dispatcher then counted the attempt as ended and ignored every repeated Enqueue, so that the request waited to its deadline. A configuration that added a backend server to a busy pool did this to all waiting requests of the dispatcher's own process at once, because the dispatcher is updated before the ingress. Change: the ingress learns the backend servers before the dispatcher is updated, and asks again after 200 ms when a grant names an unknown one. The time of the next Enqueue is one field of the waiter.

--- a/internal/coordination/dispatch/answers.go
+++ b/internal/coordination/dispatch/answers.go
@@ -14,17 +14,23 @@
 	if !i.own(m.Ref) {
 		return
 	}
-	routes := i.routes.Load()
-	server, known := routes.Servers[m.Backend]
 	t := i.table(m.Ref)
 	t.mu.Lock()
 	w, waiting := t.waiting[m.Ref]
 	running := t.running[m.Ref]
-	if !waiting || !known {
+	if !waiting {
 		t.mu.Unlock()
 		i.returnGrant(from, m, running)
 		return
 	}
+	server, known := i.server(m.Backend)
+	if !known {
+		// Returned unused, the attempt would count as ended at the dispatcher and never be granted again. Asked again,
+		// the dispatcher repeats the grant, or makes another once its configuration lacks the backend server too.
+		w.resendAt = time.Now().Add(askAgainDelay)
+		t.mu.Unlock()
+		return
+	}
 	delete(t.waiting, m.Ref)
 	a := i.newAttempt(w, from, m)
 	a.server = server
@@ -87,8 +93,7 @@
 		return
 	}
 	if m.Reason == message.RejectNotOwner {
-		w.owner = Owner{}
-		w.notBefore = time.Now().Add(notOwnerDelay)
+		w.resendAt = time.Now().Add(askAgainDelay)
 		t.mu.Unlock()
 		return
 	}
--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -20,6 +20,7 @@
 // Update puts new routes in force and moves requests whose dispatcher changed: waiting ones are enqueued again and
 // running ones are reported.
 func (i *Ingress) Update(routes *Routes) {
+	i.setServers(routes)
 	i.routes.Store(routes)
 	i.resend(func(_ ident.ShardID, noted, current Owner) bool { return noted != current })
 }
@@ -54,7 +55,7 @@
 	for _, w := range t.waiting {
 		i.fitShard(w, routes)
 		current, _ := routes.owner(w.shard)
-		if now.Before(w.notBefore) || !need(w.shard, w.owner, current) {
+		if !need(w.shard, w.owner, current) {
 			continue
 		}
 		if m, to := i.prepareEnqueue(w, routes, now); m != nil {
@@ -113,7 +114,7 @@
 	}
 }
 
-// maintain enqueues requests that were refused by a former owner or have not been granted for long.
+// maintain enqueues requests again whose time has come.
 func (i *Ingress) maintain(now time.Time) {
 	routes := i.routes.Load()
 	if routes == nil {
@@ -129,8 +130,7 @@
 	defer t.mu.Unlock()
 	var out []outgoing
 	for _, w := range t.waiting {
-		refused := w.owner.Router == "" && !now.Before(w.notBefore)
-		if !refused && now.Sub(w.sent) < resendPeriod {
+		if now.Before(w.resendAt) {
 			continue
 		}
 		i.fitShard(w, routes)
--- a/internal/coordination/dispatch/ingress.go
+++ b/internal/coordination/dispatch/ingress.go
@@ -8,6 +8,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
 	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
@@ -19,8 +20,9 @@
 	localProgressPeriod = 200 * time.Millisecond
 	// resendPeriod is how often a waiting request is enqueued again in case a message was lost without a link event.
 	resendPeriod = 10 * time.Second
-	// notOwnerDelay is the wait before a request is enqueued again after its dispatcher said that it is not the owner.
-	notOwnerDelay = 200 * time.Millisecond
+	// askAgainDelay is the wait before a request is enqueued again after its dispatcher said that it is not the owner, or
+	// granted a backend server that this router does not know yet.
+	askAgainDelay = 200 * time.Millisecond
 	// notServingRetry tells callers when to come back to a router that does not serve.
 	notServingRetry = 2 * time.Second
 	// deadlineRetry tells callers when to come back after their deadline passed in the queue.
@@ -51,9 +53,11 @@
 	opts   IngressOptions
 	seq    atomic.Uint64
 	routes atomic.Pointer[Routes]
-	tables [tableShards]table
-	lags   lagTable
-	count  atomic.Int64
+	// servers are the backend servers that grants may name.
+	servers atomic.Pointer[map[ident.BackendID]*object.BackendServer]
+	tables  [tableShards]table
+	lags    lagTable
+	count   atomic.Int64
 }
 
 // table holds the requests of one lock.
@@ -65,14 +69,14 @@
 
 // waiter is a request that waits for a grant.
 type waiter struct {
-	work      Work
-	shard     ident.ShardID
-	owner     Owner
-	since     time.Time
-	sent      time.Time
-	redirect  bool
-	notBefore time.Time
-	result    chan admission
+	work     Work
+	shard    ident.ShardID
+	owner    Owner
+	since    time.Time
+	redirect bool
+	// resendAt is when the request is enqueued again unless it was granted.
+	resendAt time.Time
+	result   chan admission
 }
 
 // admission is the end of a wait.
@@ -160,6 +164,18 @@
 	return waiter, nil
 }
 
+// setServers makes the backend servers of new routes known before the dispatcher of this process grants them.
+func (i *Ingress) setServers(routes *Routes) { i.servers.Store(&routes.Servers) }
+
+func (i *Ingress) server(id ident.BackendID) (*object.BackendServer, bool) {
+	servers := i.servers.Load()
+	if servers == nil {
+		return nil, false
+	}
+	server, ok := (*servers)[id]
+	return server, ok
+}
+
 // chooseShard prefers a shard that this router dispatches itself, since that needs no message between routers.
 // Otherwise it spreads requests by their number. Redirects correct an uneven spread.
 func (i *Ingress) chooseShard(w Work, pool *Pool) ident.ShardID {
@@ -210,7 +226,7 @@
 		return nil, ""
 	}
 	w.owner = owner
-	w.sent = now
+	w.resendAt = now.Add(resendPeriod)
 	return &message.Enqueue{
 		Shard:      w.shard,
 		Ref:        w.work.Ref,
--- a/internal/coordination/dispatch/router.go
+++ b/internal/coordination/dispatch/router.go
@@ -57,8 +57,10 @@
 // Dispatcher returns the dispatcher side.
 func (r *Router) Dispatcher() *Dispatcher { return r.dispatcher }
 
-// Update puts new routes in force. The dispatcher comes first, so that it owns its shards when the ingress enqueues.
+// Update puts new routes in force. The dispatcher comes first, so that it owns its shards when the ingress enqueues. Its
+// grants reach the ingress at once, which has to know the backend servers by then.
 func (r *Router) Update(routes *Routes) {
+	r.ingress.setServers(routes)
 	r.dispatcher.Update(routes)
 	r.ingress.Update(routes)
 }
