Report a running attempt to the dispatcher that counts the shard

Cause: while two dispatchers grant the same attempt, the ingress runs one grant and returned the other unused, also when the other came from the current owner. The attempt then counted as ended there, later reports of it were ignored, and it ran uncounted and uncharged until its end. An attempt granted by a former dispatcher after an update was reported to the new one only at the next update. Change: a grant of a running attempt from the current owner is answered with a Running report; other grants are still returned unused. The repeated grant is recognised by its sender, incarnation and backend server, not by the fence alone.

--- a/internal/coordination/dispatch/answers.go
+++ b/internal/coordination/dispatch/answers.go
@@ -19,8 +19,14 @@
 	w, waiting := t.waiting[m.Ref]
 	running := t.running[m.Ref]
 	if !waiting {
+		report, repeated := i.counterReport(from, m, running)
 		t.mu.Unlock()
-		i.returnGrant(from, m, running)
+		switch {
+		case report != nil:
+			i.send(from, report)
+		case !repeated:
+			i.returnGrant(from, m)
+		}
 		return
 	}
 	server, known := i.server(m.Backend)
@@ -51,23 +57,40 @@
 }
 
 // newAttempt makes the attempt of a grant. The grant's sender counts it, also when the ingress has since learnt of
-// another dispatcher; the next Update reports it there.
+// another dispatcher; the attempt is then reported there.
 func (i *Ingress) newAttempt(w *waiter, from ident.RouterID, m *message.Grant) *attempt {
+	granter := Owner{Router: from, Incarnation: ident.Incarnation(m.Fence)}
 	return &attempt{
 		ingress: i,
 		work:    w.work,
 		shard:   m.Shard,
-		fence:   m.Fence,
+		granter: granter,
 		started: time.Now(),
-		owner:   Owner{Router: from, Incarnation: ident.Incarnation(m.Fence)},
+		owner:   granter,
 	}
 }
 
-// returnGrant settles a late grant as unused.
-func (i *Ingress) returnGrant(from ident.RouterID, m *message.Grant, running *attempt) {
-	if running != nil && running.fence == m.Fence && running.shard == m.Shard {
-		return
+// counterReport decides about a grant of an attempt that runs. It reports whether it is the grant that the attempt runs
+// under. The dispatcher that counts the shard is told what runs instead of its grant; returned unused, the attempt would
+// count as ended there. The table's lock is held.
+func (i *Ingress) counterReport(from ident.RouterID, m *message.Grant, running *attempt) (report *message.Running, repeated bool) {
+	if running == nil || running.shard != m.Shard {
+		return nil, false
+	}
+	granter := Owner{Router: from, Incarnation: ident.Incarnation(m.Fence)}
+	if granter == running.granter && string(m.Backend) == running.server.Name {
+		return nil, true
+	}
+	owner, ok := i.routes.Load().owner(m.Shard)
+	if !ok || owner.Router != from {
+		return nil, false
 	}
+	running.owner = owner
+	return running.report(), false
+}
+
+// returnGrant settles a late grant as unused.
+func (i *Ingress) returnGrant(from ident.RouterID, m *message.Grant) {
 	i.opts.Events.Add(timeline.Event{
 		Kind:    timeline.KindGrantUnused,
 		Request: m.Ref.Request.String(),
--- a/internal/coordination/dispatch/attempt.go
+++ b/internal/coordination/dispatch/attempt.go
@@ -16,7 +16,7 @@
 	work    Work
 	shard   ident.ShardID
 	server  *object.BackendServer
-	fence   uint64
+	granter Owner
 	started time.Time
 	cost    atomic.Int64
 	settled atomic.Bool
--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -22,7 +22,7 @@
 func (i *Ingress) Update(routes *Routes) {
 	i.setServers(routes)
 	i.routes.Store(routes)
-	i.resend(func(_ ident.ShardID, noted, current Owner) bool { return noted != current })
+	i.resend(ownerChanged)
 }
 
 // LinkUp sends again what a dispatcher may have missed while the link to it was down.
@@ -114,17 +114,21 @@
 	}
 }
 
-// maintain enqueues requests again whose time has come.
+// maintain moves requests that missed a change of the dispatcher: those that were registered during an update, and those
+// that a former dispatcher granted after it. It enqueues requests again whose time has come.
 func (i *Ingress) maintain(now time.Time) {
 	routes := i.routes.Load()
 	if routes == nil {
 		return
 	}
 	for n := range i.tables {
+		i.flush(i.tables[n].resend(i, routes, now, ownerChanged))
 		i.flush(i.tables[n].overdue(i, routes, now))
 	}
 }
 
+func ownerChanged(_ ident.ShardID, noted, current Owner) bool { return noted != current }
+
 func (t *table) overdue(i *Ingress, routes *Routes, now time.Time) []outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/coordination/dispatch/network_test.go
+++ b/internal/coordination/dispatch/network_test.go
@@ -47,6 +47,8 @@
 	incarnation ident.Incarnation
 	events      *timeline.Ring
 	stop        context.CancelFunc
+	// serving runs when the ingress asks whether it may take a request, after it has read its routes.
+	serving func()
 }
 
 func newFleet(t *testing.T, slots ...int) *fleet {
@@ -71,7 +73,12 @@
 		Incarnation: incarnation,
 		Remote:      n,
 		Events:      n.events,
-		Serving:     func() bool { return true },
+		Serving: func() bool {
+			if n.serving != nil {
+				n.serving()
+			}
+			return true
+		},
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
