Keep the order of waiting requests over a takeover

Cause: a new dispatcher holds requests back for 150 ms. Their waiting time was taken as of the end of that time, so that requests which came early in it seemed younger than later ones; the first slots went to the messages that came first; and an ingress sent its requests in the order of a map iteration, which decided between requests of the same millisecond. Change: held requests age while they are held, withdrawals among them take effect first, and the scheduler queues all of them before it grants. An ingress reports running attempts first and then enqueues waiting requests by arrival.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -259,22 +259,13 @@
 
 func (d *Dispatcher) tick() {
 	for _, h := range *d.hosts.Load() {
-		d.releaseHeld(h)
 		d.apply(h, func(s *scheduler.Scheduler, out *scheduler.Decisions) {
+			h.release(d.now(), out)
 			s.Tick(d.now(), out)
 		})
 	}
 }
 
-// releaseHeld passes on the requests that were held back during a takeover.
-func (d *Dispatcher) releaseHeld(h *host) {
-	for _, m := range h.release(d.now()) {
-		d.apply(h, func(s *scheduler.Scheduler, out *scheduler.Decisions) {
-			deliver(s, d.now(), m, out)
-		})
-	}
-}
-
 // Stats returns the statistics of the shards that this router owns.
 func (d *Dispatcher) Stats() map[ident.ShardID]scheduler.Stats {
 	hosts := *d.hosts.Load()
--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
@@ -11,10 +13,13 @@
 // maintainPeriod is how often waiting requests are checked for a lost or refused enqueue.
 const maintainPeriod = 100 * time.Millisecond
 
-// outgoing is a message with its receiver, collected under a lock and sent after it.
+// outgoing is a message with its receiver, collected under a lock and sent after it. Messages are sent in the order of
+// their requests, since the tables have none.
 type outgoing struct {
-	to ident.RouterID
-	m  message.Message
+	to    ident.RouterID
+	m     message.Message
+	since time.Time
+	ref   ident.AttemptRef
 }
 
 // Update puts new routes in force and moves requests whose dispatcher changed: waiting ones are enqueued again and
@@ -35,11 +40,7 @@
 
 // resend enqueues or reports the requests whose noted and current dispatchers satisfy need.
 func (i *Ingress) resend(need func(shard ident.ShardID, noted, current Owner) bool) {
-	routes := i.routes.Load()
-	now := time.Now()
-	for n := range i.tables {
-		i.flush(i.tables[n].resend(i, routes, now, need))
-	}
+	i.flush(i.collect(time.Now(), need))
 }
 
 func (i *Ingress) flush(list []outgoing) {
@@ -48,31 +49,63 @@
 	}
 }
 
-func (t *table) resend(i *Ingress, routes *Routes, now time.Time, need func(shard ident.ShardID, noted, current Owner) bool) []outgoing {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []outgoing
-	for _, w := range t.waiting {
-		i.fitShard(w, routes)
-		current, _ := routes.owner(w.shard)
-		if !need(w.shard, w.owner, current) {
-			continue
-		}
-		if m, to := i.prepareEnqueue(w, routes, now); m != nil {
-			out = append(out, outgoing{to, m})
-		}
+// collect returns reports of running attempts, so that their slots are counted first, and then the waiting requests in
+// the order in which they arrived.
+func (i *Ingress) collect(now time.Time, need func(shard ident.ShardID, noted, current Owner) bool) []outgoing {
+	routes := i.routes.Load()
+	var running, waiting []outgoing
+	for n := range i.tables {
+		t := &i.tables[n]
+		t.mu.Lock()
+		running = t.reports(running, routes, need)
+		waiting = t.enqueues(waiting, i, routes, now, func(w *waiter, current Owner) bool {
+			return need(w.shard, w.owner, current)
+		})
+		t.mu.Unlock()
 	}
+	return append(inOrder(running), inOrder(waiting)...)
+}
+
+// reports adds reports of the running attempts whose noted and current dispatchers satisfy need.
+func (t *table) reports(out []outgoing, routes *Routes, need func(shard ident.ShardID, noted, current Owner) bool) []outgoing {
 	for _, a := range t.running {
 		current, ok := routes.owner(a.shard)
 		if !ok || !need(a.shard, a.owner, current) {
 			continue
 		}
 		a.owner = current
-		out = append(out, outgoing{current.Router, a.report()})
+		out = append(out, outgoing{current.Router, a.report(), a.started, a.work.Ref})
+	}
+	return out
+}
+
+// enqueues adds the waiting requests that need it.
+func (t *table) enqueues(out []outgoing, i *Ingress, routes *Routes, now time.Time, need func(w *waiter, current Owner) bool) []outgoing {
+	for _, w := range t.waiting {
+		i.fitShard(w, routes)
+		current, _ := routes.owner(w.shard)
+		if !need(w, current) {
+			continue
+		}
+		if m, to := i.prepareEnqueue(w, routes, now); m != nil {
+			out = append(out, outgoing{to, m, w.since, w.work.Ref})
+		}
 	}
 	return out
 }
 
+// inOrder sorts messages by the age of their requests.
+func inOrder(list []outgoing) []outgoing {
+	slices.SortFunc(list, func(a, b outgoing) int {
+		return cmp.Or(
+			a.since.Compare(b.since),
+			cmp.Compare(a.ref.Request.Seq, b.ref.Request.Seq),
+			cmp.Compare(a.ref.Attempt, b.ref.Attempt),
+		)
+	})
+	return list
+}
+
 // fitShard moves a waiting request whose shard is gone after a change of configuration.
 func (i *Ingress) fitShard(w *waiter, routes *Routes) {
 	pool, ok := routes.Pools[w.shard.Pool]
@@ -117,52 +150,46 @@
 // maintain moves requests that missed a change of the dispatcher: those that were registered during an update, and those
 // that a former dispatcher granted after it. It enqueues requests again whose time has come.
 func (i *Ingress) maintain(now time.Time) {
-	routes := i.routes.Load()
-	if routes == nil {
+	if i.routes.Load() == nil {
 		return
 	}
-	for n := range i.tables {
-		i.flush(i.tables[n].resend(i, routes, now, ownerChanged))
-		i.flush(i.tables[n].overdue(i, routes, now))
-	}
+	i.flush(i.collect(now, ownerChanged))
+	i.flush(i.overdue(now))
 }
 
 func ownerChanged(_ ident.ShardID, noted, current Owner) bool { return noted != current }
 
-func (t *table) overdue(i *Ingress, routes *Routes, now time.Time) []outgoing {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (i *Ingress) overdue(now time.Time) []outgoing {
+	routes := i.routes.Load()
 	var out []outgoing
-	for _, w := range t.waiting {
-		if now.Before(w.resendAt) {
-			continue
-		}
-		i.fitShard(w, routes)
-		if m, to := i.prepareEnqueue(w, routes, now); m != nil {
-			out = append(out, outgoing{to, m})
-		}
+	for n := range i.tables {
+		t := &i.tables[n]
+		t.mu.Lock()
+		out = t.enqueues(out, i, routes, now, func(w *waiter, _ Owner) bool { return !now.Before(w.resendAt) })
+		t.mu.Unlock()
 	}
-	return out
+	return inOrder(out)
 }
 
 // reportProgress tells the selected dispatchers the cost so far of each running attempt. The report also keeps the
 // attempt's slot reserved.
 func (i *Ingress) reportProgress(selected func(to ident.RouterID) bool) {
+	var out []outgoing
 	for n := range i.tables {
-		i.flush(i.tables[n].progress(selected))
+		out = i.tables[n].progress(out, selected)
 	}
+	i.flush(inOrder(out))
 }
 
-func (t *table) progress(selected func(to ident.RouterID) bool) []outgoing {
+func (t *table) progress(out []outgoing, selected func(to ident.RouterID) bool) []outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []outgoing
 	for _, a := range t.running {
 		if !selected(a.owner.Router) {
 			continue
 		}
-		cost := ident.Cost(a.cost.Load())
-		out = append(out, outgoing{a.owner.Router, &message.Progress{Shard: a.shard, Ref: a.work.Ref, Cost: cost}})
+		m := &message.Progress{Shard: a.shard, Ref: a.work.Ref, Cost: ident.Cost(a.cost.Load())}
+		out = append(out, outgoing{a.owner.Router, m, a.started, a.work.Ref})
 	}
 	return out
 }
--- a/internal/coordination/dispatch/host.go
+++ b/internal/coordination/dispatch/host.go
@@ -25,11 +25,17 @@
 	feed func(func(*scheduler.Scheduler, *scheduler.Decisions))
 	// grantFrom is when the first grant may be made.
 	grantFrom time.Duration
-	held      []message.Message
+	held      []heldMessage
 
 	subscriptions map[string]subscription
 }
 
+// heldMessage is a message that waits for the end of the takeover.
+type heldMessage struct {
+	at time.Duration
+	m  message.Message
+}
+
 // subscription is a running subscription to an engine's reports.
 type subscription struct {
 	address string
@@ -70,21 +76,38 @@
 		return false
 	}
 	if len(h.held) < maxHeld {
-		h.held = append(h.held, m)
+		h.held = append(h.held, heldMessage{at: now, m: m})
 	}
 	return true
 }
 
-// release returns the held requests once the takeover is over.
-func (h *host) release(now time.Duration) []message.Message {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now < h.grantFrom {
-		return nil
+// release passes the held requests to the scheduler once the takeover is over. It gets all of them before it grants, so
+// that the first slots go in fair order and not to the router whose messages came first. Withdrawals come before, so
+// that nothing is granted to them. The lock is held.
+func (h *host) release(now time.Duration, out *scheduler.Decisions) {
+	if now < h.grantFrom || len(h.held) == 0 {
+		return
+	}
+	var requests []message.Enqueue
+	for _, held := range h.held {
+		switch m := held.m.(type) {
+		case *message.Cancel:
+			h.sched.Cancel(now, *m, out)
+		case *message.Enqueue:
+			requests = append(requests, aged(*m, now-held.at))
+		}
 	}
-	held := h.held
 	h.held = nil
-	return held
+	h.sched.EnqueueAll(now, requests, out)
+}
+
+// aged returns a request as it would be described after the time that it was held. Without it, requests that came
+// early would seem to have waited less than those that came late.
+func aged(m message.Enqueue, held time.Duration) message.Enqueue {
+	ms := uint32(held.Milliseconds())
+	m.WaitedMS += ms
+	m.DeadlineMS -= min(ms, m.DeadlineMS)
+	return m
 }
 
 // subscribe keeps one subscription for each model engine of the shard.
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -12,6 +12,20 @@
 // Enqueue queues an attempt. A repeated message gets the same answer as the first.
 func (s *Scheduler) Enqueue(now time.Duration, m message.Enqueue, out *Decisions) {
 	s.at(now)
+	s.enqueue(&m, out)
+	s.pump(out)
+}
+
+// EnqueueAll queues attempts and grants none before all are queued.
+func (s *Scheduler) EnqueueAll(now time.Duration, list []message.Enqueue, out *Decisions) {
+	s.at(now)
+	for n := range list {
+		s.enqueue(&list[n], out)
+	}
+	s.pump(out)
+}
+
+func (s *Scheduler) enqueue(m *message.Enqueue, out *Decisions) {
 	ss := s.lookup(m.Ref.Request)
 	if ss == nil {
 		return
@@ -22,13 +36,12 @@
 	}
 	if r := ss.requests[m.Ref.Request.Seq]; r != nil {
 		if r.attempt >= m.Ref.Attempt {
-			s.repeatEnqueue(r, &m, out)
+			s.repeatEnqueue(r, m, out)
 			return
 		}
 		s.abandon(r)
 	}
-	s.admit(ss, &m, out)
-	s.pump(out)
+	s.admit(ss, m, out)
 }
 
 // repeatEnding answers an Enqueue of an attempt that left the scheduler.
@@ -56,7 +69,6 @@
 		ss := r.session
 		s.abandon(r)
 		s.admit(ss, m, out)
-		s.pump(out)
 		return
 	}
 	if r.state == stateLost {
