Number service reports anew after a shard is regained

Cause: a dispatcher that lost a shard and got it back within one incarnation numbered its service reports from 1 again. Sibling shards had seen the numbers with this incarnation and charged nothing, so that the gap between teams grew with the service of the regained shard. Change: the numbers of each tenure of a shard start above those of the one before. The first tenure's reports keep their size.

--- /dev/null
+++ b/internal/coordination/dispatch/delta_test.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
+)
+
+// Guards against service reports of a dispatcher that regained a shard and numbers them from 1 again: the sibling
+// shards took them for repeats of its earlier reports and charged nothing.
+func TestReportsOfRegainedShardAreNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := outbox{}
+		d := NewDispatcher(DispatcherOptions{Self: "r1", Incarnation: 7, Sender: out, Events: timeline.New(64, "r1")})
+		own := routesWith(map[ident.RouterID]ident.Incarnation{"r1": 7})
+		own.Own[0].Siblings = 2
+		own.Pools = map[ident.PoolID]*Pool{shardOfTest.Pool: {Owners: []Owner{{"r1", 7}, {"r2", 5}}}}
+		lost := *own
+		lost.Own = nil
+		sibling := scheduler.New(scheduler.Options{Shard: ident.ShardID{Pool: shardOfTest.Pool, Index: 1}, Siblings: 2})
+		var charged float64
+		for n := range uint64(3) {
+			d.Update(own)
+			ref := ident.AttemptRef{Request: ident.RequestRef{Router: "r1", Incarnation: 7, Seq: n + 1}, Attempt: 1}
+			d.Handle("r1", &message.Enqueue{Shard: shardOfTest, Ref: ref, Team: "alarms", Hint: 1, DeadlineMS: 30_000})
+			d.Handle("r1", &message.Settle{Shard: shardOfTest, Ref: ref, Cost: 2 * scheduler.Quantum, Result: message.SettleOK})
+			for _, m := range out["r2"] {
+				if delta, ok := m.(*message.ServiceDelta); ok {
+					sibling.Delta(time.Duration(n), *delta)
+				}
+			}
+			delete(out, "r2")
+			if now := counterOf(sibling, "alarms"); now <= charged {
+				t.Fatalf("tenure %d: counter stays at %v", n, now)
+			} else {
+				charged = now
+			}
+			d.Update(&lost)
+		}
+	})
+}
+
+// counterOf returns a team's counter. Only teams with queued or running requests are listed, so one is queued.
+func counterOf(s *scheduler.Scheduler, team ident.TeamID) float64 {
+	s.Enqueue(0, message.Enqueue{
+		Shard:      ident.ShardID{Pool: shardOfTest.Pool, Index: 1},
+		Ref:        ident.AttemptRef{Request: ident.RequestRef{Router: "r2", Incarnation: 5, Seq: 1}, Attempt: 1},
+		Team:       team,
+		DeadlineMS: 30_000,
+	}, &scheduler.Decisions{})
+	for _, t := range s.Stats().Teams {
+		if t.Team == team {
+			return t.Counter
+		}
+	}
+	return 0
+}
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -19,6 +19,9 @@
 	// takeoverDelay is how long a new dispatcher collects reports of running attempts before its first grant, so
 	// that it does not grant slots that are in use.
 	takeoverDelay = 150 * time.Millisecond
+	// reportsPerTenure is the number of service deltas that a scheduler may number, out of the 2^64 of a process. At ten a
+	// second it lasts for 13 years.
+	reportsPerTenure = 1 << 32
 )
 
 // LoadSource subscribes to the load reports and cache events of a model engine until the context ends.
@@ -43,11 +46,13 @@
 	// hosts is replaced whole; readers take no lock.
 	hosts  atomic.Pointer[map[ident.ShardID]*host]
 	update sync.Mutex
+	// tenures counts the schedulers started for each shard. The update lock guards it.
+	tenures map[ident.ShardID]uint64
 }
 
 // NewDispatcher returns a dispatcher that owns no shards before the first Update.
 func NewDispatcher(opts DispatcherOptions) *Dispatcher {
-	d := &Dispatcher{opts: opts, start: time.Now()}
+	d := &Dispatcher{opts: opts, start: time.Now(), tenures: make(map[ident.ShardID]uint64)}
 	empty := make(map[ident.ShardID]*host)
 	d.hosts.Store(&empty)
 	return d
--- a/internal/coordination/dispatch/host.go
+++ b/internal/coordination/dispatch/host.go
@@ -51,10 +51,13 @@
 			Epoch:      uint64(d.opts.Incarnation),
 			Generation: routes.Generation,
 			Seed:       uint64(d.opts.Incarnation),
+
+			ReportsAfter: d.tenures[shard.ID] * reportsPerTenure,
 		}),
 		now:           d.now,
 		subscriptions: make(map[string]subscription),
 	}
+	d.tenures[shard.ID]++
 	h.feed = func(f func(*scheduler.Scheduler, *scheduler.Decisions)) { d.apply(h, f) }
 	if len(routes.Live) > 1 {
 		h.grantFrom = d.now() + takeoverDelay
--- a/internal/coordination/scheduler/exchange.go
+++ b/internal/coordination/scheduler/exchange.go
@@ -12,7 +12,7 @@
 
 // exchange holds the accounts with the sibling shards.
 type exchange struct {
-	// seq is the number of the last report to each shard.
+	// seq counts the reports to each shard.
 	seq map[uint16]uint64
 	// seen lists, per shard, the numbers received; the latest epoch first.
 	seen map[uint16][]seenWindow
@@ -114,7 +114,7 @@
 		s.exchange.seq[to]++
 		out.Deltas = append(out.Deltas, message.ServiceDelta{
 			Shard: s.opts.Shard, To: to, Team: t.id, Delta: t.unreported,
-			Seq: s.exchange.seq[to], Epoch: s.opts.Epoch,
+			Seq: s.opts.ReportsAfter + s.exchange.seq[to], Epoch: s.opts.Epoch,
 		})
 	}
 	t.unreported = 0
--- a/internal/coordination/scheduler/options.go
+++ b/internal/coordination/scheduler/options.go
@@ -13,6 +13,9 @@
 	Siblings int
 	// Epoch is the incarnation of the dispatcher. It becomes the fence of grants and the epoch of service deltas.
 	Epoch uint64
+	// ReportsAfter is the highest number of a service delta that an earlier scheduler of this shard and epoch may have
+	// used. Siblings ignore numbers that they have seen.
+	ReportsAfter uint64
 	// Generation is the configuration in force at the start.
 	Generation ident.Generation
 	// Seed varies how equally good backend servers are chosen.
