--- a/test/faults/actions.go
+++ b/test/faults/actions.go
@@ -103,6 +103,28 @@
 	})
 }
 
+// awaitIdle waits until no dispatcher holds requests: a slot that is never released would stay idle for good.
+func (w *world) awaitIdle(ctx context.Context) error {
+	for _, r := range w.current() {
+		err := fleet.Await(ctx, serveLimit, r.ID+" holds no requests", func() error {
+			status, err := r.Status(ctx)
+			if err != nil {
+				return err
+			}
+			for _, p := range status.Pools {
+				if p.Queued > 0 || p.Running > 0 {
+					return errors.Errorf("%s: %d queued, %d running", p.Shard, p.Queued, p.Running)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // pause suspends a router for a time.
 func (w *world) pause(ctx context.Context, r *fleet.Router, length time.Duration) {
 	w.excuse(r)
--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -24,6 +24,9 @@
 	// callPause is the mean pause between calls of a team.
 	callPause = 60 * time.Millisecond
 	maxTokens = 120
+	// abandonOneIn is how many requests come to one that its caller abandons within patience.
+	abandonOneIn = 8
+	patience     = 150 * time.Millisecond
 	// refusedPause is the pause after a refusal.
 	refusedPause = 100 * time.Millisecond
 )
@@ -84,6 +87,12 @@
 
 func (t *traffic) streams(ctx context.Context, c *load.Caller, rng *rand.Rand) {
 	for t.running(ctx) {
+		if rng.IntN(abandonOneIn) == 0 {
+			t.abandon(ctx, rng, func(ctx context.Context) {
+				prompt := fmt.Sprintf("%s asks for shed %d and leaves", c.Team, rng.Uint64())
+				c.CompleteAt(ctx, t.any(rng), load.CompletionBody(modelName, prompt, maxTokens))
+			})
+		}
 		a := t.complete(ctx, c, rng)
 		if a.Outcome != "completed" {
 			sleep(ctx, refusedPause)
@@ -150,6 +159,11 @@
 	if rng.IntN(2) == 0 {
 		router = t.any(rng)
 	}
+	if rng.IntN(abandonOneIn) == 0 {
+		t.abandon(ctx, rng, func(ctx context.Context) {
+			c.CallAt(ctx, t.any(rng), serviceName, "/credits", key, []byte(body))
+		})
+	}
 	var group sync.WaitGroup
 	if rng.IntN(3) == 0 {
 		pause := time.Duration(rng.IntN(80)) * time.Millisecond
@@ -167,6 +181,16 @@
 	}
 }
 
+// abandon sends a request whose caller leaves before the answer, or just after it.
+func (t *traffic) abandon(ctx context.Context, rng *rand.Rand, send func(ctx context.Context)) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(rng.Int64N(int64(patience))))
+	defer cancel()
+	send(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outcomes["abandoned"]++
+}
+
 // repeated sends a call with a key to one router and repeats it at once at others.
 func (t *traffic) repeated(ctx context.Context, c *load.Caller, rng *rand.Rand, router *fleet.Router) {
 	body := fmt.Sprintf(`{"credit":%d}`, rng.Uint64())
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -124,6 +124,9 @@
 	if err == nil {
 		err = w.awaitNewest(ctx)
 	}
+	if err == nil {
+		err = w.awaitIdle(ctx)
+	}
 	sleep(ctx, settleTime)
 	r, checkErr := w.check(ctx, t)
 	if err == nil {
--- a/test/faults/scenarios.go
+++ b/test/faults/scenarios.go
@@ -32,7 +32,7 @@
 	{name: "pause-dispatcher", inject: pauseDispatcher},
 	{name: "pause-claim-holder", inject: pauseClaimHolder},
 	{name: "partition-router", inject: partitionRouter},
-	{name: "partition-domain", routers: 6, inject: partitionDomain},
+	{name: "partition-domain", routers: 8, inject: partitionDomain},
 	{name: "store-down", inject: storeFault(kvstore.Faults{Outage: true})},
 	{name: "store-hang", inject: storeFault(kvstore.Faults{Hang: true})},
 	{name: "store-slow", inject: storeSlow},
