--- a/test/faults/actions.go
+++ b/test/faults/actions.go
@@ -70,8 +70,8 @@
 	r.Kill()
 }
 
-// replace starts a new process for a router that has ended.
-func (w *world) replace(ctx context.Context, old *fleet.Router) (*fleet.Router, error) {
+// replace starts a new process for a router that has ended. Callers use it at once when it is offered.
+func (w *world) replace(ctx context.Context, old *fleet.Router, offered bool) (*fleet.Router, error) {
 	number, err := strconv.Atoi(strings.TrimPrefix(old.ID, "r"))
 	if err != nil {
 		return nil, errors.Wrap(err, "router name")
@@ -83,7 +83,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.routers[number-1] = r
-	w.offered[r.Caller] = true
+	w.offered[r.Caller] = offered
 	w.fleet.Routers[number-1] = r
 	w.watch(r)
 	return r, w.fleet.PublishVMs(ctx)
@@ -143,11 +143,15 @@
 		w.violate("planned stop: " + err.Error())
 		r.Kill()
 	}
-	started, err := w.replace(ctx, r)
+	started, err := w.replace(ctx, r, false)
 	if err != nil {
 		return err
 	}
-	return w.awaitServing(ctx, started.ID)
+	err = w.awaitServing(ctx, started.ID)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.offered[started.Caller] = true
+	return err
 }
 
 // partition cuts routers off from the others, and with platform also from the store and the VM list.
--- a/test/faults/scenarios.go
+++ b/test/faults/scenarios.go
@@ -116,7 +116,7 @@
 		// Otherwise the new process comes before the death of the old one is noticed.
 		sleep(ctx, w.opts.Duration/2)
 	}
-	r, err := w.replace(ctx, victim)
+	r, err := w.replace(ctx, victim, true)
 	if err != nil {
 		return err
 	}
