Serve during a drain until all given addresses have run out

Cause: a router that has not yet heard of a drain still names the draining router, whose drain counted the lifetime from its own start. Change: the drain lasts for the lifetime and the 2 s in which heartbeats tell all routers.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,6 +18,13 @@
 // closeLimit bounds the closing of idle callers' connections after a drain.
 const closeLimit = 5 * time.Second
 
+// announceTime is how long it takes until all other routers know of a drain: heartbeats reach 3 members each 500 ms. A
+// router that has not heard of it still names this one, and callers keep that address for its whole lifetime.
+const announceTime = 2 * time.Second
+
+// drainGrace is how long new requests are served after the start of a drain.
+func (d *Daemon) drainGrace() time.Duration { return d.settings.AddressLifetime() + announceTime }
+
 // IncarnationError reports that another process ran under the router's name with a higher incarnation, because this
 // VM's clock went back. The router has to start again with the needed incarnation.
 type IncarnationError struct {
@@ -79,7 +86,7 @@
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit())
 	defer cancel()
-	err := errors.Wrap(d.callers.Drain(ctx, d.settings.AddressLifetime()), "drain")
+	err := errors.Wrap(d.callers.Drain(ctx, d.drainGrace()), "drain")
 	d.executor.Wait()
 	if err != nil {
 		log.Error("drain limit reached", zap.Int("requests", d.callers.InFlight()))
