--- a/internal/daemon/blocked_test.go
+++ b/internal/daemon/blocked_test.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 )
 
 // blockStatus returns the status of a request to cut links.
@@ -16,20 +18,16 @@
 	return w.Code
 }
 
-// Links must be cut only where the settings allow faults, and only for operators.
-func TestLinksAreCutOnlyWithFaultInjection(t *testing.T) {
-	f := newTestFleet(t, 1)
-	d := f.daemons[0]
-	if status := blockStatus(d, "token"); status != http.StatusNotFound {
-		t.Errorf("without the setting: status %d", status)
-	}
-	allowed := *d.settings
-	allowed.FaultInjection = true
-	other := &Daemon{settings: &allowed, network: d.network}
-	if status := blockStatus(other, "token"); status != http.StatusOK {
-		t.Errorf("with the setting: status %d", status)
-	}
-	if status := blockStatus(other, "wrong"); status != http.StatusUnauthorized {
-		t.Errorf("with a wrong token: status %d", status)
-	}
-}
+var _ = Describe("fault injection", func() {
+	// Guards against links that can be cut where the settings do not allow faults, or by others than operators.
+	It("cuts links only with the setting and the operators' token", func() {
+		f := newTestFleet(1)
+		d := f.daemons[0]
+		Expect(blockStatus(d, "token")).To(Equal(http.StatusNotFound))
+		allowed := *d.settings
+		allowed.FaultInjection = true
+		other := &Daemon{settings: &allowed, network: d.network}
+		Expect(blockStatus(other, "token")).To(Equal(http.StatusOK))
+		Expect(blockStatus(other, "wrong")).To(Equal(http.StatusUnauthorized))
+	})
+})
