Count a run of an attempt that left this dispatcher without one

Cause: a dispatcher ignored the report of a running attempt when it had ended the attempt itself, also when that end was no run: its grant came back unused, or it refused or redirected the request, while another dispatcher granted it. After a change of the owner back to it, the attempt ran uncounted and uncharged. A property test over random faults found it. Change: only an end of an attempt that ran makes later reports void. A report after another end is adopted. The focused test fails without the change.

--- a/internal/coordination/dispatch/crossed_test.go
+++ b/internal/coordination/dispatch/crossed_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
 // crossed makes r1 and r2 both dispatch and both grant a request of r3; r2 is the later owner in r3's view. The grant
@@ -61,3 +64,41 @@
 		r2.expect("settled", 0, 0)
 	})
 }
+
+// Guards against a run that a dispatcher does not count, because the attempt had left its own queue without a run: the
+// grant came back unused or the request was refused while another dispatcher granted it. Late reports of an attempt that
+// has run stay ignored.
+func TestRunUnderAnotherGrantIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDispatcher(DispatcherOptions{Self: "r1", Incarnation: 7, Sender: outbox{}, Events: timeline.New(64, "r1")})
+		d.Update(routesWith(map[ident.RouterID]ident.Incarnation{"r1": 7}))
+		ends := []struct {
+			name       string
+			deadlineMS uint32
+			end        message.SettleResult
+			counted    int
+		}{
+			{"returned unused", 1000, message.SettleUnused, 1},
+			{"refused", 0, 0, 1},
+			{"ran", 1000, message.SettleOK, 0},
+		}
+		for n, end := range ends {
+			ref := ident.AttemptRef{Request: ident.RequestRef{Router: "r2", Incarnation: 5, Seq: uint64(n)}, Attempt: 1}
+			d.Handle("r2", &message.Enqueue{Shard: shardOfTest, Ref: ref, Team: "alarms", DeadlineMS: end.deadlineMS})
+			if end.end != 0 {
+				d.Handle("r2", &message.Settle{Shard: shardOfTest, Ref: ref, Result: end.end})
+			}
+			for range 2 {
+				d.Handle("r2", &message.Running{Shard: shardOfTest, Ref: ref, Team: "alarms", Backend: "credits1"})
+			}
+			if s := d.Stats()[shardOfTest]; s.Running != end.counted {
+				t.Fatalf("%s: %d running, want %d", end.name, s.Running, end.counted)
+			}
+			d.Handle("r2", &message.Settle{Shard: shardOfTest, Ref: ref, Result: message.SettleOK})
+			d.Handle("r2", &message.Running{Shard: shardOfTest, Ref: ref, Team: "alarms", Backend: "credits1"})
+			if s := d.Stats()[shardOfTest]; s.Running != 0 {
+				t.Fatalf("%s: %d running after the end", end.name, s.Running)
+			}
+		}
+	})
+}
--- a/internal/coordination/dispatch/network_test.go
+++ b/internal/coordination/dispatch/network_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
-	"testing"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -24,10 +25,16 @@
 	m        message.Message
 }
 
+// reporter is a *testing.T or a *rapid.T.
+type reporter interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // fleet joins routers by a fake network. Each delivery has an instant of its own, so that messages arrive in order
 // unless fate says otherwise.
 type fleet struct {
-	t *testing.T
+	t reporter
 	// fate returns the delays of a message's copies; none means that it is lost. Nil means one copy after a hop.
 	fate func(s sent) []time.Duration
 
@@ -51,7 +58,7 @@
 	serving func()
 }
 
-func newFleet(t *testing.T, slots ...int) *fleet {
+func newFleet(t reporter, slots ...int) *fleet {
 	f := &fleet{t: t, nodes: make(map[ident.RouterID]*node)}
 	for n, s := range slots {
 		f.addServer(fmt.Sprintf("credits%d", n+1), s)
@@ -162,6 +169,27 @@
 	return n
 }
 
+// refOf returns the attempt that a message is about.
+func refOf(m message.Message) (ref ident.AttemptRef, ok bool) {
+	switch m := m.(type) {
+	case *message.Enqueue:
+		return m.Ref, true
+	case *message.Running:
+		return m.Ref, true
+	case *message.Cancel:
+		return m.Ref, true
+	case *message.Grant:
+		return m.Ref, true
+	case *message.Reject:
+		return m.Ref, true
+	case *message.Progress:
+		return m.Ref, true
+	case *message.Settle:
+		return m.Ref, true
+	}
+	return ref, false
+}
+
 func isUnused(s sent) bool {
 	settle, ok := s.m.(*message.Settle)
 	return ok && settle.Result == message.SettleUnused
@@ -222,12 +250,15 @@
 
 // pending is a call of Admit that may still wait.
 type pending struct {
-	ref     ident.RequestRef
-	cancel  context.CancelFunc
-	done    bool
+	ref    ident.RequestRef
+	cancel context.CancelFunc
+	result atomic.Pointer[admitted]
+}
+
+// admitted is the result of a call of Admit.
+type admitted struct {
 	attempt Attempt
 	err     error
-	ended   time.Time
 }
 
 // admit calls Admit in the background.
@@ -243,38 +274,44 @@
 		Deadline: time.Now().Add(deadline),
 	}
 	go func() {
-		p.attempt, p.err = n.Ingress().Admit(ctx, w)
-		p.ended = time.Now()
-		p.done = true
+		attempt, err := n.Ingress().Admit(ctx, w)
+		p.result.Store(&admitted{attempt, err})
 	}()
 	synctest.Wait()
 	return p
 }
 
 // granted fails the test unless the request was granted.
-func (p *pending) granted(t *testing.T) Attempt {
+func (p *pending) granted(t reporter) Attempt {
 	t.Helper()
 	synctest.Wait()
-	if !p.done || p.err != nil {
-		t.Fatalf("request %v is not granted: ended %v, error %v", p.ref, p.done, p.err)
+	r := p.result.Load()
+	if r == nil || r.err != nil {
+		t.Fatalf("request %v is not granted: %+v", p.ref, r)
+		return nil
 	}
-	return p.attempt
+	return r.attempt
 }
 
 // refused fails the test unless the request ended with the reason.
-func (p *pending) refused(t *testing.T, reason NotAdmittedReason) {
+func (p *pending) refused(t reporter, reason NotAdmittedReason) {
 	t.Helper()
 	synctest.Wait()
-	refused, ok := p.err.(*NotAdmittedError)
-	if !p.done || !ok || refused.Reason != reason {
-		t.Fatalf("request %v: ended %v, error %v, want %s", p.ref, p.done, p.err, reason)
+	r := p.result.Load()
+	if r == nil {
+		t.Fatalf("request %v still waits, want %s", p.ref, reason)
+		return
+	}
+	var refused *NotAdmittedError
+	if !errors.As(r.err, &refused) || refused.Reason != reason {
+		t.Fatalf("request %v: error %v, want %s", p.ref, r.err, reason)
 	}
 }
 
-func (p *pending) waits(t *testing.T) {
+func (p *pending) waits(t reporter) {
 	t.Helper()
 	synctest.Wait()
-	if p.done {
-		t.Fatalf("request %v does not wait: %v %v", p.ref, p.attempt, p.err)
+	if r := p.result.Load(); r != nil {
+		t.Fatalf("request %v does not wait: %+v", p.ref, r)
 	}
 }
--- a/internal/coordination/scheduler/session.go
+++ b/internal/coordination/scheduler/session.go
@@ -27,6 +27,8 @@
 
 const (
 	endSettled endingKind = iota + 1
+	// endUnused is the end of an attempt that did not run under a grant of this dispatcher.
+	endUnused
 	endRejected
 	endRedirected
 )
--- a/internal/coordination/scheduler/settle.go
+++ b/internal/coordination/scheduler/settle.go
@@ -85,7 +85,11 @@
 		s.setCharge(r, cost)
 		s.drop(r)
 	}
-	s.record(ss, ref.Request.Seq, ending{attempt: ref.Attempt, kind: endSettled})
+	kind := endSettled
+	if result == message.SettleUnused {
+		kind = endUnused
+	}
+	s.record(ss, ref.Request.Seq, ending{attempt: ref.Attempt, kind: kind})
 }
 
 // lose releases a grant that its ingress no longer reports. The charge falls to the reported cost; a late Progress or
@@ -118,7 +122,11 @@
 		return
 	}
 	if e, ok := ss.ended[m.Ref.Request.Seq]; ok && e.attempt >= m.Ref.Attempt {
-		return
+		if e.attempt > m.Ref.Attempt || e.kind == endSettled {
+			return
+		}
+		// The attempt left this dispatcher without a run, and runs under a grant of another.
+		delete(ss.ended, m.Ref.Request.Seq)
 	}
 	if r := ss.requests[m.Ref.Request.Seq]; r != nil {
 		if r.attempt > m.Ref.Attempt {
