Vary shards and backend servers in the random fault test

Cause: the random histories had one shard and fixed backend servers, so that redirects, service reports and lagging configurations were not part of them. Change: pools of one or two shards, and backend servers that come and go while the routers learn of it at different times.

--- a/internal/coordination/dispatch/network_test.go
+++ b/internal/coordination/dispatch/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing/synctest"
@@ -41,9 +42,13 @@
 	mu      sync.Mutex
 	nodes   map[ident.RouterID]*node
 	servers []*object.BackendServer
-	last    time.Time
-	log     []sent
-	calls   []*pending
+	// generation counts the changes of the servers. Routers get them with their next view.
+	generation ident.Generation
+	// shards is the number of shards of the pool, at most the number of routers in a view.
+	shards int
+	last   time.Time
+	log    []sent
+	calls  []*pending
 }
 
 // node is one process of a router.
@@ -59,7 +64,7 @@
 }
 
 func newFleet(t reporter, slots ...int) *fleet {
-	f := &fleet{t: t, nodes: make(map[ident.RouterID]*node)}
+	f := &fleet{t: t, nodes: make(map[ident.RouterID]*node), shards: 1}
 	for n, s := range slots {
 		f.addServer(fmt.Sprintf("credits%d", n+1), s)
 	}
@@ -69,6 +74,7 @@
 func (f *fleet) addServer(name string, slots int) {
 	server := &object.BackendServer{Name: name, Kind: object.BackendService, Service: "credits", Slots: slots}
 	f.servers = append(f.servers, server)
+	f.generation++
 }
 
 // start starts a process of a router. A former process is cut off.
@@ -209,7 +215,7 @@
 
 func (f *fleet) routes(self, owner ident.RouterID, live []ident.RouterID) *Routes {
 	r := &Routes{
-		Generation: ident.Generation(len(f.servers)),
+		Generation: f.generation,
 		Pools:      make(map[ident.PoolID]*Pool),
 		Servers:    make(map[ident.BackendID]*object.BackendServer),
 		Live:       make(map[ident.RouterID]ident.Incarnation),
@@ -219,13 +225,24 @@
 			r.Live[id] = n.incarnation
 		}
 	}
-	servers := append([]*object.BackendServer(nil), f.servers...)
-	for _, s := range servers {
-		r.Servers[ident.BackendID(s.Name)] = s
-	}
-	r.Pools[shardOfTest.Pool] = &Pool{Owners: []Owner{{Router: owner, Incarnation: r.Live[owner]}}}
-	if owner == self {
-		r.Own = []Shard{{ID: shardOfTest, Siblings: 1, Servers: servers}}
+	pool := &Pool{}
+	r.Pools[shardOfTest.Pool] = pool
+	for n := range f.shards {
+		dispatcher := owner
+		if n > 0 {
+			dispatcher = live[(slices.Index(live, owner)+n)%len(live)]
+		}
+		pool.Owners = append(pool.Owners, Owner{Router: dispatcher, Incarnation: r.Live[dispatcher]})
+		shard := Shard{ID: ident.ShardID{Pool: shardOfTest.Pool, Index: uint16(n)}, Siblings: f.shards}
+		for at, server := range f.servers {
+			if at%f.shards == n {
+				shard.Servers = append(shard.Servers, server)
+				r.Servers[ident.BackendID(server.Name)] = server
+			}
+		}
+		if dispatcher == self {
+			r.Own = append(r.Own, shard)
+		}
 	}
 	return r
 }
--- a/internal/coordination/dispatch/property_test.go
+++ b/internal/coordination/dispatch/property_test.go
@@ -82,7 +82,7 @@
 
 // step does one random thing.
 func (h *history) step() {
-	switch rapid.SampledFrom([]string{"admit", "admit", "admit", "settle", "settle", "leave", "wait", "view", "view", "link", "restart"}).Draw(h.t, "step") {
+	switch rapid.SampledFrom([]string{"admit", "admit", "admit", "settle", "settle", "leave", "wait", "view", "view", "link", "restart", "server"}).Draw(h.t, "step") {
 	case "admit":
 		h.admit()
 	case "settle":
@@ -99,6 +99,8 @@
 		router, peer := h.router(), rapid.SampledFrom(r1r2r3).Draw(h.t, "peer")
 		h.logf("%s: link to %s up", router.id, peer)
 		router.Ingress().LinkUp(peer)
+	case "server":
+		h.server()
 	case "restart":
 		if rapid.IntRange(0, 2).Draw(h.t, "restart") == 0 {
 			id := h.router().id
@@ -109,6 +111,17 @@
 	synctest.Wait()
 }
 
+// server adds a backend server, or removes the last of more than one for each shard.
+func (h *history) server() {
+	if len(h.f.servers) > 2*h.f.shards && rapid.Bool().Draw(h.t, "remove") {
+		h.f.servers = slices.Clone(h.f.servers[:len(h.f.servers)-1])
+		h.f.generation++
+	} else {
+		h.f.addServer(fmt.Sprintf("credits%d", len(h.f.servers)+1), rapid.IntRange(1, 3).Draw(h.t, "slots"))
+	}
+	h.logf("generation %d has %d backend servers", h.f.generation, len(h.f.servers))
+}
+
 func (h *history) admit() {
 	router := h.router()
 	limit := rapid.SampledFrom([]time.Duration{time.Second, 15 * time.Second, time.Hour}).Draw(h.t, "limit")
@@ -164,7 +177,7 @@
 }
 
 // heal ends all faults and lets the views agree. A lost message is followed by a link event.
-func (h *history) heal() *node {
+func (h *history) heal() {
 	h.f.mu.Lock()
 	h.drop, h.repeat, h.delay = 0, 0, 0
 	h.f.mu.Unlock()
@@ -178,7 +191,6 @@
 		}
 	}
 	time.Sleep(settling)
-	return h.f.nodes[owner]
 }
 
 // settling is above the time after which a dispatcher releases grants without reports, and above resendPeriod.
@@ -189,21 +201,27 @@
 	return slices.DeleteFunc(slices.Clone(h.calls), func(r *recorded) bool { return h.f.nodes[r.at.id] != r.at })
 }
 
-// checkAccount compares the owner's account with what runs.
-func (h *history) checkAccount(owner *node) {
+// checkAccount compares the dispatchers' accounts with what runs.
+func (h *history) checkAccount() {
 	running := 0
 	for _, r := range h.alive() {
 		if r.running() {
 			running++
 		}
 	}
-	if s := owner.stats(); s.Running != running {
+	counted := 0
+	for _, id := range r1r2r3 {
+		for _, s := range h.f.nodes[id].Dispatcher().Stats() {
+			counted += s.Running
+		}
+	}
+	if counted != running {
 		for _, r := range h.alive() {
 			if r.running() {
 				h.traceMessages(r)
 			}
 		}
-		h.failf("%s counts %d running attempts, %d run", owner.id, s.Running, running)
+		h.failf("%d running attempts counted, %d run", counted, running)
 	}
 }
 
@@ -293,13 +311,14 @@
 		rapid.Check(noDeadline{t}, func(t *rapid.T) {
 			h := &history{
 				t:      t,
-				f:      newFleet(t, 2, 1),
+				f:      newFleet(t, 2, 1, 1),
 				random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 				drop:   rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "drop"),
 				repeat: rapid.SampledFrom([]int{0, 20, 60}).Draw(t, "repeat"),
 				delay:  rapid.SampledFrom([]int{0, 20, 80}).Draw(t, "delay"),
 			}
 			defer h.f.stopAll()
+			h.f.shards = rapid.IntRange(1, 2).Draw(t, "shards")
 			h.f.fate = h.fate
 			for _, id := range r1r2r3 {
 				h.start(id)
@@ -308,8 +327,8 @@
 			for range rapid.IntRange(5, 60).Draw(t, "steps") {
 				h.step()
 			}
-			owner := h.heal()
-			h.checkAccount(owner)
+			h.heal()
+			h.checkAccount()
 			h.finish()
 			h.checkEnd()
 		})
