--- a/internal/coordination/dispatch/network_test.go
+++ b/internal/coordination/dispatch/network_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"sync"
-	"testing"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -24,19 +26,29 @@
 	m        message.Message
 }
 
+// reporter is a *testing.T or a *rapid.T.
+type reporter interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // fleet joins routers by a fake network. Each delivery has an instant of its own, so that messages arrive in order
 // unless fate says otherwise.
 type fleet struct {
-	t *testing.T
+	t reporter
 	// fate returns the delays of a message's copies; none means that it is lost. Nil means one copy after a hop.
 	fate func(s sent) []time.Duration
 
 	mu      sync.Mutex
 	nodes   map[ident.RouterID]*node
 	servers []*object.BackendServer
-	last    time.Time
-	log     []sent
-	calls   []*pending
+	// generation counts the changes of the servers. Routers get them with their next view.
+	generation ident.Generation
+	// shards is the number of shards of the pool, at most the number of routers in a view.
+	shards int
+	last   time.Time
+	log    []sent
+	calls  []*pending
 }
 
 // node is one process of a router.
@@ -51,8 +63,8 @@
 	serving func()
 }
 
-func newFleet(t *testing.T, slots ...int) *fleet {
-	f := &fleet{t: t, nodes: make(map[ident.RouterID]*node)}
+func newFleet(t reporter, slots ...int) *fleet {
+	f := &fleet{t: t, nodes: make(map[ident.RouterID]*node), shards: 1}
 	for n, s := range slots {
 		f.addServer(fmt.Sprintf("credits%d", n+1), s)
 	}
@@ -62,6 +74,7 @@
 func (f *fleet) addServer(name string, slots int) {
 	server := &object.BackendServer{Name: name, Kind: object.BackendService, Service: "credits", Slots: slots}
 	f.servers = append(f.servers, server)
+	f.generation++
 }
 
 // start starts a process of a router. A former process is cut off.
@@ -162,6 +175,27 @@
 	return n
 }
 
+// refOf returns the attempt that a message is about.
+func refOf(m message.Message) (ref ident.AttemptRef, ok bool) {
+	switch m := m.(type) {
+	case *message.Enqueue:
+		return m.Ref, true
+	case *message.Running:
+		return m.Ref, true
+	case *message.Cancel:
+		return m.Ref, true
+	case *message.Grant:
+		return m.Ref, true
+	case *message.Reject:
+		return m.Ref, true
+	case *message.Progress:
+		return m.Ref, true
+	case *message.Settle:
+		return m.Ref, true
+	}
+	return ref, false
+}
+
 func isUnused(s sent) bool {
 	settle, ok := s.m.(*message.Settle)
 	return ok && settle.Result == message.SettleUnused
@@ -181,7 +215,7 @@
 
 func (f *fleet) routes(self, owner ident.RouterID, live []ident.RouterID) *Routes {
 	r := &Routes{
-		Generation: ident.Generation(len(f.servers)),
+		Generation: f.generation,
 		Pools:      make(map[ident.PoolID]*Pool),
 		Servers:    make(map[ident.BackendID]*object.BackendServer),
 		Live:       make(map[ident.RouterID]ident.Incarnation),
@@ -191,13 +225,24 @@
 			r.Live[id] = n.incarnation
 		}
 	}
-	servers := append([]*object.BackendServer(nil), f.servers...)
-	for _, s := range servers {
-		r.Servers[ident.BackendID(s.Name)] = s
-	}
-	r.Pools[shardOfTest.Pool] = &Pool{Owners: []Owner{{Router: owner, Incarnation: r.Live[owner]}}}
-	if owner == self {
-		r.Own = []Shard{{ID: shardOfTest, Siblings: 1, Servers: servers}}
+	pool := &Pool{}
+	r.Pools[shardOfTest.Pool] = pool
+	for n := range f.shards {
+		dispatcher := owner
+		if n > 0 {
+			dispatcher = live[(slices.Index(live, owner)+n)%len(live)]
+		}
+		pool.Owners = append(pool.Owners, Owner{Router: dispatcher, Incarnation: r.Live[dispatcher]})
+		shard := Shard{ID: ident.ShardID{Pool: shardOfTest.Pool, Index: uint16(n)}, Siblings: f.shards}
+		for at, server := range f.servers {
+			if at%f.shards == n {
+				shard.Servers = append(shard.Servers, server)
+				r.Servers[ident.BackendID(server.Name)] = server
+			}
+		}
+		if dispatcher == self {
+			r.Own = append(r.Own, shard)
+		}
 	}
 	return r
 }
@@ -222,12 +267,15 @@
 
 // pending is a call of Admit that may still wait.
 type pending struct {
-	ref     ident.RequestRef
-	cancel  context.CancelFunc
-	done    bool
+	ref    ident.RequestRef
+	cancel context.CancelFunc
+	result atomic.Pointer[admitted]
+}
+
+// admitted is the result of a call of Admit.
+type admitted struct {
 	attempt Attempt
 	err     error
-	ended   time.Time
 }
 
 // admit calls Admit in the background.
@@ -243,38 +291,44 @@
 		Deadline: time.Now().Add(deadline),
 	}
 	go func() {
-		p.attempt, p.err = n.Ingress().Admit(ctx, w)
-		p.ended = time.Now()
-		p.done = true
+		attempt, err := n.Ingress().Admit(ctx, w)
+		p.result.Store(&admitted{attempt, err})
 	}()
 	synctest.Wait()
 	return p
 }
 
 // granted fails the test unless the request was granted.
-func (p *pending) granted(t *testing.T) Attempt {
+func (p *pending) granted(t reporter) Attempt {
 	t.Helper()
 	synctest.Wait()
-	if !p.done || p.err != nil {
-		t.Fatalf("request %v is not granted: ended %v, error %v", p.ref, p.done, p.err)
+	r := p.result.Load()
+	if r == nil || r.err != nil {
+		t.Fatalf("request %v is not granted: %+v", p.ref, r)
+		return nil
 	}
-	return p.attempt
+	return r.attempt
 }
 
 // refused fails the test unless the request ended with the reason.
-func (p *pending) refused(t *testing.T, reason NotAdmittedReason) {
+func (p *pending) refused(t reporter, reason NotAdmittedReason) {
 	t.Helper()
 	synctest.Wait()
-	refused, ok := p.err.(*NotAdmittedError)
-	if !p.done || !ok || refused.Reason != reason {
-		t.Fatalf("request %v: ended %v, error %v, want %s", p.ref, p.done, p.err, reason)
+	r := p.result.Load()
+	if r == nil {
+		t.Fatalf("request %v still waits, want %s", p.ref, reason)
+		return
+	}
+	var refused *NotAdmittedError
+	if !errors.As(r.err, &refused) || refused.Reason != reason {
+		t.Fatalf("request %v: error %v, want %s", p.ref, r.err, reason)
 	}
 }
 
-func (p *pending) waits(t *testing.T) {
+func (p *pending) waits(t reporter) {
 	t.Helper()
 	synctest.Wait()
-	if p.done {
-		t.Fatalf("request %v does not wait: %v %v", p.ref, p.attempt, p.err)
+	if r := p.result.Load(); r != nil {
+		t.Fatalf("request %v does not wait: %+v", p.ref, r)
 	}
 }
