Refuse unusable settings and say what an operator typed wrong

An advertised address of 0.0.0.0, a port that is no number, two shared keys, and text after the settings were accepted; callers would have been told an address that does not work. The tool said 'No help topic' for an unknown command, drained VMs that do not exist without a word, and its status showed no problem while the key-value service was down, because routers go on without it. status now also asks for the configuration, which tells whether the service answered.

--- a/cmd/gooseberrytide/apply.go
+++ b/cmd/gooseberrytide/apply.go
@@ -128,6 +128,9 @@
 		ArgsUsage: "backend-server/NAME|vm/NAME",
 		Flags:     append(waitFlags(), &cli.BoolFlag{Name: "undo", Usage: "put it back into service"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return errors.New("name one object: backend-server/NAME or vm/NAME")
+			}
 			id, err := object.ParseID(c.Args().First())
 			if err != nil {
 				return err
@@ -137,7 +140,10 @@
 				state = object.StateActive
 			}
 			edit := func(base *object.Set) (*object.Set, error) { return withState(base, id, state) }
-			return publishAndReport(ctx, c, change{edit: edit, rebase: true})
+			if err := publishAndReport(ctx, c, change{edit: edit, rebase: true}); err != nil {
+				return err
+			}
+			return warnUnknownVM(ctx, c, id)
 		},
 	}
 }
@@ -159,3 +165,26 @@
 	}
 	return set, nil
 }
+
+// warnUnknownVM says that a VM's name is no router's, because a misspelt name drains nothing. It is no error: the object
+// may be for a router that starts later.
+func warnUnknownVM(ctx context.Context, c *cli.Command, id object.ID) error {
+	if id.Kind != object.KindVM {
+		return nil
+	}
+	client, err := client(c)
+	if err != nil {
+		return err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return errors.WithMessage(err, "published, but the routers' names are not known")
+	}
+	for _, m := range status.Members {
+		if string(m.ID) == id.Name {
+			return nil
+		}
+	}
+	printf(c, "warning: no router is named %s\n", id.Name)
+	return nil
+}
--- a/cmd/gooseberrytide/files.go
+++ b/cmd/gooseberrytide/files.go
@@ -54,7 +54,11 @@
 }
 
 func findingsError(findings object.Findings) error {
-	return fail(exitFindings, "%d findings\n%s", len(findings), findings.Error())
+	noun := "findings"
+	if len(findings) == 1 {
+		noun = "finding"
+	}
+	return fail(exitFindings, "%d %s\n%s", len(findings), noun, findings.Error())
 }
 
 // overlay puts the objects of files onto a base. With prune, objects that the files lack are removed.
--- a/cmd/gooseberrytide/main.go
+++ b/cmd/gooseberrytide/main.go
@@ -70,6 +70,12 @@
 			validateCommand(), applyCommand(), diffCommand(), getCommand(),
 			drainCommand(), statusCommand(), timelineCommand(),
 		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if name := c.Args().First(); name != "" {
+				return errors.Errorf("unknown command %q; --help lists the commands", name)
+			}
+			return cli.ShowRootCommandHelp(c)
+		},
 		// Errors are printed by main.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/cmd/gooseberrytide/status.go
+++ b/cmd/gooseberrytide/status.go
@@ -8,11 +8,13 @@
 	"sort"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
 // Rows of each table, so that a fleet of any size fits one screen.
@@ -38,6 +40,7 @@
 			if err != nil {
 				return err
 			}
+			status.Problems = append(status.Problems, storeProblems(ctx, client, status.Self)...)
 			if c.Bool("json") {
 				return json.NewEncoder(c.Root().Writer).Encode(status)
 			}
@@ -47,6 +50,21 @@
 	}
 }
 
+// storeWait bounds the look at the key-value service, so that status answers while the service hangs.
+const storeWait = 5 * time.Second
+
+// storeProblems says whether the router reaches the key-value service. The router itself goes on without it, so its
+// status does not tell.
+func storeProblems(ctx context.Context, client *adminhttp.Client, self ident.RouterID) []string {
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	config, err := client.Config(ctx)
+	if err == nil && !config.FromSnapshot {
+		return nil
+	}
+	return []string{fmt.Sprintf("router %s does not reach the key-value service", self)}
+}
+
 // renderStatus prints problems, a summary, members and shards; rows with faults come first.
 func renderStatus(w io.Writer, s admin.Status) {
 	renderProblems(w, problems(s))
@@ -68,6 +86,9 @@
 // problems returns the router's own findings and those that follow from the tables, without repeats.
 func problems(s admin.Status) []string {
 	var list []string
+	if s.Generation == 0 {
+		list = append(list, fmt.Sprintf("router %s has no configuration; if none was published, use apply", s.Self))
+	}
 	if !s.Serving {
 		list = append(list, fmt.Sprintf("router %s refuses new callers", s.Self))
 	}
--- a/cmd/gooseberrytide/timeline.go
+++ b/cmd/gooseberrytide/timeline.go
@@ -37,9 +37,15 @@
 			query := admin.TimelineQuery{Since: c.Uint64("since"), Limit: c.Int("limit"), Request: c.String("request")}
 			printer := newEventPrinter(c.Root().Writer, c.Bool("json"))
 			printer.last = query.Since
-			if err := printer.read(ctx, client, query); err != nil || !c.Bool("follow") {
+			if err := printer.read(ctx, client, query); err != nil {
 				return err
 			}
+			if query.Request != "" && len(printer.seen) == 0 {
+				printer.note("no router has events of request " + query.Request)
+			}
+			if !c.Bool("follow") {
+				return nil
+			}
 			return printer.follow(ctx, client, query)
 		},
 	}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -4,7 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
+	"io"
+	"net/netip"
 	"net/url"
 	"os"
 	"regexp"
@@ -80,6 +81,9 @@
 	if err := decoder.Decode(&s); err != nil {
 		return nil, errors.Wrapf(err, "%s: invalid JSON", path)
 	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, errors.Errorf("%s: invalid JSON: text after the settings", path)
+	}
 	if err := s.provision(); err != nil {
 		return nil, errors.Wrap(err, path)
 	}
@@ -91,7 +95,10 @@
 
 // provision fills in defaults and reads the key file.
 func (s *Settings) provision() error {
-	if s.SharedKeyFile != "" && s.SharedKey == "" {
+	if s.SharedKeyFile != "" && s.SharedKey != "" {
+		return errors.New("shared_key: not allowed together with shared_key_file")
+	}
+	if s.SharedKeyFile != "" {
 		key, err := os.ReadFile(s.SharedKeyFile)
 		if err != nil {
 			return errors.Wrap(err, "shared_key_file")
@@ -133,9 +140,9 @@
 		report("failure_domain", "is required")
 	}
 	checkAddress(report, "peer_listen", s.PeerListen)
-	checkAddress(report, "peer_advertise", s.PeerAdvertise)
+	checkAdvertised(report, "peer_advertise", s.PeerAdvertise)
 	checkAddress(report, "caller_listen", s.CallerListen)
-	checkAddress(report, "caller_advertise", s.CallerAdvertise)
+	checkAdvertised(report, "caller_advertise", s.CallerAdvertise)
 	if len(s.SharedKey) < minSharedKeyBytes {
 		report("shared_key", "must have at least %d bytes", minSharedKeyBytes)
 	}
@@ -156,12 +163,20 @@
 type reportFunc func(field, format string, args ...any)
 
 func checkAddress(report reportFunc, field, address string) {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil {
+	if _, err := netip.ParseAddrPort(address); err != nil {
 		report(field, "must be an IP address and port, got %q", address)
 	}
 }
 
+// checkAdvertised also refuses an address that others cannot connect to. It is the listen address when none is given.
+func checkAdvertised(report reportFunc, field, address string) {
+	checkAddress(report, field, address)
+	parsed, err := netip.ParseAddrPort(address)
+	if err == nil && parsed.Addr().IsUnspecified() {
+		report(field, "must name one address that others connect to, got %q", address)
+	}
+}
+
 func checkURL(report reportFunc, field, value string) {
 	u, err := url.Parse(value)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -62,3 +62,29 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against settings that start a router which others cannot reach or which runs with another key than meant.
+func TestReadSettingsRefusesUnusableValues(t *testing.T) {
+	for field, change := range map[string][2]string{
+		"caller_advertise": {`"caller_listen": "127.0.0.1:0"`, `"caller_listen": "0.0.0.0:8080"`},
+		"peer_advertise":   {`"peer_listen": "127.0.0.1:0"`, `"peer_listen": "[::]:7400"`},
+		"caller_listen":    {`"caller_listen": "127.0.0.1:0"`, `"caller_listen": "127.0.0.1:http"`},
+		"shared_key":       {`"id": "r1"`, `"id": "r1", "shared_key_file": "other.key"`},
+		"text after":       {`855"` + "\n}", `855"` + "\n} {}"},
+	} {
+		text := strings.Replace(goodSettings, change[0], change[1], 1)
+		_, err := ReadSettings(writeSettings(t, text))
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: got %v", field, err)
+		}
+	}
+}
+
+// Guards against a listen address for all interfaces that is refused although the advertised one is usable.
+func TestReadSettingsAcceptsWildcardListener(t *testing.T) {
+	text := strings.Replace(goodSettings, `"caller_listen": "127.0.0.1:0"`,
+		`"caller_listen": "0.0.0.0:8080", "caller_advertise": "127.0.0.1:8080"`, 1)
+	if _, err := ReadSettings(writeSettings(t, text)); err != nil {
+		t.Fatal(err)
+	}
+}
