Measure how costs grow with routers, requests, teams and engines

Cause: the design's control arithmetic for 400 routers rested on estimates. Change: make slopes measures bytes, processor time, memory and store calls of fleets of 2 to 64 routers as processes, per request, per team, per engine and per configuration change.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 
 clean:
 	rm -rf $(BIN)
+
+# The figures in JSON are the last line. docs/CAPACITY.md is worked out from them.
+slopes: build
+	$(BIN)/slopes --bin $(BIN)
--- /dev/null
+++ b/test/slopes/probe.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/daemon"
+	"gooseberrytide.example/gooseberrytide/test/fleet"
+	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
+)
+
+// ticksPerSecond is the unit of processor times in /proc.
+const ticksPerSecond = 100
+
+// sample is the state of a fleet at a time.
+type sample struct {
+	at      time.Time
+	cpu     []float64
+	classes []map[string]float64
+	total   []float64
+	store   kvstore.Counters
+}
+
+// window is the use of a fleet per second between two samples, by router.
+type window struct {
+	seconds float64
+	cpu     []float64
+	control []float64
+	classes []map[string]float64
+	// reads and writes are calls at the store per second.
+	reads, writes float64
+}
+
+func takeSample(ctx context.Context, f *fleet.Fleet) (sample, error) {
+	s := sample{at: time.Now()}
+	for _, r := range f.Routers {
+		m, err := routerMetrics(ctx, r)
+		if err != nil {
+			return s, err
+		}
+		cpu, err := cpuSeconds(r.PID())
+		if err != nil {
+			return s, err
+		}
+		classes := make(map[string]float64)
+		for class, stats := range m.Control {
+			classes[class] = float64(stats.BytesIn + stats.BytesOut)
+		}
+		s.cpu = append(s.cpu, cpu)
+		s.classes = append(s.classes, classes)
+		s.total = append(s.total, float64(m.ControlBytesIn+m.ControlBytesOut))
+	}
+	err := fleet.Do(ctx, http.MethodGet, f.StoreURL+"/admin/counters", nil, &s.store)
+	return s, err
+}
+
+// observe measures a fleet for a time.
+func observe(ctx context.Context, f *fleet.Fleet, length time.Duration) (window, error) {
+	before, err := takeSample(ctx, f)
+	if err != nil {
+		return window{}, err
+	}
+	pause(ctx, length)
+	after, err := takeSample(ctx, f)
+	if err != nil {
+		return window{}, err
+	}
+	return between(before, after), nil
+}
+
+func between(before, after sample) window {
+	w := window{seconds: after.at.Sub(before.at).Seconds()}
+	for n := range after.cpu {
+		w.cpu = append(w.cpu, (after.cpu[n]-before.cpu[n])/w.seconds)
+		w.control = append(w.control, (after.total[n]-before.total[n])/w.seconds)
+		classes := make(map[string]float64)
+		for class, bytes := range after.classes[n] {
+			classes[class] = (bytes - before.classes[n][class]) / w.seconds
+		}
+		w.classes = append(w.classes, classes)
+	}
+	w.reads = float64(after.store.Range-before.store.Range+after.store.Watch-before.store.Watch) / w.seconds
+	w.writes = float64(after.store.Txn-before.store.Txn+after.store.Lease-before.store.Lease) / w.seconds
+	return w
+}
+
+// classTotal returns the bytes of a class in a window over all routers.
+func (w window) classTotal(class string) float64 {
+	sum := 0.0
+	for _, classes := range w.classes {
+		sum += classes[class] * w.seconds
+	}
+	return sum
+}
+
+// classMean returns the bytes per second and router of a class.
+func (w window) classMean(class string) float64 {
+	return w.classTotal(class) / w.seconds / float64(len(w.classes))
+}
+
+func routerMetrics(ctx context.Context, r *fleet.Router) (daemon.Metrics, error) {
+	var vars struct {
+		Metrics daemon.Metrics `json:"gooseberrytide"`
+	}
+	err := fleet.Do(ctx, http.MethodGet, "http://"+r.Caller+"/v1/admin/metrics", nil, &vars)
+	return vars.Metrics, err
+}
+
+// cpuSeconds returns the processor time that a process has used.
+func cpuSeconds(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in parentheses may hold spaces; the fields after it are counted from the state.
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	user, err := strconv.ParseFloat(fields[11], 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / ticksPerSecond, err
+}
+
+// memory returns the resident set of a process and its peak in MB.
+func memory(pid int) (now, peak float64, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) < 2 {
+			continue
+		}
+		kilobytes, _ := strconv.ParseFloat(fields[1], 64) // Only the two fields below are used; both are numbers.
+		switch fields[0] {
+		case "VmRSS:":
+			now = kilobytes * 1024 / 1e6
+		case "VmHWM:":
+			peak = kilobytes * 1024 / 1e6
+		}
+	}
+	return now, peak, nil
+}
+
+// largestMemory returns the largest resident set of the routers and the largest peak in MB.
+func largestMemory(f *fleet.Fleet) (now, peak float64, err error) {
+	for _, r := range f.Routers {
+		rss, high, err := memory(r.PID())
+		if err != nil {
+			return 0, 0, err
+		}
+		now, peak = math.Max(now, rss), math.Max(peak, high)
+	}
+	return now, peak, nil
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+func largest(values []float64) float64 {
+	out := 0.0
+	for _, v := range values {
+		out = math.Max(out, v)
+	}
+	return out
+}
+
+// round keeps four digits after the point.
+func round(v float64) float64 { return math.Round(v*1e4) / 1e4 }
