Make a team's account when it first asks for service

Cause: each shard made an account for each configured team, and set its limits again at each change of members or configuration: state of the size teams times shards. Change: a scheduler keeps a reference to the shared table of limits and makes an account at the first request.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -87,9 +87,7 @@
 func (d *Dispatcher) configure(h *host, shard Shard, routes *Routes) {
 	h.subscribe(d.opts.Loads, shard.Servers)
 	d.apply(h, func(s *scheduler.Scheduler, out *scheduler.Decisions) {
-		for id, limits := range routes.Teams {
-			s.SetTeam(id, limits)
-		}
+		s.SetTeams(routes.Teams)
 		s.SetBackends(d.now(), routes.Generation, backends(shard.Servers), shard.Siblings, out)
 	})
 }
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -24,7 +24,9 @@
 	// startedAt is the time of the first event. Requests that arrived earlier come from another dispatcher.
 	startedAt time.Duration
 
-	teams    map[ident.TeamID]*team
+	teams map[ident.TeamID]*team
+	// limits are those of all configured teams; teams holds only those that asked for service.
+	limits   map[ident.TeamID]TeamLimits
 	fair     fairHeap
 	classes  []*parkedClass
 	skipped  []*team
@@ -160,10 +162,26 @@
 	s.reorder(t)
 }
 
+// SetTeams sets the weights and limits of all configured teams. The table is shared with other shards and must not be
+// modified. An account is made when a team first asks for service: accounts for all teams in each shard would be state
+// of the size teams times shards. A team that is not in the table keeps its limits.
+func (s *Scheduler) SetTeams(limits map[ident.TeamID]TeamLimits) {
+	s.limits = limits
+	for id, t := range s.teams {
+		l, ok := limits[id]
+		if !ok {
+			continue
+		}
+		t.setLimits(l)
+		s.reorder(t)
+	}
+}
+
 func (s *Scheduler) teamOf(id ident.TeamID) *team {
 	t := s.teams[id]
 	if t == nil {
 		t = newTeam(id)
+		t.setLimits(s.limits[id])
 		s.teams[id] = t
 	}
 	return t
