--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -12,6 +12,20 @@
 // Enqueue queues an attempt. A repeated message gets the same answer as the first.
 func (s *Scheduler) Enqueue(now time.Duration, m message.Enqueue, out *Decisions) {
 	s.at(now)
+	s.enqueue(&m, out)
+	s.pump(out)
+}
+
+// EnqueueAll queues attempts and grants none before all are queued.
+func (s *Scheduler) EnqueueAll(now time.Duration, list []message.Enqueue, out *Decisions) {
+	s.at(now)
+	for n := range list {
+		s.enqueue(&list[n], out)
+	}
+	s.pump(out)
+}
+
+func (s *Scheduler) enqueue(m *message.Enqueue, out *Decisions) {
 	ss := s.lookup(m.Ref.Request)
 	if ss == nil {
 		return
@@ -22,13 +36,12 @@
 	}
 	if r := ss.requests[m.Ref.Request.Seq]; r != nil {
 		if r.attempt >= m.Ref.Attempt {
-			s.repeatEnqueue(r, &m, out)
+			s.repeatEnqueue(r, m, out)
 			return
 		}
 		s.abandon(r)
 	}
-	s.admit(ss, &m, out)
-	s.pump(out)
+	s.admit(ss, m, out)
 }
 
 // repeatEnding answers an Enqueue of an attempt that left the scheduler.
@@ -56,7 +69,6 @@
 		ss := r.session
 		s.abandon(r)
 		s.admit(ss, m, out)
-		s.pump(out)
 		return
 	}
 	if r.state == stateLost {
@@ -76,7 +88,7 @@
 	switch {
 	case m.DeadlineMS == 0:
 		s.reject(r, message.RejectDeadline, out)
-	case s.configured && !s.accepting():
+	case s.configured && !s.hasCandidate(r):
 		s.turnAway(r, out)
 	case t.queued() >= t.maxQueued || s.crowded(t):
 		s.reject(r, message.RejectQueueFull, out)
@@ -221,12 +233,31 @@
 	s.reject(r, message.RejectNoBackend, out)
 }
 
-// turnAwayAll empties the queues when no backend server is left, by team name.
-func (s *Scheduler) turnAwayAll(out *Decisions) {
+// turnAwayBlocked answers queued requests that no backend server is left for, by team name and in queue order.
+func (s *Scheduler) turnAwayBlocked(out *Decisions) {
 	for _, id := range slices.Sorted(maps.Keys(s.teams)) {
-		t := s.teams[id]
-		for r := t.head(); r != nil; r = t.head() {
+		for _, r := range s.blocked(s.teams[id]) {
 			s.turnAway(r, out)
 		}
 	}
 }
+
+// blocked returns a team's queued requests without a candidate, earliest first.
+func (s *Scheduler) blocked(t *team) []*request {
+	var list []*request
+	if !s.accepting() {
+		list = append(list, t.free...)
+	}
+	for _, r := range t.bound {
+		if !s.hasCandidate(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int {
+		if a.earlier(b) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/test/faults/scenarios.go
+++ b/test/faults/scenarios.go
@@ -32,7 +32,7 @@
 	{name: "pause-dispatcher", inject: pauseDispatcher},
 	{name: "pause-claim-holder", inject: pauseClaimHolder},
 	{name: "partition-router", inject: partitionRouter},
-	{name: "partition-domain", routers: 6, inject: partitionDomain},
+	{name: "partition-domain", routers: 8, inject: partitionDomain},
 	{name: "store-down", inject: storeFault(kvstore.Faults{Outage: true})},
 	{name: "store-hang", inject: storeFault(kvstore.Faults{Hang: true})},
 	{name: "store-slow", inject: storeSlow},
@@ -116,7 +116,7 @@
 		// Otherwise the new process comes before the death of the old one is noticed.
 		sleep(ctx, w.opts.Duration/2)
 	}
-	r, err := w.replace(ctx, victim)
+	r, err := w.replace(ctx, victim, true)
 	if err != nil {
 		return err
 	}
