Serve after a pause or a partition only once the configuration has caught up

Cause: a router that had been out of contact counted a generation that it then learnt as just published, and served with the old configuration for up to 4 s more. Change: a generation that is learnt without contact to the store or a majority counts as missed for any time, and the head that shows it does not count as contact.

--- a/internal/coordination/publish/sync_store.go
+++ b/internal/coordination/publish/sync_store.go
@@ -84,12 +84,13 @@
 		return
 	}
 	s.revision = max(s.revision, revision)
-	if began.After(s.confirmed) {
-		s.confirmed = began
-	}
+	// Contact before this call decides for how long the generation may have been missed.
 	if h.Generation > s.generation() {
 		s.learn(h.Generation)
 	}
+	if began.After(s.confirmed) {
+		s.confirmed = began
+	}
 }
 
 // pullStore brings the store's configuration into force if it is higher.
--- a/internal/coordination/publish/syncer.go
+++ b/internal/coordination/publish/syncer.go
@@ -162,7 +162,22 @@
 		s.missing[n-1].generation = gen
 		return
 	}
-	s.missing = append(s.missing, missing{generation: gen, since: s.opts.Clock()})
+	s.missing = append(s.missing, missing{generation: gen, since: s.missedSince()})
+}
+
+// missedSince is when a generation that is learnt now may have been published. A router that was out of contact may
+// have missed it for any time, and then serves only once it has caught up. The caller holds mu.
+func (s *Syncer) missedSince() time.Time {
+	now := s.opts.Clock()
+	if s.confirmedAt(now) || s.hearsMajority() {
+		return now
+	}
+	return time.Time{}
+}
+
+// confirmedAt says whether the store confirmed the snapshot in force recently. The caller holds mu.
+func (s *Syncer) confirmedAt(now time.Time) bool {
+	return !s.confirmed.IsZero() && now.Sub(s.confirmed) <= FreshWindow
 }
 
 // generation returns the generation in force, or 0.
@@ -188,7 +203,7 @@
 	s.mu.Lock()
 	ready := s.ready && s.opts.Holder.Load() != nil
 	late := len(s.missing) > 0 && now.Sub(s.missing[0].since) > FreshWindow
-	confirmed := !s.confirmed.IsZero() && now.Sub(s.confirmed) <= FreshWindow
+	confirmed := s.confirmedAt(now)
 	s.mu.Unlock()
 	if !ready || late {
 		return false
