Put a published configuration in force at the publishing router without the store

Cause: the publishing router learnt only the number of its generation and read the configuration back from the store.

--- a/internal/coordination/publish/serving_test.go
+++ b/internal/coordination/publish/serving_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 )
@@ -82,3 +83,31 @@
 		t.Error("does not serve after it has caught up")
 	}
 }
+
+// An accepted configuration must be in force although the store does not answer after the publish. It was known only by
+// its number, and all routers served on with the old one until the store answered again.
+func TestPublishedConfigurationNeedsNoStore(t *testing.T) {
+	store := kv.NewFake()
+	set := object.NewSet()
+	set.FailureDomains["north"] = &object.FailureDomain{Name: "north"}
+	publisher := NewPublisher(store, func() bool { return true })
+	g, err := publisher.Publish(t.Context(), 0, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var holder snapshot.Holder
+	s := NewSyncer(SyncOptions{Holder: &holder, Peers: &heardPeers{heard: 3}})
+	s.Published(g, set)
+	current := holder.Load()
+	if current == nil || current.Generation() != g {
+		t.Fatalf("in force: %+v", current)
+	}
+	_, stored, err := publisher.Head(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := snapshot.Build(g, stored)
+	if err != nil || read.Digest() != current.Digest() {
+		t.Errorf("digest %s, and %s when read from the store: %v", current.Digest(), read.Digest(), err)
+	}
+}
--- a/internal/coordination/publish/syncer.go
+++ b/internal/coordination/publish/syncer.go
@@ -9,6 +9,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 )
 
@@ -133,9 +134,17 @@
 	s.mu.Unlock()
 }
 
-// Published records that this router published a generation, so that it does not wait for a watch. It does not
-// block.
-func (s *Syncer) Published(gen ident.Generation) {
+// Published puts a set in force that this router published. The store may be down or slow from now on, and then no
+// router could read it there.
+func (s *Syncer) Published(gen ident.Generation, set *object.Set) {
+	set = set.Clone()
+	object.ApplyDefaults(set)
+	next, err := snapshot.Build(gen, set)
+	if err == nil {
+		s.advance(next)
+		return
+	}
+	s.opts.Logger.Error("sync: published configuration is not used", zap.Error(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.learn(gen)
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return 0, err
 	}
-	d.syncer.Published(generation)
+	d.syncer.Published(generation, set)
 	return generation, nil
 }
 
