--- a/internal/coordination/publish/apply.go
+++ b/internal/coordination/publish/apply.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.Published(gen)
+	s.Published(gen, set)
 	ctx, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
 	return gen, s.AwaitMajority(ctx, gen)
--- a/test/session/publish_test.go
+++ b/test/session/publish_test.go
@@ -104,7 +104,7 @@
 	w.log("operator", "operator -> %s  publish base=%d", at, base)
 	gen, err := publisher.Publish(context.Background(), base, set)
 	if err == nil && n.syncer != nil {
-		n.syncer.Published(gen)
+		n.syncer.Published(gen, set)
 		err = n.syncer.AwaitMajority(context.Background(), gen)
 	}
 	w.log("operator", "%s -> operator  generation=%d%s", at, gen, failure(err))
