--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -15,6 +15,7 @@
 	bin := flag.String("bin", "bin", "directory of the programs")
 	seed := flag.Uint64("seed", 1, "seed of the load")
 	only := flag.String("only", "", "run only this variant: fleet, alone or ideal")
+	flag.Float64Var(&smallWeight, "small-weight", smallWeight, "weight of the small team")
 	flag.BoolVar(&keepLogs, "keep", false, "keep the directories with settings and logs")
 	flag.Parse()
 	if err := measure(context.Background(), *bin, *seed, *only); err != nil {
--- a/test/measure/shapes.go
+++ b/test/measure/shapes.go
@@ -89,13 +89,16 @@
 	return []object.Route{{PathPrefix: "/lookup", Idempotent: true}, {PathPrefix: "/"}}
 }
 
+// smallWeight is the weight of the small team that is compared with and without the flood.
+var smallWeight = 1.0
+
 // largeTeams is the number of teams that are always backlogged, beside the flooding one.
 const largeTeams = 4
 
 // loads returns 16 teams: a small one of interest, four large ones with uneven weights, one that floods, and ten small
 // ones. A few are bound to one or two routers, and hints are up to ten times off.
 func loads(small, flood string) []teamLoad {
-	list := []teamLoad{{name: small, weight: 1, rate: 6, tokens: 20, hintFactor: 1, home: 8}}
+	list := []teamLoad{{name: small, weight: smallWeight, rate: 6, tokens: 20, hintFactor: 1, home: 8}}
 	weights := []float64{1, 1, 2, 1}
 	factors := []float64{1, 10, 2, 5}
 	homes := []int{8, 1, 2, 4}
