--- a/test/faults/publish.go
+++ b/test/faults/publish.go
@@ -101,8 +101,16 @@
 	return ident.Generation(highest)
 }
 
-// changed returns the fleet's configuration with another weight of a team.
+// weightStep tells the weights of different publishes apart. Publishing the set in force again is accepted with the
+// generation that it has, and is no second acceptance.
+const weightStep = 1e-4
+
+// changed returns the fleet's configuration with another weight of a team. No two of them are equal.
 func (w *world) changed(team string, weight float64) *object.Set {
+	w.mu.Lock()
+	w.publishes++
+	weight += float64(w.publishes) * weightStep
+	w.mu.Unlock()
 	set := *w.fleet.Set
 	set.Teams = maps.Clone(set.Teams)
 	other := *set.Teams[team]
--- a/test/faults/world.go
+++ b/test/faults/world.go
@@ -66,6 +66,8 @@
 	engines []engineExecution
 	// accepted holds the generations of accepted publishes.
 	accepted map[uint64]acceptance
+	// publishes is the number of publishes so far.
+	publishes int
 	// victims are the routers that a fault has reserved.
 	victims    map[string]bool
 	violations []string
