--- a/test/slopes/objects.go
+++ b/test/slopes/objects.go
@@ -124,6 +124,8 @@
 	s.out.set("target_rss_peak_mb", peak)
 	s.out.set("target_idle_cpu_share", mean(idle.cpu))
 	s.out.set("target_idle_control_bytes_s", mean(idle.control))
+	s.out.set("target_idle_store_reads_s", idle.reads)
+	s.out.set("target_idle_free_slots_bytes_s", idle.classMean("free-slots"))
 	if err := s.change(ctx, f, 2, "target"); err != nil {
 		return err
 	}
--- a/test/slopes/probe.go
+++ b/test/slopes/probe.go
@@ -23,8 +23,10 @@
 	at      time.Time
 	cpu     []float64
 	classes []map[string]float64
-	total   []float64
-	store   kvstore.Counters
+	// sent holds the messages sent by class.
+	sent  []map[string]float64
+	total []float64
+	store kvstore.Counters
 }
 
 // window is the use of a fleet per second between two samples, by router.
@@ -33,6 +35,8 @@
 	cpu     []float64
 	control []float64
 	classes []map[string]float64
+	// sent holds the messages sent per second and class by all routers.
+	sent map[string]float64
 	// reads and writes are calls at the store per second.
 	reads, writes float64
 }
@@ -48,12 +52,14 @@
 		if err != nil {
 			return s, err
 		}
-		classes := make(map[string]float64)
+		classes, sent := make(map[string]float64), make(map[string]float64)
 		for class, stats := range m.Control {
 			classes[class] = float64(stats.BytesIn + stats.BytesOut)
+			sent[class] = float64(stats.MessagesOut)
 		}
 		s.cpu = append(s.cpu, cpu)
 		s.classes = append(s.classes, classes)
+		s.sent = append(s.sent, sent)
 		s.total = append(s.total, float64(m.ControlBytesIn+m.ControlBytesOut))
 	}
 	err := fleet.Do(ctx, http.MethodGet, f.StoreURL+"/admin/counters", nil, &s.store)
@@ -75,13 +81,14 @@
 }
 
 func between(before, after sample) window {
-	w := window{seconds: after.at.Sub(before.at).Seconds()}
+	w := window{seconds: after.at.Sub(before.at).Seconds(), sent: make(map[string]float64)}
 	for n := range after.cpu {
 		w.cpu = append(w.cpu, (after.cpu[n]-before.cpu[n])/w.seconds)
 		w.control = append(w.control, (after.total[n]-before.total[n])/w.seconds)
 		classes := make(map[string]float64)
 		for class, bytes := range after.classes[n] {
 			classes[class] = (bytes - before.classes[n][class]) / w.seconds
+			w.sent[class] += (after.sent[n][class] - before.sent[n][class]) / w.seconds
 		}
 		w.classes = append(w.classes, classes)
 	}
--- a/test/slopes/requests.go
+++ b/test/slopes/requests.go
@@ -198,7 +198,7 @@
 	pause(ctx, 2*time.Second)
 	from, ended := served.total(), served.completed()
 	w, err := observe(ctx, f, requestTime)
-	cost := served.total() - from
+	cost, finished := served.total()-from, served.completed()-ended
 	cancel()
 	group.Wait()
 	if err != nil {
@@ -208,7 +208,9 @@
 		s.out.set("siblings_bytes_s_per_router/"+strings.ReplaceAll(class, "-", "_"), w.classMean(class))
 	}
 	s.out.set("siblings_control_bytes_s_per_router", mean(w.control))
+	s.out.set("siblings_deltas_s_per_router", w.sent["service-delta"]/routers)
+	s.out.set("siblings_crossing_share", w.sent["enqueue"]*w.seconds/float64(max(finished, 1)))
 	s.out.set("siblings_cost_units_s", cost/w.seconds)
-	s.out.set("siblings_requests_s", float64(served.completed()-ended)/w.seconds)
+	s.out.set("siblings_requests_s", float64(max(finished, 1))/w.seconds)
 	return nil
 }
