Keep the cadence of ping rounds when ticks are late

Cause: the next round was counted from the current tick, so each tick that was late by less than a tick's length delayed all later rounds by one tick: 101 rounds in the time of 120. A majority of a large fleet is estimated from at least 20 pings of the last 4 s; with three pings each 600 ms there are too few, and the router read the store instead, or refused to publish. Change: the next round is due one period after the last one was due.

--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -172,7 +172,8 @@
 	out = d.expireProbes(now, out)
 	d.expireSuspects(now)
 	if now >= d.nextRound {
-		d.nextRound = now + Period
+		// The next round is due by the schedule. Counted from now, each late tick would delay all later rounds by a tick.
+		d.nextRound = max(d.nextRound+Period, now)
 		d.forget(now)
 		out = d.round(now, out)
 	}
