Let the exchange quantum grow with the number of shards

Change: above 3 siblings the quantum grows with their number; the stated bound uses the actual quantum. Conclusion: the bound across many shards is wider by the same factor.

--- a/internal/coordination/scheduler/exchange.go
+++ b/internal/coordination/scheduler/exchange.go
@@ -84,20 +84,28 @@
 		return
 	}
 	t.unreported += change
-	if !t.dirty && passesQuantum(t.unreported) {
+	if !t.dirty && s.passesQuantum(t.unreported) {
 		t.dirty = true
 		s.exchange.dirty = append(s.exchange.dirty, t)
 	}
 }
 
-func passesQuantum(c ident.Cost) bool { return c >= Quantum || c <= -Quantum }
+// quantum is the unreported service that makes this shard report a team, in cost units.
+func (s *Scheduler) quantum() ident.Cost {
+	return Quantum * ident.Cost(max(s.siblings-1, quantumSiblings)) / quantumSiblings
+}
+
+func (s *Scheduler) passesQuantum(c ident.Cost) bool {
+	q := s.quantum()
+	return c >= q || c <= -q
+}
 
 // report sends the service of teams that passed the quantum to each sibling.
 func (s *Scheduler) report(out *Decisions) {
 	for i, t := range s.exchange.dirty {
 		s.exchange.dirty[i] = nil
 		t.dirty = false
-		if !passesQuantum(t.unreported) {
+		if !s.passesQuantum(t.unreported) {
 			continue
 		}
 		s.reportTeam(t, out)
--- a/internal/coordination/scheduler/exchange_test.go
+++ b/internal/coordination/scheduler/exchange_test.go
@@ -152,3 +152,29 @@
 		t.Fatalf("redirected work was charged twice: %.0f, then %.0f", before.Counter, after.Counter)
 	}
 }
+
+// Guards against reports whose number grows with the square of a pool's shards. At the target a shard serves about 6,000
+// cost units a second and has 16 siblings; 30 reports a second of 35 bytes are a third of a router's budget of 3 KB/s.
+func TestReportsOfLargePoolsAreBounded(t *testing.T) {
+	const (
+		maxReports = 30
+		seconds    = 60
+		requests   = 20
+		cost       = 300
+	)
+	r := shardRig(0, 17, requests)
+	reports := 0
+	for range seconds {
+		for i := range requests {
+			r.enqueue(string(teamName(i%4)), cost)
+		}
+		r.tick(time.Second)
+		reports += len(r.out.Deltas)
+		for _, g := range r.grants() {
+			r.settle(g.Ref, cost)
+		}
+	}
+	if reports == 0 || reports > maxReports*seconds {
+		t.Fatalf("%d reports in %d s", reports, seconds)
+	}
+}
--- a/internal/coordination/scheduler/options.go
+++ b/internal/coordination/scheduler/options.go
@@ -77,8 +77,11 @@
 
 // Exchange between the shards of a pool.
 const (
-	// Quantum is the unreported service of a team, in cost units, that makes a shard report it.
+	// Quantum is the unreported service of a team, in cost units, that makes a shard with few siblings report it.
 	Quantum ident.Cost = 1000
+	// quantumSiblings is the number of siblings from which the quantum grows with their number. Each report goes to
+	// every sibling, so a fixed quantum at 17 shards of full engines took 6 KB/s a router, twice the whole budget.
+	quantumSiblings = 3
 	// announceInterval is the time between announcements of free slots.
 	announceInterval = 500 * time.Millisecond
 	// announceFanOut is the number of siblings per announcement. It bounds the traffic of an idle shard.
--- a/internal/coordination/scheduler/stats.go
+++ b/internal/coordination/scheduler/stats.go
@@ -136,7 +136,7 @@
 	}
 	inFlight := float64(max(limit, s.totals.maxRunning))
 	bound = float64(s.totals.maxCost) + inFlight*float64(s.totals.maxError)
-	bound += 2 * float64(s.siblings-1) * float64(Quantum)
+	bound += 2 * float64(s.siblings-1) * float64(s.quantum())
 	bound *= 2
 	return high - s.fair[0].counter, bound / weight
 }
