Start the engines of the slopes with their models loaded

Cause: the order owners saw 4,500 engines with another model, read the store 53 times a second and used processor time that was taken for the cost of a configuration change.

--- a/test/slopes/engines.go
+++ b/test/slopes/engines.go
@@ -30,24 +30,24 @@
 type engines struct {
 	processes []*exec.Cmd
 	addresses []string
+	models    int
 }
 
-// newEngines starts engines in processes of this program.
-func newEngines(n int) (*engines, error) {
-	e := &engines{}
-	for n > 0 {
-		count := min(n, enginesPerProcess)
-		if err := e.start(count); err != nil {
+// newEngines starts engines in processes of this program. Each has loaded its model, so that no orders are given.
+func newEngines(n, models int) (*engines, error) {
+	e := &engines{models: models}
+	for first := 0; first < n; first += enginesPerProcess {
+		if err := e.start(first, min(n-first, enginesPerProcess)); err != nil {
 			e.close()
 			return nil, err
 		}
-		n -= count
 	}
 	return e, nil
 }
 
-func (e *engines) start(count int) error {
-	cmd := exec.Command(os.Args[0], "--serve-engines", strconv.Itoa(count))
+func (e *engines) start(first, count int) error {
+	cmd := exec.Command(os.Args[0], "--serve-engines", strconv.Itoa(count),
+		"--first-engine", strconv.Itoa(first), "--engine-models", strconv.Itoa(e.models))
 	cmd.Stderr = os.Stderr
 	out, err := cmd.StdoutPipe()
 	if err != nil {
@@ -73,14 +73,17 @@
 }
 
 // serveEngines runs engines in this process until it is killed, after it has printed their addresses.
-func serveEngines(n int) error {
+func serveEngines(first, n, models int) error {
 	var addresses []string
-	for range n {
+	for k := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		one := engine.New(engine.Options{Slots: engineSlots, DecodeRate: 50, AnyModel: true})
+		model := modelName((first + k) % models)
+		one := engine.New(engine.Options{
+			Slots: engineSlots, DecodeRate: 50, AnyModel: true, Model: model, Version: versionName(model),
+		})
 		addresses = append(addresses, l.Addr().String())
 		go func() { _ = one.Serve(l) }() // It ends with the process.
 	}
@@ -91,17 +94,18 @@
 }
 
 // addTo adds the engines to a configuration, spread over models named m, m1, m2 and so on.
-func (e *engines) addTo(set *object.Set, models int) {
-	for n := range models {
+func (e *engines) addTo(set *object.Set) {
+	for n := range e.models {
 		name := modelName(n)
-		set.Models[name] = &object.Model{Name: name, DefaultVersion: name + "-v1"}
-		set.Versions[name+"-v1"] = &object.Version{Name: name + "-v1", Model: name, Weights: name}
+		version := versionName(name)
+		set.Models[name] = &object.Model{Name: name, DefaultVersion: version}
+		set.Versions[version] = &object.Version{Name: version, Model: name, Weights: name}
 	}
 	for n, address := range e.addresses {
 		name := fmt.Sprintf("engine%d", n)
 		set.BackendServers[name] = &object.BackendServer{
 			Name: name, Kind: object.BackendModelEngine, FailureDomain: "a", Address: address,
-			Model: modelName(n % models), Slots: engineSlots,
+			Model: modelName(n % e.models), Slots: engineSlots,
 		}
 	}
 }
@@ -113,6 +117,8 @@
 	return fmt.Sprintf("m%d", n)
 }
 
+func versionName(model string) string { return model + "-v1" }
+
 // publishFirst publishes the first configuration and waits until all routers serve.
 func publishFirst(ctx context.Context, f *fleet.Fleet) error {
 	err := fleet.Await(ctx, eventLimit, "publish", func() error {
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -60,9 +60,11 @@
 	bin := flag.String("bin", "bin", "directory of the programs")
 	only := flag.String("only", "", "run only this step")
 	serve := flag.Int("serve-engines", 0, "run this number of engine stand-ins instead of measuring")
+	first := flag.Int("first-engine", 0, "number of the first engine stand-in")
+	models := flag.Int("engine-models", 1, "number of models that the engine stand-ins take turns in")
 	flag.Parse()
 	if *serve > 0 {
-		fail(serveEngines(*serve))
+		fail(serveEngines(*first, *serve, *models))
 		return
 	}
 	s := &suite{bin: *bin, out: &results{values: make(map[string]float64)}}
--- a/test/slopes/objects.go
+++ b/test/slopes/objects.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	list, err := newEngines(count)
+	list, err := newEngines(count, min(targetModels, max(count/12, 1)))
 	if err != nil {
 		stop()
 		return nil, nil, err
@@ -70,7 +70,7 @@
 		stop()
 		list.close()
 	}
-	if err := publishSized(ctx, f, list, count); err != nil {
+	if err := publishSized(ctx, f, list); err != nil {
 		both()
 		return nil, nil, err
 	}
@@ -79,7 +79,7 @@
 
 // publishSized publishes the teams first and the engines when all routers know each other. Otherwise the first router
 // to be configured would open the event streams of all engines for a moment.
-func publishSized(ctx context.Context, f *fleet.Fleet, list *engines, count int) error {
+func publishSized(ctx context.Context, f *fleet.Fleet, list *engines) error {
 	if err := publishFirst(ctx, f); err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 		return err
 	}
 	pause(ctx, changeTime)
-	list.addTo(f.Set, min(targetModels, max(count/12, 1)))
+	list.addTo(f.Set)
 	_, err := f.Apply(ctx, 1)
 	return err
 }
--- a/test/slopes/requests.go
+++ b/test/slopes/requests.go
@@ -181,12 +181,12 @@
 		return err
 	}
 	defer stop()
-	engines, err := newEngines(siblingEngines)
+	engines, err := newEngines(siblingEngines, 1)
 	if err != nil {
 		return err
 	}
 	defer engines.close()
-	engines.addTo(f.Set, 1)
+	engines.addTo(f.Set)
 	if err := publishFirst(ctx, f); err != nil {
 		return err
 	}
