Split the handling of grants and join the lookups of dispatchers' answers

Change: one function for answers about waiting requests; grants are accepted, answered and recorded in functions of their own.

--- a/internal/coordination/dispatch/answers.go
+++ b/internal/coordination/dispatch/answers.go
@@ -17,44 +17,61 @@
 	t := i.table(m.Ref)
 	t.mu.Lock()
 	w, waiting := t.waiting[m.Ref]
-	running := t.running[m.Ref]
 	if !waiting {
-		report, repeated := i.counterReport(from, m, running)
+		report, repeated := i.counterReport(from, m, t.running[m.Ref])
 		t.mu.Unlock()
-		switch {
-		case report != nil:
-			i.send(from, report)
-		case !repeated:
-			i.returnGrant(from, m)
-		}
+		i.answerGrant(from, m, report, repeated)
+		return
+	}
+	a := i.accept(t, w, from, m)
+	t.mu.Unlock()
+	if a == nil {
 		return
 	}
+	i.lags.set(w.work.Team, m.Shard, m.Lag)
+	i.recordGrant(timeline.KindGrant, from, m, w.work.Team)
+	w.result <- admission{attempt: a}
+}
+
+// accept turns a waiting request into a running attempt. It returns nil when the configuration in force does not know the
+// backend server yet. The table's lock is held.
+func (i *Ingress) accept(t *table, w *waiter, from ident.RouterID, m *message.Grant) *attempt {
 	server, known := i.server(m.Backend)
 	if !known {
 		// Returned unused, the attempt would count as ended at the dispatcher, which ignores it for the 30 s in which it
 		// remembers ends. Asked again, the dispatcher repeats the grant, or makes another once its configuration lacks the
 		// backend server too.
 		w.resendAt = time.Now().Add(askAgainDelay)
-		t.mu.Unlock()
-		return
+		return nil
 	}
 	delete(t.waiting, m.Ref)
 	a := i.newAttempt(w, from, m)
 	a.server = server
 	t.running[m.Ref] = a
-	t.mu.Unlock()
-	i.lags.set(w.work.Team, m.Shard, m.Lag)
+	return a
+}
+
+// answerGrant answers a grant for a request that does not wait.
+func (i *Ingress) answerGrant(from ident.RouterID, m *message.Grant, report *message.Running, repeated bool) {
+	switch {
+	case report != nil:
+		i.send(from, report)
+	case !repeated:
+		i.returnGrant(from, m)
+	}
+}
+
+func (i *Ingress) recordGrant(kind timeline.Kind, from ident.RouterID, m *message.Grant, team ident.TeamID) {
 	i.opts.Events.Add(timeline.Event{
-		Kind:       timeline.KindGrant,
+		Kind:       kind,
 		Request:    m.Ref.Request.String(),
 		Attempt:    m.Ref.Attempt,
-		Team:       w.work.Team,
+		Team:       team,
 		Shard:      m.Shard.String(),
 		Backend:    m.Backend,
 		Peer:       from,
 		Generation: m.Generation,
 	})
-	w.result <- admission{attempt: a}
 }
 
 // newAttempt makes the attempt of a grant. The grant's sender counts it, also when the ingress has since learnt of
@@ -92,40 +109,42 @@
 
 // returnGrant settles a late grant as unused.
 func (i *Ingress) returnGrant(from ident.RouterID, m *message.Grant) {
-	i.opts.Events.Add(timeline.Event{
-		Kind:    timeline.KindGrantUnused,
-		Request: m.Ref.Request.String(),
-		Attempt: m.Ref.Attempt,
-		Shard:   m.Shard.String(),
-		Backend: m.Backend,
-		Peer:    from,
-	})
+	i.recordGrant(timeline.KindGrantUnused, from, m, "")
 	i.send(from, &message.Settle{Shard: m.Shard, Ref: m.Ref, Result: message.SettleUnused})
 }
 
-// HandleReject takes a refusal. A dispatcher that is not the owner is asked again after a delay, by then with a
-// newer view on one of the two sides.
-func (i *Ingress) HandleReject(from ident.RouterID, m *message.Reject) {
-	if !i.own(m.Ref) {
+// answered calls act under the table's lock if the request still waits for an answer of this dispatcher.
+func (i *Ingress) answered(from ident.RouterID, shard ident.ShardID, ref ident.AttemptRef, act func(t *table, w *waiter)) {
+	if !i.own(ref) {
 		return
 	}
-	t := i.table(m.Ref)
+	t := i.table(ref)
 	t.mu.Lock()
-	w, ok := t.waiting[m.Ref]
-	if !ok || w.owner.Router != from || w.shard != m.Shard {
-		t.mu.Unlock()
-		return
+	defer t.mu.Unlock()
+	w, ok := t.waiting[ref]
+	if ok && w.owner.Router == from && w.shard == shard {
+		act(t, w)
 	}
-	if m.Reason == message.RejectNotOwner {
-		w.resendAt = time.Now().Add(askAgainDelay)
-		t.mu.Unlock()
+}
+
+// HandleReject takes a refusal. A dispatcher that is not the owner is asked again after a delay, by then with a
+// newer view on one of the two sides.
+func (i *Ingress) HandleReject(from ident.RouterID, m *message.Reject) {
+	var rejected *waiter
+	i.answered(from, m.Shard, m.Ref, func(t *table, w *waiter) {
+		if m.Reason == message.RejectNotOwner {
+			w.resendAt = time.Now().Add(askAgainDelay)
+			return
+		}
+		delete(t.waiting, m.Ref)
+		rejected = w
+	})
+	if rejected == nil {
 		return
 	}
-	delete(t.waiting, m.Ref)
-	t.mu.Unlock()
 	i.count.Add(-1)
-	i.record(timeline.KindReject, w, from, m.Reason.String())
-	w.result <- admission{err: &NotAdmittedError{
+	i.record(timeline.KindReject, rejected, from, m.Reason.String())
+	rejected.result <- admission{err: &NotAdmittedError{
 		Reason:     rejectReasons[m.Reason],
 		RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
 	}}
@@ -140,21 +159,19 @@
 
 // HandleRedirect moves a waiting request to another shard of its pool.
 func (i *Ingress) HandleRedirect(from ident.RouterID, m *message.Redirect) {
-	if !i.own(m.Ref) {
-		return
-	}
-	t := i.table(m.Ref)
-	t.mu.Lock()
-	w, ok := t.waiting[m.Ref]
-	if !ok || w.owner.Router != from || w.shard != m.Shard {
-		t.mu.Unlock()
+	var moved *waiter
+	var enqueue *message.Enqueue
+	var to ident.RouterID
+	i.answered(from, m.Shard, m.Ref, func(_ *table, w *waiter) {
+		w.shard.Index = m.To
+		w.redirect = true
+		enqueue, to = i.prepareEnqueue(w, i.routes.Load(), time.Now())
+		moved = w
+	})
+	if moved == nil {
 		return
 	}
-	w.shard.Index = m.To
-	w.redirect = true
-	enqueue, to := i.prepareEnqueue(w, i.routes.Load(), time.Now())
-	t.mu.Unlock()
-	i.record(timeline.KindRedirect, w, to, "")
+	i.record(timeline.KindRedirect, moved, to, "")
 	i.sendEnqueue(to, enqueue)
 }
 
