--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -113,6 +113,7 @@
 func (a addresses) Addresses(_ context.Context, q caller.AddressQuery) (caller.AddressAnswer, error) {
 	choice := entry.Choose(entry.Query{
 		Team:   ident.TeamID(q.Team),
+		Caller: q.Caller,
 		Domain: ident.DomainID(q.Domain),
 	}, a.d.view(), a.d.dispatchers(poolOf(q)))
 	answer := caller.AddressAnswer{LifetimeMS: a.d.settings.AddressLifetime().Milliseconds()}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,12 +22,12 @@
 // view. Without the limit, a router that only reaches the store would never dispatch.
 const staleLimit = 3 * time.Second
 
-// controlState is what the control loop remembers between rounds. The lock guards key and staleSince.
+// controlState is what the control loop remembers between rounds. The lock guards input and staleSince.
 type controlState struct {
 	mu         sync.Mutex
-	key        string
+	input      routesInput
 	staleSince time.Duration
-	members    map[ident.RouterID]string
+	members    map[ident.RouterID]memberState
 	serving    bool
 }
 
@@ -87,11 +85,11 @@
 	if s == nil || d.holdStale(view) {
 		return
 	}
-	key := routesKey(s, view)
-	if key == d.control.key {
+	input := inputOf(s, view)
+	if input.equal(d.control.input) {
 		return
 	}
-	d.control.key = key
+	d.control.input = input
 	routes := buildRoutes(ident.RouterID(d.settings.ID), s, view)
 	d.routes.Store(routes)
 	d.router.Update(routes)
@@ -110,14 +108,30 @@
 	return d.now()-d.control.staleSince < staleLimit
 }
 
-// routesKey names everything that routes are built from.
-func routesKey(s *snapshot.Snapshot, view *membership.View) string {
-	var key strings.Builder
-	fmt.Fprintf(&key, "%d", s.Generation())
-	for _, m := range view.Live() {
-		fmt.Fprintf(&key, ";%s:%x:%t", m.ID, uint64(m.Incarnation), eligible(m))
+// routesInput is everything that routes are built from.
+type routesInput struct {
+	generation ident.Generation
+	members    []routeMember
+}
+
+// routeMember is what routes need of a member.
+type routeMember struct {
+	id          ident.RouterID
+	incarnation ident.Incarnation
+	eligible    bool
+}
+
+func inputOf(s *snapshot.Snapshot, view *membership.View) routesInput {
+	live := view.Live()
+	input := routesInput{generation: s.Generation(), members: make([]routeMember, 0, len(live))}
+	for _, m := range live {
+		input.members = append(input.members, routeMember{m.ID, m.Incarnation, eligible(m)})
 	}
-	return key.String()
+	return input
+}
+
+func (i routesInput) equal(other routesInput) bool {
+	return i.generation == other.generation && slices.Equal(i.members, other.members)
 }
 
 // eligible reports whether a member may be a dispatcher.
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -5,23 +5,36 @@
 
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
 
+// memberState is what the time line tells about a member.
+type memberState struct {
+	state       membership.State
+	draining    bool
+	incarnation ident.Incarnation
+}
+
+// String describes the state.
+func (s memberState) String() string {
+	draining := ""
+	if s.draining {
+		draining = " draining"
+	}
+	return fmt.Sprintf("%s%s incarnation %x", s.state, draining, uint64(s.incarnation))
+}
+
 // recordChanges adds events for members whose state changed and for the start and end of serving.
 func (d *Daemon) recordChanges() {
-	current := make(map[ident.RouterID]string)
-	for _, m := range d.view().Members() {
-		state := m.State.String()
-		if m.Draining {
-			state += " draining"
-		}
-		current[m.ID] = fmt.Sprintf("%s incarnation %x", state, uint64(m.Incarnation))
-	}
-	for id, state := range current {
-		if d.control.members[id] != state {
-			d.events.Add(timeline.Event{Kind: timeline.KindMember, Peer: id, Detail: state})
+	members := d.view().Members()
+	current := make(map[ident.RouterID]memberState, len(members))
+	for _, m := range members {
+		state := memberState{m.State, m.Draining, m.Incarnation}
+		current[m.ID] = state
+		if d.control.members[m.ID] != state {
+			d.events.Add(timeline.Event{Kind: timeline.KindMember, Peer: m.ID, Detail: state.String()})
 		}
 	}
 	d.control.members = current
--- a/internal/protocol/caller/addresses.go
+++ b/internal/protocol/caller/addresses.go
@@ -10,6 +10,8 @@
 	Service string
 	// Domain names the caller's failure domain, or is empty.
 	Domain string
+	// Caller is the caller's IP address. The callers of a team spread over the dispatchers of a pool by it.
+	Caller string
 }
 
 // AddressAnswer lists entry addresses, best first.
--- a/internal/transport/callerhttp/fakes_test.go
+++ b/internal/transport/callerhttp/fakes_test.go
@@ -20,6 +20,8 @@
 	seq      atomic.Uint64
 	call     func(ctx context.Context, r execute.CallRequest) execute.CallResult
 	complete func(ctx context.Context, r execute.CompletionRequest, emit func(execute.Chunk) error) execute.CompletionResult
+	// asked is the last query for addresses.
+	asked caller.AddressQuery
 }
 
 func (f *fakeExecutor) NewRequest() ident.RequestRef {
@@ -39,6 +41,7 @@
 }
 
 func (f *fakeExecutor) Addresses(_ context.Context, q caller.AddressQuery) (caller.AddressAnswer, error) {
+	f.asked = q
 	return caller.AddressAnswer{Addresses: []caller.Address{{Address: "10.0.0.1:80", Domain: q.Domain}}, LifetimeMS: 10000}, nil
 }
 
--- a/internal/transport/callerhttp/limits_test.go
+++ b/internal/transport/callerhttp/limits_test.go
@@ -205,6 +205,9 @@
 			t.Errorf("%s: %d", path, r.StatusCode)
 		}
 	}
+	if f.asked.Caller != "127.0.0.1" {
+		t.Errorf("the callers of a team are not told apart: asked for %q", f.asked.Caller)
+	}
 	before := expvar.Get(metricPrefix + "unknown").String()
 	r := request(t, web, "POST", "/v1/services/s/x", "")
 	if r.StatusCode != 500 || r.Header.Get(caller.HeaderReplayed) != "true" || r.Header.Get(caller.HeaderBodyOmitted) != "true" {
--- a/internal/transport/callerhttp/routes.go
+++ b/internal/transport/callerhttp/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -72,7 +73,14 @@
 }
 
 func decodeAddresses(_ context.Context, r *http.Request) (any, error) {
-	return caller.ParseAddressQuery(r.URL.Query())
+	q, err := caller.ParseAddressQuery(r.URL.Query())
+	if err != nil {
+		return nil, err
+	}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		q.Caller = host
+	}
+	return q, nil
 }
 
 func encodeJSON(_ context.Context, w http.ResponseWriter, response any) error {
