--- a/test/slopes/bench.go
+++ b/test/slopes/bench.go
@@ -32,7 +32,11 @@
 	if err != nil {
 		return err
 	}
-	for _, m := range benchLine.FindAllStringSubmatch(out, -1) {
+	lines := benchLine.FindAllStringSubmatch(out, -1)
+	if len(lines) == 0 {
+		return errors.Errorf("no benchmark in the output:\n%s", out)
+	}
+	for _, m := range lines {
 		ns, err := strconv.ParseFloat(m[2], 64)
 		if err != nil {
 			return errors.Wrap(err, m[0])
@@ -51,7 +55,11 @@
 	if err != nil {
 		return err
 	}
-	for _, m := range trafficRE.FindAllStringSubmatch(out, -1) {
+	lines := trafficRE.FindAllStringSubmatch(out, -1)
+	if len(lines) == 0 {
+		return errors.Errorf("no traffic in the output:\n%s", out)
+	}
+	for _, m := range lines {
 		rate, _ := strconv.ParseFloat(m[4], 64) // The expression matches only numbers.
 		s.out.set("membership_sim_bytes_s/members="+m[1], rate)
 	}
