--- a/internal/coordination/publish/syncer_test.go
+++ b/internal/coordination/publish/syncer_test.go
@@ -280,7 +280,7 @@
 		f.isolate(r, true)
 		// The last heartbeats still count for the quorum.
 		next := mustPublish(t, r.publisher(), gen, vms("x"))
-		r.syncer.Published(next)
+		r.syncer.Published(next, vms("x"))
 		ctx, cancel := context.WithTimeout(t.Context(), settled)
 		defer cancel()
 		for _, other := range f.routers[:4] {
