--- a/internal/coordination/dispatch/answers.go
+++ b/internal/coordination/dispatch/answers.go
@@ -48,6 +48,7 @@
 	a := i.newAttempt(w, from, m)
 	a.server = server
 	t.running[m.Ref] = a
+	i.backlog.leave(w.work.backlogKey())
 	return a
 }
 
@@ -137,6 +138,7 @@
 			return
 		}
 		delete(t.waiting, m.Ref)
+		i.backlog.leave(w.work.backlogKey())
 		rejected = w
 	})
 	if rejected == nil {
--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -110,7 +110,7 @@
 func (i *Ingress) fitShard(w *waiter, routes *Routes) {
 	pool, ok := routes.Pools[w.shard.Pool]
 	if ok && int(w.shard.Index) >= len(pool.Owners) && len(pool.Owners) > 0 {
-		w.shard = i.chooseShard(w.work, pool)
+		w.shard = i.chooseShard(w.work, pool, true)
 	}
 }
 
--- a/internal/coordination/dispatch/ingress.go
+++ b/internal/coordination/dispatch/ingress.go
@@ -57,6 +57,8 @@
 	servers atomic.Pointer[map[ident.BackendID]*object.BackendServer]
 	tables  [tableShards]table
 	lags    lagTable
+	// backlog tells which teams have waiting requests here.
+	backlog backlogTable
 	count   atomic.Int64
 }
 
@@ -93,6 +95,7 @@
 		i.tables[n].running = make(map[ident.AttemptRef]*attempt)
 	}
 	i.lags.byTeam = make(map[lagKey]int64)
+	i.backlog.waiting = make(map[backlogKey]int)
 	return i
 }
 
@@ -149,7 +152,7 @@
 	}
 	waiter := &waiter{
 		work:   w,
-		shard:  i.chooseShard(w, pool),
+		shard:  i.chooseShard(w, pool, i.backlog.enter(w.backlogKey())),
 		since:  now,
 		result: make(chan admission, 1),
 	}
@@ -176,13 +179,17 @@
 	return server, ok
 }
 
-// chooseShard prefers a shard that this router dispatches itself, since that needs no message between routers.
-// Otherwise it spreads requests by their number. Redirects correct an uneven spread.
-func (i *Ingress) chooseShard(w Work, pool *Pool) ident.ShardID {
+// chooseShard prefers a shard that this router dispatches itself, since that needs no message between routers. The
+// requests of a team that is backlogged are spread over all shards by their number: the service gap of two teams is
+// bounded only when both are backlogged at the same shards. Redirects correct an uneven spread.
+func (i *Ingress) chooseShard(w Work, pool *Pool, backlogged bool) ident.ShardID {
 	id := ident.ShardID{Pool: w.Pool}
 	n := uint64(len(pool.Owners))
 	start := w.Ref.Request.Seq
 	id.Index = uint16(start % n)
+	if backlogged {
+		return id
+	}
 	for k := range n {
 		index := (start + k) % n
 		if pool.Owners[index].Router == i.opts.Self {
@@ -209,6 +216,7 @@
 		return nil, &NotAdmittedError{Reason: reason, RetryAfter: deadlineRetry}
 	}
 	i.count.Add(-1)
+	i.backlog.leave(w.work.backlogKey())
 	i.send(owner, &message.Cancel{Shard: w.shard, Ref: w.work.Ref})
 	return nil, &NotAdmittedError{Reason: reason, RetryAfter: deadlineRetry}
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
 	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
 )
@@ -110,6 +111,22 @@
 	})
 })
 
+var _ = Describe("events of one router", func() {
+	// Guards against a time line that shows a night's first events when an operator asks what happens now.
+	It("begin with the newest ones", func() {
+		f := newTestPlatform()
+		f.startDaemon("r1")
+		d := f.daemons[0]
+		for range 50 {
+			d.events.Add(timeline.Event{Kind: timeline.KindRequest})
+		}
+		line, err := operators{d}.Timeline(context.Background(), admin.TimelineQuery{Limit: 10})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line.Events).To(HaveLen(10))
+		Expect(line.Events[0].Seq).To(BeNumerically(">", 40))
+	})
+})
+
 var _ = Describe("the configuration", func() {
 	// Guards against a publish by a router that takes itself for the whole fleet because the VM list is still empty.
 	It("is not published before the VM list names a VM", func() {
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -27,10 +27,16 @@
 func (o operators) Timeline(ctx context.Context, q admin.TimelineQuery) (admin.Timeline, error) {
 	self := ident.RouterID(o.d.settings.ID)
 	if q.Request == "" {
+		last := o.d.events.Last()
+		since := q.Since
+		if since == 0 && last > uint64(q.Limit) {
+			// Without a starting point the newest events are wanted.
+			since = last - uint64(q.Limit)
+		}
 		return admin.Timeline{
 			Router: self,
-			Events: adminEvents(o.d.events.Since(q.Since, q.Limit)),
-			Last:   o.d.events.Last(),
+			Events: adminEvents(o.d.events.Since(since, q.Limit)),
+			Last:   last,
 		}, nil
 	}
 	events, unreachable := o.d.collectEvents(ctx, timelineParams{Request: q.Request, Limit: q.Limit})
