--- a/test/measure/figures.go
+++ b/test/measure/figures.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
-	"gooseberrytide.example/gooseberrytide/internal/daemon"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
 	"gooseberrytide.example/gooseberrytide/test/standin/service"
@@ -19,8 +15,6 @@
 
 const (
 	idleTime = 2 * time.Second
-	// ticksPerSecond is the unit of processor times in /proc.
-	ticksPerSecond = 100
 )
 
 // figures are the results of one variant.
@@ -93,7 +87,7 @@
 		u.control = append(u.control, (after.control[n]-before.control[n])/u.seconds)
 	}
 	u.utilisation = (after.busy - before.busy) / (after.slots * u.seconds)
-	u.rss, err = r.memory()
+	u.rss, _, err = fleet.LargestMemory(r.fleet)
 	if err != nil {
 		return usage{}, err
 	}
@@ -104,11 +98,11 @@
 func (r *run) state(ctx context.Context) (sampleState, error) {
 	s := sampleState{classes: make(map[string]float64)}
 	for _, router := range r.fleet.Routers {
-		m, err := r.metrics(ctx, router)
+		m, err := router.Metrics(ctx)
 		if err != nil {
 			return s, err
 		}
-		cpu, err := cpuSeconds(router.PID())
+		cpu, err := fleet.CPUSeconds(router.PID())
 		if err != nil {
 			return s, err
 		}
@@ -130,19 +124,11 @@
 	return s, nil
 }
 
-func (r *run) metrics(ctx context.Context, router *fleet.Router) (daemon.Metrics, error) {
-	var vars struct {
-		Metrics daemon.Metrics `json:"gooseberrytide"`
-	}
-	err := fleet.Do(ctx, http.MethodGet, "http://"+router.Caller+"/v1/admin/metrics", nil, &vars)
-	return vars.Metrics, err
-}
-
 // bound returns the largest bound of the gap that a dispatcher states.
 func (r *run) bound(ctx context.Context) (float64, error) {
 	bound := 0.0
 	for _, router := range r.fleet.Routers {
-		m, err := r.metrics(ctx, router)
+		m, err := router.Metrics(ctx)
 		if err != nil {
 			return 0, err
 		}
@@ -157,39 +143,6 @@
 
 func shardBound(s scheduler.Stats) float64 { return s.Bound }
 
-func cpuSeconds(pid int) (float64, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	// The name in parentheses may hold spaces; the fields after it are counted from the state.
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	user, err := strconv.ParseFloat(fields[11], 64)
-	if err != nil {
-		return 0, err
-	}
-	system, err := strconv.ParseFloat(fields[12], 64)
-	return (user + system) / ticksPerSecond, err
-}
-
-// memory returns the largest resident set of a router in MB.
-func (r *run) memory() (float64, error) {
-	largest := 0.0
-	for _, router := range r.fleet.Routers {
-		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", router.PID()))
-		if err != nil {
-			return 0, err
-		}
-		pages, err := strconv.ParseFloat(strings.Fields(string(data))[1], 64)
-		if err != nil {
-			return 0, err
-		}
-		largest = math.Max(largest, pages*float64(os.Getpagesize())/1e6)
-	}
-	return largest, nil
-}
-
 // figures sums up a run.
 func (r *run) figures(ctx context.Context, idle, busy usage) (figures, error) {
 	duplicated, err := r.duplicated(ctx)
@@ -201,17 +154,17 @@
 	defer record.mu.Unlock()
 	return figures{
 		Deployment:      r.d.shape.Name,
-		FairnessGap:     round(r.meter.Gap()),
-		GapBound:        round(busy.bound),
-		Utilisation:     round(busy.utilisation),
-		ControlBytes:    round(mean(busy.control)),
-		ControlBytesMax: round(largest(busy.control)),
-		ControlCPU:      round(mean(idle.cpu)),
-		TotalCPU:        round(mean(busy.cpu)),
-		RSS:             round(busy.rss),
-		TTFT:            round(milliseconds(record.small)),
-		SmallQuiet:      round(record.waitP95(phaseQuiet, r.d.small)),
-		SmallFlood:      round(record.waitP95(phaseFlood, r.d.small)),
+		FairnessGap:     fleet.Round(r.meter.Gap()),
+		GapBound:        fleet.Round(busy.bound),
+		Utilisation:     fleet.Round(busy.utilisation),
+		ControlBytes:    fleet.Round(fleet.Mean(busy.control)),
+		ControlBytesMax: fleet.Round(fleet.Largest(busy.control)),
+		ControlCPU:      fleet.Round(fleet.Mean(idle.cpu)),
+		TotalCPU:        fleet.Round(fleet.Mean(busy.cpu)),
+		RSS:             fleet.Round(busy.rss),
+		TTFT:            fleet.Round(milliseconds(record.small)),
+		SmallQuiet:      fleet.Round(record.waitP95(phaseQuiet, r.d.small)),
+		SmallFlood:      fleet.Round(record.waitP95(phaseFlood, r.d.small)),
 		Completed:       record.outcomes["completed"],
 		NotRun:          record.outcomes["not-run"],
 		Lost:            record.outcomes["cut"] + record.outcomes["unreachable"] + record.outcomes["unknown"] + record.outcomes["failed"],
@@ -242,22 +195,3 @@
 	}
 	return total, nil
 }
-
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v
-	}
-	return sum / float64(max(len(values), 1))
-}
-
-func largest(values []float64) float64 {
-	out := 0.0
-	for _, v := range values {
-		out = math.Max(out, v)
-	}
-	return out
-}
-
-// round keeps four digits after the point.
-func round(v float64) float64 { return math.Round(v*1e4) / 1e4 }
--- a/test/slopes/idle.go
+++ b/test/slopes/idle.go
@@ -81,14 +81,14 @@
 
 func (s *suite) recordIdle(f *fleet.Fleet, w window, routers int) error {
 	name := func(figure string) string { return fmt.Sprintf("idle_%s/routers=%d", figure, routers) }
-	s.out.set(name("control_bytes_s"), mean(w.control))
-	s.out.set(name("control_bytes_s_max"), largest(w.control))
+	s.out.set(name("control_bytes_s"), fleet.Mean(w.control))
+	s.out.set(name("control_bytes_s_max"), fleet.Largest(w.control))
 	s.out.set(name("membership_bytes_s"), w.classMean("membership"))
 	s.out.set(name("link_bytes_s"), w.classMean("link"))
-	s.out.set(name("cpu_share"), mean(w.cpu))
+	s.out.set(name("cpu_share"), fleet.Mean(w.cpu))
 	s.out.set(name("store_reads_s"), w.reads)
 	s.out.set(name("store_writes_s"), w.writes)
-	rss, _, err := largestMemory(f)
+	rss, _, err := fleet.LargestMemory(f)
 	s.out.set(name("rss_mb"), rss)
 	return err
 }
@@ -126,7 +126,7 @@
 	s.out.set("change_store_writes/"+label, float64(after.store.Txn-before.store.Txn))
 	// The median leaves out the router that publishes.
 	s.out.set("change_window_cpu_s_median/"+label, median(w.cpu)*w.seconds)
-	s.out.set("change_window_cpu_s_max/"+label, largest(w.cpu)*w.seconds)
+	s.out.set("change_window_cpu_s_max/"+label, fleet.Largest(w.cpu)*w.seconds)
 	return nil
 }
 
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/multierr"
+
+	"gooseberrytide.example/gooseberrytide/test/fleet"
 )
 
 // results collects the figures by name. It is safe for concurrent use.
@@ -22,7 +24,7 @@
 func (r *results) set(name string, value float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.values[name] = round(value)
+	r.values[name] = fleet.Round(value)
 }
 
 func (r *results) get(name string) float64 {
--- a/test/slopes/objects.go
+++ b/test/slopes/objects.go
@@ -41,13 +41,13 @@
 	if err != nil {
 		return err
 	}
-	rss, peak, err := largestMemory(f)
+	rss, peak, err := fleet.LargestMemory(f)
 	if err != nil {
 		return err
 	}
 	s.out.set("object_rss_mb/"+label, rss)
 	s.out.set("object_rss_peak_mb/"+label, peak)
-	s.out.set("object_cpu_share/"+label, mean(w.cpu))
+	s.out.set("object_cpu_share/"+label, fleet.Mean(w.cpu))
 	return nil
 }
 
@@ -116,14 +116,14 @@
 	if err != nil {
 		return err
 	}
-	rss, peak, err := largestMemory(f)
+	rss, peak, err := fleet.LargestMemory(f)
 	if err != nil {
 		return err
 	}
 	s.out.set("target_rss_mb", rss)
 	s.out.set("target_rss_peak_mb", peak)
-	s.out.set("target_idle_cpu_share", mean(idle.cpu))
-	s.out.set("target_idle_control_bytes_s", mean(idle.control))
+	s.out.set("target_idle_cpu_share", fleet.Mean(idle.cpu))
+	s.out.set("target_idle_control_bytes_s", fleet.Mean(idle.control))
 	s.out.set("target_idle_store_reads_s", idle.reads)
 	s.out.set("target_idle_free_slots_bytes_s", idle.classMean("free-slots"))
 	if err := s.change(ctx, f, 2, "target"); err != nil {
@@ -131,7 +131,7 @@
 	}
 	extra := s.out.get("change_window_cpu_s_median/target") - median(idle.cpu)*changeTime.Seconds()
 	s.out.set("change_extra_cpu_s_median/target", extra)
-	_, peak, err = largestMemory(f)
+	_, peak, err = fleet.LargestMemory(f)
 	if err != nil {
 		return err
 	}
@@ -159,6 +159,6 @@
 	}
 	before.cpu = before.cpu[:last]
 	w := between(before, after)
-	s.out.set("target_crash_extra_cpu_s_per_router", (mean(w.cpu)-mean(idle.cpu[:last]))*w.seconds)
+	s.out.set("target_crash_extra_cpu_s_per_router", (fleet.Mean(w.cpu)-fleet.Mean(idle.cpu[:last]))*w.seconds)
 	return nil
 }
--- a/test/slopes/probe.go
+++ b/test/slopes/probe.go
@@ -2,23 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"math"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
-	"gooseberrytide.example/gooseberrytide/internal/daemon"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
 )
 
-// ticksPerSecond is the unit of processor times in /proc.
-const ticksPerSecond = 100
-
 // sample is the state of a fleet at a time.
 type sample struct {
 	at      time.Time
@@ -45,11 +36,11 @@
 func takeSample(ctx context.Context, f *fleet.Fleet) (sample, error) {
 	s := sample{at: time.Now()}
 	for _, r := range f.Routers {
-		m, err := routerMetrics(ctx, r)
+		m, err := r.Metrics(ctx)
 		if err != nil {
 			return s, err
 		}
-		cpu, err := cpuSeconds(r.PID())
+		cpu, err := fleet.CPUSeconds(r.PID())
 		if err != nil {
 			return s, err
 		}
@@ -112,73 +103,6 @@
 	return w.classTotal(class) / w.seconds / float64(len(w.classes))
 }
 
-func routerMetrics(ctx context.Context, r *fleet.Router) (daemon.Metrics, error) {
-	var vars struct {
-		Metrics daemon.Metrics `json:"gooseberrytide"`
-	}
-	err := fleet.Do(ctx, http.MethodGet, "http://"+r.Caller+"/v1/admin/metrics", nil, &vars)
-	return vars.Metrics, err
-}
-
-// cpuSeconds returns the processor time that a process has used.
-func cpuSeconds(pid int) (float64, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	// The name in parentheses may hold spaces; the fields after it are counted from the state.
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	user, err := strconv.ParseFloat(fields[11], 64)
-	if err != nil {
-		return 0, err
-	}
-	system, err := strconv.ParseFloat(fields[12], 64)
-	return (user + system) / ticksPerSecond, err
-}
-
-// memory returns the resident set of a process and its peak in MB.
-func memory(pid int) (now, peak float64, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, 0, err
-	}
-	for line := range strings.Lines(string(data)) {
-		fields := strings.Fields(line)
-		if len(fields) < 2 {
-			continue
-		}
-		kilobytes, _ := strconv.ParseFloat(fields[1], 64) // Only the two fields below are used; both are numbers.
-		switch fields[0] {
-		case "VmRSS:":
-			now = kilobytes * 1024 / 1e6
-		case "VmHWM:":
-			peak = kilobytes * 1024 / 1e6
-		}
-	}
-	return now, peak, nil
-}
-
-// largestMemory returns the largest resident set of the routers and the largest peak in MB.
-func largestMemory(f *fleet.Fleet) (now, peak float64, err error) {
-	for _, r := range f.Routers {
-		rss, high, err := memory(r.PID())
-		if err != nil {
-			return 0, 0, err
-		}
-		now, peak = math.Max(now, rss), math.Max(peak, high)
-	}
-	return now, peak, nil
-}
-
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v
-	}
-	return sum / float64(max(len(values), 1))
-}
-
 func median(values []float64) float64 {
 	if len(values) == 0 {
 		return 0
@@ -186,14 +110,3 @@
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[len(sorted)/2]
 }
-
-func largest(values []float64) float64 {
-	out := 0.0
-	for _, v := range values {
-		out = math.Max(out, v)
-	}
-	return out
-}
-
-// round keeps four digits after the point.
-func round(v float64) float64 { return math.Round(v*1e4) / 1e4 }
--- a/test/slopes/requests.go
+++ b/test/slopes/requests.go
@@ -162,7 +162,7 @@
 	}
 	pause(ctx, 2*time.Second)
 	w, err := observe(ctx, f, requestTime)
-	m, metricsErr := routerMetrics(ctx, f.Routers[other])
+	m, metricsErr := f.Routers[other].Metrics(ctx)
 	cancel()
 	group.Wait()
 	if err != nil || metricsErr != nil {
@@ -207,7 +207,7 @@
 	for _, class := range []string{"service-delta", "free-slots", "redirect", "enqueue", "grant", "settle", "progress"} {
 		s.out.set("siblings_bytes_s_per_router/"+strings.ReplaceAll(class, "-", "_"), w.classMean(class))
 	}
-	s.out.set("siblings_control_bytes_s_per_router", mean(w.control))
+	s.out.set("siblings_control_bytes_s_per_router", fleet.Mean(w.control))
 	s.out.set("siblings_deltas_s_per_router", w.sent["service-delta"]/routers)
 	s.out.set("siblings_crossing_share", w.sent["enqueue"]*w.seconds/float64(max(finished, 1)))
 	s.out.set("siblings_cost_units_s", cost/w.seconds)
