--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -127,26 +127,31 @@
 
 // Run sends progress reports and repeats enqueues that may have been lost, until the context ends.
 func (i *Ingress) Run(ctx context.Context) {
-	maintain := time.NewTicker(maintainPeriod)
-	defer maintain.Stop()
-	local := time.NewTicker(localProgressPeriod)
-	defer local.Stop()
-	progress := time.NewTicker(progressPeriod)
-	defer progress.Stop()
-	for {
+	// One ticker drives all periods. A select over several tickers that are due together crashed the runtime of Go 1.26
+	// in tests with synctest and the race detector.
+	ticker := time.NewTicker(maintainPeriod)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-maintain.C:
-			i.maintain(now)
-		case <-local.C:
-			i.reportProgress(func(to ident.RouterID) bool { return to == i.opts.Self })
-		case <-progress.C:
-			i.reportProgress(func(to ident.RouterID) bool { return to != i.opts.Self })
+		case now := <-ticker.C:
+			i.tick(now, n)
 		}
 	}
 }
 
+// tick does what is due in the n-th maintenance period.
+func (i *Ingress) tick(now time.Time, n int) {
+	i.maintain(now)
+	if n%int(localProgressPeriod/maintainPeriod) == 0 {
+		i.reportProgress(func(to ident.RouterID) bool { return to == i.opts.Self })
+	}
+	if n%int(progressPeriod/maintainPeriod) == 0 {
+		i.reportProgress(func(to ident.RouterID) bool { return to != i.opts.Self })
+	}
+}
+
 // maintain moves requests that missed a change of the dispatcher: those that were registered during an update, and those
 // that a former dispatcher granted after it. It enqueues requests again whose time has come.
 func (i *Ingress) maintain(now time.Time) {
