Share the periodic loop of the daemon

Cause: three functions of the daemon repeated the same loop over a ticker, and a comment said that every router deletes unused chunks, which only those that watch the store do. Change: one function calls another each period; the comment says who deletes. Conclusion: no change of behaviour; the daemon's tests pass with the race detector, and lint is clean.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -40,18 +40,11 @@
 
 // runControl drives the failure detector and rebuilds the routes when members or configuration changed.
 func (d *Daemon) runControl(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.tickDetector()
-			d.recordChanges()
-			d.refreshRoutes()
-		}
-	}
+	every(ctx, tickPeriod, func() {
+		d.tickDetector()
+		d.recordChanges()
+		d.refreshRoutes()
+	})
 }
 
 func (d *Daemon) tickDetector() {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -120,20 +120,26 @@
 
 // checkIncarnation ends the process when an earlier one of this router had a higher incarnation.
 func (d *Daemon) checkIncarnation(ctx context.Context, stop context.CancelCauseFunc) {
-	ticker := time.NewTicker(tickPeriod)
+	every(ctx, tickPeriod, func() {
+		d.detection.Lock()
+		needed := d.detector.SelfIncarnation()
+		d.detection.Unlock()
+		if needed > d.incarnation {
+			stop(&IncarnationError{Needed: needed})
+		}
+	})
+}
+
+// every calls f each period until the context ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.detection.Lock()
-			needed := d.detector.SelfIncarnation()
-			d.detection.Unlock()
-			if needed > d.incarnation {
-				stop(&IncarnationError{Needed: needed})
-				return
-			}
+			f()
 		}
 	}
 }
@@ -182,23 +188,16 @@
 // collectPeriod is how often unused chunks of former configurations are deleted.
 const collectPeriod = time.Hour
 
-// runCollect deletes unused chunks. Each router does it, at different times.
+// runCollect deletes unused chunks. The routers that watch the store do it, at different times.
 func (d *Daemon) runCollect(ctx context.Context) {
-	ticker := time.NewTicker(collectPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	every(ctx, collectPeriod, func() {
+		if !d.watches() {
 			return
-		case <-ticker.C:
-			if !d.watches() {
-				continue
-			}
-			if _, err := d.publisher.Collect(ctx); err != nil {
-				d.log.Named("daemon").Warn("unused chunks not deleted", zap.Error(err))
-			}
 		}
-	}
+		if _, err := d.publisher.Collect(ctx); err != nil {
+			d.log.Named("daemon").Warn("unused chunks not deleted", zap.Error(err))
+		}
+	})
 }
 
 // services returns the names of the services in force.
