Serve clients of the users' platform through an adapter and a gateway

The platform's requests, engines and store speak a protocol that the product does not. The adapter in platform/ decodes it once; a gateway takes requests, a decision core places them, routers report their loads to one another.

--- a/cmd/gooseberrytided/main.go
+++ b/cmd/gooseberrytided/main.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"gooseberrytide.example/gooseberrytide/internal/daemon"
+	"gooseberrytide.example/gooseberrytide/internal/daemon/gateway"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 )
 
@@ -25,10 +26,15 @@
 		Name:  "gooseberrytided",
 		Usage: "run a gooseberrytide router",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings file (JSON)", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings file (JSON)"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: run,
+		Commands: []*cli.Command{{
+			Name:   "gateway",
+			Usage:  "run a router on the users' platform, with the settings file that the platform names",
+			Action: func(ctx context.Context, _ *cli.Command) error { return gateway.Main(ctx) },
+		}},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "gooseberrytided:", err)
@@ -37,6 +43,9 @@
 }
 
 func run(ctx context.Context, command *cli.Command) error {
+	if command.String("settings") == "" {
+		return errors.New("--settings: is required")
+	}
 	settings, err := daemon.ReadSettings(command.String("settings"))
 	if err != nil || command.Bool("check") {
 		return err
--- /dev/null
+++ b/internal/coordination/admission/core.go
@@ -0,0 +1,278 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/relay"
+)
+
+// Options configure a Core.
+type Options struct {
+	// Domain is the router's failure domain.
+	Domain string
+	// ShareWindow is the span over which teams are owed their shares.
+	ShareWindow time.Duration
+	// Seed spreads the times at which refused clients return.
+	Seed uint64
+}
+
+// Core holds the waiting and running requests of one router. It is not safe for concurrent use.
+type Core struct {
+	opts     Options
+	servers  *backends.Set
+	loads    *engineload.Table
+	accounts *fairshare.Accounts
+	prefixes *prefixIndex
+	health   map[string]*health
+	speeds   map[string]*speeds
+	queues   map[string]*queue
+	spread   spread
+}
+
+// New returns a core without servers.
+func New(opts Options) *Core {
+	return &Core{
+		opts:     opts,
+		servers:  backends.NewSet(nil),
+		loads:    engineload.New(),
+		accounts: fairshare.New(opts.ShareWindow),
+		prefixes: newPrefixIndex(),
+		health:   make(map[string]*health),
+		speeds:   make(map[string]*speeds),
+		queues:   make(map[string]*queue),
+		spread:   spread{state: opts.Seed | 1},
+	}
+}
+
+// SetServers replaces the backend servers. What is known of a server that started anew is dropped.
+func (c *Core) SetServers(now time.Time, set *backends.Set) {
+	for id, before := range c.servers.All() {
+		if after := set.Get(id); after == nil || !after.SameStart(before) {
+			delete(c.health, id)
+			c.prefixes.forget(id)
+		}
+	}
+	c.servers = set
+	for _, s := range c.speeds {
+		s.retain(func(id string) bool { return set.Get(id) != nil })
+	}
+	c.Advance(now)
+}
+
+// SetPeer takes another router's part of the loads and its service to teams.
+func (c *Core) SetPeer(now time.Time, router string, loads map[string]engineload.Load, served map[string]float64) {
+	c.loads.SetPeer(now, router, loads)
+	c.accounts.SetPeer(now, router, served)
+}
+
+// ForgetPeer drops a router that is gone.
+func (c *Core) ForgetPeer(router string) {
+	c.loads.ForgetPeer(router)
+	c.accounts.ForgetPeer(router)
+}
+
+// Own returns what other routers need to know: this router's part of the loads and its service to teams.
+func (c *Core) Own(now time.Time) (map[string]engineload.Load, map[string]float64) {
+	loads := make(map[string]engineload.Load, len(c.loads.Own()))
+	for id, l := range c.loads.Own() {
+		loads[id] = l
+	}
+	return loads, c.accounts.Own(now)
+}
+
+// Submit takes a request. The decision may come before Submit returns.
+func (c *Core) Submit(now time.Time, w Work, decide func(Verdict)) *Ticket {
+	t := &Ticket{Work: w, decide: decide, state: ticketWaiting, cost: float64(w.PromptTokens + 2*w.OutputTokens)}
+	t.refuseAt = c.refuseAt(&t.Work)
+	q := c.queue(w.Service.Name)
+	if wait, ok := q.hopeless(now, t); ok {
+		c.refuse(t, ReasonBacklog, c.spread.around(wait))
+		return t
+	}
+	q.add(t)
+	c.pump(now, q)
+	return t
+}
+
+// Withdraw takes back a request that has no decision yet. It reports whether it did.
+func (c *Core) Withdraw(t *Ticket) bool {
+	if t.state != ticketWaiting {
+		return false
+	}
+	c.queue(t.Service.Name).remove(t)
+	t.state = ticketDone
+	return true
+}
+
+// Begun records the first event of a granted request: its prompt has been read.
+func (c *Core) Begun(now time.Time, t *Ticket) {
+	if t.state != ticketGranted || t.begun {
+		return
+	}
+	t.begun = true
+	c.loads.Remove(t.server.ID, engineload.Load{PendingTokens: t.load.PendingTokens})
+	if t.Service.Engine != nil {
+		c.speedsOf(t.Service.Name).observe(t.server.ID, t.load.PendingTokens+t.ahead, now.Sub(t.sentAt))
+	}
+	t.load.PendingTokens = 0
+	c.pump(now, c.queue(t.Service.Name))
+}
+
+// Finish records the end of a granted request.
+func (c *Core) Finish(now time.Time, t *Ticket, result Result) {
+	if t.state != ticketGranted {
+		return
+	}
+	t.state = ticketDone
+	c.loads.Remove(t.server.ID, t.load)
+	h := c.healthOf(t.server.ID)
+	if t.probe {
+		h.probing = false
+	}
+	h.note(now, result, c.usualErrors(t.Service.Name))
+	if !t.begun && result != ResultOK {
+		c.accounts.Charge(now, t.Team, -t.cost)
+	}
+	c.pump(now, c.queue(t.Service.Name))
+}
+
+// Advance does what time alone brings: refusals, and grants after pauses.
+func (c *Core) Advance(now time.Time) {
+	c.loads.Expire(now)
+	for _, q := range c.queues {
+		c.pump(now, q)
+	}
+}
+
+// Waiting returns the number of waiting requests.
+func (c *Core) Waiting() int {
+	n := 0
+	for _, q := range c.queues {
+		n += q.size
+	}
+	return n
+}
+
+// pump grants waiting requests, teams with the least service first, and refuses those whose time has passed.
+func (c *Core) pump(now time.Time, q *queue) {
+	if q.size == 0 {
+		return
+	}
+	c.refuseLate(now, q)
+	for c.grantOne(now, q) {
+	}
+}
+
+// grantOne grants the first request in fair order that has a place. It reports whether it did.
+func (c *Core) grantOne(now time.Time, q *queue) bool {
+	for _, team := range c.order(now, q) {
+		t := team.head()
+		p, any := c.choose(now, &t.Work)
+		if !any {
+			c.refuseUnserved(q, t)
+			return true
+		}
+		if p != nil {
+			c.grant(now, q, t, p)
+			return true
+		}
+	}
+	return false
+}
+
+// order returns the teams with waiting requests, least service first.
+func (c *Core) order(now time.Time, q *queue) []*teamQueue {
+	list := q.list[:0]
+	for _, team := range q.teams {
+		team.served = c.accounts.Served(now, team.name)
+		list = append(list, team)
+	}
+	slices.SortFunc(list, func(a, b *teamQueue) int {
+		return cmp.Or(cmp.Compare(a.served, b.served), cmp.Compare(a.name, b.name))
+	})
+	q.list = list
+	return list
+}
+
+func (c *Core) grant(now time.Time, q *queue, t *Ticket, p *place) {
+	q.remove(t)
+	q.granted(now, t)
+	t.state = ticketGranted
+	t.server = p.server
+	t.sentAt = now
+	t.predicted = p.first
+	h := c.healthOf(p.server.ID)
+	if h.suspect {
+		t.probe, h.probing = true, true
+	}
+	t.load = engineload.Load{Running: 1}
+	if t.Service.Engine != nil {
+		t.load.PendingTokens = max(t.PromptTokens-p.cached, 0)
+		t.load.ContextTokens = t.PromptTokens + t.OutputTokens
+		c.prefixes.note(now, shared(t.Parts), p.server.ID)
+	}
+	t.ahead = p.load.PendingTokens
+	c.loads.Add(p.server.ID, t.load)
+	c.accounts.Charge(now, t.Team, t.cost)
+	t.decide(Verdict{Server: p.server, Load: p.load, CachedTokens: p.cached})
+}
+
+func (c *Core) refuse(t *Ticket, reason Reason, retryAfter time.Duration) {
+	t.state = ticketDone
+	t.decide(Verdict{Reason: reason, RetryAfter: retryAfter})
+}
+
+func (c *Core) queue(service string) *queue {
+	q := c.queues[service]
+	if q == nil {
+		q = newQueue()
+		c.queues[service] = q
+	}
+	return q
+}
+
+func (c *Core) speedsOf(service string) *speeds {
+	s := c.speeds[service]
+	if s == nil {
+		s = newSpeeds()
+		c.speeds[service] = s
+	}
+	return s
+}
+
+func (c *Core) healthOf(server string) *health {
+	h := c.health[server]
+	if h == nil {
+		h = &health{}
+		c.health[server] = h
+	}
+	return h
+}
+
+// usualErrors is the mean share of failures of a service's servers.
+func (c *Core) usualErrors(service string) float64 {
+	servers := c.servers.Of(service)
+	if len(servers) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, server := range servers {
+		if h := c.health[server.ID]; h != nil {
+			sum += h.errors
+		}
+	}
+	return sum / float64(len(servers))
+}
+
+func tokensOf(parts []relay.PromptPart) int {
+	n := 0
+	for _, part := range parts {
+		n += part.Tokens
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/admission/queue.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// queue holds the waiting requests of one service by team.
+type queue struct {
+	teams map[string]*teamQueue
+	size  int
+	// list is scratch memory for ordering.
+	list []*teamQueue
+	// rate is the service granted lately, in tokens per second, as a faded sum.
+	rate   float64
+	rateAt time.Time
+}
+
+// teamQueue holds the waiting requests of one team in order of arrival.
+type teamQueue struct {
+	name    string
+	waiting []*Ticket
+	cost    float64
+	served  float64
+}
+
+func newQueue() *queue { return &queue{teams: make(map[string]*teamQueue)} }
+
+func (t *teamQueue) head() *Ticket { return t.waiting[0] }
+
+func (q *queue) add(t *Ticket) {
+	team := q.teams[t.Team]
+	if team == nil {
+		team = &teamQueue{name: t.Team}
+		q.teams[t.Team] = team
+	}
+	i, _ := slices.BinarySearchFunc(team.waiting, t, func(a, b *Ticket) int {
+		if a.Priority != b.Priority {
+			return a.Priority - b.Priority
+		}
+		return a.Arrival.Compare(b.Arrival)
+	})
+	team.waiting = slices.Insert(team.waiting, i, t)
+	team.cost += t.cost
+	q.size++
+}
+
+func (q *queue) remove(t *Ticket) {
+	team := q.teams[t.Team]
+	if team == nil {
+		return
+	}
+	i := slices.Index(team.waiting, t)
+	if i < 0 {
+		return
+	}
+	team.waiting = slices.Delete(team.waiting, i, i+1)
+	team.cost -= t.cost
+	q.size--
+	if len(team.waiting) == 0 {
+		delete(q.teams, t.Team)
+	}
+}
+
+// rateWindow is the time constant of the observed rate of grants.
+const rateWindow = time.Second
+
+// granted counts a grant in the observed rate.
+func (q *queue) granted(now time.Time, t *Ticket) {
+	q.rate = q.rateNow(now) + t.cost/rateWindow.Seconds()
+	q.rateAt = now
+}
+
+func (q *queue) rateNow(now time.Time) float64 {
+	age := now.Sub(q.rateAt)
+	if age >= 4*rateWindow {
+		return 0
+	}
+	return q.rate * max(0, 1-age.Seconds()/(4*rateWindow.Seconds()))
+}
+
+// minBacklog is the number of a team's waiting requests from which its wait is predicted.
+const minBacklog = 4
+
+// hopeless predicts whether a new request would still wait at the time of its refusal. It returns the expected wait.
+// The team gets an equal part of the observed rate among the teams that wait.
+func (q *queue) hopeless(now time.Time, t *Ticket) (time.Duration, bool) {
+	team := q.teams[t.Team]
+	if team == nil || len(team.waiting) < minBacklog {
+		return 0, false
+	}
+	rate := q.rateNow(now)
+	if rate <= 0 {
+		return 0, false
+	}
+	wait := time.Duration(team.cost * float64(len(q.teams)) / rate * float64(time.Second))
+	return wait, now.Add(wait).After(t.refuseAt)
+}
--- /dev/null
+++ b/internal/coordination/discovery/follower.go
@@ -0,0 +1,162 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+const (
+	// pollWait is how long the store holds a poll without changes. Each answer renews the proof of freshness, which
+	// must stay well below the time in which a removed API key must stop working.
+	pollWait = 1500 * time.Millisecond
+	// answerLimit is the time beyond the wait after which a call is given up. A slow store answers in up to 300 ms.
+	answerLimit = 1200 * time.Millisecond
+	// listLimit bounds the listing of all keys, which takes several pages.
+	listLimit = 4 * time.Second
+	// Pauses between failed calls. Routers that lost the store together come back spread out.
+	retryMin = 50 * time.Millisecond
+	retryMax = 800 * time.Millisecond
+)
+
+// Sink takes what was read. Its methods are called by one goroutine.
+type Sink interface {
+	// Replace takes the state of all keys.
+	Replace(entries []kv.Entry, now time.Time, disturbed bool)
+	// Apply takes changes in order.
+	Apply(changes []kv.Change, now time.Time, disturbed bool)
+	// Expire drops what was kept for a while.
+	Expire(now time.Time)
+}
+
+// Options configure a Follower.
+type Options struct {
+	Feed  kv.Feed
+	Sink  Sink
+	Proof *freshness.Proof
+	Log   *zap.Logger
+	// OnContact is told when the store is lost and when it is reached again. Default: none.
+	OnContact func(reached bool)
+}
+
+// Follower follows all keys of the store.
+type Follower struct {
+	opts     Options
+	revision kv.Revision
+	listed   bool
+	backoff  *backoff.ExponentialBackOff
+	// reached and lostAt describe the contact with the store; restored is when it was reached again.
+	reached  bool
+	restored time.Time
+}
+
+// New returns a follower.
+func New(opts Options) *Follower {
+	if opts.OnContact == nil {
+		opts.OnContact = func(bool) {}
+	}
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = retryMin
+	b.MaxInterval = retryMax
+	return &Follower{opts: opts, backoff: b}
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		now := time.Now()
+		f.opts.Sink.Expire(now)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.noteFailure(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.backoff.NextBackOff()):
+		}
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait()+answerLimit)
+	defer cancel()
+	sent := f.opts.Proof.Now()
+	changes, revision, err := f.opts.Feed.Changes(ctx, "", f.revision, f.wait())
+	if errors.Is(err, kv.ErrCompacted) {
+		f.opts.Log.Info("history discarded, listing again", zap.Int64("revision", int64(f.revision)))
+		f.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.noteSuccess()
+	f.opts.Sink.Apply(changes, time.Now(), f.disturbed())
+	f.revision = max(f.revision, revision)
+	f.opts.Proof.Confirm(sent)
+	return nil
+}
+
+// wait returns how long the store may hold the next poll. The first poll after an outage is answered at once, so that
+// the proof is renewed without delay.
+func (f *Follower) wait() time.Duration {
+	if !f.reached {
+		return 0
+	}
+	return pollWait
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	sent := f.opts.Proof.Now()
+	entries, revision, err := f.opts.Feed.List(ctx, "")
+	if err != nil {
+		return err
+	}
+	f.noteSuccess()
+	f.opts.Sink.Replace(entries, time.Now(), f.disturbed())
+	f.revision = revision
+	f.listed = true
+	f.opts.Proof.Confirm(sent)
+	return nil
+}
+
+// lapseTime is how long after an outage servers whose entries lapsed need to write them again.
+const lapseTime = 2 * time.Second
+
+// disturbed reports whether entries may be missing only because the store was not reachable.
+func (f *Follower) disturbed() bool {
+	return !f.restored.IsZero() && time.Since(f.restored) < lapseTime
+}
+
+func (f *Follower) noteSuccess() {
+	f.backoff.Reset()
+	if f.reached {
+		return
+	}
+	f.reached = true
+	f.restored = time.Now()
+	f.opts.Log.Info("store reached", zap.Int64("revision", int64(f.revision)))
+	f.opts.OnContact(true)
+}
+
+func (f *Follower) noteFailure(err error) {
+	if !f.reached {
+		return
+	}
+	f.reached = false
+	f.opts.Log.Warn("store lost", zap.Error(err), zap.Int64("revision", int64(f.revision)))
+	f.opts.OnContact(false)
+}
--- /dev/null
+++ b/internal/coordination/gossip/report.go
@@ -0,0 +1,111 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+)
+
+// maxDatagram bounds a report. Larger datagrams would be split on the way.
+const maxDatagram = 1400
+
+// Report is what a router tells of itself.
+type Report struct {
+	Router      string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Seq         uint64 `cbor:"3,keyasint"`
+	// CallerAddress is where clients connect; Domain is the router's failure domain.
+	CallerAddress string `cbor:"4,keyasint,omitempty"`
+	Domain        string `cbor:"5,keyasint,omitempty"`
+	// Ready routers take new clients.
+	Ready bool          `cbor:"6,keyasint,omitempty"`
+	Loads []LoadPart    `cbor:"7,keyasint,omitempty"`
+	Teams []ServicePart `cbor:"8,keyasint,omitempty"`
+	// Queue is the number of waiting requests.
+	Queue int `cbor:"9,keyasint,omitempty"`
+}
+
+// LoadPart is the load that the sender puts on one backend server.
+type LoadPart struct {
+	_             struct{} `cbor:",toarray"`
+	Server        string
+	Running       int
+	PendingTokens int
+	ContextTokens int
+}
+
+// ServicePart is the faded service that the sender gave to a team, in tokens.
+type ServicePart struct {
+	_      struct{} `cbor:",toarray"`
+	Team   string
+	Tokens float32
+}
+
+// Encode returns the datagram of a report. Parts that do not fit are left out, the smallest first.
+func (r *Report) Encode() ([]byte, error) {
+	for {
+		data, err := cbor.Marshal(r)
+		if err != nil {
+			return nil, errors.Wrap(err, "gossip: encode")
+		}
+		if len(data) <= maxDatagram || len(r.Loads)+len(r.Teams) == 0 {
+			return data, nil
+		}
+		r.Loads = r.Loads[:len(r.Loads)*3/4]
+		r.Teams = r.Teams[:len(r.Teams)*3/4]
+	}
+}
+
+// Decode returns the report in a datagram.
+func Decode(data []byte) (*Report, error) {
+	r := new(Report)
+	if err := cbor.Unmarshal(data, r); err != nil {
+		return nil, errors.Wrap(err, "gossip: decode")
+	}
+	if r.Router == "" {
+		return nil, errors.New("gossip: report without a router")
+	}
+	return r, nil
+}
+
+// LoadTable returns the loads by server.
+func (r *Report) LoadTable() map[string]engineload.Load {
+	loads := make(map[string]engineload.Load, len(r.Loads))
+	for _, p := range r.Loads {
+		loads[p.Server] = engineload.Load{
+			Running:       max(p.Running, 0),
+			PendingTokens: max(p.PendingTokens, 0),
+			ContextTokens: max(p.ContextTokens, 0),
+		}
+	}
+	return loads
+}
+
+// ServiceTable returns the service by team.
+func (r *Report) ServiceTable() map[string]float64 {
+	served := make(map[string]float64, len(r.Teams))
+	for _, p := range r.Teams {
+		served[p.Team] = max(float64(p.Tokens), 0)
+	}
+	return served
+}
+
+// Periods of reports.
+const (
+	// basePeriod is the period in a fleet of up to baseRouters.
+	basePeriod  = 40 * time.Millisecond
+	baseRouters = 8
+	// quietPeriod is the period of a router with nothing new to tell. It keeps the router in the directory.
+	quietPeriod = 400 * time.Millisecond
+)
+
+// Period returns the time between reports in a fleet of the given size.
+func Period(routers int) time.Duration {
+	if routers <= baseRouters {
+		return basePeriod
+	}
+	return min(basePeriod*time.Duration(routers)/baseRouters, quietPeriod)
+}
--- /dev/null
+++ b/internal/daemon/gateway/logwriter.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"io"
+	"strconv"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// logBuffer is the number of lines that wait for the writer. At about 400 bytes a line it holds 800 KB.
+const logBuffer = 2048
+
+// logWriter writes lines from a bounded buffer. A reader of standard output that is stuck holds nothing up: lines that
+// do not fit are dropped and counted.
+type logWriter struct {
+	lines   chan []byte
+	out     io.Writer
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+func newLogWriter(out io.Writer) *logWriter {
+	w := &logWriter{lines: make(chan []byte, logBuffer), out: out, done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer.
+func (w *logWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (w *logWriter) Sync() error { return nil }
+
+// run writes the lines, several at a time.
+func (w *logWriter) run() {
+	defer close(w.done)
+	var batch []byte
+	for line := range w.lines {
+		batch = append(batch[:0], line...)
+		batch = w.gather(batch)
+		if n := w.dropped.Swap(0); n > 0 {
+			batch = append(batch, `{"level":"warn","logger":"log","msg":"lines dropped","count":`+strconv.FormatInt(n, 10)+"}\n"...)
+		}
+		if _, err := w.out.Write(batch); err != nil {
+			w.dropped.Add(1) // there is nowhere else to report to
+		}
+	}
+}
+
+// maxBatch bounds one write.
+const maxBatch = 32 << 10
+
+// gather appends the lines that wait.
+func (w *logWriter) gather(batch []byte) []byte {
+	for len(batch) < maxBatch {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// close writes what waits and ends the writer.
+func (w *logWriter) close() {
+	close(w.lines)
+	<-w.done
+}
+
+// newLogger returns a logger of JSON lines.
+func newLogger(w zapcore.WriteSyncer) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.EpochMillisTimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zap.InfoLevel))
+}
--- /dev/null
+++ b/internal/daemon/gateway/node.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/datagram"
+	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
+	"gooseberrytide.example/gooseberrytide/platform"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the Go heap aims to stay below.
+	memoryShare = 0.6
+	// bodyShare is the part of the memory limit that request bodies may take.
+	bodyShare = 0.15
+	// revokeMargin is taken from the time in which a removed API key must stop working: it covers the time between the
+	// check and the send of a client.
+	revokeMargin = 600 * time.Millisecond
+	// advancePeriod is how often waiting requests are looked at without another event.
+	advancePeriod = 10 * time.Millisecond
+	// retryShare is the part of the operators' bound of second sends that is used, since the routers' windows differ.
+	retryShare = 0.6
+	// Timeouts of the listeners. They are above the operators' limits, which clients keep.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 90 * time.Second
+)
+
+// Node is a router process.
+type Node struct {
+	settings    *platform.Settings
+	log         *zap.Logger
+	incarnation uint64
+
+	routing   routing.Holder
+	servers   backends.Holder
+	proof     *freshness.Proof
+	admission *admission.Controller
+	pool      *upstream.Pool
+	budget    *retry.Window
+	gateway   *gateway.Gateway
+	store     *platform.Store
+	follower  *discovery.Follower
+	peers     *gossip.Peers
+	socket    *datagram.Socket
+	registry  *prometheus.Registry
+	routers   atomic.Pointer[map[string]discovery.Router]
+	draining  atomic.Bool
+}
+
+// New returns a node that is ready to run.
+func New(settings *platform.Settings, log *zap.Logger) (*Node, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	n := &Node{
+		settings:    settings,
+		log:         log,
+		incarnation: uint64(time.Now().UnixMicro()),
+		proof:       freshness.NewProof(freshness.BootTime),
+		peers:       gossip.NewPeers(),
+		registry:    prometheus.NewRegistry(),
+	}
+	core := admission.New(admission.Options{
+		Domain:      settings.FailureDomain,
+		ShareWindow: settings.Bounds.ShareWindow,
+		Seed:        seedOf(settings.Router, n.incarnation),
+	})
+	n.admission = admission.NewController(core)
+	opened := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "gooseberrytide_backend_connections_total", Help: "Connections opened to backend servers.",
+	})
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberrytide_store_calls_total", Help: "Calls of the platform's store, by kind.",
+	}, []string{"kind"})
+	n.registry.MustRegister(opened, calls)
+	n.pool = upstream.New(upstream.Options{Opened: opened.Inc})
+	n.budget = retry.NewWindow(retry.WindowOptions{
+		Ratio:  retryShare * settings.Bounds.RetryRatio,
+		Slack:  retryShare * settings.Bounds.RetrySlack,
+		Window: settings.Bounds.RetryWindow,
+	})
+	n.gateway = gateway.New(gateway.Options{
+		Routing:      &n.routing,
+		Proof:        n.proof,
+		KeyLimit:     n.keyLimit(),
+		Admission:    n.admission,
+		Pool:         n.pool,
+		Budget:       n.budget,
+		Metrics:      gateway.NewMetrics(n.registry),
+		Log:          log.Named("gateway"),
+		MaxBodyBytes: int64(bodyShare * float64(settings.MemoryBytes)),
+	})
+	n.store = platform.NewStore(settings.Store.Address, storeTransport(), func(kind string) { calls.WithLabelValues(kind).Inc() })
+	n.follower = discovery.New(discovery.Options{
+		Feed:  n.store,
+		Proof: n.proof,
+		Log:   log.Named("discovery"),
+		Sink: discovery.NewState(discovery.StateOptions{
+			Schema:    platform.Schema{},
+			Routing:   &n.routing,
+			Servers:   &n.servers,
+			Log:       log.Named("discovery"),
+			OnRouters: func(list map[string]discovery.Router) { n.routers.Store(&list) },
+			OnServers: n.onServers,
+		}),
+	})
+	return n, nil
+}
+
+// keyLimit is the age of the configuration up to which API keys are accepted.
+func (n *Node) keyLimit() time.Duration {
+	if !n.settings.Bounds.StrictRevoke {
+		return math.MaxInt64
+	}
+	return n.settings.Bounds.Revoke - revokeMargin
+}
+
+func seedOf(router string, incarnation uint64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(router))
+	return h.Sum64() ^ incarnation
+}
+
+// storeTransport keeps a few connections to the store.
+func storeTransport() http.RoundTripper {
+	return &http.Transport{
+		DialContext:         sockopt.Dial(storeDialTimeout),
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// storeDialTimeout bounds the opening of a connection to the store.
+const storeDialTimeout = time.Second
+
+func (n *Node) onServers(set *backends.Set) {
+	n.admission.SetServers(set)
+	n.pool.Retain(set.Has)
+}
+
+// Run serves until the context ends, and then drains.
+func (n *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	peerAddress := netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort))
+	socket, err := datagram.Listen(peerAddress, n.log.Named("datagram"))
+	if err != nil {
+		return err
+	}
+	n.socket = socket
+	servers, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.run() }()
+	}
+	n.log.Info("started", zap.String("failure_domain", n.settings.FailureDomain), zap.Uint64("incarnation", n.incarnation),
+		zap.Int64("memory_bytes", n.settings.MemoryBytes))
+	go n.follower.Run(background)
+	go n.register(background)
+	go n.socket.Run(background, n.onDatagram)
+	go n.report(background)
+	go n.admission.Run(background, advancePeriod)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	n.drain(servers)
+	return nil
+}
+
+// server is a listener with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func (s *server) run() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, s.name)
+}
+
+// listen opens the listeners. Several services on one address share it.
+func (n *Node) listen(ctx context.Context) ([]*server, error) {
+	directory := &gateway.Directory{
+		Addresses: n.addresses,
+		Lifetime:  n.addressLifetime(),
+		Log:       n.log.Named("directory"),
+	}
+	endpoints := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", n.settings.CallerListen, n.gateway},
+		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
+		{"directory", n.settings.DirectoryListen, directory},
+		{"metrics", n.metricsAddress(), n.metricsHandler()},
+	}
+	var servers []*server
+	for _, e := range endpoints {
+		if e.address == "" {
+			continue
+		}
+		listener, err := sockopt.Listen(ctx, e.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen for %s", e.name)
+		}
+		servers = append(servers, &server{name: e.name, listener: listener, http: &http.Server{
+			Handler:           e.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			ErrorLog:          zap.NewStdLog(n.log.Named("http")),
+		}})
+	}
+	return servers, nil
+}
+
+func (n *Node) metricsAddress() string {
+	return net.JoinHostPort(n.settings.IP.String(), strconv.Itoa(n.settings.PeerPort+metricsPortOffset))
+}
+
+// ready reports whether the router takes new clients.
+func (n *Node) ready() bool {
+	return !n.draining.Load() && n.routing.Load() != nil && n.servers.Load().Len() > 0 && n.proof.Within(n.keyLimit())
+}
--- /dev/null
+++ b/internal/state/backends/doc.go
@@ -0,0 +1,2 @@
+// Package backends holds the backend servers that registered themselves, as an immutable set that is swapped whole.
+package backends
--- /dev/null
+++ b/internal/transport/datagram/doc.go
@@ -0,0 +1,2 @@
+// Package datagram carries small messages between routers over UDP. Messages may be lost.
+package datagram
--- /dev/null
+++ b/internal/transport/gateway/gateway.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
+)
+
+// Options configure a Gateway. All are required.
+type Options struct {
+	Routing *routing.Holder
+	Proof   *freshness.Proof
+	// KeyLimit is the age of the proof up to which API keys are accepted.
+	KeyLimit  time.Duration
+	Admission *admission.Controller
+	Pool      *upstream.Pool
+	Budget    *retry.Window
+	Metrics   *Metrics
+	Log       *zap.Logger
+	// MaxBodyBytes bounds the request bodies held at a time.
+	MaxBodyBytes int64
+}
+
+// Gateway is the handler of clients' requests.
+type Gateway struct {
+	opts Options
+	// bodies is the number of bytes of request bodies held.
+	bodies atomic.Int64
+	active atomic.Int64
+	// drained is closed to new requests while the router stops.
+	closing  atomic.Bool
+	stopping atomic.Bool
+}
+
+// New returns a gateway.
+func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// Leave makes answers tell clients to close their connections.
+func (g *Gateway) Leave() { g.closing.Store(true) }
+
+// Stop refuses new requests.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{g: g, w: w, r: r, arrival: time.Now()}
+	x.serve()
+}
+
+// reserve takes memory for a body. It reports whether there was enough.
+func (g *Gateway) reserve(n int64) bool {
+	if g.bodies.Add(n) > g.opts.MaxBodyBytes {
+		g.bodies.Add(-n)
+		return false
+	}
+	return true
+}
+
+// detach returns a context that ends with the request's deadline.
+func detach(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadlineCause(ctx, deadline, errDeadline)
+}
--- a/internal/transport/peerlink/accept.go
+++ b/internal/transport/peerlink/accept.go
@@ -10,6 +10,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/peer"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
 // acceptPause spaces attempts after a failed accept, such as for lack of file descriptors.
@@ -86,7 +87,7 @@
 
 // admit registers an authenticated connection. It fails when the peer was blocked or the incarnation changed meanwhile.
 func (n *Network) admit(conn net.Conn, s *session) bool {
-	setUserTimeout(conn, userTimeout)
+	sockopt.SetUserTimeout(conn, userTimeout)
 	if !n.track(conn, s.peer.Router) {
 		return false
 	}
--- /dev/null
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -0,0 +1,46 @@
+package sockopt
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall does not name.
+const tcpUserTimeout = 18
+
+// SetUserTimeout closes a connection whose sent data stays unacknowledged. Without it a connection to a silent peer
+// would take data for many minutes.
+func SetUserTimeout(conn net.Conn, d time.Duration) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+}
+
+// Open reports whether an idle connection is still open and has no unread data. It does not block.
+func Open(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
