Share engines by max-min level and let teams beyond their share yield; handle SIGHUP

Change: reports carry what teams asked and got; a team beyond its share, or far beyond the least served team that waits anywhere, may fill only a part of an engine's room. Settings are reloaded on SIGHUP and when the file changes.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
@@ -62,10 +63,10 @@
 }
 
 // SetPeer takes another router's report.
-func (c *Controller) SetPeer(router string, loads map[string]engineload.Load, served map[string]float64) {
+func (c *Controller) SetPeer(router string, loads map[string]engineload.Load, teams map[string]fairshare.Part) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.core.SetPeer(time.Now(), router, loads, served)
+	c.core.SetPeer(time.Now(), router, loads, teams)
 }
 
 // ForgetPeer drops a router that is gone.
@@ -75,12 +76,19 @@
 	c.core.ForgetPeer(router)
 }
 
-// Own returns this router's loads, its service to teams, and the number of waiting requests.
-func (c *Controller) Own() (map[string]engineload.Load, map[string]float64, int) {
+// SetCapacity sets the rate of all model engines together, in tokens per second.
+func (c *Controller) SetCapacity(rate float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	loads, served := c.core.Own(time.Now())
-	return loads, served, c.core.Waiting()
+	c.core.SetCapacity(rate)
+}
+
+// Own returns this router's loads, what teams asked and got, and the number of waiting requests.
+func (c *Controller) Own() (map[string]engineload.Load, map[string]fairshare.Part, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loads, teams := c.core.Own(time.Now())
+	return loads, teams, c.core.Waiting()
 }
 
 // Run advances the core each period until the context ends.
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -32,6 +32,9 @@
 	speeds   map[string]*speeds
 	queues   map[string]*queue
 	spread   spread
+	// capacity is the rate of all model engines together, in tokens per second.
+	capacity float64
+	shares   shares
 }
 
 // New returns a core without servers.
@@ -64,10 +67,13 @@
 	c.Advance(now)
 }
 
-// SetPeer takes another router's part of the loads and its service to teams.
-func (c *Core) SetPeer(now time.Time, router string, loads map[string]engineload.Load, served map[string]float64) {
+// SetCapacity sets the rate of all model engines together, in tokens per second. 0 means that it is not known.
+func (c *Core) SetCapacity(rate float64) { c.capacity = rate }
+
+// SetPeer takes another router's part of the loads, and what teams asked of it and got.
+func (c *Core) SetPeer(now time.Time, router string, loads map[string]engineload.Load, teams map[string]fairshare.Part) {
 	c.loads.SetPeer(now, router, loads)
-	c.accounts.SetPeer(now, router, served)
+	c.accounts.SetPeer(now, router, teams)
 }
 
 // ForgetPeer drops a router that is gone.
@@ -76,18 +82,29 @@
 	c.accounts.ForgetPeer(router)
 }
 
-// Own returns what other routers need to know: this router's part of the loads and its service to teams.
-func (c *Core) Own(now time.Time) (map[string]engineload.Load, map[string]float64) {
+// Own returns what other routers need to know: this router's part of the loads, and what teams asked of it and got.
+func (c *Core) Own(now time.Time) (map[string]engineload.Load, map[string]fairshare.Part) {
 	loads := make(map[string]engineload.Load, len(c.loads.Own()))
 	for id, l := range c.loads.Own() {
 		loads[id] = l
 	}
-	return loads, c.accounts.Own(now)
+	teams := c.accounts.Own(now)
+	for _, q := range c.queues {
+		for name, team := range q.teams {
+			if team.engine() {
+				p := teams[name]
+				p.Waiting = true
+				teams[name] = p
+			}
+		}
+	}
+	return loads, teams
 }
 
 // Submit takes a request. The decision may come before Submit returns.
 func (c *Core) Submit(now time.Time, w Work, decide func(Verdict)) *Ticket {
-	t := &Ticket{Work: w, decide: decide, state: ticketWaiting, cost: float64(w.PromptTokens + 2*w.OutputTokens)}
+	t := &Ticket{Work: w, decide: decide, state: ticketWaiting, cost: tokenCost(&w)}
+	c.accounts.Ask(now, w.Team, t.cost)
 	t.refuseAt = c.refuseAt(&t.Work)
 	q := c.queue(w.Service.Name)
 	if wait, ok := q.hopeless(now, t); ok {
@@ -164,6 +181,7 @@
 		return
 	}
 	c.refuseLate(now, q)
+	c.refreshShares(now)
 	for c.grantOne(now, q) {
 	}
 }
@@ -172,7 +190,7 @@
 func (c *Core) grantOne(now time.Time, q *queue) bool {
 	for _, team := range c.order(now, q) {
 		t := team.head()
-		p, any := c.choose(now, &t.Work)
+		p, any := c.choose(now, &t.Work, c.shares.part(team.served))
 		if !any {
 			c.refuseUnserved(q, t)
 			return true
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -24,8 +24,8 @@
 	unknownSlots = 4
 )
 
-// room reports whether a server may get another request.
-func room(service *routing.Service, server *backends.Server, l engineload.Load, w *Work, backlog time.Duration) bool {
+// room reports whether a server may get another request. Part is the part of an engine's room that may be filled.
+func room(service *routing.Service, server *backends.Server, l engineload.Load, w *Work, backlog time.Duration, part float64) bool {
 	slots := server.Slots
 	if slots == 0 {
 		slots = unknownSlots
@@ -33,12 +33,12 @@
 	if service.Engine == nil {
 		return float64(l.Running) < overcommit*float64(slots)
 	}
-	if l.Running >= max(int(batchShare*float64(slots)), 1) {
+	if l.Running >= max(int(part*batchShare*float64(slots)), 1) {
 		return false
 	}
 	capacity := service.Engine.CacheTokens
 	if capacity > 0 && l.Running > 0 && float64(l.ContextTokens+w.PromptTokens+w.OutputTokens) > memoryShare*float64(capacity) {
 		return false
 	}
-	return backlog < maxBacklog
+	return backlog < time.Duration(part*float64(maxBacklog))
 }
--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -30,8 +30,9 @@
 	first time.Duration
 }
 
-// choose returns the best server with room for a request, or nil. It is false when no server takes requests at all.
-func (c *Core) choose(now time.Time, w *Work) (*place, bool) {
+// choose returns the best server with room for a request, or nil. It is false when no server takes requests at all. Part
+// is the part of each engine's room that the request's team may fill.
+func (c *Core) choose(now time.Time, w *Work, part float64) (*place, bool) {
 	servers := c.servers.Of(w.Service.Name)
 	parts := shared(w.Parts)
 	var homeServer *backends.Server
@@ -47,7 +48,7 @@
 		if best.server == nil || p.cost < best.cost {
 			best = p
 		}
-		if room(w.Service, server, p.load, w, c.backlog(w, server, p.load)) &&
+		if room(w.Service, server, p.load, w, c.backlog(w, server, p.load), part) &&
 			(withRoom.server == nil || p.cost < withRoom.cost) {
 			withRoom = p
 		}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -28,6 +28,9 @@
 
 func (t *teamQueue) head() *Ticket { return t.waiting[0] }
 
+// engine reports whether the requests are for model engines.
+func (t *teamQueue) engine() bool { return t.head().Service.Engine != nil }
+
 func (q *queue) add(t *Ticket) {
 	team := q.teams[t.Team]
 	if team == nil {
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 )
 
 // maxDatagram bounds a report. Larger datagrams would be split on the way.
@@ -37,11 +38,14 @@
 	ContextTokens int
 }
 
-// ServicePart is the faded service that the sender gave to a team, in tokens.
+// ServicePart is what a team asked of the sender and got from it lately, in faded tokens.
 type ServicePart struct {
 	_      struct{} `cbor:",toarray"`
 	Team   string
-	Tokens float32
+	Served float32
+	Asked  float32
+	// Waiting says that requests of the team wait at the sender.
+	Waiting bool
 }
 
 // Encode returns the datagram of a report. Parts that do not fit are left out, the smallest first.
@@ -84,13 +88,17 @@
 	return loads
 }
 
-// ServiceTable returns the service by team.
-func (r *Report) ServiceTable() map[string]float64 {
-	served := make(map[string]float64, len(r.Teams))
+// TeamTable returns what teams asked and got.
+func (r *Report) TeamTable() map[string]fairshare.Part {
+	parts := make(map[string]fairshare.Part, len(r.Teams))
 	for _, p := range r.Teams {
-		served[p.Team] = max(float64(p.Tokens), 0)
+		parts[p.Team] = fairshare.Part{
+			Served:  max(float64(p.Served), 0),
+			Asked:   max(float64(p.Asked), 0),
+			Waiting: p.Waiting,
+		}
 	}
-	return served
+	return parts
 }
 
 // Periods of reports.
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -8,18 +8,13 @@
 // buckets is the number of parts of a window.
 const buckets = 10
 
-// WindowOptions bound second sends: in each window at most Ratio for each request, and Slack beyond.
-type WindowOptions struct {
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
 // Window is a budget of second sends for each service over a sliding window. It is safe for concurrent use.
 type Window struct {
-	mu       sync.Mutex
-	opts     WindowOptions
-	services map[string]*windowCounts
+	mu     sync.Mutex
+	length time.Duration
+	// ratio is the number of second sends for each request, slack the number beyond them in each window.
+	ratio, slack float64
+	services     map[string]*windowCounts
 }
 
 // windowCounts are the requests and second sends of a service in the parts of the window.
@@ -30,16 +25,16 @@
 	current int64
 }
 
-// NewWindow returns a full budget.
-func NewWindow(opts WindowOptions) *Window {
-	return &Window{opts: opts, services: make(map[string]*windowCounts)}
+// NewWindow returns a budget for windows of a length. It allows nothing before SetBounds.
+func NewWindow(length time.Duration) *Window {
+	return &Window{length: length, services: make(map[string]*windowCounts)}
 }
 
-// SetSlack changes the slack, for a router's part of the fleet's.
-func (w *Window) SetSlack(slack float64) {
+// SetBounds changes the ratio and the slack.
+func (w *Window) SetBounds(ratio, slack float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.opts.Slack = slack
+	w.ratio, w.slack = ratio, slack
 }
 
 // Request counts a request for a service.
@@ -55,7 +50,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.at(now, service)
-	if float64(sum(c.sends)+1) > w.opts.Ratio*float64(sum(c.requests))+w.opts.Slack {
+	if float64(sum(c.sends)+1) > w.ratio*float64(sum(c.requests))+w.slack {
 		return false
 	}
 	c.sends[c.current%buckets]++
@@ -65,7 +60,7 @@
 // at returns a service's counts with the parts that have left the window cleared.
 func (w *Window) at(now time.Time, service string) *windowCounts {
 	c := w.services[service]
-	part := now.UnixNano() / int64(w.opts.Window/buckets)
+	part := now.UnixNano() / int64(w.length/buckets)
 	if c == nil {
 		c = &windowCounts{current: part}
 		w.services[service] = c
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -20,7 +20,7 @@
 // drain ends the process without cutting off requests that can end within the grace time.
 func (n *Node) drain(servers []*server) {
 	begin := time.Now()
-	grace := n.settings.Bounds.Grace
+	grace := n.bounds.Load().Grace
 	n.draining.Store(true)
 	n.gateway.Leave()
 	n.log.Info("stopping", zap.Int("active", n.gateway.Active()), zap.Duration("grace", grace))
--- a/internal/daemon/gateway/fleet.go
+++ b/internal/daemon/gateway/fleet.go
@@ -127,7 +127,7 @@
 }
 
 func (n *Node) sendReport(seq uint64, targets []netip.AddrPort) {
-	loads, served, queued := n.admission.Own()
+	loads, teams, queued := n.admission.Own()
 	r := gossip.Report{
 		Router:        n.settings.Router,
 		Incarnation:   n.incarnation,
@@ -143,10 +143,12 @@
 		})
 	}
 	slices.SortFunc(r.Loads, func(a, b gossip.LoadPart) int { return cmp.Compare(b.PendingTokens, a.PendingTokens) })
-	for team, tokens := range served {
-		r.Teams = append(r.Teams, gossip.ServicePart{Team: team, Tokens: float32(tokens)})
+	for team, p := range teams {
+		r.Teams = append(r.Teams, gossip.ServicePart{
+			Team: team, Served: float32(p.Served), Asked: float32(p.Asked), Waiting: p.Waiting,
+		})
 	}
-	slices.SortFunc(r.Teams, func(a, b gossip.ServicePart) int { return cmp.Compare(b.Tokens, a.Tokens) })
+	slices.SortFunc(r.Teams, func(a, b gossip.ServicePart) int { return cmp.Compare(b.Served, a.Served) })
 	data, err := r.Encode()
 	if err != nil {
 		n.log.Error("report not encoded", zap.Error(err))
@@ -167,7 +169,7 @@
 	if r.Router == n.settings.Router || !n.peers.Take(time.Now(), r) {
 		return
 	}
-	n.admission.SetPeer(r.Router, r.LoadTable(), r.ServiceTable())
+	n.admission.SetPeer(r.Router, r.LoadTable(), r.TeamTable())
 }
 
 // dropLost forgets routers that fell silent.
--- a/internal/daemon/gateway/main.go
+++ b/internal/daemon/gateway/main.go
@@ -29,5 +29,5 @@
 	if err != nil {
 		return err
 	}
-	return node.Run(ctx)
+	return node.Run(ctx, path)
 }
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -67,6 +67,9 @@
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
 	draining  atomic.Bool
+	// bounds are the operators' bounds in force; keyLimit is in nanoseconds.
+	bounds   atomic.Pointer[platform.Bounds]
+	keyLimit atomic.Int64
 }
 
 // New returns a node that is ready to run.
@@ -94,15 +97,12 @@
 	}, []string{"kind"})
 	n.registry.MustRegister(opened, calls)
 	n.pool = upstream.New(upstream.Options{Opened: opened.Inc})
-	n.budget = retry.NewWindow(retry.WindowOptions{
-		Ratio:  retryShare * settings.Bounds.RetryRatio,
-		Slack:  retryShare * settings.Bounds.RetrySlack,
-		Window: settings.Bounds.RetryWindow,
-	})
+	n.budget = retry.NewWindow(settings.Bounds.RetryWindow)
+	n.applyBounds(settings.Bounds)
 	n.gateway = gateway.New(gateway.Options{
 		Routing:      &n.routing,
 		Proof:        n.proof,
-		KeyLimit:     n.keyLimit(),
+		KeyLimit:     n.currentKeyLimit,
 		Admission:    n.admission,
 		Pool:         n.pool,
 		Budget:       n.budget,
@@ -122,19 +122,22 @@
 			Log:       log.Named("discovery"),
 			OnRouters: func(list map[string]discovery.Router) { n.routers.Store(&list) },
 			OnServers: n.onServers,
+			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
 		}),
 	})
 	return n, nil
 }
 
 // keyLimit is the age of the configuration up to which API keys are accepted.
-func (n *Node) keyLimit() time.Duration {
-	if !n.settings.Bounds.StrictRevoke {
+func keyLimit(b platform.Bounds) time.Duration {
+	if !b.StrictRevoke {
 		return math.MaxInt64
 	}
-	return n.settings.Bounds.Revoke - revokeMargin
+	return b.Revoke - revokeMargin
 }
 
+func (n *Node) currentKeyLimit() time.Duration { return time.Duration(n.keyLimit.Load()) }
+
 func seedOf(router string, incarnation uint64) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(router))
@@ -159,8 +162,8 @@
 	n.pool.Retain(set.Has)
 }
 
-// Run serves until the context ends, and then drains.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until the context ends, and then drains. The settings file is watched for changes.
+func (n *Node) Run(ctx context.Context, settingsPath string) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	peerAddress := netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort))
@@ -179,6 +182,7 @@
 	}
 	n.log.Info("started", zap.String("failure_domain", n.settings.FailureDomain), zap.Uint64("incarnation", n.incarnation),
 		zap.Int64("memory_bytes", n.settings.MemoryBytes))
+	go n.watchSettings(background, settingsPath)
 	go n.follower.Run(background)
 	go n.register(background)
 	go n.socket.Run(background, n.onDatagram)
@@ -249,5 +253,5 @@
 
 // ready reports whether the router takes new clients.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.routing.Load() != nil && n.servers.Load().Len() > 0 && n.proof.Within(n.keyLimit())
+	return !n.draining.Load() && n.routing.Load() != nil && n.servers.Load().Len() > 0 && n.proof.Within(n.currentKeyLimit())
 }
--- /dev/null
+++ b/internal/daemon/gateway/reload.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/platform"
+)
+
+// reloadPeriod is how often the settings file is read without a signal: it may also change without one.
+const reloadPeriod = 2 * time.Second
+
+// watchSettings puts changed settings in force. Without a handler, SIGHUP would end the process.
+func (n *Node) watchSettings(ctx context.Context, path string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			n.log.Info("reload", zap.String("cause", "SIGHUP"))
+		case <-ticker.C:
+		}
+		n.reload(path)
+	}
+}
+
+// reload reads the settings file and puts its bounds in force. A file with errors changes nothing.
+func (n *Node) reload(path string) {
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		n.log.Error("settings not reloaded, the former stay in force", zap.Error(err))
+		return
+	}
+	if *n.bounds.Load() == s.Bounds {
+		return
+	}
+	n.applyBounds(s.Bounds)
+	n.log.Info("settings reloaded", zap.Any("bounds", s.Bounds))
+}
+
+// applyBounds puts the operators' bounds in force.
+func (n *Node) applyBounds(b platform.Bounds) {
+	n.bounds.Store(&b)
+	n.keyLimit.Store(int64(keyLimit(b)))
+	n.budget.SetBounds(retryShare*b.RetryRatio, retryShare*b.RetrySlack)
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -113,7 +113,7 @@
 	if x.route.Anonymous || !x.table.Keyed() {
 		return true
 	}
-	if !x.g.opts.Proof.Within(x.g.opts.KeyLimit) {
+	if !x.g.opts.Proof.Within(x.g.opts.KeyLimit()) {
 		x.refuse(refusalStale, returnElsewhere)
 		return false
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -19,8 +19,8 @@
 type Options struct {
 	Routing *routing.Holder
 	Proof   *freshness.Proof
-	// KeyLimit is the age of the proof up to which API keys are accepted.
-	KeyLimit  time.Duration
+	// KeyLimit returns the age of the proof up to which API keys are accepted.
+	KeyLimit  func() time.Duration
 	Admission *admission.Controller
 	Pool      *upstream.Pool
 	Budget    *retry.Window
