--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -10,7 +10,7 @@
 
 const (
 	// rereadWeight is the weight of reading tokens again against waiting as long: it delays all that runs there.
-	rereadWeight = 8.0
+	rereadWeight = 20.0
 	// batchPenalty is the cost of a full batch against an empty one.
 	batchPenalty = 60 * time.Millisecond
 	// domainPenalty is the cost of another failure domain, whose traffic is dearer.
