Name a second home for each prompt

Cause: what did not fit at a prompt's home went to any engine, and its shared parts were read there anew each time. Change: rendezvous hashing names a second home, where rereads weigh half.

--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -11,6 +11,9 @@
 const (
 	// rereadWeight is the weight of reading tokens again against waiting as long: it delays all that runs there.
 	rereadWeight = 20.0
+	// secondHomeWeight is the weight at a prompt's second home. What does not fit at the first home goes there from all
+	// routers, so that the parts are read there once and then kept.
+	secondHomeWeight = 10.0
 	// batchPenalty is the cost of a full batch against an empty one.
 	batchPenalty = 60 * time.Millisecond
 	// domainPenalty is the cost of another failure domain, whose traffic is dearer.
@@ -35,16 +38,16 @@
 func (c *Core) choose(now time.Time, w *Work, part float64) (*place, bool) {
 	servers := c.servers.Of(w.Service.Name)
 	parts := shared(w.Parts)
-	var homeServer *backends.Server
+	var h homes
 	if w.Service.Engine != nil {
-		homeServer = home(parts, settled(servers))
+		h = homesOf(parts, settled(servers))
 	}
 	var best, withRoom place
 	for _, server := range servers {
 		if !c.usable(now, w, server) {
 			continue
 		}
-		p := c.evaluate(now, w, server, server == homeServer)
+		p := c.evaluate(now, w, server, h)
 		if best.server == nil || p.cost < best.cost {
 			best = p
 		}
@@ -78,7 +81,7 @@
 }
 
 // evaluate returns what it costs to run the request on a server.
-func (c *Core) evaluate(now time.Time, w *Work, server *backends.Server, isHome bool) place {
+func (c *Core) evaluate(now time.Time, w *Work, server *backends.Server, h homes) place {
 	p := place{server: server, load: c.loads.Of(server.ID)}
 	slots := max(server.Slots, 1)
 	p.cost = time.Duration(float64(batchPenalty) * float64(p.load.Running) / float64(slots))
@@ -90,14 +93,18 @@
 	}
 	parts := shared(w.Parts)
 	p.cached = c.prefixes.cached(now, parts, server.ID)
-	if isHome {
+	if server == h.first {
 		p.cached = tokensOf(parts) // other routers send the prompt here, too
 	}
 	missing := max(w.PromptTokens-p.cached, 0)
 	backlog := c.backlog(w, server, p.load)
 	p.first = backlog + c.speedsOf(w.Service.Name).reading(server.ID, missing) + firstEvent
 	reread := c.speedsOf(w.Service.Name).reading(server.ID, tokensOf(parts)-min(p.cached, tokensOf(parts)))
-	p.cost += backlog + time.Duration(rereadWeight*float64(reread))
+	weight := rereadWeight
+	if server == h.second {
+		weight = secondHomeWeight
+	}
+	p.cost += backlog + time.Duration(weight*float64(reread))
 	return p
 }
 
--- a/internal/coordination/admission/prefix.go
+++ b/internal/coordination/admission/prefix.go
@@ -90,20 +90,28 @@
 	}
 }
 
-// home returns the engine that rendezvous hashing names for a prompt: the same on all routers.
-func home(parts []relay.PromptPart, servers []*backends.Server) *backends.Server {
-	if len(parts) == 0 || len(servers) == 0 {
-		return nil
+// homes are the engines that rendezvous hashing names for a prompt: the same on all routers.
+type homes struct {
+	first, second *backends.Server
+}
+
+func homesOf(parts []relay.PromptPart, servers []*backends.Server) homes {
+	var h homes
+	if len(parts) == 0 {
+		return h
 	}
 	key := parts[len(parts)-1].ID
-	var best *backends.Server
-	var highest uint64
+	var high, next uint64
 	for _, server := range servers {
-		if h := rendezvous(key, server.ID); best == nil || h > highest {
-			best, highest = server, h
+		switch rank := rendezvous(key, server.ID); {
+		case h.first == nil || rank > high:
+			h.second, next = h.first, high
+			h.first, high = server, rank
+		case h.second == nil || rank > next:
+			h.second, next = server, rank
 		}
 	}
-	return best
+	return h
 }
 
 func rendezvous(key uint64, server string) uint64 {
