Refuse at once what a team beyond its share would queue for long

Cause: in overload the queue of a team beyond its share gave each of its requests nearly the longest wait, so that many of those served were late. Change: such a team queues for at most 35% of the longest wait by prediction; the rest is refused on arrival.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -107,9 +107,12 @@
 	c.accounts.Ask(now, w.Team, t.cost)
 	t.refuseAt = c.refuseAt(&t.Work)
 	q := c.queue(w.Service.Name)
-	if wait, ok := q.hopeless(now, t); ok {
-		c.refuse(t, ReasonBacklog, c.spread.around(wait))
-		return t
+	c.refreshShares(now)
+	if c.accounts.Served(now, t.Team) > c.shares.level {
+		if wait, ok := q.hopeless(now, t); ok {
+			c.refuse(t, ReasonBacklog, c.spread.around(wait))
+			return t
+		}
 	}
 	q.add(t)
 	c.pump(now, q)
@@ -237,7 +240,7 @@
 	t.ahead = p.load.PendingTokens
 	c.loads.Add(p.server.ID, t.load)
 	c.accounts.Charge(now, t.Team, t.cost)
-	t.decide(Verdict{Server: p.server, Load: p.load, CachedTokens: p.cached})
+	t.decide(Verdict{Server: p.server, Load: p.load, CachedTokens: p.cached, First: p.first})
 }
 
 func (c *Core) refuse(t *Ticket, reason Reason, retryAfter time.Duration) {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -82,10 +82,15 @@
 	return q.rate * max(0, 1-age.Seconds()/(4*rateWindow.Seconds()))
 }
 
-// minBacklog is the number of a team's waiting requests from which its wait is predicted.
-const minBacklog = 4
+const (
+	// minBacklog is the number of a team's waiting requests from which its wait is predicted.
+	minBacklog = 1
+	// queueShare is the part of the longest wait for which a team beyond its share may queue. A longer queue would give
+	// all of its requests the longest wait and serve no more of them.
+	queueShare = 0.35
+)
 
-// hopeless predicts whether a new request would still wait at the time of its refusal. It returns the expected wait.
+// hopeless predicts whether a new request of a team beyond its share would wait too long. It returns the expected wait.
 // The team gets an equal part of the observed rate among the teams that wait.
 func (q *queue) hopeless(now time.Time, t *Ticket) (time.Duration, bool) {
 	team := q.teams[t.Team]
@@ -97,5 +102,5 @@
 		return 0, false
 	}
 	wait := time.Duration(team.cost * float64(len(q.teams)) / rate * float64(time.Second))
-	return wait, now.Add(wait).After(t.refuseAt)
+	return wait, wait > time.Duration(queueShare*float64(t.refuseAt.Sub(now)))
 }
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -55,6 +55,8 @@
 	// Load is the chosen server's load before the request, CachedTokens the part of the prompt expected there.
 	Load         engineload.Load
 	CachedTokens int
+	// First is the predicted time from the send to the first event.
+	First time.Duration
 }
 
 // Result says how a granted request ended.
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/platform"
@@ -53,6 +54,9 @@
 	waited time.Duration
 	first  time.Duration
 	cached int
+	// load and predicted are what the admission knew of the server.
+	load      engineload.Load
+	predicted time.Duration
 	// stream is the state of an event stream that has begun to go out.
 	stream streamState
 	// lastErr is the cause of the last failed send.
@@ -209,7 +213,7 @@
 			return
 		}
 		x.server = verdict.Server.ID
-		x.cached = verdict.CachedTokens
+		x.cached, x.load, x.predicted = verdict.CachedTokens, verdict.Load, verdict.First
 		result := x.send(ctx, ticket, verdict)
 		x.g.opts.Metrics.Sends.WithLabelValues(result.String()).Inc()
 		if result.final() {
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -140,5 +140,8 @@
 		zap.Duration("took", time.Since(x.arrival)),
 		zap.Int("tokens", x.info.PromptTokens),
 		zap.Int("cached", x.cached),
+		zap.Int("running", x.load.Running),
+		zap.Int("pending", x.load.PendingTokens),
+		zap.Duration("predicted", x.predicted),
 	}, fields...)...)
 }
