--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -10,7 +10,7 @@
 	sharesAge = 20 * time.Millisecond
 	// yieldingPart is the part of an engine's room for a team beyond its share while a team below its share waits
 	// anywhere in the fleet. The rest stays free for that team, whichever router it waits at.
-	yieldingPart = 0.35
+	yieldingPart = 0.2
 	// beyondPart is the part for a team beyond its share while no other waits.
 	beyondPart = 0.8
 	// shareSlack is how far a team may pass the least served waiting team, in tokens, before it yields: about the size
