Let repeats and resumed streams wait anew; drop lapsed servers in time; flush whole events at once

Causes: a request that was sent before was refused as late, since its wait counted from its arrival, so that no stream was resumed after 0.7 of its objective. An event stayed in the buffer while a piece of the next one was there. Change: a repeat begins its wait anew and goes first in its team. Lapsed entries are kept until 1.8 s after the store's return, with short polls until then. Events are flushed unless a whole one follows. Log lines hold no stacks.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -104,11 +104,13 @@
 // Submit takes a request. The decision may come before Submit returns.
 func (c *Core) Submit(now time.Time, w Work, decide func(Verdict)) *Ticket {
 	t := &Ticket{Work: w, decide: decide, state: ticketWaiting, cost: tokenCost(&w)}
-	c.accounts.Ask(now, w.Team, t.cost)
+	if !t.Repeat {
+		c.accounts.Ask(now, w.Team, t.cost)
+	}
 	t.refuseAt = c.refuseAt(&t.Work)
 	q := c.queue(w.Service.Name)
 	c.refreshShares(now)
-	if c.accounts.Served(now, t.Team) > c.shares.level {
+	if !t.Repeat && c.accounts.Served(now, t.Team) > c.shares.level {
 		if wait, ok := q.hopeless(now, t); ok {
 			c.refuse(t, ReasonBacklog, c.spread.around(wait))
 			return t
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -38,6 +38,12 @@
 		q.teams[t.Team] = team
 	}
 	i, _ := slices.BinarySearchFunc(team.waiting, t, func(a, b *Ticket) int {
+		if a.Repeat != b.Repeat {
+			if a.Repeat {
+				return -1
+			}
+			return 1
+		}
 		if a.Priority != b.Priority {
 			return a.Priority - b.Priority
 		}
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -26,6 +26,9 @@
 	Objective time.Duration
 	// Deadline is when the client or the route gives up.
 	Deadline time.Time
+	// Repeat says that the request was sent before. It goes ahead of the others of its team, since its client has waited
+	// and may hold a part of the answer.
+	Repeat bool
 	// Exclude lists servers that must not be chosen, as they failed the request before.
 	Exclude []string
 }
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -8,8 +8,10 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
 
 const (
@@ -27,10 +29,10 @@
 
 // Sink takes what was read. Its methods are called by one goroutine.
 type Sink interface {
-	// Replace takes the state of all keys.
-	Replace(entries []kv.Entry, now time.Time, disturbed bool)
-	// Apply takes changes in order.
-	Apply(changes []kv.Change, now time.Time, disturbed bool)
+	// Replace takes the state of all keys. Servers whose entries are missing are kept until lapse, if that is later.
+	Replace(entries []kv.Entry, now, lapse time.Time)
+	// Apply takes changes in order. Servers whose entries were removed are kept until lapse, if that is later.
+	Apply(changes []kv.Change, now, lapse time.Time)
 	// Expire drops what was kept for a while.
 	Expire(now time.Time)
 }
@@ -102,7 +104,7 @@
 		return err
 	}
 	f.noteSuccess()
-	f.opts.Sink.Apply(changes, time.Now(), f.disturbed())
+	f.opts.Sink.Apply(changes, time.Now(), f.lapse())
 	f.revision = max(f.revision, revision)
 	f.opts.Proof.Confirm(sent)
 	return nil
@@ -111,10 +113,14 @@
 // wait returns how long the store may hold the next poll. The first poll after an outage is answered at once, so that
 // the proof is renewed without delay.
 func (f *Follower) wait() time.Duration {
-	if !f.reached {
+	switch {
+	case !f.reached:
 		return 0
+	case time.Now().Before(f.lapse()):
+		return lapsePoll
+	default:
+		return pollWait
 	}
-	return pollWait
 }
 
 func (f *Follower) list(ctx context.Context) error {
@@ -126,19 +132,27 @@
 		return err
 	}
 	f.noteSuccess()
-	f.opts.Sink.Replace(entries, time.Now(), f.disturbed())
+	f.opts.Sink.Replace(entries, time.Now(), f.lapse())
 	f.revision = revision
 	f.listed = true
 	f.opts.Proof.Confirm(sent)
 	return nil
 }
 
-// lapseTime is how long after an outage servers whose entries lapsed need to write them again.
-const lapseTime = 2 * time.Second
+const (
+	// lapseTime is how long after an outage entries may be missing only because their servers have not written them
+	// again. Servers need about two seconds; what remains is the time until the removal is acted on.
+	lapseTime = 1800 * time.Millisecond
+	// lapsePoll is the wait of polls in that time, so that servers that do not come back are dropped when it ends.
+	lapsePoll = 200 * time.Millisecond
+)
 
-// disturbed reports whether entries may be missing only because the store was not reachable.
-func (f *Follower) disturbed() bool {
-	return !f.restored.IsZero() && time.Since(f.restored) < lapseTime
+// lapse returns the end of the time in which entries may be missing because of an outage.
+func (f *Follower) lapse() time.Time {
+	if f.restored.IsZero() {
+		return time.Time{}
+	}
+	return f.restored.Add(lapseTime)
 }
 
 func (f *Follower) noteSuccess() {
@@ -157,6 +171,6 @@
 		return
 	}
 	f.reached = false
-	f.opts.Log.Warn("store lost", zap.Error(err), zap.Int64("revision", int64(f.revision)))
+	f.opts.Log.Warn("store lost", logfield.Error(err), zap.Int64("revision", int64(f.revision)))
 	f.opts.OnContact(false)
 }
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -7,8 +7,10 @@
 
 	"go.uber.org/zap"
 
+
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 )
 
@@ -82,7 +84,7 @@
 }
 
 // Replace implements Sink.
-func (s *State) Replace(entries []kv.Entry, now time.Time, disturbed bool) {
+func (s *State) Replace(entries []kv.Entry, now, lapse time.Time) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
@@ -90,7 +92,7 @@
 	changed := false
 	for key := range s.revisions {
 		if !listed[key] {
-			changed = s.remove(key, now, disturbed) || changed
+			changed = s.remove(key, now, lapse) || changed
 		}
 	}
 	for _, e := range entries {
@@ -100,14 +102,14 @@
 }
 
 // Apply implements Sink.
-func (s *State) Apply(list []kv.Change, now time.Time, disturbed bool) {
+func (s *State) Apply(list []kv.Change, now, lapse time.Time) {
 	changed := false
 	for _, c := range list {
 		if c.Revision <= s.revisions[c.Key] {
 			continue
 		}
 		if c.Deleted {
-			changed = s.remove(c.Key, now, disturbed) || changed
+			changed = s.remove(c.Key, now, lapse) || changed
 		} else {
 			changed = s.write(c.Entry, now) || changed
 		}
@@ -160,7 +162,7 @@
 func (s *State) writeConfig(e kv.Entry) {
 	config, err := s.opts.Schema.DecodeConfig(e.Value, int64(e.Revision))
 	if err != nil {
-		s.opts.Log.Error("configuration not read, the former stays in force", zap.Error(err))
+		s.opts.Log.Error("configuration not read, the former stays in force", logfield.Error(err))
 		return
 	}
 	table := routing.NewTable(config)
@@ -176,7 +178,7 @@
 	s.revisions[e.Key] = e.Revision
 	server, err := s.opts.Schema.DecodeServer(e.Key, e.Value)
 	if err != nil {
-		s.opts.Log.Warn("entry of a backend server not usable", zap.Error(err), zap.Int64("revision", int64(e.Revision)))
+		s.opts.Log.Warn("entry of a backend server not usable", logfield.Error(err), zap.Int64("revision", int64(e.Revision)))
 		return s.drop(s.opts.Schema.ServerID(e.Key))
 	}
 	before := s.servers[server.ID]
@@ -194,7 +196,7 @@
 	s.revisions[e.Key] = e.Revision
 	router, err := s.opts.Schema.DecodeRouter(e.Key, e.Value)
 	if err != nil {
-		s.opts.Log.Warn("entry of a router not usable", zap.Error(err))
+		s.opts.Log.Warn("entry of a router not usable", logfield.Error(err))
 		return false
 	}
 	s.routers[router.ID] = router
@@ -202,7 +204,7 @@
 }
 
 // remove takes the deletion of a key.
-func (s *State) remove(key string, now time.Time, disturbed bool) bool {
+func (s *State) remove(key string, now, lapse time.Time) bool {
 	schema := s.opts.Schema
 	delete(s.revisions, key)
 	switch {
@@ -211,8 +213,8 @@
 		if s.servers[id] == nil {
 			return false
 		}
-		if disturbed {
-			s.lapsed[id] = now.Add(lapseTime)
+		if now.Before(lapse) {
+			s.lapsed[id] = lapse
 			s.opts.Log.Info("entry of a backend server lapsed", zap.String("server", id))
 			return false
 		}
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
 
 const (
@@ -43,7 +45,7 @@
 	defer cancel()
 	for _, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
-			n.log.Info("connections closed while in use", zap.String("listener", s.name), zap.Error(err))
+			n.log.Info("connections closed while in use", zap.String("listener", s.name), logfield.Error(err))
 		}
 	}
 	n.log.Info("stopped", zap.Duration("took", time.Since(begin)), zap.Int("active", n.gateway.Active()))
--- a/internal/daemon/gateway/fleet.go
+++ b/internal/daemon/gateway/fleet.go
@@ -11,9 +11,11 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -39,7 +41,7 @@
 		err := n.keepRegistered(ctx, &lease)
 		wait := renewPeriod
 		if err != nil {
-			n.log.Warn("registration failed", zap.Error(err))
+			n.log.Warn("registration failed", logfield.Error(err))
 			wait = b.NextBackOff()
 		} else {
 			b.Reset()
@@ -90,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), registerTimeout)
 	defer cancel()
 	if err := n.store.Revoke(ctx, lease); err != nil {
-		n.log.Info("entry not removed, it ends with its lease", zap.Error(err))
+		n.log.Info("entry not removed, it ends with its lease", logfield.Error(err))
 	}
 }
 
@@ -151,7 +153,7 @@
 	slices.SortFunc(r.Teams, func(a, b gossip.ServicePart) int { return cmp.Compare(b.Served, a.Served) })
 	data, err := r.Encode()
 	if err != nil {
-		n.log.Error("report not encoded", zap.Error(err))
+		n.log.Error("report not encoded", logfield.Error(err))
 		return
 	}
 	for _, to := range targets {
@@ -163,7 +165,7 @@
 func (n *Node) onDatagram(from netip.AddrPort, data []byte) {
 	r, err := gossip.Decode(data)
 	if err != nil {
-		n.log.Warn("report not read", zap.Stringer("from", from), zap.Error(err))
+		n.log.Warn("report not read", zap.Stringer("from", from), logfield.Error(err))
 		return
 	}
 	if r.Router == n.settings.Router || !n.peers.Take(time.Now(), r) {
--- a/internal/daemon/gateway/reload.go
+++ b/internal/daemon/gateway/reload.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -38,7 +40,7 @@
 func (n *Node) reload(path string) {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
-		n.log.Error("settings not reloaded, the former stay in force", zap.Error(err))
+		n.log.Error("settings not reloaded, the former stay in force", logfield.Error(err))
 		return
 	}
 	if *n.bounds.Load() == s.Bounds {
--- a/internal/protocol/eventstream/reader.go
+++ b/internal/protocol/eventstream/reader.go
@@ -44,8 +44,11 @@
 	return &Reader{in: bufio.NewReaderSize(r, readerBytes)}
 }
 
-// Buffered reports whether another event may be read without waiting.
-func (r *Reader) Buffered() bool { return r.in.Buffered() > 0 }
+// Buffered reports whether another whole event can be read without waiting.
+func (r *Reader) Buffered() bool {
+	waiting, err := r.in.Peek(r.in.Buffered())
+	return err == nil && (bytes.Contains(waiting, []byte("\n\n")) || bytes.Contains(waiting, []byte("\n\r\n")))
+}
 
 // Next returns the next event. It returns io.EOF at the end of a whole stream.
 func (r *Reader) Next() (Event, error) {
--- a/internal/transport/datagram/socket.go
+++ b/internal/transport/datagram/socket.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
 
 // maxBytes is the largest datagram that is read.
@@ -30,7 +32,7 @@
 // Send sends a datagram.
 func (s *Socket) Send(to netip.AddrPort, data []byte) {
 	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
-		s.log.Debug("datagram not sent", zap.Stringer("to", to), zap.Error(err))
+		s.log.Debug("datagram not sent", zap.Stringer("to", to), logfield.Error(err))
 	}
 }
 
@@ -45,7 +47,7 @@
 			return
 		}
 		if err != nil {
-			s.log.Warn("datagram not read", zap.Error(err))
+			s.log.Warn("datagram not read", logfield.Error(err))
 			continue
 		}
 		take(from, buf[:n])
--- a/internal/transport/gateway/directory.go
+++ b/internal/transport/gateway/directory.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 
+
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -28,7 +30,7 @@
 		return
 	}
 	if err := platform.WriteDirectory(w, addresses, d.Lifetime); err != nil {
-		d.Log.Warn("answer not sent", zap.Error(err))
+		d.Log.Warn("answer not sent", logfield.Error(err))
 	}
 }
 
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -10,8 +10,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/platform"
@@ -195,7 +197,7 @@
 		x.reject(http.StatusRequestEntityTooLarge, "body too large")
 		return false
 	}
-	x.log("incomplete", zap.Error(err))
+	x.log("incomplete", logfield.Error(err))
 	panic(http.ErrAbortHandler)
 }
 
@@ -228,18 +230,23 @@
 			x.fail(result)
 			return
 		}
-		x.log("repeat", zap.Stringer("result", result), zap.Error(x.lastErr))
+		x.log("repeat", zap.Stringer("result", result), logfield.Error(x.lastErr))
 	}
 }
 
 // work describes the request to the admission.
 func (x *exchange) work() admission.Work {
+	arrival := x.arrival
+	if x.sends > 0 {
+		arrival = time.Now() // the wait for the next server begins anew
+	}
 	w := admission.Work{
 		ID:        x.info.ID,
 		Team:      x.team,
 		Service:   x.service,
 		Priority:  x.priority,
-		Arrival:   x.arrival,
+		Arrival:   arrival,
+		Repeat:    x.sends > 0,
 		Objective: x.route.Objective,
 		Deadline:  x.deadline,
 		Exclude:   x.excluded,
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -7,7 +7,9 @@
 
 	"go.uber.org/zap"
 
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -95,12 +97,12 @@
 func (x *exchange) status(status int, reason string) {
 	platform.EncodeRefusal(x.w.Header(), x.info.ID, 0)
 	x.own(status)
-	x.log("failed", zap.Int("status", status), zap.String("reason", reason), zap.Error(x.lastErr))
+	x.log("failed", zap.Int("status", status), zap.String("reason", reason), logfield.Error(x.lastErr))
 }
 
 // cut ends an answer that has begun so that it cannot look whole.
 func (x *exchange) cut(reason string) {
-	x.log("cut", zap.String("reason", reason), zap.Error(x.lastErr))
+	x.log("cut", zap.String("reason", reason), logfield.Error(x.lastErr))
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/transport/gateway/send.go
+++ b/internal/transport/gateway/send.go
@@ -11,7 +11,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
@@ -164,7 +166,7 @@
 	}
 	x.w.WriteHeader(a.Status)
 	if _, err := x.w.Write(held.Bytes()); err != nil {
-		x.log("client-left", zap.Error(err))
+		x.log("client-left", logfield.Error(err))
 		panic(http.ErrAbortHandler)
 	}
 	if n == maxHeldAnswer {
