Tell the other routers which engines keep which parts of prompts

Cause: a router took the home of a prompt to keep its parts, whether or not any router had sent it there, and did not know of copies that others had made elsewhere. Change: reports name the parts that engines keep since the last reports. What no engine keeps counts as prompt to be read.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -69,6 +69,20 @@
 	c.core.SetPeer(time.Now(), router, loads, teams)
 }
 
+// SetPeerParts takes what servers keep because of another router's requests.
+func (c *Controller) SetPeerParts(notes []PartNote) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SetPeerParts(time.Now(), notes)
+}
+
+// News returns up to n notes of what servers keep because of this router's requests. Each is returned once.
+func (c *Controller) News(n int) []PartNote {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.News(n)
+}
+
 // ForgetPeer drops a router that is gone.
 func (c *Controller) ForgetPeer(router string) {
 	c.mu.Lock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -76,6 +76,16 @@
 	c.accounts.SetPeer(now, router, teams)
 }
 
+// SetPeerParts takes what servers keep because of another router's requests.
+func (c *Core) SetPeerParts(now time.Time, notes []PartNote) {
+	for _, n := range notes {
+		c.prefixes.learn(now, n)
+	}
+}
+
+// News returns up to n notes of what servers keep because of this router's requests. Each is returned once.
+func (c *Core) News(n int) []PartNote { return c.prefixes.takeNews(n) }
+
 // ForgetPeer drops a router that is gone.
 func (c *Core) ForgetPeer(router string) {
 	c.loads.ForgetPeer(router)
--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -9,18 +9,21 @@
 )
 
 const (
-	// rereadWeight is the weight of reading tokens again against waiting as long: it delays all that runs there.
-	rereadWeight = 20.0
-	// secondHomeWeight is the weight at a prompt's second home. What does not fit at the first home goes there from all
-	// routers, so that the parts are read there once and then kept.
+	// Weights of reading shared parts that an engine does not keep against waiting as long: reading them delays all that
+	// runs there and takes memory. What no engine keeps is read at the home; what does not fit at the engines that keep it
+	// goes to the homes first, so that all routers send it to the same engines.
+	rereadWeight     = 20.0
 	secondHomeWeight = 10.0
+	firstHomeWeight  = 1.0
+	newPartWeight    = 1.0
 	// batchPenalty is the cost of a full batch against an empty one.
 	batchPenalty = 60 * time.Millisecond
 	// domainPenalty is the cost of another failure domain, whose traffic is dearer.
 	domainPenalty = 2 * time.Millisecond
-	// patienceBase is how much worse than the best engine one with room may be at once. The wait so far is added: a
-	// request waits for its best engine as long as the other would cost.
-	patienceBase = 15 * time.Millisecond
+	// patienceBase is how much worse than the best engine one with room may be at once. A multiple of the wait so far is
+	// added, so that a request that would be refused soon takes what there is.
+	patienceBase   = 15 * time.Millisecond
+	patienceFactor = 1
 )
 
 // place is a choice of a server.
@@ -41,6 +44,7 @@
 	var h homes
 	if w.Service.Engine != nil {
 		h = homesOf(parts, settled(servers))
+		h.known = c.prefixes.known(now, parts)
 	}
 	var best, withRoom place
 	for _, server := range servers {
@@ -59,7 +63,7 @@
 	if best.server == nil {
 		return nil, false
 	}
-	if withRoom.server == nil || withRoom.cost > best.cost+patienceBase+now.Sub(w.Arrival) {
+	if withRoom.server == nil || withRoom.cost > best.cost+patienceBase+patienceFactor*now.Sub(w.Arrival) {
 		return nil, true
 	}
 	return &withRoom, true
@@ -93,18 +97,11 @@
 	}
 	parts := shared(w.Parts)
 	p.cached = c.prefixes.cached(now, parts, server.ID)
-	if server == h.first {
-		p.cached = tokensOf(parts) // other routers send the prompt here, too
-	}
 	missing := max(w.PromptTokens-p.cached, 0)
 	backlog := c.backlog(w, server, p.load)
 	p.first = backlog + c.speedsOf(w.Service.Name).reading(server.ID, missing) + firstEvent
 	reread := c.speedsOf(w.Service.Name).reading(server.ID, tokensOf(parts)-min(p.cached, tokensOf(parts)))
-	weight := rereadWeight
-	if server == h.second {
-		weight = secondHomeWeight
-	}
-	p.cost += backlog + time.Duration(weight*float64(reread))
+	p.cost += backlog + time.Duration(h.weight(server)*float64(reread))
 	return p
 }
 
--- a/internal/coordination/admission/prefix.go
+++ b/internal/coordination/admission/prefix.go
@@ -26,9 +26,27 @@
 // prefixIndex remembers which engines have read which parts of prompts.
 type prefixIndex struct {
 	parts map[uint64]*partUse
+	// told is when the other routers were last told of a part on a server; news is what they are to be told next.
+	told map[PartNote]time.Time
+	news []PartNote
 }
 
-func newPrefixIndex() *prefixIndex { return &prefixIndex{parts: make(map[uint64]*partUse)} }
+// PartNote says that a server reads a part of a prompt, and keeps it.
+type PartNote struct {
+	Server string
+	Part   uint64
+}
+
+const (
+	// tellAgain is how often other routers are told of a part that is used all the time.
+	tellAgain = keptFor / 4
+	// maxNews bounds the notes that wait for a report. Later ones are dropped; their parts are told at the next use.
+	maxNews = 400
+)
+
+func newPrefixIndex() *prefixIndex {
+	return &prefixIndex{parts: make(map[uint64]*partUse), told: make(map[PartNote]time.Time)}
+}
 
 // shared returns the parts that other requests may share: all but the last.
 func shared(parts []relay.PromptPart) []relay.PromptPart {
@@ -55,22 +73,49 @@
 	return tokens
 }
 
-// note records that a server reads the parts.
+// note records that a server reads the parts, and keeps the news for the other routers.
 func (p *prefixIndex) note(now time.Time, parts []relay.PromptPart, server string) {
 	for _, part := range parts {
-		use := p.parts[part.ID]
-		if use == nil {
-			use = &partUse{engines: make(map[string]time.Time, 2)}
-			p.parts[part.ID] = use
+		n := PartNote{Server: server, Part: part.ID}
+		p.learn(now, n)
+		if now.Sub(p.told[n]) >= tellAgain && len(p.news) < maxNews {
+			p.told[n] = now
+			p.news = append(p.news, n)
 		}
-		use.engines[server] = now
-		use.last = now
 	}
-	if len(p.parts) > maxParts {
+	if len(p.parts) > maxParts || len(p.told) > maxParts {
 		p.shrink(now)
 	}
 }
 
+// learn records that a server keeps a part.
+func (p *prefixIndex) learn(now time.Time, n PartNote) {
+	use := p.parts[n.Part]
+	if use == nil {
+		use = &partUse{engines: make(map[string]time.Time, 2)}
+		p.parts[n.Part] = use
+	}
+	use.engines[n.Server] = now
+	use.last = now
+}
+
+// takeNews returns up to n notes for the other routers.
+func (p *prefixIndex) takeNews(n int) []PartNote {
+	n = min(n, len(p.news))
+	taken := p.news[:n:n]
+	p.news = p.news[n:]
+	return taken
+}
+
+// known reports whether any server is expected to keep all of the parts.
+func (p *prefixIndex) known(now time.Time, parts []relay.PromptPart) bool {
+	if len(parts) == 0 {
+		return false
+	}
+	use := p.parts[parts[len(parts)-1].ID]
+	return use != nil && now.Sub(use.last) <= keptFor
+}
+
 // shrink drops what has not been used for a while, and any part when that is not enough.
 func (p *prefixIndex) shrink(now time.Time) {
 	for id, use := range p.parts {
@@ -78,6 +123,11 @@
 			delete(p.parts, id)
 		}
 	}
+	for n, at := range p.told {
+		if now.Sub(at) >= tellAgain {
+			delete(p.told, n)
+		}
+	}
 }
 
 // forget drops a server, whose cache is lost.
@@ -93,6 +143,22 @@
 // homes are the engines that rendezvous hashing names for a prompt: the same on all routers.
 type homes struct {
 	first, second *backends.Server
+	// known says that some engine keeps the prompt's shared parts.
+	known bool
+}
+
+// weight returns the weight of reading shared parts at a server.
+func (h *homes) weight(server *backends.Server) float64 {
+	switch {
+	case server == h.first && !h.known:
+		return newPartWeight
+	case server == h.first:
+		return firstHomeWeight
+	case server == h.second:
+		return secondHomeWeight
+	default:
+		return rereadWeight
+	}
 }
 
 func homesOf(parts []relay.PromptPart, servers []*backends.Server) homes {
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -8,7 +8,6 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
-
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -27,6 +27,15 @@
 	Teams []ServicePart `cbor:"8,keyasint,omitempty"`
 	// Queue is the number of waiting requests.
 	Queue int `cbor:"9,keyasint,omitempty"`
+	// Parts are the parts of prompts that servers keep since the sender's last reports.
+	Parts []PartsKept `cbor:"10,keyasint,omitempty"`
+}
+
+// PartsKept are parts of prompts that one backend server keeps.
+type PartsKept struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	IDs    []uint64
 }
 
 // LoadPart is the load that the sender puts on one backend server.
@@ -55,9 +64,13 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "gossip: encode")
 		}
-		if len(data) <= maxDatagram || len(r.Loads)+len(r.Teams) == 0 {
+		if len(data) <= maxDatagram || len(r.Loads)+len(r.Teams)+len(r.Parts) == 0 {
 			return data, nil
 		}
+		if len(r.Parts) > 0 {
+			r.Parts = r.Parts[:len(r.Parts)/2]
+			continue
+		}
 		r.Loads = r.Loads[:len(r.Loads)*3/4]
 		r.Teams = r.Teams[:len(r.Teams)*3/4]
 	}
--- a/internal/daemon/gateway/fleet.go
+++ b/internal/daemon/gateway/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-
+	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
@@ -151,6 +151,7 @@
 		})
 	}
 	slices.SortFunc(r.Teams, func(a, b gossip.ServicePart) int { return cmp.Compare(b.Served, a.Served) })
+	r.Parts = n.partsKept()
 	data, err := r.Encode()
 	if err != nil {
 		n.log.Error("report not encoded", logfield.Error(err))
@@ -172,6 +173,37 @@
 		return
 	}
 	n.admission.SetPeer(r.Router, r.LoadTable(), r.TeamTable())
+	if len(r.Parts) > 0 {
+		n.admission.SetPeerParts(notesOf(r))
+	}
+}
+
+// notesPerReport is the number of notes on parts of prompts in a report; each takes about ten bytes of a datagram.
+const notesPerReport = 40
+
+// partsKept returns the news on parts of prompts, and those of the last report once more, since datagrams may be lost.
+func (n *Node) partsKept() []gossip.PartsKept {
+	news := n.admission.News(notesPerReport)
+	byServer := make(map[string][]uint64)
+	for _, note := range append(n.lastNews, news...) {
+		byServer[note.Server] = append(byServer[note.Server], note.Part)
+	}
+	n.lastNews = news
+	kept := make([]gossip.PartsKept, 0, len(byServer))
+	for server, ids := range byServer {
+		kept = append(kept, gossip.PartsKept{Server: server, IDs: ids})
+	}
+	return kept
+}
+
+func notesOf(r *gossip.Report) []admission.PartNote {
+	var notes []admission.PartNote
+	for _, p := range r.Parts {
+		for _, id := range p.IDs {
+			notes = append(notes, admission.PartNote{Server: p.Server, Part: id})
+		}
+	}
+	return notes
 }
 
 // dropLost forgets routers that fell silent.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -67,6 +67,8 @@
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
 	draining  atomic.Bool
+	// lastNews are the notes on parts of prompts in the last report. Only the reporting goroutine uses them.
+	lastNews []admission.PartNote
 	// bounds are the operators' bounds in force; keyLimit is in nanoseconds.
 	bounds   atomic.Pointer[platform.Bounds]
 	keyLimit atomic.Int64
--- a/internal/daemon/gateway/reload.go
+++ b/internal/daemon/gateway/reload.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/platform"
--- a/internal/transport/gateway/send.go
+++ b/internal/transport/gateway/send.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
