Read the store through a few routers in large fleets; bound the work of a look at the queue

Looks at the queue have a shortest pause. Refusals of a team's excess close the connection, so that its client spreads. Log lines are sampled under load.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -120,13 +120,16 @@
 	t.refuseAt = c.refuseAt(&t.Work)
 	q := c.queue(w.Service.Name)
 	c.refreshShares(now)
-	if !t.Repeat && c.accounts.Served(now, t.Team) > c.shares.level {
+	if !t.Repeat && c.shares.served[t.Team] > c.shares.level {
 		if wait, ok := q.hopeless(now, t); ok {
 			c.refuse(t, ReasonBacklog, c.spread.around(wait))
 			return t
 		}
 	}
 	q.add(t)
+	if q.size == 1 {
+		q.pumped = time.Time{}
+	}
 	c.pump(now, q)
 	return t
 }
@@ -168,7 +171,7 @@
 	}
 	h.note(now, result, c.usualErrors(t.Service.Name))
 	if !t.begun && result != ResultOK {
-		c.accounts.Charge(now, t.Team, -t.cost)
+		c.charge(now, t.Team, -t.cost)
 	}
 	c.pump(now, c.queue(t.Service.Name))
 }
@@ -190,11 +193,29 @@
 	return n
 }
 
-// pump grants waiting requests, teams with the least service first, and refuses those whose time has passed.
+const (
+	// pumpPause is the shortest time between two looks at all waiting requests. It grows with the number of servers, as
+	// the work of a look does, from pauseServers on.
+	pumpPause    = 4 * time.Millisecond
+	pauseServers = 32
+	// maxPumpPause bounds it.
+	maxPumpPause = 20 * time.Millisecond
+	// maxBlocked is the number of teams whose next request has no place after which a look ends.
+	maxBlocked = 8
+)
+
+// pause returns the time between two looks at the waiting requests.
+func (c *Core) pause() time.Duration {
+	return min(pumpPause*time.Duration(max(c.servers.Len(), pauseServers))/pauseServers, maxPumpPause)
+}
+
+// pump grants waiting requests, teams with the least service first, and refuses those whose time has passed. A look that
+// comes too soon after the last one is left to the next call.
 func (c *Core) pump(now time.Time, q *queue) {
-	if q.size == 0 {
+	if q.size == 0 || now.Sub(q.pumped) < c.pause() {
 		return
 	}
+	q.pumped = now
 	c.refuseLate(now, q)
 	c.refreshShares(now)
 	for c.grantOne(now, q) {
@@ -203,7 +224,10 @@
 
 // grantOne grants the first request in fair order that has a place. It reports whether it did.
 func (c *Core) grantOne(now time.Time, q *queue) bool {
-	for _, team := range c.order(now, q) {
+	for i, team := range c.order(q) {
+		if i == maxBlocked {
+			return false
+		}
 		t := team.head()
 		p, any := c.choose(now, &t.Work, c.shares.part(team.served))
 		if !any {
@@ -219,10 +243,10 @@
 }
 
 // order returns the teams with waiting requests, least service first.
-func (c *Core) order(now time.Time, q *queue) []*teamQueue {
+func (c *Core) order(q *queue) []*teamQueue {
 	list := q.list[:0]
 	for _, team := range q.teams {
-		team.served = c.accounts.Served(now, team.name)
+		team.served = c.shares.served[team.name]
 		list = append(list, team)
 	}
 	slices.SortFunc(list, func(a, b *teamQueue) int {
@@ -251,7 +275,7 @@
 	}
 	t.ahead = p.load.PendingTokens
 	c.loads.Add(p.server.ID, t.load)
-	c.accounts.Charge(now, t.Team, t.cost)
+	c.charge(now, t.Team, t.cost)
 	t.decide(Verdict{Server: p.server, Load: p.load, CachedTokens: p.cached, First: p.first})
 }
 
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -9,6 +9,8 @@
 type queue struct {
 	teams map[string]*teamQueue
 	size  int
+	// pumped is the time of the last look at all requests.
+	pumped time.Time
 	// list is scratch memory for ordering.
 	list []*teamQueue
 	// rate is the service granted lately, in tokens per second, as a faded sum.
--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -23,6 +23,8 @@
 // shares are the limits of fair service at a time.
 type shares struct {
 	at time.Time
+	// served is the service of each team in the whole fleet, kept up to date with this router's grants.
+	served map[string]float64
 	// level is the max-min fair share in faded tokens.
 	level float64
 	// lowest is the least service of a team that waits anywhere.
@@ -36,12 +38,14 @@
 	}
 	totals := c.accounts.Totals(now)
 	lowest := math.Inf(1)
+	served := make(map[string]float64, len(totals))
 	for team, p := range totals {
+		served[team] = p.Served
 		if p.Waiting || c.waitsHere(team) {
 			lowest = min(lowest, p.Served)
 		}
 	}
-	c.shares = shares{at: now, level: c.accounts.Level(totals, c.capacity), lowest: lowest}
+	c.shares = shares{at: now, served: served, level: c.accounts.Level(totals, c.capacity), lowest: lowest}
 }
 
 // waitsHere reports whether requests of the team for model engines wait at this router.
@@ -66,6 +70,14 @@
 	}
 }
 
+// charge adds service that this router gave to a team. A negative amount takes service back.
+func (c *Core) charge(now time.Time, team string, tokens float64) {
+	c.accounts.Charge(now, team, tokens)
+	if c.shares.served != nil {
+		c.shares.served[team] = max(c.shares.served[team]+tokens, 0)
+	}
+}
+
 // tokenCost is the service that a request stands for: tokens that are read count once, generated ones twice. Shared
 // parts of the prompt are mostly kept and not read.
 func tokenCost(w *Work) float64 {
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -21,6 +21,8 @@
 	answerLimit = 1200 * time.Millisecond
 	// listLimit bounds the listing of all keys, which takes several pages.
 	listLimit = 4 * time.Second
+	// gatherPause follows a poll with changes, so that a series of changes takes a few polls and not one for each.
+	gatherPause = 100 * time.Millisecond
 	// Pauses between failed calls. Routers that lost the store together come back spread out.
 	retryMin = 50 * time.Millisecond
 	retryMax = 800 * time.Millisecond
@@ -41,9 +43,9 @@
 	Feed  kv.Feed
 	Sink  Sink
 	Proof *freshness.Proof
+	// Peers are other routers that read the store for this one. Default: none, the router reads the store itself.
+	Peers Peers
 	Log   *zap.Logger
-	// OnContact is told when the store is lost and when it is reached again. Default: none.
-	OnContact func(reached bool)
 }
 
 // Follower follows all keys of the store.
@@ -51,7 +53,11 @@
 	opts     Options
 	revision kv.Revision
 	listed   bool
+	history  *History
 	backoff  *backoff.ExponentialBackOff
+	// turn names the reader in use, avoid the end of the time in which one is passed over.
+	turn  int
+	avoid map[string]time.Time
 	// reached and lostAt describe the contact with the store; restored is when it was reached again.
 	reached  bool
 	restored time.Time
@@ -59,13 +65,10 @@
 
 // New returns a follower.
 func New(opts Options) *Follower {
-	if opts.OnContact == nil {
-		opts.OnContact = func(bool) {}
-	}
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = retryMin
 	b.MaxInterval = retryMax
-	return &Follower{opts: opts, backoff: b}
+	return &Follower{opts: opts, backoff: b, history: NewHistory(), avoid: make(map[string]time.Time)}
 }
 
 // Run follows the store until the context ends.
@@ -78,10 +81,7 @@
 			continue
 		}
 		f.noteFailure(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(f.backoff.NextBackOff()):
-		}
+		sleep(ctx, f.backoff.NextBackOff())
 	}
 }
 
@@ -90,6 +90,9 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
+	if address := f.reader(time.Now()); address != "" && f.followPeer(ctx, address) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait()+answerLimit)
 	defer cancel()
 	sent := f.opts.Proof.Now()
@@ -103,12 +106,21 @@
 		return err
 	}
 	f.noteSuccess()
-	f.opts.Sink.Apply(changes, time.Now(), f.lapse())
-	f.revision = max(f.revision, revision)
-	f.opts.Proof.Confirm(sent)
+	f.accept(changes, revision, sent)
+	if len(changes) > 0 {
+		sleep(ctx, gatherPause)
+	}
 	return nil
 }
 
+// sleep waits unless the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // wait returns how long the store may hold the next poll. The first poll after an outage is answered at once, so that
 // the proof is renewed without delay.
 func (f *Follower) wait() time.Duration {
@@ -134,6 +146,7 @@
 	f.opts.Sink.Replace(entries, time.Now(), f.lapse())
 	f.revision = revision
 	f.listed = true
+	f.history.reset(revision)
 	f.opts.Proof.Confirm(sent)
 	return nil
 }
@@ -162,7 +175,6 @@
 	f.reached = true
 	f.restored = time.Now()
 	f.opts.Log.Info("store reached", zap.Int64("revision", int64(f.revision)))
-	f.opts.OnContact(true)
 }
 
 func (f *Follower) noteFailure(err error) {
@@ -171,5 +183,4 @@
 	}
 	f.reached = false
 	f.opts.Log.Warn("store lost", logfield.Error(err), zap.Int64("revision", int64(f.revision)))
-	f.opts.OnContact(false)
 }
--- /dev/null
+++ b/internal/coordination/discovery/history.go
@@ -0,0 +1,103 @@
+package discovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+const (
+	// maxHistory bounds the changes that are kept for other routers; maxHistoryBytes bounds their values.
+	maxHistory      = 4096
+	maxHistoryBytes = 4 << 20
+)
+
+// Relayed is what a router tells another of the store.
+type Relayed struct {
+	Changes  []kv.Change
+	Revision kv.Revision
+	// Age is how old the teller's knowledge is at the time of the answer.
+	Age time.Duration
+}
+
+// History keeps the newest changes for routers that follow the store through this one. It is safe for concurrent use.
+type History struct {
+	mu      sync.Mutex
+	changes []kv.Change
+	bytes   int
+	// base is the revision above which the history is whole, revision the newest one.
+	base, revision kv.Revision
+	changed        chan struct{}
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{changed: make(chan struct{})} }
+
+// reset begins anew at a revision.
+func (h *History) reset(revision kv.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes, h.bytes = nil, 0
+	h.base, h.revision = revision, revision
+	h.wake()
+}
+
+// add appends changes up to a revision.
+func (h *History) add(changes []kv.Change, revision kv.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range changes {
+		h.changes = append(h.changes, c)
+		h.bytes += len(c.Value)
+	}
+	for len(h.changes) > maxHistory || h.bytes > maxHistoryBytes {
+		h.base = h.changes[0].Revision
+		h.bytes -= len(h.changes[0].Value)
+		h.changes = h.changes[1:]
+	}
+	if revision > h.revision {
+		h.revision = revision
+		h.wake()
+	}
+}
+
+func (h *History) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Since waits up to wait for changes above a revision. ErrCompacted reports that they are not all kept.
+func (h *History) Since(ctx context.Context, after kv.Revision, wait time.Duration) ([]kv.Change, kv.Revision, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for over := false; ; {
+		h.mu.Lock()
+		changes, revision, err := h.since(after)
+		changed := h.changed
+		h.mu.Unlock()
+		if err != nil || len(changes) > 0 || over {
+			return changes, revision, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (h *History) since(after kv.Revision) ([]kv.Change, kv.Revision, error) {
+	if h.base == 0 || after < h.base || after > h.revision {
+		return nil, 0, kv.ErrCompacted
+	}
+	for i, c := range h.changes {
+		if c.Revision > after {
+			return h.changes[i:len(h.changes):len(h.changes)], h.revision, nil
+		}
+	}
+	return nil, h.revision, nil
+}
--- a/internal/daemon/gateway/logwriter.go
+++ b/internal/daemon/gateway/logwriter.go
@@ -4,6 +4,7 @@
 	"io"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -82,9 +83,23 @@
 }
 
 // newLogger returns a logger of JSON lines.
-func newLogger(w zapcore.WriteSyncer) *zap.Logger {
+func newLogger(w *logWriter) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.EpochMillisTimeEncoder
 	config.EncodeDuration = zapcore.MillisDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zap.InfoLevel))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zap.InfoLevel)
+	return zap.New(zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleThereafter,
+		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+			if d&zapcore.LogDropped != 0 {
+				w.dropped.Add(1)
+			}
+		})))
 }
+
+// Under load, each kind of line is cut to the first lines of a second and one in some after that. Dropped lines are
+// counted and the count is written.
+const (
+	sampleTick       = time.Second
+	sampleFirst      = 80
+	sampleThereafter = 20
+)
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -25,6 +25,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/datagram"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
+	"gooseberrytide.example/gooseberrytide/internal/transport/relayhttp"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 	"gooseberrytide.example/gooseberrytide/platform"
@@ -39,7 +40,7 @@
 	// check and the send of a client.
 	revokeMargin = 600 * time.Millisecond
 	// advancePeriod is how often waiting requests are looked at without another event.
-	advancePeriod = 10 * time.Millisecond
+	advancePeriod = 5 * time.Millisecond
 	// retryShare is the part of the operators' bound of second sends that is used, since the routers' windows differ.
 	retryShare = 0.6
 	// Timeouts of the listeners. They are above the operators' limits, which clients keep.
@@ -116,6 +117,7 @@
 	n.follower = discovery.New(discovery.Options{
 		Feed:  n.store,
 		Proof: n.proof,
+		Peers: &readers{node: n, client: relayhttp.NewClient()},
 		Log:   log.Named("discovery"),
 		Sink: discovery.NewState(discovery.StateOptions{
 			Schema:    platform.Schema{},
@@ -228,7 +230,8 @@
 		{"callers", n.settings.CallerListen, n.gateway},
 		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
 		{"directory", n.settings.DirectoryListen, directory},
-		{"metrics", n.metricsAddress(), n.metricsHandler()},
+		{"metrics", n.peerAddress(metricsPortOffset), n.metricsHandler()},
+		{"relay", n.peerAddress(0), &relayhttp.Handler{Teller: n.follower}},
 	}
 	var servers []*server
 	for _, e := range endpoints {
@@ -249,8 +252,9 @@
 	return servers, nil
 }
 
-func (n *Node) metricsAddress() string {
-	return net.JoinHostPort(n.settings.IP.String(), strconv.Itoa(n.settings.PeerPort+metricsPortOffset))
+// peerAddress is one of the addresses for other routers.
+func (n *Node) peerAddress(offset int) string {
+	return net.JoinHostPort(n.settings.IP.String(), strconv.Itoa(n.settings.PeerPort+offset))
 }
 
 // ready reports whether the router takes new clients.
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -33,11 +33,20 @@
 // refuse answers that the request has not run and will not, and when to return.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
 	x.g.opts.Metrics.Refusals.WithLabelValues(reason).Inc()
+	if spreads(reason) {
+		x.w.Header().Set("Connection", "close")
+	}
 	platform.EncodeRefusal(x.w.Header(), x.info.ID, retryAfter)
 	x.own(http.StatusServiceUnavailable)
 	x.log("refused", zap.String("reason", reason), zap.Duration("retry_after", retryAfter))
 }
 
+// spreads reports whether the client should open its next connection to another router: this one has more of the team's
+// requests than it may run, or is about to stop. A client that presses on one connection would otherwise load one router.
+func spreads(reason string) bool {
+	return reason == string(admission.ReasonBacklog) || reason == refusalMemory || reason == refusalStopping
+}
+
 // reject answers that the request is not allowed.
 func (x *exchange) reject(status int, reason string) {
 	platform.EncodeRefusal(x.w.Header(), x.info.ID, 0)
