--- /dev/null
+++ b/internal/coordination/admission/replay_test.go
@@ -0,0 +1,146 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// digest is a load of long prompts with a shared part, chat one of short prompts with long answers.
+func digest(team string, router int, perSecond float64) load {
+	return load{team: team, router: router, perSecond: perSecond, sessions: 10, shared: 4800, own: 6000, output: 300,
+		objective: time.Second}
+}
+
+func chat(team string, router int, perSecond float64) load {
+	return load{team: team, router: router, perSecond: perSecond, sessions: 10, shared: 200, own: 600, output: 250,
+		objective: 600 * time.Millisecond}
+}
+
+// Load pattern: a calm mix at half of the engines' capacity. Guards against refusals while places are free.
+func TestCalmLoadIsServedOnTime(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(4, 4, 100_000)
+	r.start(digest("a", -1, 6), 20*time.Second)
+	r.start(chat("b", -1, 15), 20*time.Second)
+	r.run(30 * time.Second)
+	logStats(t, r)
+	for _, s := range r.stats {
+		g.Expect(s.refused).To(BeZero())
+		g.Expect(float64(s.onTime)).To(BeNumerically(">", 0.97*float64(s.asked)))
+	}
+}
+
+// Load pattern: one team sends many times its share through all routers while small teams send little through one
+// each. Guards against small teams that wait behind the flood, wherever its requests arrive.
+func TestFloodingTeamLeavesOthersOnTime(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(4, 4, 90_000)
+	r.start(digest("flood", -1, 80), 20*time.Second)
+	r.start(digest("small", 0, 2), 20*time.Second)
+	r.start(chat("chats", 1, 6), 20*time.Second)
+	r.run(30 * time.Second)
+	logStats(t, r)
+	for _, team := range []string{"small", "chats"} {
+		s := r.stats[team]
+		g.Expect(float64(s.onTime)).To(BeNumerically(">", 0.8*float64(s.asked)), team)
+	}
+	g.Expect(r.stats["flood"].refused).To(BeNumerically(">", 0))
+}
+
+// Load pattern: two equal teams press, one through all routers, one through a single router. Guards against shares that
+// follow the number of routers that a team uses.
+func TestSharesDoNotFollowRouters(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(4, 4, 90_000)
+	r.start(digest("wide", -1, 60), 20*time.Second)
+	r.start(digest("narrow", 2, 60), 20*time.Second)
+	r.run(30 * time.Second)
+	logStats(t, r)
+	g.Expect(r.stats["narrow"].tokens).To(BeNumerically(">", 0.5*r.stats["wide"].tokens))
+}
+
+// Load pattern: sessions whose shared parts are long, at a load that the engines can serve only if they keep them.
+// Guards against shared parts that are read again on engine after engine.
+func TestSharedPartsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(4, 4, 200_000)
+	r.start(digest("a", -1, 12), 20*time.Second)
+	r.run(30 * time.Second)
+	logStats(t, r)
+	total := r.stats["a"].asked * 4800
+	g.Expect(float64(r.rereadTokens())).To(BeNumerically("<", 0.08*float64(total)))
+}
+
+// Load pattern: a team asks far more than the engines can do. Guards against requests that are held for long and refused
+// in the end, and against a queue that gives all of its requests the longest wait.
+func TestExcessIsRefusedEarly(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(2, 2, 40_000)
+	r.start(digest("flood", -1, 100), 10*time.Second)
+	r.run(20 * time.Second)
+	logStats(t, r)
+	s := r.stats["flood"]
+	g.Expect(s.heldRefused).To(BeNumerically("<=", 750*time.Millisecond))
+	g.Expect(s.onTime).To(BeNumerically(">", 2*s.late))
+}
+
+// Load pattern: engines fail. Guards against requests that go on to a server that cannot be reached, and against one
+// that is never tried again.
+func TestUnreachableServersAreLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(1, 2, 0)
+	core, now := r.cores[0], r.now
+	var chosen []string
+	send := func(result Result) {
+		var tickets []*Ticket
+		tk := core.Submit(now, Work{Service: r.service, PromptTokens: 10, Arrival: now, Objective: time.Second,
+			Deadline: now.Add(time.Second)}, func(v Verdict) {
+			if v.Server != nil {
+				chosen = append(chosen, v.Server.ID)
+			}
+		})
+		tickets = append(tickets, tk)
+		core.Finish(now, tickets[0], result)
+	}
+	send(ResultUnreachable)
+	dead := chosen[0]
+	for range 20 {
+		now = now.Add(10 * time.Millisecond)
+		send(ResultOK)
+		g.Expect(chosen[len(chosen)-1]).NotTo(Equal(dead))
+	}
+	now = now.Add(pauseMax)
+	for range 20 {
+		now = now.Add(10 * time.Millisecond)
+		send(ResultOK)
+	}
+	g.Expect(chosen[21:]).To(ContainElement(dead))
+}
+
+// Load pattern: a request is sent once more after its first server kept it for most of its objective. Guards against a
+// refusal as late: a stream that broke was not resumed.
+func TestRepeatsAreNotRefusedAsLate(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(1, 1, 10_000)
+	r.start(digest("a", 0, 60), 5*time.Second)
+	r.run(4 * time.Second)
+	placed := false
+	r.cores[0].Submit(r.now, Work{Team: "a", Service: r.service, PromptTokens: 100, Repeat: true, Arrival: r.now,
+		Objective: time.Second, Deadline: r.now.Add(5 * time.Second)}, func(v Verdict) { placed = v.Server != nil })
+	r.run(time.Second)
+	g.Expect(placed).To(BeTrue())
+}
+
+// Guards against decisions that take longer as the fleet grows: below 10 µs at 140 engines and 30 teams.
+func BenchmarkSubmit(b *testing.B) {
+	r := newReplay(1, 140, 1_000_000)
+	core, now := r.cores[0], r.now
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		t := core.Submit(now, Work{Team: "t", Service: r.service, PromptTokens: 1000, OutputTokens: 10, Arrival: now,
+			Objective: time.Second, Deadline: now.Add(time.Second)}, func(Verdict) {})
+		core.Finish(now, t, ResultOK)
+	}
+}
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -9,9 +9,6 @@
 const (
 	// excess is the factor over the mean from which a router moves clients.
 	excess = 1.4
-	// minRate is the rate, in requests per second, below which a router never moves clients: a new connection costs a
-	// client more than the imbalance.
-	minRate = 20
 	// window is the time constant of a rate.
 	window = time.Second
 )
@@ -47,7 +44,11 @@
 
 // Overloaded reports whether a router should move clients to the others.
 func Overloaded(own Load, others []Load) bool {
-	if own.Rate < minRate || own.Cores <= 0 || len(others) == 0 {
+	if own.Cores <= 0 || len(others) == 0 {
+		return false
+	}
+	// A router whose processor is not the bottleneck keeps its clients: a new connection costs them more.
+	if own.Rate*coresPerRequest < utilisation*own.Cores {
 		return false
 	}
 	total := own
