--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(GO) test -race ./...
 
 fmt-check:
-	@out="$$(gofmt -l cmd internal test examples)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out="$$(gofmt -l cmd internal platform test examples)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint: fmt-check
 	$(GO) vet ./...
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -197,7 +197,11 @@
 		zap.Int64("memory_bytes", n.settings.MemoryBytes))
 	go n.watchSettings(background, settingsPath)
 	go n.follower.Run(background)
-	go n.register(background)
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		n.register(background)
+	}()
 	go n.socket.Run(background, n.onDatagram)
 	go n.report(background)
 	go n.admission.Run(background, advancePeriod)
@@ -207,6 +211,11 @@
 	case <-ctx.Done():
 	}
 	n.drain(servers)
+	cancel()
+	select {
+	case <-registered:
+	case <-time.After(endMargin / 2):
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/gateway/node_test.go
@@ -0,0 +1,309 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/platform"
+	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
+	"gooseberrytide.example/gooseberrytide/test/standin/platformstore"
+)
+
+const configText = `{"version":%d,"routes":[
+ {"name":"digest","host":"shed.example","pathPrefix":"/digest/","routeKind":"streaming","timeoutMs":5000,"objectiveMs":800,
+  "service":"pool","maxAttempts":2,"resumable":true,"gapTargetMs":500},
+ {"name":"callout","host":"shed.example","pathPrefix":"/callout/","routeKind":"unsafe","timeoutMs":3000,"objectiveMs":300,
+  "service":"app","maxAttempts":1}],
+ "services":[{"name":"pool","maxConns":100,"engine":{"slots":16,"kvCapacity":100000,"stride":4}},{"name":"app","maxConns":100}],
+ "limits":{"maxBodyBytes":1000000,"tokensPerS":100000},
+ "tenants":[{"name":"farm","apiKeys":[%s]}]}`
+
+// site is a store, some engines and some routers on loopback.
+type site struct {
+	t      *testing.T
+	store  *platformstore.Store
+	addr   string
+	engine []*platformengine.Engine
+	nodes  []*testNode
+}
+
+// testNode is a router that runs in this process.
+type testNode struct {
+	settings *platform.Settings
+	path     string
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func newSite(t *testing.T, engines int) *site {
+	t.Helper()
+	s := &site{t: t, store: platformstore.New()}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.addr = server.Listener.Addr().String()
+	for i := range engines {
+		e := platformengine.New(fmt.Sprintf("i-%d", i))
+		backend := httptest.NewServer(e)
+		t.Cleanup(func() {
+			backend.CloseClientConnections()
+			backend.Close()
+		})
+		s.engine = append(s.engine, e)
+		service := []string{"pool", "app"}[i%2]
+		s.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready"}`,
+			service, backend.Listener.Addr().String()))
+	}
+	s.configure(1, "farm-key")
+	return s
+}
+
+func (s *site) configure(version int, keys ...string) {
+	quoted := make([]string, len(keys))
+	for i, key := range keys {
+		quoted[i] = fmt.Sprintf("%q", key)
+	}
+	s.store.Put("op/config", fmt.Appendf(nil, configText, version, strings.Join(quoted, ",")))
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// freePorts returns the first of two neighbouring free ports.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for range 50 {
+		port := netip.MustParseAddrPort(freeAddress(t)).Port()
+		next, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+		if err == nil {
+			_ = next.Close()
+			return int(port)
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+// start runs a router.
+func (s *site) start(name string) *testNode {
+	s.t.Helper()
+	port := freePorts(s.t)
+	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","region":"north","ip":"127.0.0.1",
+"listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":0.4},
+"bounds":{"graceS":2,"revokeMs":2500,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
+		name, freeAddress(s.t), freeAddress(s.t), freeAddress(s.t), port, port+1, s.addr)
+	n := &testNode{path: filepath.Join(s.t.TempDir(), name+".yaml"), done: make(chan error, 1)}
+	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	var err error
+	if n.settings, err = platform.ReadSettings(n.path); err != nil {
+		s.t.Fatal(err)
+	}
+	node, err := New(n.settings, zap.NewNop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() { n.done <- node.Run(ctx, n.path) }()
+	s.t.Cleanup(cancel)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+func (n *testNode) ready() int {
+	resp, err := http.Get("http://" + n.settings.ReadinessListen + platform.PathReadiness)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// addresses asks the router's directory.
+func (n *testNode) addresses() string {
+	resp, err := http.Get("http://" + n.settings.DirectoryListen + platform.PathDirectory + "?name=shed.example&zone=a")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+func (n *testNode) call(path, attempt, key string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+n.settings.CallerListen+path, strings.NewReader("body"))
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Host = "shed.example"
+	r.Header.Set("Attempt-Id", attempt)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Deadline-Ms", "3000")
+	if strings.HasPrefix(path, "/digest/") {
+		r.Header.Set("Model", "m")
+		r.Header.Set("Token-Usage", "100,10")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// Guards against a fleet whose routers do not find the store, the engines or one another.
+func TestFleetServes(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, 4)
+	a, b := s.start("r-a"), s.start("r-b")
+	for _, n := range []*testNode{a, b} {
+		g.Eventually(n.ready, "5s").Should(Equal(http.StatusOK))
+		status, body := n.call("/callout/x", "call-"+n.settings.Router, "farm-key")
+		g.Expect(status).To(Equal(http.StatusOK), body)
+		status, body = n.call("/digest/x", "stream-"+n.settings.Router, "farm-key")
+		g.Expect(status).To(Equal(http.StatusOK), body)
+		g.Expect(strings.Count(body, "id: ")).To(Equal(5))
+	}
+	g.Eventually(a.addresses, "3s").Should(And(
+		ContainSubstring(a.settings.CallerListen), ContainSubstring(b.settings.CallerListen)))
+	g.Expect(s.store.Keys("gooseberrytide/routers/")).To(HaveLen(2))
+	status, _ := a.call("/callout/x", "c", "wrong-key")
+	g.Expect(status).To(Equal(http.StatusUnauthorized))
+}
+
+// Guards against a removed key that works, at routers that the store reaches and at those that it does not.
+func TestRemovedKeysStopWorking(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, 2)
+	n := s.start("r-a")
+	g.Eventually(n.ready, "5s").Should(Equal(http.StatusOK))
+	s.configure(2, "other-key")
+	g.Eventually(func() int {
+		status, _ := n.call("/callout/x", "removed", "farm-key")
+		return status
+	}, "2s").Should(Equal(http.StatusUnauthorized))
+	s.store.SetDown(true)
+	g.Eventually(func() int {
+		status, _ := n.call("/callout/x", "stale", "other-key")
+		return status
+	}, "4s").Should(Equal(http.StatusServiceUnavailable))
+	g.Expect(n.ready()).To(Equal(http.StatusServiceUnavailable))
+	s.store.SetDown(false)
+	g.Eventually(func() int {
+		status, _ := n.call("/callout/x", "back", "other-key")
+		return status
+	}, "4s").Should(Equal(http.StatusOK))
+}
+
+// Guards against a planned stop that cuts a stream, that goes on taking clients, or that leaves the router's entry.
+func TestStopCutsNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, 2)
+	n := s.start("r-a")
+	g.Eventually(n.ready, "5s").Should(Equal(http.StatusOK))
+	s.engine[0].Events, s.engine[0].Pause = 20, 40*time.Millisecond
+	type result struct {
+		status int
+		body   string
+	}
+	ended := make(chan result, 1)
+	go func() {
+		status, body := n.call("/digest/x", "long", "farm-key")
+		ended <- result{status, body}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	n.stop()
+	g.Eventually(n.ready, "1s").Should(Equal(http.StatusServiceUnavailable))
+	r := <-ended
+	g.Expect(r.status).To(Equal(http.StatusOK))
+	g.Expect(strings.Count(r.body, "id: ")).To(Equal(20))
+	g.Eventually(n.done, "5s").Should(Receive(BeNil()))
+	g.Eventually(func() []string { return s.store.Keys("gooseberrytide/routers/") }, "3s").Should(BeEmpty())
+}
+
+// Guards against settings that a reload does not put in force, and against errors in the file that end the process.
+func TestSettingsAreReloaded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, 2)
+	n := s.start("r-a")
+	node, err := New(n.settings, zap.NewNop())
+	g.Expect(err).NotTo(HaveOccurred())
+	before := node.currentKeyLimit()
+	text, err := os.ReadFile(n.path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(n.path, []byte("broken: ["), 0o600)).To(Succeed())
+	node.reload(n.path)
+	g.Expect(node.currentKeyLimit()).To(Equal(before))
+	changed := bytes.Replace(text, []byte(`"revokeMs":2500`), []byte(`"revokeMs":4000`), 1)
+	g.Expect(os.WriteFile(n.path, changed, 0o600)).To(Succeed())
+	node.reload(n.path)
+	g.Expect(node.currentKeyLimit()).To(Equal(before + 1500*time.Millisecond))
+}
+
+// blockedWriter is standard output whose reader is stuck.
+type blockedWriter struct {
+	release chan struct{}
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// Guards against a stuck reader of the logs that holds up requests.
+func TestLogsNeverBlock(t *testing.T) {
+	g := NewWithT(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	w := newLogWriter(out)
+	begin := time.Now()
+	for range 3 * logBuffer {
+		_, err := w.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
+	g.Expect(w.dropped.Load()).To(BeNumerically(">", 0))
+	close(out.release)
+	w.close()
+}
+
+func BenchmarkLogLine(b *testing.B) {
+	w := newLogWriter(io.Discard)
+	log := newLogger(w)
+	for b.Loop() {
+		log.Info("answered", zap.String("request", "9c41d07be2a35f68"), zap.String("route", "r"), zap.Int("sends", 1),
+			zap.Duration("took", time.Second), zap.Int("status", 200))
+	}
+	w.close()
+}
