--- a/internal/daemon/gateway/logwriter.go
+++ b/internal/daemon/gateway/logwriter.go
@@ -45,11 +45,13 @@
 func (w *logWriter) run() {
 	defer close(w.done)
 	var batch []byte
+	var counted time.Time
 	for line := range w.lines {
 		batch = append(batch[:0], line...)
 		batch = w.gather(batch)
-		if n := w.dropped.Swap(0); n > 0 {
-			batch = append(batch, `{"level":"warn","logger":"log","msg":"lines dropped","count":`+strconv.FormatInt(n, 10)+"}\n"...)
+		if time.Since(counted) >= sampleTick {
+			counted = time.Now()
+			batch = w.appendDropped(batch)
 		}
 		if _, err := w.out.Write(batch); err != nil {
 			w.dropped.Add(1) // there is nowhere else to report to
@@ -57,6 +59,15 @@
 	}
 }
 
+// appendDropped adds a line with the number of lines that were dropped since the last one.
+func (w *logWriter) appendDropped(batch []byte) []byte {
+	n := w.dropped.Swap(0)
+	if n == 0 {
+		return batch
+	}
+	return append(batch, `{"level":"warn","logger":"log","msg":"lines dropped","count":`+strconv.FormatInt(n, 10)+"}\n"...)
+}
+
 // maxBatch bounds one write.
 const maxBatch = 32 << 10
 
