--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -105,6 +105,13 @@
 	return loads, teams, c.core.Waiting()
 }
 
+// Waiting returns the number of waiting requests.
+func (c *Controller) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Waiting()
+}
+
 // Run advances the core each period until the context ends.
 func (c *Controller) Run(ctx context.Context, period time.Duration) {
 	ticker := time.NewTicker(period)
--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -32,6 +32,8 @@
 	load   engineload.Load
 	cached int
 	cost   time.Duration
+	// backlog is the time in which the engine reads the prompts that it already has.
+	backlog time.Duration
 	// first is the predicted time to the first event.
 	first time.Duration
 }
@@ -45,18 +47,19 @@
 	if w.Service.Engine != nil {
 		h = homesOf(parts, settled(servers))
 		h.known = c.prefixes.known(now, parts)
+		h.sharedTokens = tokensOf(parts)
 	}
+	speeds := c.speedsOf(w.Service.Name)
 	var best, withRoom place
 	for _, server := range servers {
 		if !c.usable(now, w, server) {
 			continue
 		}
-		p := c.evaluate(now, w, server, h)
+		p := c.evaluate(now, w, server, h, speeds)
 		if best.server == nil || p.cost < best.cost {
 			best = p
 		}
-		if room(w.Service, server, p.load, w, c.backlog(w, server, p.load), part) &&
-			(withRoom.server == nil || p.cost < withRoom.cost) {
+		if (withRoom.server == nil || p.cost < withRoom.cost) && room(w.Service, server, p.load, w, p.backlog, part) {
 			withRoom = p
 		}
 	}
@@ -85,7 +88,7 @@
 }
 
 // evaluate returns what it costs to run the request on a server.
-func (c *Core) evaluate(now time.Time, w *Work, server *backends.Server, h homes) place {
+func (c *Core) evaluate(now time.Time, w *Work, server *backends.Server, h homes, speeds *speeds) place {
 	p := place{server: server, load: c.loads.Of(server.ID)}
 	slots := max(server.Slots, 1)
 	p.cost = time.Duration(float64(batchPenalty) * float64(p.load.Running) / float64(slots))
@@ -97,18 +100,12 @@
 	}
 	parts := shared(w.Parts)
 	p.cached = c.prefixes.cached(now, parts, server.ID)
-	missing := max(w.PromptTokens-p.cached, 0)
-	backlog := c.backlog(w, server, p.load)
-	p.first = backlog + c.speedsOf(w.Service.Name).reading(server.ID, missing) + firstEvent
-	reread := c.speedsOf(w.Service.Name).reading(server.ID, tokensOf(parts)-min(p.cached, tokensOf(parts)))
-	p.cost += backlog + time.Duration(h.weight(server)*float64(reread))
-	return p
-}
-
-// backlog is the time that a server needs to read the prompts that it already has.
-func (c *Core) backlog(w *Work, server *backends.Server, l engineload.Load) time.Duration {
-	if w.Service.Engine == nil {
-		return 0
+	factor := speeds.factor(server.ID)
+	p.backlog = reading(p.load.PendingTokens, factor)
+	p.first = p.backlog + reading(max(w.PromptTokens-p.cached, 0), factor) + firstEvent
+	p.cost += p.backlog
+	if reread := h.sharedTokens - p.cached; reread > 0 {
+		p.cost += time.Duration(h.weight(server) * float64(reading(reread, factor)))
 	}
-	return c.speedsOf(w.Service.Name).reading(server.ID, l.PendingTokens)
+	return p
 }
--- a/internal/coordination/admission/prefix.go
+++ b/internal/coordination/admission/prefix.go
@@ -145,6 +145,8 @@
 	first, second *backends.Server
 	// known says that some engine keeps the prompt's shared parts.
 	known bool
+	// sharedTokens is the size of the shared parts.
+	sharedTokens int
 }
 
 // weight returns the weight of reading shared parts at a server.
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -25,9 +25,9 @@
 
 func newSpeeds() *speeds { return &speeds{slowdown: make(map[string]float64), common: 1} }
 
-// reading returns the time in which a server reads tokens.
-func (s *speeds) reading(server string, tokens int) time.Duration {
-	return time.Duration(float64(tokens) / startRate * s.factor(server) * float64(time.Millisecond))
+// reading returns the time in which a server reads tokens, from its time per token against startRate.
+func reading(tokens int, factor float64) time.Duration {
+	return time.Duration(float64(tokens) / startRate * factor * float64(time.Millisecond))
 }
 
 func (s *speeds) factor(server string) float64 {
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -13,3 +14,43 @@
 func (n *Node) metricsHandler() http.Handler {
 	return promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})
 }
+
+// registerGauges adds what is read when the metrics are asked for.
+func (n *Node) registerGauges() {
+	gauges := []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"waiting_requests", "Requests that wait for a backend server.", func() float64 { return float64(n.admission.Waiting()) }},
+		{"active_requests", "Requests in progress.", func() float64 { return float64(n.gateway.Active()) }},
+		{"config_age_seconds", "Age of the proof that the configuration is the newest; -1 before the first.", n.configAge},
+		{"config_version", "Version of the configuration in force.", n.configVersion},
+		{"known_routers", "Routers that registered, this one included.", func() float64 {
+			if list := n.routers.Load(); list != nil {
+				return float64(len(*list))
+			}
+			return 0
+		}},
+		{"known_backend_servers", "Backend servers that registered.", func() float64 { return float64(n.servers.Load().Len()) }},
+	}
+	for _, g := range gauges {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "gooseberrytide_" + g.name, Help: g.help,
+		}, g.read))
+	}
+}
+
+func (n *Node) configAge() float64 {
+	age, ok := n.proof.Age()
+	if !ok {
+		return -1
+	}
+	return age.Seconds()
+}
+
+func (n *Node) configVersion() float64 {
+	if table := n.routing.Load(); table != nil {
+		return float64(table.Version)
+	}
+	return 0
+}
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -138,6 +138,7 @@
 			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
 		}),
 	})
+	n.registerGauges()
 	return n, nil
 }
 
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -60,6 +60,8 @@
 	predicted time.Duration
 	// stream is the state of an event stream that has begun to go out.
 	stream streamState
+	// held is a server's answer that tells of a failure. It goes out if no other server answers.
+	held *heldAnswer
 	// lastErr is the cause of the last failed send.
 	lastErr error
 }
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// Guards against a failure of the router's own in place of the server's answer. Seen in an incident: no other server was
+// open for the repeat, and the client got 502.
+func TestServersFailureGoesOutWhenNoOtherAnswers(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1)
+	w.setModes(platformengine.Fail)
+	a := w.do(w.request(http.MethodGet, "/lookup/x", "held", ""))
+	g.Expect(a.status).To(Equal(http.StatusInternalServerError))
+	g.Expect(a.header.Get("Instance-Signature")).To(Equal("sig-i-a"))
+	g.Expect(w.runs("held")).To(Equal(1))
+}
+
 // Guards against streams with gaps, doubled events or joined pieces of two events.
 func TestBrokenStreamIsResumed(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -75,6 +75,9 @@
 	switch {
 	case x.stream.begun:
 		x.cut("stream broken")
+	case x.held != nil:
+		x.held.write(x, true)
+		x.answered(x.held.status)
 	case x.runs == 0 && result == sendNotExecuted:
 		x.refuse(refusalFull, returnSoon)
 	case x.runs == 0 && result == sendUnreachable:
--- a/internal/transport/gateway/send.go
+++ b/internal/transport/gateway/send.go
@@ -152,6 +152,7 @@
 	}
 	if a.Status >= http.StatusInternalServerError && x.mayRepeat(sendError) {
 		x.lastErr = errors.Errorf("status %d of the server", a.Status)
+		x.held = &heldAnswer{status: a.Status, header: resp.Header, body: held.Bytes()}
 		return sendError
 	}
 	if promisesNotRun(a.Status) || x.stream.begun {
@@ -159,15 +160,8 @@
 		return sendBroken
 	}
 	x.first = time.Since(x.arrival)
-	platform.CopyAnswer(x.w.Header(), resp.Header)
-	if n < maxHeldAnswer {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
-	}
-	x.w.WriteHeader(a.Status)
-	if _, err := x.w.Write(held.Bytes()); err != nil {
-		x.log("client-left", logfield.Error(err))
-		panic(http.ErrAbortHandler)
-	}
+	answer := &heldAnswer{status: a.Status, header: resp.Header, body: held.Bytes()}
+	answer.write(x, n < maxHeldAnswer)
 	if n == maxHeldAnswer {
 		if _, err := io.Copy(x.w, resp); err != nil {
 			x.lastErr = err
@@ -178,6 +172,26 @@
 	return sendAnswered
 }
 
+// heldAnswer is an answer of a server, or its beginning.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write passes the answer to the client.
+func (h *heldAnswer) write(x *exchange, whole bool) {
+	platform.CopyAnswer(x.w.Header(), h.header)
+	if whole {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	}
+	x.w.WriteHeader(h.status)
+	if _, err := x.w.Write(h.body); err != nil {
+		x.log("client-left", logfield.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // promisesNotRun reports whether a status tells clients that the request did not run, which the server did not say.
 func promisesNotRun(status int) bool {
 	switch status {
