--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test race lint fmt-check demo measure slopes faults model clean
+.PHONY: all build test race lint fmt-check demo measure slopes faults model soak clean
 
 all: build
 
@@ -45,3 +45,9 @@
 # The figures in JSON are the last line. docs/CAPACITY.md is worked out from them.
 slopes: build
 	$(BIN)/slopes --bin $(BIN)
+
+SOAKFLAGS ?= --seeds 2 --seconds 8
+
+# Injects faults into routers on this machine and checks the promises.
+soak: build
+	$(BIN)/soak --bin $(BIN)/gooseberrytided $(SOAKFLAGS)
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -48,6 +48,22 @@
 	bodies map[string][]byte
 	// cancelled counts requests whose connection was closed while they ran.
 	cancelled int
+	// arrived counts requests since the last Mark.
+	arrived int
+}
+
+// Mark begins a new count of requests that arrive.
+func (e *Engine) Mark() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrived = 0
+}
+
+// SinceMark returns the number of requests that arrived since the last Mark.
+func (e *Engine) SinceMark() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
 }
 
 // New returns a server.
@@ -102,7 +118,8 @@
 	}
 	e.mu.Lock()
 	mode := e.mode
-	e.heads = append(e.heads, r.Header.Clone())
+	e.heads = append(e.heads[max(0, len(e.heads)-1):], r.Header.Clone())
+	e.arrived++
 	e.mu.Unlock()
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != e.ID {
 		w.Header().Set("Instance-Id", e.ID)
