--- /dev/null
+++ b/internal/coordination/admission/pump.go
@@ -0,0 +1,100 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+)
+
+const (
+	// pumpPause is the shortest time between two looks at all waiting requests. It grows with the number of servers, as
+	// the work of a look does, from pauseServers on.
+	pumpPause    = 4 * time.Millisecond
+	pauseServers = 32
+	// maxPumpPause bounds it.
+	maxPumpPause = 20 * time.Millisecond
+	// maxBlocked is the number of teams whose next request has no place after which a look ends.
+	maxBlocked = 8
+)
+
+// pause returns the time between two looks at the waiting requests.
+func (c *Core) pause() time.Duration {
+	return min(pumpPause*time.Duration(max(c.servers.Len(), pauseServers))/pauseServers, maxPumpPause)
+}
+
+// pump grants waiting requests, teams with the least service first, and refuses those whose time has passed. A look that
+// comes too soon after the last one is left to the next call.
+func (c *Core) pump(now time.Time, q *queue) {
+	if q.size == 0 || now.Sub(q.pumped) < c.pause() {
+		return
+	}
+	q.pumped = now
+	c.refuseLate(now, q)
+	c.refreshShares(now)
+	for c.grantOne(now, q) {
+	}
+}
+
+// grantOne grants the first request in fair order that has a place. It reports whether it did.
+func (c *Core) grantOne(now time.Time, q *queue) bool {
+	for i, team := range c.order(q) {
+		if i == maxBlocked {
+			return false
+		}
+		t := team.head()
+		p, any := c.choose(now, &t.Work, c.shares.part(team.served))
+		if !any {
+			c.refuseUnserved(q, t)
+			return true
+		}
+		if p != nil {
+			c.grant(now, q, t, p)
+			return true
+		}
+	}
+	return false
+}
+
+// order returns the teams with waiting requests, least service first.
+func (c *Core) order(q *queue) []*teamQueue {
+	list := q.list[:0]
+	for _, team := range q.teams {
+		team.served = c.shares.served[team.name]
+		list = append(list, team)
+	}
+	slices.SortFunc(list, func(a, b *teamQueue) int {
+		return cmp.Or(cmp.Compare(a.served, b.served), cmp.Compare(a.name, b.name))
+	})
+	q.list = list
+	return list
+}
+
+func (c *Core) grant(now time.Time, q *queue, t *Ticket, p *place) {
+	q.remove(t)
+	q.granted(now, t)
+	t.state = ticketGranted
+	t.server = p.server
+	t.sentAt = now
+	t.predicted = p.first
+	h := c.healthOf(p.server.ID)
+	if h.suspect {
+		t.probe, h.probing = true, true
+	}
+	t.load = engineload.Load{Running: 1}
+	if t.Service.Engine != nil {
+		t.load.PendingTokens = max(t.PromptTokens-p.cached, 0)
+		t.load.ContextTokens = t.PromptTokens + t.OutputTokens
+		c.prefixes.note(now, shared(t.Parts), p.server.ID)
+	}
+	t.ahead = p.load.PendingTokens
+	c.loads.Add(p.server.ID, t.load)
+	c.charge(now, t.Team, t.cost)
+	t.decide(Verdict{Server: p.server, Load: p.load, CachedTokens: p.cached, First: p.first})
+}
+
+func (c *Core) refuse(t *Ticket, reason Reason, retryAfter time.Duration) {
+	t.state = ticketDone
+	t.decide(Verdict{Reason: reason, RetryAfter: retryAfter})
+}
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -4,11 +4,9 @@
 	"context"
 	"hash/fnv"
 	"math"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -44,9 +42,6 @@
 	advancePeriod = 5 * time.Millisecond
 	// retryShare is the part of the operators' bound of second sends that is used, since the routers' windows differ.
 	retryShare = 0.6
-	// Timeouts of the listeners. They are above the operators' limits, which clients keep.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
 )
 
 // Node is a router process.
@@ -220,62 +215,6 @@
 	return nil
 }
 
-// server is a listener with its handler.
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-}
-
-func (s *server) run() error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, s.name)
-}
-
-// listen opens the listeners. Several services on one address share it.
-func (n *Node) listen(ctx context.Context) ([]*server, error) {
-	directory := &gateway.Directory{
-		Addresses: n.addresses,
-		Lifetime:  n.addressLifetime(),
-		Log:       n.log.Named("directory"),
-	}
-	endpoints := []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"callers", n.settings.CallerListen, n.gateway},
-		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
-		{"directory", n.settings.DirectoryListen, directory},
-		{"metrics", n.peerAddress(metricsPortOffset), n.metricsHandler()},
-		{"relay", n.peerAddress(0), &relayhttp.Handler{Teller: n.follower}},
-	}
-	var servers []*server
-	for _, e := range endpoints {
-		if e.address == "" {
-			continue
-		}
-		listener, err := sockopt.Listen(ctx, e.address)
-		if err != nil {
-			return nil, errors.Wrapf(err, "listen for %s", e.name)
-		}
-		servers = append(servers, &server{name: e.name, listener: listener, http: &http.Server{
-			Handler:           e.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			ErrorLog:          zap.NewStdLog(n.log.Named("http")),
-		}})
-	}
-	return servers, nil
-}
-
-// peerAddress is one of the addresses for other routers.
-func (n *Node) peerAddress(offset int) string {
-	return net.JoinHostPort(n.settings.IP.String(), strconv.Itoa(n.settings.PeerPort+offset))
-}
-
 // ready reports whether the router takes new clients.
 func (n *Node) ready() bool {
 	return !n.draining.Load() && n.routing.Load() != nil && n.servers.Load().Len() > 0 && n.proof.Within(n.currentKeyLimit())
--- a/internal/daemon/gateway/fleet.go
+++ b/internal/daemon/gateway/report.go
@@ -8,96 +8,14 @@
 	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
-	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
-	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
-	"gooseberrytide.example/gooseberrytide/platform"
 )
 
-const (
-	// registrationLease is the lifetime of a router's entry without renewal. Liveness is known from reports; the entry
-	// only tells where to send them.
-	registrationLease = 20 * time.Second
-	// renewPeriod leaves time for two failed renewals.
-	renewPeriod = 6 * time.Second
-	// registerTimeout bounds one call.
-	registerTimeout = 2 * time.Second
-	// longestLifetime bounds how long clients keep addresses; a short one takes them off a leaving router soon.
-	longestLifetime = 2 * time.Second
-)
-
-// register keeps the router's entry in the store.
-func (n *Node) register(ctx context.Context) {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 100 * time.Millisecond
-	b.MaxInterval = 2 * time.Second
-	var lease kv.LeaseID
-	for ctx.Err() == nil {
-		err := n.keepRegistered(ctx, &lease)
-		wait := renewPeriod
-		if err != nil {
-			n.log.Warn("registration failed", logfield.Error(err))
-			wait = b.NextBackOff()
-		} else {
-			b.Reset()
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-	n.unregister(ctx, lease)
-}
-
-// keepRegistered renews the lease, or begins one and writes the entry.
-func (n *Node) keepRegistered(ctx context.Context, lease *kv.LeaseID) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	if *lease != 0 {
-		err := n.store.Renew(ctx, *lease)
-		if !errors.Is(err, kv.ErrNotFound) {
-			return err
-		}
-	}
-	*lease = 0
-	id, _, err := n.store.Grant(ctx, registrationLease)
-	if err != nil {
-		return err
-	}
-	key, value, err := platform.EncodeRouter(discovery.Router{
-		ID:          n.settings.Router,
-		PeerAddress: netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort)).String(),
-		Incarnation: n.incarnation,
-	})
-	if err != nil {
-		return err
-	}
-	if err := n.store.PutLeased(ctx, key, value, id); err != nil {
-		return err
-	}
-	*lease = id
-	return nil
-}
-
-// unregister removes the entry of a router that stops.
-func (n *Node) unregister(ctx context.Context, lease kv.LeaseID) {
-	if lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), registerTimeout)
-	defer cancel()
-	if err := n.store.Revoke(ctx, lease); err != nil {
-		n.log.Info("entry not removed, it ends with its lease", logfield.Error(err))
-	}
-}
-
 // report tells the other routers what this one does.
 func (n *Node) report(ctx context.Context) {
 	var seq uint64
@@ -256,32 +174,3 @@
 		n.admission.ForgetPeer(router)
 	}
 }
-
-// addressLifetime is how long clients may keep an answer of the directory.
-func (n *Node) addressLifetime() time.Duration {
-	return min(longestLifetime, n.settings.Bounds.MaxAddressLifetime)
-}
-
-// maxAddresses is the number of addresses of an answer that clients use.
-const maxAddresses = 64
-
-// addresses returns routers for a client in a failure domain.
-func (n *Node) addresses(domain string) []string {
-	var candidates []balance.Candidate
-	if n.ready() {
-		candidates = append(candidates, balance.Candidate{
-			Router: n.settings.Router, Address: n.settings.CallerListen, Near: n.settings.FailureDomain == domain,
-			Busy: n.busy.Load(), Cores: n.settings.Cores, Rate: math.Float64frombits(n.ownRate.Load()),
-		})
-	}
-	for _, p := range n.peers.Live(time.Now()) {
-		if p.Ready && p.CallerAddress != "" {
-			candidates = append(candidates, balance.Candidate{
-				Router: p.Router, Address: p.CallerAddress, Near: p.Domain == domain, Busy: p.Busy,
-				Cores: float64(p.Cores), Rate: float64(p.Rate),
-			})
-		}
-	}
-	list := balance.Choose(candidates)
-	return list[:min(len(list), maxAddresses)]
-}
