--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
