--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
 	"gooseberrytide.example/gooseberrytide/internal/transport/relayhttp"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
@@ -21,6 +22,9 @@
 	idleTimeout   = 90 * time.Second
 )
 
+// metricsListener names the listener for metrics.
+const metricsListener = "metrics"
+
 // server is a listener with its handler.
 type server struct {
 	name     string
@@ -50,7 +54,7 @@
 		{"callers", n.settings.CallerListen, n.gateway},
 		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
 		{"directory", n.settings.DirectoryListen, directory},
-		{"metrics", n.peerAddress(metricsPortOffset), n.metricsHandler()},
+		{metricsListener, n.peerAddress(metricsPortOffset), n.metricsHandler()},
 		{"relay", n.peerAddress(0), &relayhttp.Handler{Teller: n.follower}},
 	}
 	var servers []*server
@@ -59,6 +63,10 @@
 			continue
 		}
 		listener, err := sockopt.Listen(ctx, e.address)
+		if err != nil && e.name == metricsListener {
+			n.log.Error("no metrics", logfield.Error(err)) // requests are served without them
+			continue
+		}
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", e.name)
 		}
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -253,6 +253,33 @@
 	g.Eventually(func() []string { return s.store.Keys("gooseberrytide/routers/") }, "3s").Should(BeEmpty())
 }
 
+// Guards against a router that does not serve since its metrics port is taken. Seen in a soak, whose ports clashed.
+func TestServesWithoutMetrics(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, 2)
+	n := s.start("r-a")
+	g.Eventually(n.ready, "5s").Should(Equal(http.StatusOK))
+	taken, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", n.settings.PeerPort+metricsPortOffset))
+	g.Expect(err).To(HaveOccurred(), "the router serves its metrics")
+	if err == nil {
+		_ = taken.Close()
+	}
+	second := *n.settings
+	second.CallerListen, second.ReadinessListen, second.DirectoryListen = freeAddress(t), freeAddress(t), ""
+	second.PeerPort = freePorts(t)
+	blocked, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", second.PeerPort+metricsPortOffset))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = blocked.Close() }()
+	node, err := New(&second, zap.NewNop())
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- node.Run(ctx, n.path) }()
+	g.Eventually(node.ready, "5s").Should(BeTrue())
+	cancel()
+	g.Eventually(done, "8s").Should(Receive(BeNil()))
+}
+
 // Guards against settings that a reload does not put in force, and against errors in the file that end the process.
 func TestSettingsAreReloaded(t *testing.T) {
 	g := NewWithT(t)
