Let teams yield above the max-min level of what was served

Change: a team yields only while a team that has less than its fair share waits, and only above the max-min level of what all teams got lately.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -118,7 +118,7 @@
 	t.refuseAt = c.refuseAt(&t.Work)
 	q := c.queue(w.Service.Name)
 	c.refreshShares(now)
-	if !t.Repeat && c.shares.served[t.Team] > c.shares.level {
+	if !t.Repeat && c.shares.beyond(c.shares.served[t.Team]) {
 		if wait, ok := q.hopeless(now, t); ok {
 			c.refuse(t, ReasonBacklog, c.spread.around(wait))
 			return t
--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -1,23 +1,25 @@
 package admission
 
 import (
-	"math"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 )
 
 const (
 	// sharesAge is how long the computed shares are used. Reports of other routers come about as often.
 	sharesAge = 20 * time.Millisecond
-	// yieldingPart is the part of an engine's room for a team beyond its share while a team below its share waits
-	// anywhere in the fleet. The rest stays free for that team, whichever router it waits at.
+	// yieldingPart is the part of an engine's room for a team above the fair level while a deprived team waits anywhere in
+	// the fleet. The rest stays free for that team, whichever router it waits at.
 	yieldingPart = 0.2
-	// beyondPart is the part for a team beyond its share while no other waits.
+	// beyondPart is the part for a team above what the engines can give all, while no other waits.
 	beyondPart = 0.8
-	// shareSlack is how far a team may pass the least served waiting team, in tokens, before it yields: about the size
-	// of some large requests.
-	shareSlack = 30_000
-	// shareFactor is how far a team may pass the least served waiting team, as a factor.
-	shareFactor = 1.25
+	// levelSlack and levelFactor are how far a team may pass the fair level before it yields: about the size of some large
+	// requests, in tokens, and the error of reports that are some tens of milliseconds old.
+	levelSlack  = 15_000
+	levelFactor = 1.1
+	// deprivedFactor is the part of its fair share below which a waiting team counts as deprived.
+	deprivedFactor = 0.85
 )
 
 // shares are the limits of fair service at a time.
@@ -25,10 +27,10 @@
 	at time.Time
 	// served is the service of each team in the whole fleet, kept up to date with this router's grants.
 	served map[string]float64
-	// level is the max-min fair share in faded tokens.
-	level float64
-	// lowest is the least service of a team that waits anywhere.
-	lowest float64
+	// capacity is the max-min level, in faded tokens, of what the engines can do, fair that of what they have done lately.
+	capacity, fair float64
+	// deprived says that a team waits somewhere that has less than its fair share.
+	deprived bool
 }
 
 // refreshShares computes the shares anew when they are old.
@@ -37,15 +39,18 @@
 		return
 	}
 	totals := c.accounts.Totals(now)
-	lowest := math.Inf(1)
-	served := make(map[string]float64, len(totals))
+	s := shares{
+		at:       now,
+		served:   make(map[string]float64, len(totals)),
+		capacity: c.accounts.Level(totals, c.capacity),
+		fair:     fairshare.FairLevel(totals),
+	}
 	for team, p := range totals {
-		served[team] = p.Served
-		if p.Waiting || c.waitsHere(team) {
-			lowest = min(lowest, p.Served)
-		}
+		s.served[team] = p.Served
+		waits := p.Waiting || c.waitsHere(team)
+		s.deprived = s.deprived || waits && p.Served < deprivedFactor*min(p.Asked, s.fair)
 	}
-	c.shares = shares{at: now, served: served, level: c.accounts.Level(totals, c.capacity), lowest: lowest}
+	c.shares = s
 }
 
 // waitsHere reports whether requests of the team for model engines wait at this router.
@@ -58,12 +63,20 @@
 	return false
 }
 
+// above reports whether a team has had more than its fair share.
+func (s *shares) above(served float64) bool { return served > levelFactor*s.fair+levelSlack }
+
+// beyond reports whether a team asks for more than it can have: its excess is refused early.
+func (s *shares) beyond(served float64) bool {
+	return served > s.capacity || s.deprived && s.above(served)
+}
+
 // part returns the part of an engine's room that a team with the given service may fill.
 func (s *shares) part(served float64) float64 {
 	switch {
-	case served > shareFactor*s.lowest+shareSlack:
+	case s.deprived && s.above(served):
 		return yieldingPart
-	case served > s.level:
+	case served > s.capacity:
 		return beyondPart
 	default:
 		return 1
--- a/internal/coordination/fairshare/level.go
+++ b/internal/coordination/fairshare/level.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 )
 
 // Level returns the max-min fair share, in faded tokens: the amount up to which every team can get what it asked for
@@ -19,6 +18,18 @@
 	return waterLevel(asked, rate*a.constant.Seconds())
 }
 
+// FairLevel returns the max-min level of what all teams got: the amount that each team would have at most, had the same
+// total been shared fairly. It is infinite when all got what they asked for.
+func FairLevel(totals map[string]Part) float64 {
+	asked := make([]float64, 0, len(totals))
+	served := 0.0
+	for _, p := range totals {
+		asked = append(asked, max(p.Asked, p.Served))
+		served += p.Served
+	}
+	return waterLevel(asked, served)
+}
+
 // waterLevel returns the level at which the sum of min(amount, level) is the capacity.
 func waterLevel(amounts []float64, capacity float64) float64 {
 	slices.Sort(amounts)
@@ -32,6 +43,3 @@
 	}
 	return math.Inf(1)
 }
-
-// Constant returns the time constant of the accounts.
-func (a *Accounts) Constant() time.Duration { return a.constant }
