Drop fields that nothing uses; let tests hold the ports that they find

TestServesWithoutMetrics failed once beside other work: its router did not become ready within 5 s. Suspected: a port that another test took between its search and its use; the message now names the cause.

--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -116,7 +116,7 @@
 		Log:          log.Named("gateway"),
 		MaxBodyBytes: int64(bodyShare * float64(settings.MemoryBytes)),
 	})
-	n.store = platform.NewStore(settings.Store.Address, storeTransport(), func(kind string) { calls.WithLabelValues(kind).Inc() })
+	n.store = platform.NewStore(settings.StoreAddress, storeTransport(), func(kind string) { calls.WithLabelValues(kind).Inc() })
 	n.follower = discovery.New(discovery.Options{
 		Feed:  n.store,
 		Proof: n.proof,
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/platform"
+	"gooseberrytide.example/gooseberrytide/test/standin/freeports"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformstore"
 )
@@ -82,39 +82,26 @@
 	s.store.Put("op/config", fmt.Appendf(nil, configText, version, strings.Join(quoted, ",")))
 }
 
-func freeAddress(t *testing.T) string {
+// loopback returns an address on this machine.
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func routerPorts(t *testing.T) freeports.Router {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	ports, err := freeports.ForRouter()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
-// freePorts returns the first of two neighbouring free ports.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range 50 {
-		port := netip.MustParseAddrPort(freeAddress(t)).Port()
-		next, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
-		if err == nil {
-			_ = next.Close()
-			return int(port)
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
+	return ports
 }
 
 // start runs a router.
 func (s *site) start(name string) *testNode {
 	s.t.Helper()
-	port := freePorts(s.t)
+	ports := routerPorts(s.t)
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","region":"north","ip":"127.0.0.1",
 "listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":0.4},
 "bounds":{"graceS":2,"revokeMs":2500,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
-		name, freeAddress(s.t), freeAddress(s.t), freeAddress(s.t), port, port+1, s.addr)
+		name, loopback(ports.Front), loopback(ports.Readiness), loopback(ports.Directory), ports.Peer, ports.Peer+1, s.addr)
 	n := &testNode{path: filepath.Join(s.t.TempDir(), name+".yaml"), done: make(chan error, 1)}
 	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -265,8 +252,9 @@
 		_ = taken.Close()
 	}
 	second := *n.settings
-	second.CallerListen, second.ReadinessListen, second.DirectoryListen = freeAddress(t), freeAddress(t), ""
-	second.PeerPort = freePorts(t)
+	ports := routerPorts(t)
+	second.CallerListen, second.ReadinessListen, second.DirectoryListen = loopback(ports.Front), loopback(ports.Readiness), ""
+	second.PeerPort = ports.Peer
 	blocked, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", second.PeerPort+metricsPortOffset))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = blocked.Close() }()
@@ -275,7 +263,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx, n.path) }()
-	g.Eventually(node.ready, "5s").Should(BeTrue())
+	g.Eventually(node.ready, "5s").Should(BeTrue(), func() string {
+		select {
+		case err := <-done:
+			return fmt.Sprintf("the router ended: %v", err)
+		default:
+			return "the router runs"
+		}
+	})
 	cancel()
 	g.Eventually(done, "8s").Should(Receive(BeNil()))
 }
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"sync/atomic"
-	"time"
 )
 
 // Server is one start of a backend server.
@@ -20,8 +19,6 @@
 	Draining bool
 	// StartedAt is the server's start in milliseconds of Unix time; 0 when it does not tell.
 	StartedAt int64
-	// Warmup is how long the server stays slow after its start.
-	Warmup time.Duration
 }
 
 // Key names the server at its address.
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -35,13 +35,6 @@
 	LastEvent string
 }
 
-// Load is what a backend server tells of its load.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // Answer is what a backend server's answer says of itself.
 type Answer struct {
 	Status int
@@ -53,6 +46,4 @@
 	NotExecuted bool
 	// WrongServer says that another server has the address now.
 	WrongServer bool
-	// Load is nil when the server does not tell it.
-	Load *Load
 }
--- a/internal/state/routing/types.go
+++ b/internal/state/routing/types.go
@@ -68,15 +68,11 @@
 	Slots int
 	// CacheTokens is the memory of one engine for running requests and cached prompts, in tokens.
 	CacheTokens int
-	// TokensPerEvent is the number of generated tokens in one event of a stream.
-	TokensPerEvent int
 }
 
 // Service is a group of backend servers that run the same requests.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that one backend server accepts from all routers.
-	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -91,12 +87,7 @@
 
 // Limits bound what a client may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	// HeaderTimeout bounds the time for sending a request's head.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection may stay idle.
-	IdleTimeout time.Duration
+	MaxBodyBytes int64
 	// TokensPerSecond is the rate of all model engines together: tokens read count once, generated ones twice.
 	TokensPerSecond float64
 }
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"gooseberrytide.example/gooseberrytide/test/standin/freeports"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformstore"
 )
@@ -160,66 +160,23 @@
 // versionRoute is a route that exists only in one version.
 func versionRoute(version int) string { return fmt.Sprintf("/version-%d/", version) }
 
-// routerPorts are the ports of one router.
-type routerPorts struct {
-	front, readiness, directory int
-	// peer is the first of two neighbouring ports.
-	peer int
-}
-
-// freePorts finds ports that are free. All are held until the last is found, so that none is found twice.
-func freePorts() (routerPorts, error) {
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			_ = l.Close()
-		}
-	}()
-	listen := func(port int) (int, error) {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			return 0, err
-		}
-		held = append(held, l)
-		return l.Addr().(*net.TCPAddr).Port, nil
-	}
-	var p routerPorts
-	for _, port := range []*int{&p.front, &p.readiness, &p.directory} {
-		var err error
-		if *port, err = listen(0); err != nil {
-			return p, err
-		}
-	}
-	for range 50 {
-		first, err := listen(0)
-		if err != nil {
-			return p, err
-		}
-		if _, err := listen(first + 1); err == nil {
-			p.peer = first
-			return p, nil
-		}
-	}
-	return p, errors.New("no two neighbouring ports are free")
-}
-
 func (w *world) newRouter(name, store string) (*router, error) {
 	p, err := newProxy(store)
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freePorts()
+	ports, err := freeports.ForRouter()
 	if err != nil {
 		return nil, err
 	}
 	r := &router{
-		name: name, store: p, front: fmt.Sprintf("127.0.0.1:%d", ports.front), ready: fmt.Sprintf("127.0.0.1:%d", ports.readiness),
+		name: name, store: p, front: fmt.Sprintf("127.0.0.1:%d", ports.Front), ready: fmt.Sprintf("127.0.0.1:%d", ports.Readiness),
 		path: filepath.Join(w.dir, name+".yaml"),
 	}
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":"127.0.0.1","listen":{"front":%q,"readiness":%q,"directory":"127.0.0.1:%d"},
 "internalPorts":[%d,%d],"limits":{"memoryMb":200,"cpuShare":1},"platform":{"address":%q},
 "bounds":{"graceS":%d,"revokeMs":%d,"strictRevoke":true,"budgetSlack":100}}`,
-		name, r.front, r.ready, ports.directory, ports.peer, ports.peer+1, p.address(), graceSeconds, revokeTime.Milliseconds())
+		name, r.front, r.ready, ports.Directory, ports.Peer, ports.Peer+1, p.address(), graceSeconds, revokeTime.Milliseconds())
 	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
