--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -76,11 +76,11 @@
 	c.core.SetPeerParts(time.Now(), notes)
 }
 
-// News returns up to n notes of what servers keep because of this router's requests. Each is returned once.
-func (c *Controller) News(n int) []PartNote {
+// PartNotes returns up to n notes of what servers keep because of this router's requests. Each is returned once.
+func (c *Controller) PartNotes(n int) []PartNote {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.core.News(n)
+	return c.core.PartNotes(n)
 }
 
 // ForgetPeer drops a router that is gone.
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// News returns up to n notes of what servers keep because of this router's requests. Each is returned once.
-func (c *Core) News(n int) []PartNote { return c.prefixes.takeNews(n) }
+// PartNotes returns up to n notes of what servers keep because of this router's requests. Each is returned once.
+func (c *Core) PartNotes(n int) []PartNote { return c.prefixes.takeUnsent(n) }
 
 // ForgetPeer drops a router that is gone.
 func (c *Core) ForgetPeer(router string) {
--- a/internal/coordination/admission/engine_model_test.go
+++ b/internal/coordination/admission/engine_model_test.go
@@ -138,18 +138,18 @@
 	type part struct {
 		loads map[string]engineload.Load
 		teams map[string]fairshare.Part
-		news  []PartNote
+		notes []PartNote
 	}
 	parts := make([]part, len(r.cores))
 	for i, c := range r.cores {
 		loads, teams := c.Own(r.now)
-		parts[i] = part{loads, teams, c.News(100)}
+		parts[i] = part{loads, teams, c.PartNotes(100)}
 	}
 	for i, c := range r.cores {
 		for j, p := range parts {
 			if i != j {
 				c.SetPeer(r.now, fmt.Sprint(j), p.loads, p.teams)
-				c.SetPeerParts(r.now, p.news)
+				c.SetPeerParts(r.now, p.notes)
 			}
 		}
 	}
--- a/internal/coordination/admission/prefix.go
+++ b/internal/coordination/admission/prefix.go
@@ -26,9 +26,9 @@
 // prefixIndex remembers which engines have read which parts of prompts.
 type prefixIndex struct {
 	parts map[uint64]*partUse
-	// told is when the other routers were last told of a part on a server; news is what they are to be told next.
-	told map[PartNote]time.Time
-	news []PartNote
+	// announced is when the other routers were last told of a part on a server; unsent is what the next report tells.
+	announced map[PartNote]time.Time
+	unsent    []PartNote
 }
 
 // PartNote says that a server reads a part of a prompt, and keeps it.
@@ -38,14 +38,14 @@
 }
 
 const (
-	// tellAgain is how often other routers are told of a part that is used all the time.
-	tellAgain = keptFor / 4
-	// maxNews bounds the notes that wait for a report. Later ones are dropped; their parts are told at the next use.
-	maxNews = 400
+	// announceAgain is how often other routers are told of a part that is used all the time.
+	announceAgain = keptFor / 4
+	// maxUnsent bounds the notes that wait for a report. Later ones are dropped; their parts are told at the next use.
+	maxUnsent = 400
 )
 
 func newPrefixIndex() *prefixIndex {
-	return &prefixIndex{parts: make(map[uint64]*partUse), told: make(map[PartNote]time.Time)}
+	return &prefixIndex{parts: make(map[uint64]*partUse), announced: make(map[PartNote]time.Time)}
 }
 
 // shared returns the parts that other requests may share: all but the last.
@@ -78,12 +78,12 @@
 	for _, part := range parts {
 		n := PartNote{Server: server, Part: part.ID}
 		p.learn(now, n)
-		if now.Sub(p.told[n]) >= tellAgain && len(p.news) < maxNews {
-			p.told[n] = now
-			p.news = append(p.news, n)
+		if now.Sub(p.announced[n]) >= announceAgain && len(p.unsent) < maxUnsent {
+			p.announced[n] = now
+			p.unsent = append(p.unsent, n)
 		}
 	}
-	if len(p.parts) > maxParts || len(p.told) > maxParts {
+	if len(p.parts) > maxParts || len(p.announced) > maxParts {
 		p.shrink(now)
 	}
 }
@@ -99,11 +99,11 @@
 	use.last = now
 }
 
-// takeNews returns up to n notes for the other routers.
-func (p *prefixIndex) takeNews(n int) []PartNote {
-	n = min(n, len(p.news))
-	taken := p.news[:n:n]
-	p.news = p.news[n:]
+// takeUnsent returns up to n notes for the other routers.
+func (p *prefixIndex) takeUnsent(n int) []PartNote {
+	n = min(n, len(p.unsent))
+	taken := p.unsent[:n:n]
+	p.unsent = p.unsent[n:]
 	return taken
 }
 
@@ -123,9 +123,9 @@
 			delete(p.parts, id)
 		}
 	}
-	for n, at := range p.told {
-		if now.Sub(at) >= tellAgain {
-			delete(p.told, n)
+	for n, at := range p.announced {
+		if now.Sub(at) >= announceAgain {
+			delete(p.announced, n)
 		}
 	}
 }
--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -247,8 +247,8 @@
 
 // fakePeers lets a follower follow through another one.
 type fakePeers struct {
-	tell *Follower
-	fail bool
+	reader *Follower
+	fail   bool
 }
 
 func (p *fakePeers) Readers() []string { return []string{"reader"} }
@@ -257,7 +257,7 @@
 	if p.fail {
 		return Relayed{}, errors.New("unreachable")
 	}
-	return p.tell.Tell(ctx, after, wait)
+	return p.reader.Relay(ctx, after, wait)
 }
 
 // Guards against calls of the store that grow with the fleet, and against a router that follows a reader without contact
@@ -271,7 +271,7 @@
 		}
 		reader := newSite(t, readerFeed, nil)
 		time.Sleep(10 * time.Millisecond)
-		peers := &fakePeers{tell: reader.Follower}
+		peers := &fakePeers{reader: reader.Follower}
 		s := newSite(t, ownFeed, peers)
 		time.Sleep(20 * time.Second)
 		g.Expect(ownFeed.count()).To(BeNumerically("<=", 2), "only the first listing goes to the store")
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -55,9 +55,9 @@
 	revision kv.Revision
 	listed   bool
 	history  *History
-	// told is the time of the last question of another router, in nanoseconds of Unix time.
-	told    atomic.Int64
-	backoff *backoff.ExponentialBackOff
+	// relayedAt is the time of the last question of another router, in nanoseconds of Unix time.
+	relayedAt atomic.Int64
+	backoff   *backoff.ExponentialBackOff
 	// turn names the reader in use, avoid the end of the time in which one is passed over.
 	turn  int
 	avoid map[string]time.Time
@@ -132,8 +132,8 @@
 		return 0
 	case time.Now().Before(f.lapse()):
 		return lapsePoll
-	case f.tells():
-		return tellerWait
+	case f.relays():
+		return relayingWait
 	default:
 		return pollWait
 	}
--- a/internal/coordination/discovery/history.go
+++ b/internal/coordination/discovery/history.go
@@ -14,7 +14,7 @@
 	maxHistoryBytes = 4 << 20
 )
 
-// Relayed is what a router tells another of the store.
+// Relayed is what a router passes on to another of the store.
 type Relayed struct {
 	Changes  []kv.Change
 	Revision kv.Revision
--- a/internal/coordination/discovery/relay.go
+++ b/internal/coordination/discovery/relay.go
@@ -16,11 +16,11 @@
 	relayLimit = 400 * time.Millisecond
 	// maxRelayAge is the age from which another router's knowledge does not serve: it seems to have lost the store.
 	maxRelayAge = 2200 * time.Millisecond
-	// tellerWait is the wait of the store's polls of a router that others follow: the age of its knowledge, which is up to
+	// relayingWait is the wait of the store's polls of a router that others follow: the age of its knowledge, which is up to
 	// twice as long, adds to theirs.
-	tellerWait = 700 * time.Millisecond
-	// tellerTime is how long after a question a router counts as one that others follow.
-	tellerTime = 5 * time.Second
+	relayingWait = 700 * time.Millisecond
+	// relayingTime is how long after a question a router counts as one that others follow.
+	relayingTime = 5 * time.Second
 	// avoidTime is how long a router that did not serve is passed over.
 	avoidTime = 1500 * time.Millisecond
 )
@@ -34,9 +34,9 @@
 	Changes(ctx context.Context, address string, after kv.Revision, wait time.Duration) (Relayed, error)
 }
 
-// Tell answers another router that follows the store through this one.
-func (f *Follower) Tell(ctx context.Context, after kv.Revision, wait time.Duration) (Relayed, error) {
-	f.told.Store(time.Now().UnixNano())
+// Relay answers another router that follows the store through this one.
+func (f *Follower) Relay(ctx context.Context, after kv.Revision, wait time.Duration) (Relayed, error) {
+	f.relayedAt.Store(time.Now().UnixNano())
 	changes, revision, err := f.history.Since(ctx, after, min(wait, pollWait))
 	if err != nil {
 		return Relayed{}, err
@@ -48,9 +48,9 @@
 	return Relayed{Changes: changes, Revision: revision, Age: age}, nil
 }
 
-// tells reports whether other routers follow this one.
-func (f *Follower) tells() bool {
-	return time.Since(time.Unix(0, f.told.Load())) < tellerTime
+// relays reports whether other routers follow this one.
+func (f *Follower) relays() bool {
+	return time.Since(time.Unix(0, f.relayedAt.Load())) < relayingTime
 }
 
 // reader returns the next router to follow the store through, or an empty text.
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -55,7 +55,7 @@
 		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
 		{"directory", n.settings.DirectoryListen, directory},
 		{metricsListener, n.peerAddress(metricsPortOffset), n.metricsHandler()},
-		{"relay", n.peerAddress(0), &relayhttp.Handler{Teller: n.follower}},
+		{"relay", n.peerAddress(0), &relayhttp.Handler{Relayer: n.follower}},
 	}
 	var servers []*server
 	for _, e := range endpoints {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -63,8 +63,8 @@
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
 	draining  atomic.Bool
-	// lastNews are the notes on parts of prompts in the last report. Only the reporting goroutine uses them.
-	lastNews []admission.PartNote
+	// lastNotes are the notes on parts of prompts in the last report. Only the reporting goroutine uses them.
+	lastNotes []admission.PartNote
 	// rate is the router's rate of requests, lastTaken their number at the last report. They belong to the same goroutine.
 	rate      balance.Rate
 	lastTaken int64
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -21,7 +21,7 @@
 	var seq uint64
 	var slept time.Time
 	var period time.Duration
-	var toldAll time.Time
+	var broadcastAt time.Time
 	for ctx.Err() == nil {
 		if !slept.IsZero() {
 			n.lag.Observe(time.Since(slept) - period)
@@ -29,8 +29,8 @@
 		seq++
 		all, active := n.targets()
 		targets := active
-		if quiet := time.Since(toldAll) >= gossip.QuietPeriod; quiet {
-			targets, toldAll = all, time.Now()
+		if quiet := time.Since(broadcastAt) >= gossip.QuietPeriod; quiet {
+			targets, broadcastAt = all, time.Now()
 		}
 		n.sendReport(seq, targets)
 		n.dropLost()
@@ -144,12 +144,12 @@
 
 // partsKept returns the news on parts of prompts, and those of the last report once more, since datagrams may be lost.
 func (n *Node) partsKept() []gossip.PartsKept {
-	news := n.admission.News(notesPerReport)
+	notes := n.admission.PartNotes(notesPerReport)
 	byServer := make(map[string][]uint64)
-	for _, note := range append(n.lastNews, news...) {
+	for _, note := range append(n.lastNotes, notes...) {
 		byServer[note.Server] = append(byServer[note.Server], note.Part)
 	}
-	n.lastNews = news
+	n.lastNotes = notes
 	kept := make([]gossip.PartsKept, 0, len(byServer))
 	for server, ids := range byServer {
 		kept = append(kept, gossip.PartsKept{Server: server, IDs: ids})
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -84,7 +84,7 @@
 		x.refuse(refusalStopping, returnElsewhere)
 		return
 	}
-	ctx, cancel := detach(x.r.Context(), x.deadline)
+	ctx, cancel := withDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.opts.Budget.Request(time.Now(), x.service.Name)
 	x.attempt(ctx)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -83,7 +83,7 @@
 	return true
 }
 
-// detach returns a context that ends with the request's deadline.
-func detach(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+// withDeadline returns a context that ends at the request's deadline.
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	return context.WithDeadlineCause(ctx, deadline, errDeadline)
 }
--- a/internal/transport/relayhttp/relayhttp.go
+++ b/internal/transport/relayhttp/relayhttp.go
@@ -25,14 +25,14 @@
 	maxAnswerBytes = 8 << 20
 )
 
-// Teller answers other routers. *discovery.Follower implements it.
-type Teller interface {
-	Tell(ctx context.Context, after kv.Revision, wait time.Duration) (discovery.Relayed, error)
+// Relayer answers other routers. *discovery.Follower implements it.
+type Relayer interface {
+	Relay(ctx context.Context, after kv.Revision, wait time.Duration) (discovery.Relayed, error)
 }
 
 // Handler serves changes to other routers.
 type Handler struct {
-	Teller Teller
+	Relayer Relayer
 }
 
 // ServeHTTP implements http.Handler.
@@ -44,7 +44,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	answer, err := h.Teller.Tell(r.Context(), kv.Revision(after), time.Duration(wait)*time.Millisecond)
+	answer, err := h.Relayer.Relay(r.Context(), kv.Revision(after), time.Duration(wait)*time.Millisecond)
 	switch {
 	case errors.Is(err, kv.ErrCompacted):
 		w.WriteHeader(http.StatusGone)
