--- a/internal/coordination/admission/pump.go
+++ b/internal/coordination/admission/pump.go
@@ -77,7 +77,6 @@
 	t.state = ticketGranted
 	t.server = p.server
 	t.sentAt = now
-	t.predicted = p.first
 	h := c.healthOf(p.server.ID)
 	if h.suspect {
 		t.probe, h.probing = true, true
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -94,11 +94,10 @@
 	load   engineload.Load
 	begun  bool
 	// ahead is the number of prompt tokens that the engine had to read before the request's own.
-	ahead     int
-	cost      float64
-	refuseAt  time.Time
-	sentAt    time.Time
-	predicted time.Duration
+	ahead    int
+	cost     float64
+	refuseAt time.Time
+	sentAt   time.Time
 	// probe says that the request tests a server that failed before.
 	probe bool
 }
