--- a/test/faults/actions.go
+++ b/test/faults/actions.go
@@ -91,8 +91,9 @@
 
 // awaitServing waits until the present process of a router takes new requests.
 func (w *world) awaitServing(ctx context.Context, id string) error {
-	return fleet.Await(ctx, serveLimit, id+" serves", func() error {
-		status, err := w.router(id).Status(ctx)
+	r := w.router(id)
+	return fleet.AwaitProcess(ctx, r.Process, serveLimit, id+" serves", func() error {
+		status, err := r.Status(ctx)
 		if err != nil {
 			return err
 		}
@@ -106,7 +107,7 @@
 // awaitIdle waits until no dispatcher holds requests: a slot that is never released would stay idle for good.
 func (w *world) awaitIdle(ctx context.Context) error {
 	for _, r := range w.current() {
-		err := fleet.Await(ctx, serveLimit, r.ID+" holds no requests", func() error {
+		err := fleet.AwaitProcess(ctx, r.Process, serveLimit, r.ID+" holds no requests", func() error {
 			status, err := r.Status(ctx)
 			if err != nil {
 				return err
--- a/test/fleet/admin.go
+++ b/test/fleet/admin.go
@@ -160,7 +160,7 @@
 		want = 1
 	}
 	for _, r := range f.Routers {
-		err := Await(ctx, readyLimit, r.ID+" serves", func() error {
+		err := AwaitProcess(ctx, r.Process, readyLimit, r.ID+" serves", func() error {
 			status, err := r.Status(ctx)
 			if err != nil {
 				return err
@@ -177,14 +177,35 @@
 	return nil
 }
 
+// AwaitProcess is Await for a condition that only a running process fulfils. It fails with the exit state once the
+// process has ended.
+func AwaitProcess(ctx context.Context, p *Process, limit time.Duration, what string, check func() error) error {
+	return await(ctx, p.done, limit, what, func() error {
+		if p.Ended() {
+			return errors.Errorf("process %d has ended: %s", p.PID(), p.ExitState())
+		}
+		return check()
+	})
+}
+
 // Await repeats a check until it passes or the limit is over.
 func Await(ctx context.Context, limit time.Duration, what string, check func() error) error {
+	return await(ctx, nil, limit, what, check)
+}
+
+// await repeats a check until it passes, the limit is over, or ended is closed.
+func await(ctx context.Context, ended <-chan struct{}, limit time.Duration, what string, check func() error) error {
 	deadline := time.Now().Add(limit)
 	for {
 		err := check()
 		if err == nil {
 			return nil
 		}
+		select {
+		case <-ended:
+			return errors.Wrap(err, what)
+		default:
+		}
 		if time.Now().After(deadline) {
 			return errors.Wrapf(err, "%s: not within %v", what, limit)
 		}
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -108,3 +108,11 @@
 		return false
 	}
 }
+
+// ExitState describes how the process ended: its exit status or the signal that ended it.
+func (p *Process) ExitState() string {
+	if !p.Ended() {
+		return "running"
+	}
+	return p.cmd.ProcessState.String()
+}
