Share proofs of freshness between routers

A change had ended the polls of all routers together 1.3 s before the outage, and the next polls were still held when it began, so that the newest proof in the whole fleet was 2.7 s old at that time.

Change: reports carry what the sender knows of the store and echo the numbers of the reports it has heard. An echo dates the claim by the own clock, also when a process or a datagram stood still. Polls end spread over 40% of their wait.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -245,6 +245,43 @@
 	})
 }
 
+// Guards against keys that are refused though another router has shown that nothing changed, and against state that
+// counts as fresh by the proof of a router that knows more. Seen on a day of taza-quito: a change ended the polls of all
+// routers together, and the store fell silent just before the next ones ended.
+func TestProofOfAnotherRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		feed := newFakeFeed()
+		feed.set("s/a", serverText, false)
+		s := newSite(t, feed, nil)
+		time.Sleep(time.Second)
+		feed.setDown(true)
+		time.Sleep(10 * time.Second)
+		g.Expect(s.proof.Within(5 * time.Second)).To(BeFalse())
+		s.Vouch(s.Revision()+1, s.proof.Now())
+		g.Expect(s.proof.Within(5*time.Second)).To(BeFalse(), "a change is missing here")
+		s.Vouch(s.Revision(), s.proof.Now()-time.Second)
+		g.Expect(s.proof.Within(time.Second)).To(BeTrue())
+		empty := New(Options{Proof: s.proof})
+		empty.Vouch(0, s.proof.Now())
+		g.Expect(s.proof.Within(time.Millisecond)).To(BeFalse(), "nothing was read yet")
+	})
+}
+
+// Guards against routers whose polls end together for long after one change.
+func TestPollsSpread(t *testing.T) {
+	g := NewWithT(t)
+	f := New(Options{})
+	f.reached = true
+	waits := make(map[time.Duration]bool)
+	for range 20 {
+		wait := f.wait()
+		g.Expect(wait).To(And(BeNumerically("<=", pollWait), BeNumerically(">", pollWait/2)))
+		waits[wait] = true
+	}
+	g.Expect(len(waits)).To(BeNumerically(">", 10))
+}
+
 // fakePeers lets a follower follow through another one.
 type fakePeers struct {
 	reader *Follower
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -15,9 +16,12 @@
 )
 
 const (
-	// pollWait is how long the store holds a poll without changes. Each answer renews the proof of freshness, which
+	// pollWait is how long the store holds a poll without changes at most. Each answer renews the proof of freshness, which
 	// must stay well below the time in which a removed API key must stop working.
-	pollWait = 1500 * time.Millisecond
+	pollWait = 1800 * time.Millisecond
+	// pollSpread is the part of the wait that is left to chance. A change ends the polls of all routers at once; spread
+	// ends keep some router's proof young.
+	pollSpread = 0.4
 	// answerLimit is the time beyond the wait after which a call is given up. A slow store answers in up to 300 ms.
 	answerLimit = 1200 * time.Millisecond
 	// listLimit bounds the listing of all keys, which takes several pages.
@@ -53,8 +57,10 @@
 type Follower struct {
 	opts     Options
 	revision kv.Revision
-	listed   bool
-	history  *History
+	// inForce is the revision for other goroutines.
+	inForce atomic.Int64
+	listed  bool
+	history *History
 	// relayedAt is the time of the last question of another router, in nanoseconds of Unix time.
 	relayedAt atomic.Int64
 	backoff   *backoff.ExponentialBackOff
@@ -96,10 +102,11 @@
 	if address := f.reader(time.Now()); address != "" && f.followPeer(ctx, address) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait()+answerLimit)
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
 	defer cancel()
 	sent := f.opts.Proof.Now()
-	changes, revision, err := f.opts.Feed.Changes(ctx, "", f.revision, f.wait())
+	changes, revision, err := f.opts.Feed.Changes(ctx, "", f.revision, wait)
 	if errors.Is(err, kv.ErrCompacted) {
 		f.opts.Log.Info("history discarded, listing again", zap.Int64("revision", int64(f.revision)))
 		f.listed = false
@@ -135,7 +142,18 @@
 	case f.relays():
 		return relayingWait
 	default:
-		return pollWait
+		return time.Duration((1 - pollSpread*rand.Float64()) * float64(pollWait))
+	}
+}
+
+// Revision returns the revision of the state in force.
+func (f *Follower) Revision() kv.Revision { return kv.Revision(f.inForce.Load()) }
+
+// Vouch records that the store's state was that of a revision at a time of the proof, as another router has shown. It
+// says something about the own state if that is not older.
+func (f *Follower) Vouch(revision kv.Revision, at time.Duration) {
+	if current := f.Revision(); current > 0 && current >= revision {
+		f.opts.Proof.Confirm(at)
 	}
 }
 
@@ -150,6 +168,7 @@
 	f.noteSuccess()
 	f.opts.Sink.Replace(entries, time.Now(), f.lapse())
 	f.revision = revision
+	f.inForce.Store(int64(revision))
 	f.listed = true
 	f.history.reset(revision)
 	f.opts.Proof.Confirm(sent)
--- a/internal/coordination/discovery/relay.go
+++ b/internal/coordination/discovery/relay.go
@@ -89,6 +89,7 @@
 	fresh := slices.DeleteFunc(slices.Clone(changes), func(c kv.Change) bool { return c.Revision <= f.revision })
 	f.opts.Sink.Apply(fresh, time.Now(), f.lapse())
 	f.revision = max(f.revision, revision)
+	f.inForce.Store(int64(f.revision))
 	f.history.add(fresh, f.revision)
 	f.opts.Proof.Confirm(at)
 }
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -34,6 +34,17 @@
 	Busy bool `cbor:"13,keyasint,omitempty"`
 	// Parts are the parts of prompts that servers keep since the sender's last reports.
 	Parts []PartsKept `cbor:"10,keyasint,omitempty"`
+	// Proof is what the sender knows of the store. Not each report has one.
+	Proof *Proof `cbor:"14,keyasint,omitempty"`
+}
+
+// Proof says that the sender had the store's state of a revision, confirmed some time before the report.
+type Proof struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	AgeMS    int64
+	// Echoes are the numbers of the latest reports that the sender has heard, by router.
+	Echoes map[string]uint64
 }
 
 // PartsKept are parts of prompts that one backend server keeps.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -59,6 +59,7 @@
 	store     *platform.Store
 	follower  *discovery.Follower
 	peers     *gossip.Peers
+	exchange  *freshness.Exchange
 	socket    *datagram.Socket
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
@@ -87,6 +88,7 @@
 		incarnation: uint64(time.Now().UnixMicro()),
 		proof:       freshness.NewProof(freshness.BootTime),
 		peers:       gossip.NewPeers(),
+		exchange:    freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:    prometheus.NewRegistry(),
 	}
 	core := admission.New(admission.Options{
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -12,13 +12,15 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
 
 // report tells the other routers what this one does.
 func (n *Node) report(ctx context.Context) {
-	var seq uint64
+	seq := n.incarnation // the numbers of an earlier process are lower
 	var slept time.Time
 	var period time.Duration
 	var broadcastAt time.Time
@@ -29,10 +31,11 @@
 		seq++
 		all, active := n.targets()
 		targets := active
-		if quiet := time.Since(broadcastAt) >= gossip.QuietPeriod; quiet {
+		quiet := time.Since(broadcastAt) >= gossip.QuietPeriod
+		if quiet {
 			targets, broadcastAt = all, time.Now()
 		}
-		n.sendReport(seq, targets)
+		n.sendReport(seq, targets, quiet)
 		n.dropLost()
 		period = gossip.Period(len(active) + 1)
 		slept = time.Now()
@@ -67,7 +70,8 @@
 	return all, active
 }
 
-func (n *Node) sendReport(seq uint64, targets []netip.AddrPort) {
+// sendReport sends a report, with a proof of what is known of the store when that is asked for.
+func (n *Node) sendReport(seq uint64, targets []netip.AddrPort, withProof bool) {
 	loads, teams, queued := n.admission.Own()
 	r := gossip.Report{
 		Router:        n.settings.Router,
@@ -96,6 +100,10 @@
 	n.busy.Store(r.Busy)
 	n.ownRate.Store(math.Float64bits(own.Rate))
 	r.Parts = n.partsKept()
+	if withProof && len(targets) < directFleet {
+		r.Proof = n.claim()
+	}
+	n.exchange.Sent(seq)
 	data, err := r.Encode()
 	if err != nil {
 		n.log.Error("report not encoded", logfield.Error(err))
@@ -133,6 +141,8 @@
 	if r.Router == n.settings.Router || !n.peers.Take(time.Now(), r) {
 		return
 	}
+	n.exchange.Heard(r.Router, r.Seq)
+	n.takeClaim(r.Proof)
 	n.admission.SetPeer(r.Router, r.LoadTable(), r.TeamTable())
 	if len(r.Parts) > 0 {
 		n.admission.SetPeerParts(notesOf(r))
@@ -172,5 +182,28 @@
 	for _, router := range n.peers.Lost(time.Now()) {
 		n.log.Info("router lost", zap.String("router", router))
 		n.admission.ForgetPeer(router)
+		n.exchange.Forget(router)
+	}
+}
+
+// claim returns what this router knows of the store, or nil.
+func (n *Node) claim() *gossip.Proof {
+	c, ok := n.exchange.Claim(n.proof, func() int64 { return int64(n.follower.Revision()) })
+	if !ok {
+		return nil
+	}
+	// Rounded up, so that the claim never says more than is known.
+	age := c.Age.Milliseconds() + 1
+	return &gossip.Proof{Revision: c.Revision, AgeMS: age, Echoes: c.Echoes}
+}
+
+// takeClaim renews the own proof by that of another router.
+func (n *Node) takeClaim(p *gossip.Proof) {
+	if p == nil || p.AgeMS < 0 {
+		return
+	}
+	claim := freshness.Claim{Revision: p.Revision, Age: time.Duration(p.AgeMS) * time.Millisecond, Echoes: p.Echoes}
+	if at, ok := n.exchange.Date(claim); ok {
+		n.follower.Vouch(kv.Revision(p.Revision), at)
 	}
 }
