Keepers of loads confirm grants in large fleets

The 59 routers report each other's loads every 295 ms, in which three requests reach each engine, so that all send to the same engines.

Change: in fleets of more than 12 routers each server has a keeper, chosen by rendezvous hashing from the routers with enough of a processor, nearby where possible. Routers tell it their loads as these change and ask it for a place before they send; a router without an answer goes by what it knows. Reports carry the totals of the kept servers in place of all loads. The periodic loop stands once now.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -7,17 +7,28 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
+// Keepers asks the routers that keep the loads of servers.
+type Keepers interface {
+	// Reserve asks for a place. It is false when this router keeps the server's load itself, when the server has no keeper,
+	// or when no answer came.
+	Reserve(ctx context.Context, r reservation.Request) (reservation.Answer, bool)
+}
+
 // Controller makes a Core safe for concurrent use and lets callers wait for decisions.
 type Controller struct {
-	mu   sync.Mutex
-	core *Core
+	mu      sync.Mutex
+	core    *Core
+	keepers Keepers
 }
 
-// NewController returns a controller of a core.
-func NewController(core *Core) *Controller { return &Controller{core: core} }
+// NewController returns a controller of a core. Without keepers, grants are final at once.
+func NewController(core *Core, keepers Keepers) *Controller {
+	return &Controller{core: core, keepers: keepers}
+}
 
 // Admit waits for the decision on a request. A cancelled context withdraws the request; the error is the context's.
 func (c *Controller) Admit(ctx context.Context, w Work) (*Ticket, Verdict, error) {
@@ -25,11 +36,39 @@
 	c.mu.Lock()
 	t := c.core.Submit(time.Now(), w, func(v Verdict) { decided <- v })
 	c.mu.Unlock()
-	select {
-	case v := <-decided:
-		return t, v, nil
-	case <-ctx.Done():
+	for {
+		select {
+		case v := <-decided:
+			if v.Server == nil || c.confirm(ctx, t) {
+				return t, v, nil
+			}
+			continue
+		case <-ctx.Done():
+		}
+		return c.withdraw(ctx, t, decided)
+	}
+}
+
+// confirm has the keeper of the granted server confirm the grant. It is false when the server is full: the request then
+// waits for the next decision.
+func (c *Controller) confirm(ctx context.Context, t *Ticket) bool {
+	if c.keepers == nil || t.Service.Engine == nil {
+		return true
+	}
+	c.mu.Lock()
+	request := c.core.reservation(t)
+	c.mu.Unlock()
+	answer, ok := c.keepers.Reserve(ctx, request)
+	if !ok {
+		return true
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.confirm(time.Now(), t, answer)
+}
+
+// withdraw takes back a request whose context has ended.
+func (c *Controller) withdraw(ctx context.Context, t *Ticket, decided <-chan Verdict) (*Ticket, Verdict, error) {
 	c.mu.Lock()
 	withdrawn := c.core.Withdraw(t)
 	c.mu.Unlock()
@@ -62,11 +101,18 @@
 	c.core.SetServers(time.Now(), set)
 }
 
-// SetPeer takes another router's report.
-func (c *Controller) SetPeer(router string, loads map[string]engineload.Load, teams map[string]fairshare.Part) {
+// SetPeerLoads takes another router's part of the loads on all servers.
+func (c *Controller) SetPeerLoads(router string, loads map[string]engineload.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SetPeerLoads(time.Now(), router, loads)
+}
+
+// SetPeerTeams takes what teams asked of another router and got.
+func (c *Controller) SetPeerTeams(router string, teams map[string]fairshare.Part) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.core.SetPeer(time.Now(), router, loads, teams)
+	c.core.SetPeerTeams(time.Now(), router, teams)
 }
 
 // SetPeerParts takes what servers keep because of another router's requests.
@@ -97,12 +143,18 @@
 	c.core.SetCapacity(rate)
 }
 
-// Own returns this router's loads, what teams asked and got, and the number of waiting requests.
-func (c *Controller) Own() (map[string]engineload.Load, map[string]fairshare.Part, int) {
+// OwnLoads returns this router's part of the loads.
+func (c *Controller) OwnLoads() map[string]engineload.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	loads, teams := c.core.Own(time.Now())
-	return loads, teams, c.core.Waiting()
+	return c.core.OwnLoads()
+}
+
+// OwnTeams returns what teams asked of this router and got.
+func (c *Controller) OwnTeams() map[string]fairshare.Part {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.OwnTeams(time.Now())
 }
 
 // Waiting returns the number of waiting requests.
@@ -112,18 +164,54 @@
 	return c.core.Waiting()
 }
 
-// Run advances the core each period until the context ends.
-func (c *Controller) Run(ctx context.Context, period time.Duration) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.mu.Lock()
-			c.core.Advance(time.Now())
-			c.mu.Unlock()
-		}
+// Advance does what time alone brings: refusals, and grants after pauses.
+func (c *Controller) Advance() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Advance(time.Now())
+}
+
+// Reserve answers another router that asks for a place on a server whose load this router keeps.
+func (c *Controller) Reserve(r reservation.Request) reservation.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Reserve(time.Now(), r)
+}
+
+// SetKeptLoads takes another router's parts of the loads of servers that this router keeps.
+func (c *Controller) SetKeptLoads(router string, parts []reservation.ServerLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, p := range parts {
+		c.core.SetPeerLoad(now, router, p)
 	}
 }
+
+// SetTotals takes the loads that the keepers of servers tell.
+func (c *Controller) SetTotals(totals []reservation.ServerLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SetTotals(time.Now(), totals)
+}
+
+// Adopt makes this router the keeper of servers.
+func (c *Controller) Adopt(servers []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Adopt(time.Now(), servers)
+}
+
+// Totals returns the loads of servers from all routers.
+func (c *Controller) Totals(servers []string) []reservation.ServerLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Totals(servers)
+}
+
+// TakeChanged returns this router's parts of the loads that have changed since the last call.
+func (c *Controller) TakeChanged() []reservation.ServerLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.TakeChanged()
+}
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
@@ -68,9 +69,13 @@
 // SetCapacity sets the rate of all model engines together, in tokens per second. 0 means that it is not known.
 func (c *Core) SetCapacity(rate float64) { c.capacity = rate }
 
-// SetPeer takes another router's part of the loads, and what teams asked of it and got.
-func (c *Core) SetPeer(now time.Time, router string, loads map[string]engineload.Load, teams map[string]fairshare.Part) {
+// SetPeerLoads takes another router's part of the loads on all servers.
+func (c *Core) SetPeerLoads(now time.Time, router string, loads map[string]engineload.Load) {
 	c.loads.SetPeer(now, router, loads)
+}
+
+// SetPeerTeams takes what teams asked of another router and got.
+func (c *Core) SetPeerTeams(now time.Time, router string, teams map[string]fairshare.Part) {
 	c.accounts.SetPeer(now, router, teams)
 }
 
@@ -90,12 +95,11 @@
 	c.accounts.ForgetPeer(router)
 }
 
-// Own returns what other routers need to know: this router's part of the loads, and what teams asked of it and got.
-func (c *Core) Own(now time.Time) (map[string]engineload.Load, map[string]fairshare.Part) {
-	loads := make(map[string]engineload.Load, len(c.loads.Own()))
-	for id, l := range c.loads.Own() {
-		loads[id] = l
-	}
+// OwnLoads returns this router's part of the loads.
+func (c *Core) OwnLoads() map[string]engineload.Load { return maps.Clone(c.loads.Own()) }
+
+// OwnTeams returns what teams asked of this router and got.
+func (c *Core) OwnTeams(now time.Time) map[string]fairshare.Part {
 	teams := c.accounts.Own(now)
 	for _, q := range c.queues {
 		for name, team := range q.teams {
@@ -106,7 +110,7 @@
 			}
 		}
 	}
-	return loads, teams
+	return teams
 }
 
 // Submit takes a request. The decision may come before Submit returns.
--- a/internal/coordination/admission/engine_model_test.go
+++ b/internal/coordination/admission/engine_model_test.go
@@ -142,13 +142,13 @@
 	}
 	parts := make([]part, len(r.cores))
 	for i, c := range r.cores {
-		loads, teams := c.Own(r.now)
-		parts[i] = part{loads, teams, c.PartNotes(100)}
+		parts[i] = part{c.OwnLoads(), c.OwnTeams(r.now), c.PartNotes(100)}
 	}
 	for i, c := range r.cores {
 		for j, p := range parts {
 			if i != j {
-				c.SetPeer(r.now, fmt.Sprint(j), p.loads, p.teams)
+				c.SetPeerLoads(r.now, fmt.Sprint(j), p.loads)
+				c.SetPeerTeams(r.now, fmt.Sprint(j), p.teams)
 				c.SetPeerParts(r.now, p.notes)
 			}
 		}
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -26,18 +26,33 @@
 
 // room reports whether a server may get another request. Part is the part of an engine's room that may be filled.
 func room(service *routing.Service, server *backends.Server, l engineload.Load, w *Work, backlog time.Duration, part float64) bool {
-	slots := server.Slots
-	if slots == 0 {
-		slots = unknownSlots
-	}
 	if service.Engine == nil {
-		return float64(l.Running) < overcommit*float64(slots)
+		return float64(l.Running) < overcommit*float64(slotsOf(server))
+	}
+	r := engineRoom{slots: slotsOf(server), cacheTokens: service.Engine.CacheTokens}
+	return r.fits(l, w.PromptTokens+w.OutputTokens, backlog, part)
+}
+
+func slotsOf(server *backends.Server) int {
+	if server.Slots == 0 {
+		return unknownSlots
 	}
-	if l.Running >= max(int(part*batchShare*float64(slots)), 1) {
+	return server.Slots
+}
+
+// engineRoom is the size of a model engine.
+type engineRoom struct {
+	slots int
+	// cacheTokens is the size of the memory in tokens; 0 when it is not known.
+	cacheTokens int
+}
+
+// fits reports whether a request that keeps a number of tokens in memory may be sent to an engine with a load.
+func (r engineRoom) fits(l engineload.Load, tokens int, backlog time.Duration, part float64) bool {
+	if l.Running >= max(int(part*batchShare*float64(r.slots)), 1) {
 		return false
 	}
-	capacity := service.Engine.CacheTokens
-	if capacity > 0 && l.Running > 0 && float64(l.ContextTokens+w.PromptTokens+w.OutputTokens) > memoryShare*float64(capacity) {
+	if r.cacheTokens > 0 && l.Running > 0 && float64(l.ContextTokens+tokens) > memoryShare*float64(r.cacheTokens) {
 		return false
 	}
 	return backlog < time.Duration(part*float64(maxBacklog))
--- a/internal/coordination/admission/pump.go
+++ b/internal/coordination/admission/pump.go
@@ -44,12 +44,14 @@
 			return false
 		}
 		t := team.head()
-		p, any := c.choose(now, &t.Work, c.shares.part(team.served))
+		part := c.shares.part(team.served)
+		p, any := c.choose(now, &t.Work, part)
 		if !any {
 			c.refuseUnserved(q, t)
 			return true
 		}
 		if p != nil {
+			t.part = part
 			c.grant(now, q, t, p)
 			return true
 		}
--- /dev/null
+++ b/internal/coordination/admission/reserve.go
@@ -0,0 +1,102 @@
+package admission
+
+import (
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+)
+
+// reservation returns the question to the keeper of the server of a granted request.
+func (c *Core) reservation(t *Ticket) reservation.Request {
+	return reservation.Request{
+		Server:      t.server.ID,
+		Load:        t.load,
+		Own:         c.loads.Own()[t.server.ID],
+		Part:        t.part,
+		Slowness:    c.speedsOf(t.Service.Name).factor(t.server.ID),
+		CacheTokens: t.Service.Engine.CacheTokens,
+	}
+}
+
+// confirm takes the keeper's answer to a grant. It is false when the server is full: the request then waits again, at
+// the place of its arrival, and the answer shows the load by which another server is chosen.
+func (c *Core) confirm(now time.Time, t *Ticket, a reservation.Answer) bool {
+	if t.state != ticketGranted {
+		return true
+	}
+	if a.Granted {
+		c.loads.SetTotal(now, t.server.ID, a.Total)
+		t.ahead = max(a.Total.PendingTokens-t.load.PendingTokens, 0)
+		t.sentAt = now
+		return true
+	}
+	c.loads.Remove(t.server.ID, t.load)
+	c.loads.SetTotal(now, t.server.ID, a.Total)
+	c.charge(now, t.Team, -t.cost)
+	if t.probe {
+		c.healthOf(t.server.ID).probing = false
+		t.probe = false
+	}
+	t.server, t.load, t.state = nil, engineload.Load{}, ticketWaiting
+	q := c.queue(t.Service.Name)
+	q.add(t)
+	q.pumped = time.Time{}
+	c.pump(now, q)
+	return false
+}
+
+// Reserve answers another router that asks for a place on a server whose load this router keeps.
+func (c *Core) Reserve(now time.Time, r reservation.Request) reservation.Answer {
+	c.loads.SetPart(now, r.Router, r.Server, r.Own.Minus(r.Load))
+	total := c.loads.Of(r.Server)
+	answer := reservation.Answer{ID: r.ID, Total: total}
+	server := c.servers.Get(r.Server)
+	if server == nil {
+		return answer
+	}
+	size := engineRoom{slots: slotsOf(server), cacheTokens: r.CacheTokens}
+	if size.fits(total, r.Load.ContextTokens, reading(total.PendingTokens, r.Slowness), r.Part) {
+		c.loads.Reserve(now, r.Router, r.Server, r.Load, r.Own)
+		answer.Granted, answer.Total = true, c.loads.Of(r.Server)
+	}
+	return answer
+}
+
+// SetPeerLoad takes another router's part of the load of a server that this router keeps.
+func (c *Core) SetPeerLoad(now time.Time, router string, l reservation.ServerLoad) {
+	c.loads.SetPart(now, router, l.Server, l.Load)
+}
+
+// SetTotals takes the loads that the keepers of servers tell.
+func (c *Core) SetTotals(now time.Time, totals []reservation.ServerLoad) {
+	for _, l := range totals {
+		c.loads.SetTotal(now, l.Server, l.Load)
+	}
+}
+
+// Adopt makes this router the keeper of servers.
+func (c *Core) Adopt(now time.Time, servers []string) {
+	for _, id := range servers {
+		c.loads.Adopt(now, id)
+	}
+}
+
+// Totals returns the loads of servers from all routers.
+func (c *Core) Totals(servers []string) []reservation.ServerLoad {
+	totals := make([]reservation.ServerLoad, len(servers))
+	for i, id := range servers {
+		totals[i] = reservation.ServerLoad{Server: id, Load: c.loads.Of(id)}
+	}
+	return totals
+}
+
+// TakeChanged returns this router's parts of the loads that have changed since the last call.
+func (c *Core) TakeChanged() []reservation.ServerLoad {
+	servers := c.loads.TakeTouched()
+	changed := make([]reservation.ServerLoad, len(servers))
+	for i, id := range servers {
+		changed[i] = reservation.ServerLoad{Server: id, Load: c.loads.Own()[id]}
+	}
+	return changed
+}
--- a/internal/coordination/admission/shares_test.go
+++ b/internal/coordination/admission/shares_test.go
@@ -13,7 +13,7 @@
 func coreWith(now time.Time, capacity float64, parts map[string]fairshare.Part) *Core {
 	c := New(Options{ShareWindow: 4 * time.Second})
 	c.SetCapacity(capacity)
-	c.SetPeer(now, "peer", nil, parts)
+	c.SetPeerTeams(now, "peer", parts)
 	c.refreshShares(now)
 	return c
 }
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -94,8 +94,10 @@
 	load   engineload.Load
 	begun  bool
 	// ahead is the number of prompt tokens that the engine had to read before the request's own.
-	ahead    int
-	cost     float64
+	ahead int
+	cost  float64
+	// part is the part of the server's room that the grant counted with.
+	part     float64
 	refuseAt time.Time
 	sentAt   time.Time
 	// probe says that the request tests a server that failed before.
--- a/internal/coordination/engineload/table.go
+++ b/internal/coordination/engineload/table.go
@@ -2,12 +2,19 @@
 
 import "time"
 
-// reportLifetime is how long a part that another router reported counts without a new report. A router that is lost
-// stops running requests soon after.
-const reportLifetime = 1500 * time.Millisecond
+const (
+	// reportLifetime is how long a part that another router reported counts without a new report. A router that is lost
+	// stops running requests soon after.
+	reportLifetime = 1500 * time.Millisecond
+	// totalLifetime is how long a keeper's total counts without a new one: some periods of reports in a large fleet.
+	totalLifetime = time.Second
+	// adoptTime is how long a new keeper goes by the total that it knew before: until the others have told it their parts.
+	adoptTime = 300 * time.Millisecond
+)
 
 // Load is what runs on one backend server.
 type Load struct {
+	_ struct{} `cbor:",toarray"`
 	// Running is the number of requests sent and not ended.
 	Running int
 	// PendingTokens are the prompt tokens of requests without a first event.
@@ -24,7 +31,8 @@
 	}
 }
 
-func (l Load) minus(o Load) Load {
+// Minus returns the load without a part of it.
+func (l Load) Minus(o Load) Load {
 	return Load{
 		Running:       l.Running - o.Running,
 		PendingTokens: l.PendingTokens - o.PendingTokens,
@@ -32,32 +40,64 @@
 	}
 }
 
+// atLeast returns the larger of each figure.
+func (l Load) atLeast(o Load) Load {
+	return Load{
+		Running:       max(l.Running, o.Running),
+		PendingTokens: max(l.PendingTokens, o.PendingTokens),
+		ContextTokens: max(l.ContextTokens, o.ContextTokens),
+	}
+}
+
 // Table holds the loads by server. It is not safe for concurrent use.
 type Table struct {
 	own map[string]Load
 	// others is the sum of the peers' parts.
 	others map[string]Load
-	peers  map[string]*peer
+	peers  map[string]map[string]part
+	// totals are the loads from all routers that keepers have told, and what changed here since.
+	totals map[string]total
+	// touched are the servers whose own part has changed since the last look.
+	touched map[string]struct{}
 }
 
-// peer is the part of one router.
-type peer struct {
-	loads map[string]Load
-	at    time.Time
+// part is the part of one router.
+type part struct {
+	Load
+	at time.Time
+}
+
+// total is the load of a server from all routers.
+type total struct {
+	Load
+	until time.Time
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{own: make(map[string]Load), others: make(map[string]Load), peers: make(map[string]*peer)}
+	return &Table{
+		own: make(map[string]Load), others: make(map[string]Load), peers: make(map[string]map[string]part),
+		totals: make(map[string]total), touched: make(map[string]struct{}),
+	}
 }
 
 // Add adds to this router's part of a server's load.
-func (t *Table) Add(server string, l Load) { t.put(t.own, server, t.own[server].plus(l)) }
+func (t *Table) Add(server string, l Load) { t.change(server, t.own[server].plus(l)) }
 
 // Remove takes from this router's part of a server's load.
-func (t *Table) Remove(server string, l Load) { t.put(t.own, server, t.own[server].minus(l)) }
+func (t *Table) Remove(server string, l Load) { t.change(server, t.own[server].Minus(l)) }
 
-func (t *Table) put(loads map[string]Load, server string, l Load) {
+// change sets this router's part, and corrects the total that a keeper told.
+func (t *Table) change(server string, l Load) {
+	if known, ok := t.totals[server]; ok {
+		known.Load = known.plus(l.Minus(t.own[server])).atLeast(Load{})
+		t.totals[server] = known
+	}
+	put(t.own, server, l)
+	t.touched[server] = struct{}{}
+}
+
+func put(loads map[string]Load, server string, l Load) {
 	if l == (Load{}) {
 		delete(loads, server)
 		return
@@ -66,37 +106,99 @@
 }
 
 // Of returns the load of a server from all routers.
-func (t *Table) Of(server string) Load { return t.own[server].plus(t.others[server]) }
+func (t *Table) Of(server string) Load {
+	if known, ok := t.totals[server]; ok {
+		return known.atLeast(t.own[server])
+	}
+	return t.own[server].plus(t.others[server])
+}
 
 // Own returns this router's part. The map must not be modified.
 func (t *Table) Own() map[string]Load { return t.own }
 
-// SetPeer replaces the part of another router.
+// TakeTouched returns the servers whose own part has changed since the last call.
+func (t *Table) TakeTouched() []string {
+	servers := make([]string, 0, len(t.touched))
+	for server := range t.touched {
+		servers = append(servers, server)
+	}
+	clear(t.touched)
+	return servers
+}
+
+// SetTotal takes what the keeper of a server says of its load.
+func (t *Table) SetTotal(now time.Time, server string, l Load) {
+	t.totals[server] = total{Load: l.atLeast(Load{}), until: now.Add(totalLifetime)}
+}
+
+// Adopt makes this router the keeper of a server: the total that it knew counts until the others have told their parts.
+func (t *Table) Adopt(now time.Time, server string) {
+	if known, ok := t.totals[server]; ok {
+		known.until = now.Add(adoptTime)
+		t.totals[server] = known
+	}
+}
+
+// Reserve records that another router puts a load on a server that this router keeps. Own is all of that router's load
+// there.
+func (t *Table) Reserve(now time.Time, router, server string, added, own Load) {
+	t.SetPart(now, router, server, own)
+	if known, ok := t.totals[server]; ok {
+		known.Load = known.plus(added)
+		t.totals[server] = known
+	}
+}
+
+// SetPeer replaces the part of another router on all servers.
 func (t *Table) SetPeer(now time.Time, router string, loads map[string]Load) {
 	t.ForgetPeer(router)
 	for server, l := range loads {
-		t.put(t.others, server, t.others[server].plus(l))
+		t.SetPart(now, router, server, l)
+	}
+}
+
+// SetPart replaces the part of another router on one server.
+func (t *Table) SetPart(now time.Time, router, server string, l Load) {
+	parts := t.peers[router]
+	if parts == nil {
+		parts = make(map[string]part)
+		t.peers[router] = parts
+	}
+	t.dropPart(parts, server)
+	if l != (Load{}) {
+		parts[server] = part{Load: l, at: now}
+		put(t.others, server, t.others[server].plus(l))
+	}
+}
+
+func (t *Table) dropPart(parts map[string]part, server string) {
+	if known, ok := parts[server]; ok {
+		put(t.others, server, t.others[server].Minus(known.Load))
+		delete(parts, server)
 	}
-	t.peers[router] = &peer{loads: loads, at: now}
 }
 
 // ForgetPeer drops the part of a router.
 func (t *Table) ForgetPeer(router string) {
-	p := t.peers[router]
-	if p == nil {
-		return
-	}
-	for server, l := range p.loads {
-		t.put(t.others, server, t.others[server].minus(l))
+	parts := t.peers[router]
+	for server := range parts {
+		t.dropPart(parts, server)
 	}
 	delete(t.peers, router)
 }
 
-// Expire drops the parts of routers that have not reported for a while.
+// Expire drops what has not been reported for a while.
 func (t *Table) Expire(now time.Time) {
-	for router, p := range t.peers {
-		if now.Sub(p.at) > reportLifetime {
-			t.ForgetPeer(router)
+	for _, parts := range t.peers {
+		for server, p := range parts {
+			if now.Sub(p.at) > reportLifetime {
+				t.dropPart(parts, server)
+			}
+		}
+	}
+	for server, known := range t.totals {
+		if now.After(known.until) {
+			delete(t.totals, server)
 		}
 	}
 }
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 )
 
 // Guards against reports that do not fit a datagram or lose what matters most.
@@ -13,7 +16,8 @@
 	g := NewWithT(t)
 	r := Report{Router: "r1", Incarnation: 1, Seq: 2, Ready: true}
 	for i := range 200 {
-		r.Loads = append(r.Loads, LoadPart{Server: fmt.Sprintf("i-%08d", i), Running: i, PendingTokens: 200_000 - i})
+		load := engineload.Load{Running: i, PendingTokens: 200_000 - i}
+		r.Loads = append(r.Loads, reservation.ServerLoad{Server: fmt.Sprintf("i-%08d", i), Load: load})
 		r.Teams = append(r.Teams, ServicePart{Team: fmt.Sprintf("team%04d", i), Served: float32(1000 - i)})
 	}
 	data, err := r.Encode()
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -8,6 +8,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 )
 
 // maxDatagram bounds a report. Larger datagrams would be split on the way.
@@ -22,9 +23,13 @@
 	CallerAddress string `cbor:"4,keyasint,omitempty"`
 	Domain        string `cbor:"5,keyasint,omitempty"`
 	// Ready routers take new clients.
-	Ready bool          `cbor:"6,keyasint,omitempty"`
-	Loads []LoadPart    `cbor:"7,keyasint,omitempty"`
-	Teams []ServicePart `cbor:"8,keyasint,omitempty"`
+	Ready bool `cbor:"6,keyasint,omitempty"`
+	// Loads are what the sender puts on each backend server. They are empty in a fleet with keepers.
+	Loads []reservation.ServerLoad `cbor:"7,keyasint,omitempty"`
+	Teams []ServicePart            `cbor:"8,keyasint,omitempty"`
+	// Kept says that loads are told to keepers; Totals are the loads, from all routers, of the servers that the sender keeps.
+	Kept   bool                     `cbor:"15,keyasint,omitempty"`
+	Totals []reservation.ServerLoad `cbor:"16,keyasint,omitempty"`
 	// Queue is the number of waiting requests.
 	Queue int `cbor:"9,keyasint,omitempty"`
 	// Rate is the sender's rate of requests per second, Cores its part of a processor.
@@ -54,15 +59,6 @@
 	IDs    []uint64
 }
 
-// LoadPart is the load that the sender puts on one backend server.
-type LoadPart struct {
-	_             struct{} `cbor:",toarray"`
-	Server        string
-	Running       int
-	PendingTokens int
-	ContextTokens int
-}
-
 // ServicePart is what a team asked of the sender and got from it lately, in faded tokens.
 type ServicePart struct {
 	_      struct{} `cbor:",toarray"`
@@ -108,11 +104,7 @@
 func (r *Report) LoadTable() map[string]engineload.Load {
 	loads := make(map[string]engineload.Load, len(r.Loads))
 	for _, p := range r.Loads {
-		loads[p.Server] = engineload.Load{
-			Running:       max(p.Running, 0),
-			PendingTokens: max(p.PendingTokens, 0),
-			ContextTokens: max(p.ContextTokens, 0),
-		}
+		loads[p.Server] = p.Load
 	}
 	return loads
 }
--- /dev/null
+++ b/internal/coordination/reservation/message.go
@@ -0,0 +1,43 @@
+package reservation
+
+import "gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+
+// Request asks the keeper of a server for a place.
+type Request struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Router string
+	Server string
+	// Load is that of the request, Own all load of the asking router on the server with the request.
+	Load engineload.Load
+	Own  engineload.Load
+	// Part is the part of the server's room that the request's team may fill.
+	Part float64
+	// Slowness is the asking router's estimate of the server's time per prompt token, against the usual.
+	Slowness float64
+	// CacheTokens is the size of the server's memory in tokens; 0 when it is not known.
+	CacheTokens int
+}
+
+// Answer is a keeper's answer.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Granted bool
+	// Total is the load of the server from all routers, with the request if it was granted.
+	Total engineload.Load
+}
+
+// Loads tells a keeper the load that a router puts on the keeper's servers.
+type Loads struct {
+	_      struct{} `cbor:",toarray"`
+	Router string
+	Parts  []ServerLoad
+}
+
+// ServerLoad is a load on one server.
+type ServerLoad struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Load   engineload.Load
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -14,6 +14,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 )
@@ -40,7 +41,7 @@
 
 // runControl drives the failure detector and rebuilds the routes when members or configuration changed.
 func (d *Daemon) runControl(ctx context.Context) {
-	every(ctx, tickPeriod, func() {
+	periodic.Run(ctx, tickPeriod, func() {
 		d.tickDetector()
 		d.recordChanges()
 		d.refreshRoutes()
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -18,8 +18,10 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/datagram"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
@@ -60,6 +62,7 @@
 	follower  *discovery.Follower
 	peers     *gossip.Peers
 	exchange  *freshness.Exchange
+	keepers   *keepers
 	socket    *datagram.Socket
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
@@ -96,7 +99,8 @@
 		ShareWindow: settings.Bounds.ShareWindow,
 		Seed:        seedOf(settings.Router, n.incarnation),
 	})
-	n.admission = admission.NewController(core)
+	n.keepers = &keepers{node: n, asks: reservation.NewAsks()}
+	n.admission = admission.NewController(core, n.keepers)
 	opened := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "gooseberrytide_backend_connections_total", Help: "Connections opened to backend servers.",
 	})
@@ -201,7 +205,8 @@
 	}()
 	go n.socket.Run(background, n.onDatagram)
 	go n.report(background)
-	go n.admission.Run(background, advancePeriod)
+	go periodic.Run(background, advancePeriod, n.admission.Advance)
+	go periodic.Run(background, flushPeriod, n.keepers.flush)
 	select {
 	case err := <-failed:
 		return err
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -12,8 +12,11 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
@@ -72,7 +75,6 @@
 
 // sendReport sends a report, with a proof of what is known of the store when that is asked for.
 func (n *Node) sendReport(seq uint64, targets []netip.AddrPort, withProof bool) {
-	loads, teams, queued := n.admission.Own()
 	r := gossip.Report{
 		Router:        n.settings.Router,
 		Incarnation:   n.incarnation,
@@ -80,15 +82,12 @@
 		CallerAddress: n.settings.CallerListen,
 		Domain:        n.settings.FailureDomain,
 		Ready:         n.ready(),
-		Queue:         queued,
+		Queue:         n.admission.Waiting(),
 	}
-	for id, l := range loads {
-		r.Loads = append(r.Loads, gossip.LoadPart{
-			Server: id, Running: l.Running, PendingTokens: l.PendingTokens, ContextTokens: l.ContextTokens,
-		})
+	if r.Totals, r.Kept = n.keepers.totals(); !r.Kept {
+		r.Loads = loadsOf(n.admission.OwnLoads())
 	}
-	slices.SortFunc(r.Loads, func(a, b gossip.LoadPart) int { return cmp.Compare(b.PendingTokens, a.PendingTokens) })
-	for team, p := range teams {
+	for team, p := range n.admission.OwnTeams() {
 		r.Teams = append(r.Teams, gossip.ServicePart{
 			Team: team, Served: float32(p.Served), Asked: float32(p.Asked), Waiting: p.Waiting,
 		})
@@ -104,7 +103,7 @@
 		r.Proof = n.claim()
 	}
 	n.exchange.Sent(seq)
-	data, err := r.Encode()
+	data, err := datagrams.Encode(&r)
 	if err != nil {
 		n.log.Error("report not encoded", logfield.Error(err))
 		return
@@ -131,19 +130,31 @@
 	return own
 }
 
-// onDatagram takes a report of another router.
-func (n *Node) onDatagram(from netip.AddrPort, data []byte) {
-	r, err := gossip.Decode(data)
-	if err != nil {
-		n.log.Warn("report not read", zap.Stringer("from", from), logfield.Error(err))
-		return
+// loadsOf lists loads, those with the most to read first.
+func loadsOf(loads map[string]engineload.Load) []reservation.ServerLoad {
+	list := make([]reservation.ServerLoad, 0, len(loads))
+	for id, l := range loads {
+		list = append(list, reservation.ServerLoad{Server: id, Load: l})
 	}
+	slices.SortFunc(list, func(a, b reservation.ServerLoad) int {
+		return cmp.Compare(b.Load.PendingTokens, a.Load.PendingTokens)
+	})
+	return list
+}
+
+// takeReport takes a report of another router.
+func (n *Node) takeReport(r *gossip.Report) {
 	if r.Router == n.settings.Router || !n.peers.Take(time.Now(), r) {
 		return
 	}
 	n.exchange.Heard(r.Router, r.Seq)
 	n.takeClaim(r.Proof)
-	n.admission.SetPeer(r.Router, r.LoadTable(), r.TeamTable())
+	if r.Kept {
+		n.keepers.takeTotals(r.Router, r.Totals)
+	} else {
+		n.admission.SetPeerLoads(r.Router, r.LoadTable())
+	}
+	n.admission.SetPeerTeams(r.Router, r.TeamTable())
 	if len(r.Parts) > 0 {
 		n.admission.SetPeerParts(notesOf(r))
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -14,6 +14,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/claim"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/timeline"
 	"gooseberrytide.example/gooseberrytide/internal/transport/vmlist"
 )
@@ -120,7 +121,7 @@
 
 // checkIncarnation ends the process when an earlier one of this router had a higher incarnation.
 func (d *Daemon) checkIncarnation(ctx context.Context, stop context.CancelCauseFunc) {
-	every(ctx, tickPeriod, func() {
+	periodic.Run(ctx, tickPeriod, func() {
 		d.detection.Lock()
 		needed := d.detector.SelfIncarnation()
 		d.detection.Unlock()
@@ -130,20 +131,6 @@
 	})
 }
 
-// every calls f each period until the context ends.
-func every(ctx context.Context, period time.Duration, f func()) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
 // runList reads the VM list. A failed read keeps the former list.
 func (d *Daemon) runList(ctx context.Context) {
 	for {
@@ -190,7 +177,7 @@
 
 // runCollect deletes unused chunks. The routers that watch the store do it, at different times.
 func (d *Daemon) runCollect(ctx context.Context) {
-	every(ctx, collectPeriod, func() {
+	periodic.Run(ctx, collectPeriod, func() {
 		if !d.watches() {
 			return
 		}
--- /dev/null
+++ b/internal/protocol/datagrams/datagrams.go
@@ -0,0 +1,76 @@
+// Package datagrams encodes the messages that routers send each other in datagrams. The first byte tells the kind; the
+// rest is the message in CBOR.
+package datagrams
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+)
+
+// kind is the first byte of a datagram.
+type kind byte
+
+const (
+	kindReport kind = iota + 1
+	kindRequest
+	kindAnswer
+	kindLoads
+)
+
+// Encode returns the datagram of a *gossip.Report, reservation.Request, reservation.Answer or reservation.Loads.
+func Encode(message any) ([]byte, error) {
+	var k kind
+	var body []byte
+	var err error
+	switch m := message.(type) {
+	case *gossip.Report:
+		k = kindReport
+		body, err = m.Encode()
+	case reservation.Request:
+		k = kindRequest
+		body, err = cbor.Marshal(m)
+	case reservation.Answer:
+		k = kindAnswer
+		body, err = cbor.Marshal(m)
+	case reservation.Loads:
+		k = kindLoads
+		body, err = cbor.Marshal(m)
+	default:
+		return nil, errors.Errorf("datagrams: no kind for %T", message)
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "datagrams: encode %T", message)
+	}
+	return append([]byte{byte(k)}, body...), nil
+}
+
+// Decode returns the message in a datagram, of one of the types that Encode takes.
+func Decode(data []byte) (any, error) {
+	if len(data) == 0 {
+		return nil, errors.New("datagrams: empty")
+	}
+	body := data[1:]
+	switch kind(data[0]) {
+	case kindReport:
+		return gossip.Decode(body)
+	case kindRequest:
+		return decode[reservation.Request](body)
+	case kindAnswer:
+		return decode[reservation.Answer](body)
+	case kindLoads:
+		return decode[reservation.Loads](body)
+	default:
+		return nil, errors.Errorf("datagrams: unknown kind %d", data[0])
+	}
+}
+
+func decode[T any](body []byte) (any, error) {
+	var m T
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return nil, errors.Wrapf(err, "datagrams: decode %T", m)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -0,0 +1,46 @@
+package datagrams
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+)
+
+// Guards against messages that one router sends and another does not read.
+func TestMessagesComeBack(t *testing.T) {
+	g := NewWithT(t)
+	load := engineload.Load{Running: 1, PendingTokens: 2, ContextTokens: 3}
+	messages := []any{
+		&gossip.Report{Router: "r", Incarnation: 1, Seq: 2, Totals: []reservation.ServerLoad{{Server: "e", Load: load}}},
+		reservation.Request{ID: 7, Router: "r", Server: "e", Load: load, Own: load, Part: 0.2, Slowness: 1.5, CacheTokens: 9},
+		reservation.Answer{ID: 7, Granted: true, Total: load},
+		reservation.Loads{Router: "r", Parts: []reservation.ServerLoad{{Server: "e", Load: load}}},
+	}
+	for _, m := range messages {
+		data, err := Encode(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		back, err := Decode(data)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(back).To(Equal(m))
+	}
+	_, err := Encode("text")
+	g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against a process that ends because of a datagram that is cut or foreign.
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(reservation.Answer{ID: 7, Granted: true})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{})
+	f.Add([]byte{1, 0xa0})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = Decode(data) // it must return
+	})
+}
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -74,7 +74,7 @@
 	w.proof = freshness.NewProof(func() time.Duration { return clock })
 	w.proof.Confirm(clock)
 	w.routing.Store(routing.NewTable(testConfig()))
-	w.control = admission.NewController(admission.New(admission.Options{ShareWindow: 4 * time.Second, Seed: 1}))
+	w.control = admission.NewController(admission.New(admission.Options{ShareWindow: 4 * time.Second, Seed: 1}), nil)
 	var servers []*backends.Server
 	for i := range n {
 		engine := platformengine.New("i-" + string(rune('a'+i)))
