--- a/internal/coordination/admission/engine_model_test.go
+++ b/internal/coordination/admission/engine_model_test.go
@@ -4,11 +4,13 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
@@ -77,6 +79,10 @@
 	rand    *rand.Rand
 	read    map[uint64]bool
 	stats   map[string]*teamStats
+	// keepers says that each engine has a keeper among the cores, which confirms grants.
+	keepers bool
+	// denied counts the grants that a keeper did not confirm.
+	denied int
 }
 
 // teamStats are the results of one team.
@@ -87,10 +93,19 @@
 	heldRefused time.Duration
 }
 
-// reportDelay is the age of reports between the routers of a replay.
-const reportDelay = 40 * time.Millisecond
+const (
+	// reportDelay is the age of reports between the routers of a replay, largeDelay that in a fleet of some 60.
+	reportDelay = 40 * time.Millisecond
+	largeDelay  = 300 * time.Millisecond
+	// keeperTrip is the way of a message between two routers.
+	keeperTrip = 2 * time.Millisecond
+)
 
 func newReplay(routers, engines int, capacity float64) *replay {
+	return newDelayedReplay(routers, engines, capacity, reportDelay)
+}
+
+func newDelayedReplay(routers, engines int, capacity float64, delay time.Duration) *replay {
 	r := &replay{
 		now: time.Unix(1_000_000, 0), engines: map[string]*modelEngine{}, rand: rand.New(rand.NewPCG(1, 2)),
 		service: &routing.Service{Name: "pool", Engine: &routing.Engine{Slots: 64, CacheTokens: 560_000}},
@@ -114,11 +129,56 @@
 		}
 	})
 	if routers > 1 {
-		r.every(reportDelay, r.report)
+		r.every(delay, r.report)
+		r.every(20*time.Millisecond, r.tellKeepers)
 	}
 	return r
 }
 
+// keeper returns the core that keeps an engine's load, and its number.
+func (r *replay) keeper(engine string) (*Core, int) {
+	var n int
+	if _, err := fmt.Sscanf(engine, "e%d", &n); err != nil {
+		panic(err)
+	}
+	return r.cores[n%len(r.cores)], n % len(r.cores)
+}
+
+// tellKeepers brings changed loads to the keepers.
+func (r *replay) tellKeepers() {
+	if !r.keepers {
+		return
+	}
+	for i, c := range r.cores {
+		for _, l := range c.TakeChanged() {
+			if core, n := r.keeper(l.Server); n != i {
+				r.after(keeperTrip, func() { core.SetPeerLoad(r.now, fmt.Sprint(i), l) })
+			}
+		}
+	}
+}
+
+// confirm asks the keeper of a granted engine, and calls back when the grant stands.
+func (r *replay) confirm(core *Core, t *Ticket, granted func()) {
+	keeper, _ := r.keeper(t.server.ID)
+	if !r.keepers || keeper == core {
+		granted()
+		return
+	}
+	request := core.reservation(t)
+	request.Router = fmt.Sprint(slices.Index(r.cores, core))
+	r.after(keeperTrip, func() {
+		answer := keeper.Reserve(r.now, request)
+		r.after(keeperTrip, func() {
+			if core.confirm(r.now, t, answer) {
+				granted()
+				return
+			}
+			r.denied++
+		})
+	})
+}
+
 func (r *replay) at(t time.Time, do func()) {
 	r.seq++
 	heap.Push(&r.events, event{at: t, seq: r.seq, do: do})
@@ -145,9 +205,14 @@
 		parts[i] = part{c.OwnLoads(), c.OwnTeams(r.now), c.PartNotes(100)}
 	}
 	for i, c := range r.cores {
+		if r.keepers {
+			c.SetTotals(r.now, r.keptTotals(i))
+		}
 		for j, p := range parts {
 			if i != j {
-				c.SetPeerLoads(r.now, fmt.Sprint(j), p.loads)
+				if !r.keepers {
+					c.SetPeerLoads(r.now, fmt.Sprint(j), p.loads)
+				}
 				c.SetPeerTeams(r.now, fmt.Sprint(j), p.teams)
 				c.SetPeerParts(r.now, p.notes)
 			}
@@ -155,6 +220,17 @@
 	}
 }
 
+// keptTotals are the loads of the engines that other cores than the i-th keep.
+func (r *replay) keptTotals(i int) []reservation.ServerLoad {
+	var totals []reservation.ServerLoad
+	for id := range r.engines {
+		if core, n := r.keeper(id); n != i {
+			totals = append(totals, core.Totals([]string{id})...)
+		}
+	}
+	return totals
+}
+
 func (r *replay) run(d time.Duration) {
 	end := r.now.Add(d)
 	for len(r.events) > 0 && !r.events[0].at.After(end) {
@@ -235,7 +311,12 @@
 		s.heldRefused = max(s.heldRefused, r.now.Sub(arrival))
 		return
 	}
-	e := r.engines[v.Server.ID]
+	r.confirm(core, t, func() { r.sent(core, t, s) })
+}
+
+// sent brings a granted request to its engine.
+func (r *replay) sent(core *Core, t *Ticket, s *teamStats) {
+	e := r.engines[t.server.ID]
 	part := t.Parts[0]
 	unread := t.Parts[1].Tokens
 	if !e.cached[part.ID] {
--- a/internal/coordination/admission/replay_test.go
+++ b/internal/coordination/admission/replay_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 )
 
 // digest is a load of long prompts with a shared part, chat one of short prompts with long answers.
@@ -86,6 +89,52 @@
 	g.Expect(s.onTime).To(BeNumerically(">", 2*s.late))
 }
 
+// Load pattern: many routers press on few engines, and their reports are older than the time in which an engine reads
+// some prompts. Guards against routers that all send to the same engines: without keepers of loads most first events are
+// late.
+func TestKeepersPreventOverfilling(t *testing.T) {
+	g := NewWithT(t)
+	play := func(keepers bool) (late, onTime int) {
+		r := newDelayedReplay(24, 12, 500_000, largeDelay)
+		r.keepers = keepers
+		for _, team := range []string{"a", "bb", "ccc", "dddd"} {
+			r.start(digest(team, -1, 25), 20*time.Second)
+		}
+		r.run(30 * time.Second)
+		logStats(t, r)
+		t.Logf("keepers %t: %d grants denied", keepers, r.denied)
+		for _, s := range r.stats {
+			late += s.late
+			onTime += s.onTime
+		}
+		return late, onTime
+	}
+	late, onTime := play(false)
+	lateKept, onTimeKept := play(true)
+	g.Expect(float64(lateKept)).To(BeNumerically("<", 0.5*float64(late)))
+	g.Expect(onTimeKept).To(BeNumerically(">", onTime))
+}
+
+// Load pattern: a keeper's answer comes after the request has waited too long. Guards against a request that waits in no
+// queue, or is decided twice.
+func TestDeniedRequestIsDecidedOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(1, 1, 0)
+	core, now := r.cores[0], r.now
+	var verdicts []Verdict
+	tk := core.Submit(now, Work{Service: r.service, PromptTokens: 10, Arrival: now, Objective: time.Second,
+		Deadline: now.Add(time.Second)}, func(v Verdict) { verdicts = append(verdicts, v) })
+	g.Expect(verdicts).To(HaveLen(1))
+	now = now.Add(900 * time.Millisecond)
+	full := engineload.Load{Running: 1000}
+	g.Expect(core.confirm(now, tk, reservation.Answer{Total: full})).To(BeFalse())
+	g.Expect(verdicts).To(HaveLen(2))
+	g.Expect(verdicts[1].Reason).To(Equal(ReasonLate))
+	g.Expect(core.OwnLoads()).To(BeEmpty())
+	g.Expect(core.Waiting()).To(BeZero())
+	g.Expect(core.accounts.Served(now, "")).To(BeZero(), "service that was not given is not charged")
+}
+
 // Load pattern: engines fail. Guards against requests that go on to a server that cannot be reached, and against one
 // that is never tried again.
 func TestUnreachableServersAreLeftAlone(t *testing.T) {
--- a/internal/coordination/engineload/table_test.go
+++ b/internal/coordination/engineload/table_test.go
@@ -23,3 +23,43 @@
 	table.Remove("e1", Load{Running: 1, PendingTokens: 100})
 	g.Expect(table.Own()).To(BeEmpty())
 }
+
+// Guards against a router that goes by the sum of old reports though the keeper has told the total, and against one that
+// forgets what it has sent since.
+func TestTotalsOfKeepers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New()
+	table.Add("e", Load{Running: 1, PendingTokens: 100})
+	table.SetPart(now, "r2", "e", Load{Running: 9})
+	table.SetTotal(now, "e", Load{Running: 4, PendingTokens: 500})
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 4, PendingTokens: 500}))
+	table.Add("e", Load{Running: 1, PendingTokens: 50})
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 5, PendingTokens: 550}))
+	table.SetTotal(now, "e", Load{})
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 2, PendingTokens: 150}), "the own part is known better")
+	table.Remove("e", Load{Running: 2, PendingTokens: 150})
+	g.Expect(table.Of("e")).To(Equal(Load{}))
+	g.Expect(table.TakeTouched()).To(Equal([]string{"e"}))
+	g.Expect(table.TakeTouched()).To(BeEmpty())
+	table.Expire(now.Add(totalLifetime + time.Millisecond))
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 9}))
+}
+
+// Guards against a new keeper that takes a busy server for idle until the others have told it their loads, and against
+// one that goes by its old total for long.
+func TestAdoptedServer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New()
+	table.SetTotal(now, "e", Load{Running: 20})
+	table.Adopt(now, "e")
+	table.Adopt(now, "unknown")
+	table.Reserve(now, "r2", "e", Load{Running: 1}, Load{Running: 3})
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 21}))
+	table.SetPart(now, "r3", "e", Load{Running: 15})
+	table.Expire(now.Add(adoptTime + time.Millisecond))
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 18}))
+	table.SetPart(now, "r3", "e", Load{})
+	g.Expect(table.Of("e")).To(Equal(Load{Running: 3}))
+}
