Keepers confirm requests of plain services too

With keepers all routers know the same totals, up to 295 ms old, and chose the same idle server of six slots.

Change: a grant is confirmed for every kind of service. The asking router sends the limits that it goes by, so that the keeper only compares. Ties between servers of a plain service break by chance.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -52,7 +52,7 @@
 // confirm has the keeper of the granted server confirm the grant. It is false when the server is full: the request then
 // waits for the next decision.
 func (c *Controller) confirm(ctx context.Context, t *Ticket) bool {
-	if c.keepers == nil || t.Service.Engine == nil {
+	if c.keepers == nil {
 		return true
 	}
 	c.mu.Lock()
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -1,9 +1,11 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 )
@@ -24,36 +26,29 @@
 	unknownSlots = 4
 )
 
-// room reports whether a server may get another request. Part is the part of an engine's room that may be filled.
-func room(service *routing.Service, server *backends.Server, l engineload.Load, w *Work, backlog time.Duration, part float64) bool {
+// limitsOf returns the limits of a server for a request of a service. Factor is the server's time per prompt token against
+// startRate; part is the part of an engine's room that may be filled.
+func limitsOf(service *routing.Service, server *backends.Server, factor, part float64) reservation.Limits {
+	slots := server.Slots
+	if slots == 0 {
+		slots = unknownSlots
+	}
 	if service.Engine == nil {
-		return float64(l.Running) < overcommit*float64(slotsOf(server))
+		return reservation.Limits{Running: int(math.Ceil(overcommit * float64(slots))), PendingTokens: -1}
 	}
-	r := engineRoom{slots: slotsOf(server), cacheTokens: service.Engine.CacheTokens}
-	return r.fits(l, w.PromptTokens+w.OutputTokens, backlog, part)
-}
-
-func slotsOf(server *backends.Server) int {
-	if server.Slots == 0 {
-		return unknownSlots
+	return reservation.Limits{
+		Running:       max(int(part*batchShare*float64(slots)), 1),
+		PendingTokens: max(tokensRead(time.Duration(part*float64(maxBacklog)), factor), 1),
+		ContextTokens: int(memoryShare * float64(service.Engine.CacheTokens)),
 	}
-	return server.Slots
 }
 
-// engineRoom is the size of a model engine.
-type engineRoom struct {
-	slots int
-	// cacheTokens is the size of the memory in tokens; 0 when it is not known.
-	cacheTokens int
-}
-
-// fits reports whether a request that keeps a number of tokens in memory may be sent to an engine with a load.
-func (r engineRoom) fits(l engineload.Load, tokens int, backlog time.Duration, part float64) bool {
-	if l.Running >= max(int(part*batchShare*float64(r.slots)), 1) {
-		return false
-	}
-	if r.cacheTokens > 0 && l.Running > 0 && float64(l.ContextTokens+tokens) > memoryShare*float64(r.cacheTokens) {
-		return false
+// loadOf returns the load of a request on a server that keeps a part of its prompt.
+func loadOf(w *Work, cached int) engineload.Load {
+	l := engineload.Load{Running: 1}
+	if w.Service.Engine != nil {
+		l.PendingTokens = max(w.PromptTokens-cached, 0)
+		l.ContextTokens = w.PromptTokens + w.OutputTokens
 	}
-	return backlog < time.Duration(part*float64(maxBacklog))
+	return l
 }
--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
@@ -20,6 +23,9 @@
 	batchPenalty = 60 * time.Millisecond
 	// domainPenalty is the cost of another failure domain, whose traffic is dearer.
 	domainPenalty = 2 * time.Millisecond
+	// tieSpread is the largest cost by chance of a plain service's server. Routers that know the same old loads would
+	// choose the same server; it is below the cost of one request at a server of six slots.
+	tieSpread = 8 * time.Millisecond
 	// patienceBase is how much worse than the best engine one with room may be at once. A multiple of the wait so far is
 	// added, so that a request that would be refused soon takes what there is.
 	patienceBase   = 15 * time.Millisecond
@@ -32,8 +38,8 @@
 	load   engineload.Load
 	cached int
 	cost   time.Duration
-	// backlog is the time in which the engine reads the prompts that it already has.
-	backlog time.Duration
+	// limits bound the load beside which the server may get the request.
+	limits reservation.Limits
 	// first is the predicted time to the first event.
 	first time.Duration
 }
@@ -59,8 +65,13 @@
 		if best.server == nil || p.cost < best.cost {
 			best = p
 		}
-		if (withRoom.server == nil || p.cost < withRoom.cost) && room(w.Service, server, p.load, w, p.backlog, part) {
+		if withRoom.server != nil && p.cost >= withRoom.cost {
+			continue
+		}
+		limits := limitsOf(w.Service, server, speeds.factor(server.ID), part)
+		if limits.Fit(p.load, loadOf(w, p.cached)) {
 			withRoom = p
+			withRoom.limits = limits
 		}
 	}
 	if best.server == nil {
@@ -96,16 +107,22 @@
 		p.cost += domainPenalty
 	}
 	if w.Service.Engine == nil {
+		p.cost += time.Duration(float64(tieSpread) * spreadOf(w.ID, server.ID))
 		return p
 	}
 	parts := shared(w.Parts)
 	p.cached = c.prefixes.cached(now, parts, server.ID)
 	factor := speeds.factor(server.ID)
-	p.backlog = reading(p.load.PendingTokens, factor)
-	p.first = p.backlog + reading(max(w.PromptTokens-p.cached, 0), factor) + firstEvent
-	p.cost += p.backlog
+	backlog := reading(p.load.PendingTokens, factor)
+	p.first = backlog + reading(max(w.PromptTokens-p.cached, 0), factor) + firstEvent
+	p.cost += backlog
 	if reread := h.sharedTokens - p.cached; reread > 0 {
 		p.cost += time.Duration(h.weight(server) * float64(reading(reread, factor)))
 	}
 	return p
 }
+
+// spreadOf returns a number from 0 to 1 that differs by request and server.
+func spreadOf(request, server string) float64 {
+	return float64(rendezvous(xxhash.Sum64String(request), server)>>11) / (1 << 53)
+}
--- a/internal/coordination/admission/pump.go
+++ b/internal/coordination/admission/pump.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 )
 
 const (
@@ -44,14 +42,12 @@
 			return false
 		}
 		t := team.head()
-		part := c.shares.part(team.served)
-		p, any := c.choose(now, &t.Work, part)
+		p, any := c.choose(now, &t.Work, c.shares.part(team.served))
 		if !any {
 			c.refuseUnserved(q, t)
 			return true
 		}
 		if p != nil {
-			t.part = part
 			c.grant(now, q, t, p)
 			return true
 		}
@@ -83,10 +79,9 @@
 	if h.suspect {
 		t.probe, h.probing = true, true
 	}
-	t.load = engineload.Load{Running: 1}
+	t.load = loadOf(&t.Work, p.cached)
+	t.limits = p.limits
 	if t.Service.Engine != nil {
-		t.load.PendingTokens = max(t.PromptTokens-p.cached, 0)
-		t.load.ContextTokens = t.PromptTokens + t.OutputTokens
 		c.prefixes.note(now, shared(t.Parts), p.server.ID)
 	}
 	t.ahead = p.load.PendingTokens
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -10,12 +10,10 @@
 // reservation returns the question to the keeper of the server of a granted request.
 func (c *Core) reservation(t *Ticket) reservation.Request {
 	return reservation.Request{
-		Server:      t.server.ID,
-		Load:        t.load,
-		Own:         c.loads.Own()[t.server.ID],
-		Part:        t.part,
-		Slowness:    c.speedsOf(t.Service.Name).factor(t.server.ID),
-		CacheTokens: t.Service.Engine.CacheTokens,
+		Server: t.server.ID,
+		Load:   t.load,
+		Own:    c.loads.Own()[t.server.ID],
+		Limits: t.limits,
 	}
 }
 
@@ -51,12 +49,7 @@
 	c.loads.SetPart(now, r.Router, r.Server, r.Own.Minus(r.Load))
 	total := c.loads.Of(r.Server)
 	answer := reservation.Answer{ID: r.ID, Total: total}
-	server := c.servers.Get(r.Server)
-	if server == nil {
-		return answer
-	}
-	size := engineRoom{slots: slotsOf(server), cacheTokens: r.CacheTokens}
-	if size.fits(total, r.Load.ContextTokens, reading(total.PendingTokens, r.Slowness), r.Part) {
+	if r.Limits.Fit(total, r.Load) {
 		c.loads.Reserve(now, r.Router, r.Server, r.Load, r.Own)
 		answer.Granted, answer.Total = true, c.loads.Of(r.Server)
 	}
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -30,6 +30,11 @@
 	return time.Duration(float64(tokens) / startRate * factor * float64(time.Millisecond))
 }
 
+// tokensRead returns the tokens that a server reads in a time.
+func tokensRead(d time.Duration, factor float64) int {
+	return int(float64(d) / float64(time.Millisecond) * startRate / factor)
+}
+
 func (s *speeds) factor(server string) float64 {
 	if f, ok := s.slowdown[server]; ok {
 		return f
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
@@ -96,8 +97,8 @@
 	// ahead is the number of prompt tokens that the engine had to read before the request's own.
 	ahead int
 	cost  float64
-	// part is the part of the server's room that the grant counted with.
-	part     float64
+	// limits are those of the granted server.
+	limits   reservation.Limits
 	refuseAt time.Time
 	sentAt   time.Time
 	// probe says that the request tests a server that failed before.
--- a/internal/coordination/reservation/message.go
+++ b/internal/coordination/reservation/message.go
@@ -11,12 +11,8 @@
 	// Load is that of the request, Own all load of the asking router on the server with the request.
 	Load engineload.Load
 	Own  engineload.Load
-	// Part is the part of the server's room that the request's team may fill.
-	Part float64
-	// Slowness is the asking router's estimate of the server's time per prompt token, against the usual.
-	Slowness float64
-	// CacheTokens is the size of the server's memory in tokens; 0 when it is not known.
-	CacheTokens int
+	// Limits bound the load beside which the server may get the request.
+	Limits Limits
 }
 
 // Answer is a keeper's answer.
--- a/internal/protocol/datagrams/datagrams_test.go
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -16,7 +16,8 @@
 	load := engineload.Load{Running: 1, PendingTokens: 2, ContextTokens: 3}
 	messages := []any{
 		&gossip.Report{Router: "r", Incarnation: 1, Seq: 2, Totals: []reservation.ServerLoad{{Server: "e", Load: load}}},
-		reservation.Request{ID: 7, Router: "r", Server: "e", Load: load, Own: load, Part: 0.2, Slowness: 1.5, CacheTokens: 9},
+		reservation.Request{ID: 7, Router: "r", Server: "e", Load: load, Own: load,
+			Limits: reservation.Limits{Running: 4, PendingTokens: -1, ContextTokens: 9}},
 		reservation.Answer{ID: 7, Granted: true, Total: load},
 		reservation.Loads{Router: "r", Parts: []reservation.ServerLoad{{Server: "e", Load: load}}},
 	}
