Keepers tell refused routers when a server has room again

Cause: a router that a keeper has refused knows the server as full until the next report, 100 to 295 ms later, while a place of the plain service is free again after 60 ms.

Change: a keeper remembers the routers that it refused lately. When a server has room again it tells one of them for each place, that of the team with the least service first. The directory names only as many routers as the load needs at 1 ms of processor a request and 80% of the processors, at least six, since those with most of a processor then carry it.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -215,3 +215,17 @@
 	defer c.mu.Unlock()
 	return c.core.TakeChanged()
 }
+
+// Wakes returns news for the routers that were refused a place on a server which has room again.
+func (c *Controller) Wakes() []reservation.Wake {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Wakes(time.Now())
+}
+
+// TakeRoom takes the news that a server has room again.
+func (c *Controller) TakeRoom(r reservation.Room) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.TakeRoom(time.Now(), r)
+}
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -6,6 +6,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -30,7 +31,9 @@
 	health   map[string]*health
 	speeds   map[string]*speeds
 	queues   map[string]*queue
-	spread   spread
+	// waiters are the routers that were refused a place on the servers that this router keeps.
+	waiters *reservation.Waiters
+	spread  spread
 	// capacity is the rate of all model engines together, in tokens per second.
 	capacity float64
 	shares   shares
@@ -47,6 +50,7 @@
 		health:   make(map[string]*health),
 		speeds:   make(map[string]*speeds),
 		queues:   make(map[string]*queue),
+		waiters:  reservation.NewWaiters(),
 		spread:   spread{state: opts.Seed | 1},
 	}
 }
--- a/internal/coordination/admission/engine_model_test.go
+++ b/internal/coordination/admission/engine_model_test.go
@@ -130,7 +130,7 @@
 	})
 	if routers > 1 {
 		r.every(delay, r.report)
-		r.every(20*time.Millisecond, r.tellKeepers)
+		r.every(10*time.Millisecond, r.tellKeepers)
 	}
 	return r
 }
@@ -150,6 +150,13 @@
 		return
 	}
 	for i, c := range r.cores {
+		for _, w := range c.Wakes(r.now) {
+			var n int
+			if _, err := fmt.Sscan(w.Router, &n); err != nil {
+				panic(err)
+			}
+			r.after(keeperTrip, func() { r.cores[n].TakeRoom(r.now, w.Room) })
+		}
 		for _, l := range c.TakeChanged() {
 			if core, n := r.keeper(l.Server); n != i {
 				r.after(keeperTrip, func() { core.SetPeerLoad(r.now, fmt.Sprint(i), l) })
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -14,6 +14,7 @@
 		Load:   t.load,
 		Own:    c.loads.Own()[t.server.ID],
 		Limits: t.limits,
+		Served: c.shares.served[t.Team],
 	}
 }
 
@@ -52,10 +53,21 @@
 	if r.Limits.Fit(total, r.Load) {
 		c.loads.Reserve(now, r.Router, r.Server, r.Load, r.Own)
 		answer.Granted, answer.Total = true, c.loads.Of(r.Server)
+	} else {
+		c.waiters.Add(now, r)
 	}
 	return answer
 }
 
+// Wakes returns news for the routers that were refused a place on a server which has room again.
+func (c *Core) Wakes(now time.Time) []reservation.Wake { return c.waiters.Wake(now, c.loads.Of) }
+
+// TakeRoom takes the news that a server has room again.
+func (c *Core) TakeRoom(now time.Time, r reservation.Room) {
+	c.loads.SetTotal(now, r.Server, r.Total)
+	c.Advance(now)
+}
+
 // SetPeerLoad takes another router's part of the load of a server that this router keeps.
 func (c *Core) SetPeerLoad(now time.Time, router string, l reservation.ServerLoad) {
 	c.loads.SetPart(now, router, l.Server, l.Load)
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -23,12 +23,12 @@
 
 const (
 	// minActive is the number of routers that take clients at least: the loss of one then breaks few requests.
-	minActive = 8
+	minActive = 6
 	// coresPerRequest is the processor time that one request per second takes: its answer is passed on in some tens of
 	// events.
-	coresPerRequest = 0.0015
+	coresPerRequest = 0.001
 	// utilisation is the part of the processors of the chosen routers that the load may take.
-	utilisation = 0.4
+	utilisation = 0.8
 )
 
 // Choose returns the addresses for an answer of the directory, those near the client first. It names the smallest set of
--- a/internal/coordination/engineload/table.go
+++ b/internal/coordination/engineload/table.go
@@ -23,7 +23,8 @@
 	ContextTokens int
 }
 
-func (l Load) plus(o Load) Load {
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
 	return Load{
 		Running:       l.Running + o.Running,
 		PendingTokens: l.PendingTokens + o.PendingTokens,
@@ -82,7 +83,7 @@
 }
 
 // Add adds to this router's part of a server's load.
-func (t *Table) Add(server string, l Load) { t.change(server, t.own[server].plus(l)) }
+func (t *Table) Add(server string, l Load) { t.change(server, t.own[server].Plus(l)) }
 
 // Remove takes from this router's part of a server's load.
 func (t *Table) Remove(server string, l Load) { t.change(server, t.own[server].Minus(l)) }
@@ -90,7 +91,7 @@
 // change sets this router's part, and corrects the total that a keeper told.
 func (t *Table) change(server string, l Load) {
 	if known, ok := t.totals[server]; ok {
-		known.Load = known.plus(l.Minus(t.own[server])).atLeast(Load{})
+		known.Load = known.Plus(l.Minus(t.own[server])).atLeast(Load{})
 		t.totals[server] = known
 	}
 	put(t.own, server, l)
@@ -110,7 +111,7 @@
 	if known, ok := t.totals[server]; ok {
 		return known.atLeast(t.own[server])
 	}
-	return t.own[server].plus(t.others[server])
+	return t.own[server].Plus(t.others[server])
 }
 
 // Own returns this router's part. The map must not be modified.
@@ -144,7 +145,7 @@
 func (t *Table) Reserve(now time.Time, router, server string, added, own Load) {
 	t.SetPart(now, router, server, own)
 	if known, ok := t.totals[server]; ok {
-		known.Load = known.plus(added)
+		known.Load = known.Plus(added)
 		t.totals[server] = known
 	}
 }
@@ -167,7 +168,7 @@
 	t.dropPart(parts, server)
 	if l != (Load{}) {
 		parts[server] = part{Load: l, at: now}
-		put(t.others, server, t.others[server].plus(l))
+		put(t.others, server, t.others[server].Plus(l))
 	}
 }
 
--- a/internal/coordination/reservation/message.go
+++ b/internal/coordination/reservation/message.go
@@ -13,6 +13,8 @@
 	Own  engineload.Load
 	// Limits bound the load beside which the server may get the request.
 	Limits Limits
+	// Served is what the request's team has been served by the whole fleet lately, in faded tokens.
+	Served float64
 }
 
 // Answer is a keeper's answer.
@@ -37,3 +39,11 @@
 	Server string
 	Load   engineload.Load
 }
+
+// Room tells a router that was refused a place that the server has room again.
+type Room struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	// Total is the load of the server from all routers.
+	Total engineload.Load
+}
--- a/internal/daemon/gateway/keepers.go
+++ b/internal/daemon/gateway/keepers.go
@@ -20,11 +20,11 @@
 const (
 	// flushPeriod is how often changed loads are told to the keepers. It is well below the time in which an engine reads
 	// a prompt.
-	flushPeriod = 20 * time.Millisecond
+	flushPeriod = 10 * time.Millisecond
 	// chooseEvery and repeatEvery are the numbers of flushes after which keepers are chosen anew, and after which all loads
 	// are told again, since datagrams may be lost.
-	chooseEvery = 5
-	repeatEvery = 20
+	chooseEvery = 10
+	repeatEvery = 40
 )
 
 // keepers implements admission.Keepers: it knows which router keeps the load of which server, and sends the messages.
@@ -75,6 +75,11 @@
 	if table == nil {
 		return
 	}
+	for _, wake := range k.node.admission.Wakes() {
+		if address, ok := table.addresses[wake.Router]; ok {
+			k.node.send(address, wake.Room)
+		}
+	}
 	changed := k.node.admission.TakeChanged()
 	if all {
 		for server, l := range k.node.admission.OwnLoads() {
@@ -205,6 +210,8 @@
 		n.send(from, n.admission.Reserve(m))
 	case reservation.Answer:
 		n.keepers.asks.Settle(m)
+	case reservation.Room:
+		n.admission.TakeRoom(m)
 	case reservation.Loads:
 		n.admission.SetKeptLoads(m.Router, m.Parts)
 	}
--- a/internal/protocol/datagrams/datagrams.go
+++ b/internal/protocol/datagrams/datagrams.go
@@ -18,9 +18,11 @@
 	kindRequest
 	kindAnswer
 	kindLoads
+	kindRoom
 )
 
-// Encode returns the datagram of a *gossip.Report, reservation.Request, reservation.Answer or reservation.Loads.
+// Encode returns the datagram of a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads or
+// reservation.Room.
 func Encode(message any) ([]byte, error) {
 	var k kind
 	var body []byte
@@ -38,6 +40,9 @@
 	case reservation.Loads:
 		k = kindLoads
 		body, err = cbor.Marshal(m)
+	case reservation.Room:
+		k = kindRoom
+		body, err = cbor.Marshal(m)
 	default:
 		return nil, errors.Errorf("datagrams: no kind for %T", message)
 	}
@@ -62,6 +67,8 @@
 		return decode[reservation.Answer](body)
 	case kindLoads:
 		return decode[reservation.Loads](body)
+	case kindRoom:
+		return decode[reservation.Room](body)
 	default:
 		return nil, errors.Errorf("datagrams: unknown kind %d", data[0])
 	}
