The kinds of a team's requests share what the team gets

Cause: requests of a team waited in order of arrival, and each kind may wait for a part of its own objective.

Change: within a team the kind (route) with the least service goes first, after repeats and urgency; a kind whose head has no place lets the others pass.

--- a/internal/coordination/admission/engine_model_test.go
+++ b/internal/coordination/admission/engine_model_test.go
@@ -251,6 +251,7 @@
 // load is a stream of requests of one team at one router, or at all in turn.
 type load struct {
 	team      string
+	kind      string
 	router    int // -1: all in turn
 	perSecond float64
 	sessions  int
@@ -290,7 +291,7 @@
 }
 
 func (r *replay) submit(l load, router int) {
-	s := r.statsOf(l.team)
+	s := r.statsOf(l.team + l.kind)
 	s.asked++
 	session := uint64(r.rand.IntN(l.sessions))<<8 | uint64(len(l.team))
 	parts := []relay.PromptPart{{ID: 1<<40 | session, Tokens: l.shared}, {ID: 1<<50 | uint64(r.seq), Tokens: l.own}}
@@ -304,7 +305,7 @@
 		}
 	}
 	t = core.Submit(r.now, Work{
-		Team: l.team, Service: r.service, Parts: parts, PromptTokens: l.shared + l.own, OutputTokens: l.output,
+		Team: l.team, Kind: l.kind, Service: r.service, Parts: parts, PromptTokens: l.shared + l.own, OutputTokens: l.output,
 		Arrival: r.now, Objective: l.objective, Deadline: r.now.Add(12 * time.Second),
 	}, decide)
 	if decided != nil {
@@ -383,7 +384,7 @@
 
 func (r *replay) begin(run *modelRun) {
 	t := run.ticket
-	s := r.statsOf(t.Team)
+	s := r.statsOf(t.Team + t.Kind)
 	if r.now.Sub(t.Arrival) <= t.Objective {
 		s.onTime++
 	} else {
--- a/internal/coordination/admission/pump.go
+++ b/internal/coordination/admission/pump.go
@@ -35,21 +35,23 @@
 	}
 }
 
-// grantOne grants the first request in fair order that has a place. It reports whether it did.
+// grantOne grants the first request in fair order that has a place: by team, and within a team by kind. It reports
+// whether it did.
 func (c *Core) grantOne(now time.Time, q *queue) bool {
 	for i, team := range c.order(q) {
 		if i == maxBlocked {
 			return false
 		}
-		t := team.head()
-		p, any := c.choose(now, &t.Work, c.shares.part(team.served))
-		if !any {
-			c.refuseUnserved(q, t)
-			return true
-		}
-		if p != nil {
-			c.grant(now, q, t, p)
-			return true
+		for _, t := range team.heads(now, q.grantedTo) {
+			p, any := c.choose(now, &t.Work, c.shares.part(team.served))
+			if !any {
+				c.refuseUnserved(q, t)
+				return true
+			}
+			if p != nil {
+				c.grant(now, q, t, p)
+				return true
+			}
 		}
 	}
 	return false
@@ -71,7 +73,7 @@
 
 func (c *Core) grant(now time.Time, q *queue, t *Ticket, p *place) {
 	q.remove(t)
-	q.granted(now, t)
+	q.grant(now, t)
 	t.state = ticketGranted
 	t.server = p.server
 	t.sentAt = now
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -31,8 +31,7 @@
 // refuseLate refuses the requests that have waited too long.
 func (c *Core) refuseLate(now time.Time, q *queue) {
 	for _, team := range q.teams {
-		for i := 0; i < len(team.waiting); {
-			t := team.waiting[i]
+		for _, t := range team.all() {
 			switch {
 			case !now.Before(t.Deadline):
 				q.remove(t)
@@ -40,8 +39,6 @@
 			case !now.Before(t.refuseAt):
 				q.remove(t)
 				c.refuse(t, ReasonLate, c.spread.around(lateReturn))
-			default:
-				i++
 			}
 		}
 	}
--- a/internal/coordination/admission/replay_test.go
+++ b/internal/coordination/admission/replay_test.go
@@ -76,6 +76,50 @@
 	g.Expect(float64(r.rereadTokens())).To(BeNumerically("<", 0.08*float64(total)))
 }
 
+// Load pattern: one team sends long prompts with a long objective and short ones with a short objective, several times
+// what the engines can do. Guards against a kind of request that starves: in order of arrival the long prompts wait as long
+// as they may, and no short one reaches the head of the queue in time.
+func TestKindsOfATeamShare(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(2, 2, 80_000)
+	long, short := digest("farm", 0, 50), chat("farm", 0, 10)
+	long.kind, short.kind = "digest", "chat"
+	r.start(long, 20*time.Second)
+	r.start(short, 20*time.Second)
+	r.run(30 * time.Second)
+	logStats(t, r)
+	chats, digests := r.stats["farmchat"], r.stats["farmdigest"]
+	g.Expect(float64(chats.onTime)).To(BeNumerically(">", 0.7*float64(chats.asked)))
+	g.Expect(float64(digests.onTime)).To(BeNumerically(">", 0.1*float64(digests.asked)))
+}
+
+// Load pattern: requests of one team that differ in urgency wait together. Guards against a less urgent kind that goes
+// before a more urgent one because it has had less service, and against a repeat that waits behind new requests.
+func TestUrgentKindsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	q := newQueue()
+	add := func(kind string, priority int, repeat bool) *Ticket {
+		tk := &Ticket{Work: Work{Team: "t", Kind: kind, Priority: priority, Repeat: repeat, Arrival: now}, cost: 10}
+		q.add(tk)
+		return tk
+	}
+	late, urgent := add("late", 5, false), add("urgent", 1, false)
+	q.grant(now, urgent)
+	heads := func() []*Ticket { return q.teams["t"].heads(now, q.grantedTo) }
+	g.Expect(heads()).To(Equal([]*Ticket{urgent, late}))
+	repeat := add("late", 5, true)
+	g.Expect(heads()).To(Equal([]*Ticket{repeat, urgent}))
+	q.remove(repeat)
+	other := add("other", 1, false)
+	g.Expect(heads()).To(Equal([]*Ticket{other, urgent, late}), "least service first among equals")
+	for _, tk := range []*Ticket{late, urgent, other} {
+		q.remove(tk)
+	}
+	g.Expect(q.teams).To(BeEmpty())
+	g.Expect(q.size).To(BeZero())
+}
+
 // Load pattern: a team asks far more than the engines can do. Guards against requests that are held for long and refused
 // in the end, and against a queue that gives all of its requests the longest wait.
 func TestExcessIsRefusedEarly(t *testing.T) {
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -12,8 +12,10 @@
 
 // Work describes a request that wants a backend server.
 type Work struct {
-	ID      string
-	Team    string
+	ID   string
+	Team string
+	// Kind names the requests that are alike, as those of one route are. The kinds of a team share what the team gets.
+	Kind    string
 	Service *routing.Service
 	// Parts are the parts of the prompt in order.
 	Parts []relay.PromptPart
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -244,6 +244,7 @@
 	w := admission.Work{
 		ID:        x.info.ID,
 		Team:      x.team,
+		Kind:      x.route.Name,
 		Service:   x.service,
 		Priority:  x.priority,
 		Arrival:   arrival,
