A refused place leads to one more choice and not to a look at all

Each place that an owner refused made the router look at the first requests of all teams and kinds against 140 engines, half a millisecond of processor, some hundred times a second.

Change: a refused request looks for another server itself; the others wait for the next look.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -29,6 +29,7 @@
 	accounts *fairshare.Accounts
 	prefixes *prefixIndex
 	health   map[string]*health
+	usual    map[string]usualErrors
 	speeds   map[string]*speeds
 	queues   map[string]*queue
 	// waiters are the routers that were refused a place on the servers that this router keeps.
@@ -48,6 +49,7 @@
 		accounts: fairshare.New(opts.ShareWindow),
 		prefixes: newPrefixIndex(),
 		health:   make(map[string]*health),
+		usual:    make(map[string]usualErrors),
 		speeds:   make(map[string]*speeds),
 		queues:   make(map[string]*queue),
 		waiters:  reservation.NewWaiters(),
@@ -175,7 +177,7 @@
 	if t.probe {
 		h.probing = false
 	}
-	h.note(now, result, c.usualErrors(t.Service.Name))
+	h.note(now, result, c.usualErrors(now, t.Service.Name))
 	if !t.begun && result != ResultOK {
 		c.charge(now, t.Team, -t.cost)
 	}
@@ -226,21 +228,6 @@
 	return h
 }
 
-// usualErrors is the mean share of failures of a service's servers.
-func (c *Core) usualErrors(service string) float64 {
-	servers := c.servers.Of(service)
-	if len(servers) == 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, server := range servers {
-		if h := c.health[server.ID]; h != nil {
-			sum += h.errors
-		}
-	}
-	return sum / float64(len(servers))
-}
-
 func tokensOf(parts []relay.PromptPart) int {
 	n := 0
 	for _, part := range parts {
--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -79,3 +79,30 @@
 	}
 	return b
 }
+
+// usualAge is how long the mean share of failures is used. It moves slowly, and its sum over a large pool takes longer
+// than the rest of a request's end.
+const usualAge = 100 * time.Millisecond
+
+// usualErrors is the mean share of failures of a service's servers at a time.
+type usualErrors struct {
+	share float64
+	at    time.Time
+}
+
+// usualErrors returns the mean share of failures of a service's servers.
+func (c *Core) usualErrors(now time.Time, service string) float64 {
+	if known, ok := c.usual[service]; ok && now.Sub(known.at) < usualAge {
+		return known.share
+	}
+	servers := c.servers.Of(service)
+	sum := 0.0
+	for _, server := range servers {
+		if h := c.health[server.ID]; h != nil {
+			sum += h.errors
+		}
+	}
+	share := sum / float64(max(len(servers), 1))
+	c.usual[service] = usualErrors{share: share, at: now}
+	return share
+}
--- a/internal/coordination/admission/replay_test.go
+++ b/internal/coordination/admission/replay_test.go
@@ -179,6 +179,36 @@
 	g.Expect(core.accounts.Served(now, "")).To(BeZero(), "service that was not given is not charged")
 }
 
+// Load pattern: all servers are full and owners refuse place after place. Guards against a look at all waiting requests
+// after each refusal, which took most of a small router's processor: its requests then reached the engines seconds late.
+func TestRefusedPlaceConcernsOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	r := newReplay(1, 2, 0)
+	core, now := r.cores[0], r.now
+	work := func(team string) Work {
+		return Work{Team: team, Service: r.service, PromptTokens: 10, Arrival: now, Objective: time.Second,
+			Deadline: now.Add(time.Second)}
+	}
+	granted := make(map[string]int)
+	submit := func(team string) *Ticket {
+		return core.Submit(now, work(team), func(Verdict) { granted[team]++ })
+	}
+	total := func(server string, running int) {
+		core.SetTotals(now, []reservation.ServerLoad{{Server: server, Load: engineload.Load{Running: running}}})
+	}
+	first := submit("a")
+	total("e00", 1000)
+	total("e01", 1000)
+	submit("b")
+	g.Expect(granted).To(Equal(map[string]int{"a": 1}))
+	free := map[string]string{"e00": "e01", "e01": "e00"}[first.server.ID]
+	total(free, 0)
+	g.Expect(core.confirm(now, first, reservation.Answer{Total: engineload.Load{Running: 1000}})).To(BeFalse())
+	g.Expect(granted).To(Equal(map[string]int{"a": 2}), "others wait for the next look")
+	core.Advance(now.Add(pumpPause))
+	g.Expect(granted).To(Equal(map[string]int{"a": 2, "b": 1}))
+}
+
 // Load pattern: engines fail. Guards against requests that go on to a server that cannot be reached, and against one
 // that is never tried again.
 func TestUnreachableServersAreLeftAlone(t *testing.T) {
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -40,11 +40,22 @@
 	t.server, t.load, t.state = nil, engineload.Load{}, ticketWaiting
 	q := c.queue(t.Service.Name)
 	q.add(t)
-	q.pumped = time.Time{}
-	c.pump(now, q)
+	c.grantAgain(now, q, t)
 	return false
 }
 
+// grantAgain looks for another server for a request that the first one had no room for. A look at all waiting requests
+// after each refusal would take most of a small router's processor when all servers are full.
+func (c *Core) grantAgain(now time.Time, q *queue, t *Ticket) {
+	if !now.Before(t.refuseAt) {
+		c.refuseLate(now, q)
+		return
+	}
+	if p, _ := c.choose(now, &t.Work, c.shares.part(c.shares.served[t.Team])); p != nil {
+		c.grant(now, q, t, p)
+	}
+}
+
 // Reserve answers another router that asks for a place on a server whose load this router owns.
 func (c *Core) Reserve(now time.Time, r reservation.Request) reservation.Answer {
 	c.loads.SetPart(now, r.Router, r.Server, r.Own.Minus(r.Load))
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -29,7 +29,7 @@
 
 // world is a gateway in front of stand-in engines.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	front   *httptest.Server
 	proof   *freshness.Proof
@@ -66,7 +66,7 @@
 }
 
 // newWorld starts n engines, each of which serves both services.
-func newWorld(t *testing.T, n int) *world {
+func newWorld(t testing.TB, n int) *world {
 	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
 	clock := time.Hour
