Check fakes and clients of the stores by one contract

kvtest holds what the interfaces of package kv promise; the fake, the client over the product's gateway, a fake feed and the platform's client pass it. The fake feed moves from the discovery tests to package kv.

TestFollowsChangesAndProvesThem failed once in a run on its own: it waited for the longest pause between calls, 0.8 s, without the spread of up to half that the back-off adds.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,111 +40,16 @@
 	return Router{ID: s.RouterID(key), PeerAddress: string(value)}, nil
 }
 
-// fakeFeed is a store whose outage and history are set by the test.
-type fakeFeed struct {
-	mu        sync.Mutex
-	revision  kv.Revision
-	entries   map[string]kv.Entry
-	changes   []kv.Change
-	changed   chan struct{}
-	down      bool
-	compacted bool
-	calls     int
-}
-
-func newFakeFeed() *fakeFeed {
-	return &fakeFeed{revision: 1, entries: map[string]kv.Entry{}, changed: make(chan struct{})}
-}
-
-func (f *fakeFeed) set(key, value string, deleted bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision++
-	e := kv.Entry{Key: key, Value: []byte(value), Revision: f.revision}
-	f.entries[key] = e
-	if deleted {
-		delete(f.entries, key)
-	}
-	f.changes = append(f.changes, kv.Change{Entry: e, Deleted: deleted})
-	f.wake()
-}
-
-func (f *fakeFeed) wake() {
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-func (f *fakeFeed) count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.calls
-}
-
-func (f *fakeFeed) setDown(down bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.down = down
-	f.wake()
-}
-
-func (f *fakeFeed) List(context.Context, string) ([]kv.Entry, kv.Revision, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if f.down {
-		return nil, 0, kv.ErrUnavailable
-	}
-	f.compacted = false
-	var list []kv.Entry
-	for _, e := range f.entries {
-		list = append(list, e)
-	}
-	return list, f.revision, nil
-}
-
-func (f *fakeFeed) Changes(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Change, kv.Revision, error) {
-	timeout := time.After(wait)
-	f.mu.Lock()
-	f.calls++
-	f.mu.Unlock()
-	for {
-		f.mu.Lock()
-		var list []kv.Change
-		for _, c := range f.changes {
-			if c.Revision > after {
-				list = append(list, c)
-			}
-		}
-		revision, down, compacted, changed := f.revision, f.down, f.compacted, f.changed
-		f.mu.Unlock()
-		switch {
-		case down:
-			return nil, 0, kv.ErrUnavailable
-		case compacted:
-			return nil, 0, kv.ErrCompacted
-		case len(list) > 0:
-			return list, revision, nil
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			return nil, revision, nil
-		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		}
-	}
-}
-
 // site is a follower of a fake store.
 type site struct {
-	feed    *fakeFeed
+	feed    *kv.FakeFeed
 	proof   *freshness.Proof
 	servers *backends.Holder
 	routing *routing.Holder
 	*Follower
 }
 
-func newSite(t *testing.T, feed *fakeFeed, peers Peers) *site {
+func newSite(t *testing.T, feed *kv.FakeFeed, peers Peers) *site {
 	t.Helper()
 	begin := time.Now()
 	s := &site{feed: feed, servers: &backends.Holder{}, routing: &routing.Holder{}}
@@ -163,30 +67,33 @@
 
 const serverText = `{"Service":"app","Address":"10.0.0.1:80"}`
 
+// longestPause is the longest pause between failed calls, with its spread.
+const longestPause = retryMax * 3 / 2
+
 // Guards against changes that are missed, and against knowledge that seems fresh during an outage.
 func TestFollowsChangesAndProvesThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		feed := newFakeFeed()
-		feed.set("s/a", serverText, false)
-		feed.set("config", `{"Version":3}`, false)
+		feed := kv.NewFakeFeed()
+		feed.Put("s/a", []byte(serverText))
+		feed.Put("config", []byte(`{"Version":3}`))
 		s := newSite(t, feed, nil)
 		time.Sleep(50 * time.Millisecond)
 		g.Expect(s.has("a")).To(BeTrue())
 		g.Expect(s.routing.Load().Version).To(Equal(int64(3)))
 		time.Sleep(time.Second)
-		feed.set("s/b", serverText, false)
-		feed.set("config", `{"Version":4}`, false)
+		feed.Put("s/b", []byte(serverText))
+		feed.Put("config", []byte(`{"Version":4}`))
 		time.Sleep(300 * time.Millisecond)
 		g.Expect(s.has("b")).To(BeTrue())
 		g.Expect(s.routing.Load().Version).To(Equal(int64(4)))
 		time.Sleep(10 * time.Second)
 		g.Expect(s.proof.Within(2 * pollWait)).To(BeTrue())
-		feed.setDown(true)
+		feed.SetDown(true)
 		time.Sleep(5 * time.Second)
 		g.Expect(s.proof.Within(4 * time.Second)).To(BeFalse())
-		feed.setDown(false)
-		time.Sleep(retryMax + 200*time.Millisecond)
+		feed.SetDown(false)
+		time.Sleep(longestPause + 200*time.Millisecond)
 		g.Expect(s.proof.Within(time.Second)).To(BeTrue())
 	})
 }
@@ -195,18 +102,15 @@
 func TestListsAgainWhenTheHistoryIsGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		feed := newFakeFeed()
-		feed.set("s/a", serverText, false)
+		feed := kv.NewFakeFeed()
+		feed.Put("s/a", []byte(serverText))
 		s := newSite(t, feed, nil)
 		time.Sleep(50 * time.Millisecond)
-		feed.mu.Lock()
-		feed.compacted = true
-		feed.revision++
-		delete(feed.entries, "s/a")
-		feed.entries["s/b"] = kv.Entry{Key: "s/b", Value: []byte(serverText), Revision: feed.revision}
-		feed.changes = nil
-		feed.wake()
-		feed.mu.Unlock()
+		feed.SetDown(true) // so that the changes come in force together
+		feed.Remove("s/a")
+		feed.Put("s/b", []byte(serverText))
+		feed.Compact()
+		feed.SetDown(false)
 		time.Sleep(2 * time.Second)
 		g.Expect(s.has("b")).To(BeTrue())
 		g.Expect(s.has("a")).To(BeFalse())
@@ -219,27 +123,27 @@
 func TestLapsedEntriesAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		feed := newFakeFeed()
-		feed.set("s/back", serverText, false)
-		feed.set("s/gone", serverText, false)
-		feed.set("s/late", serverText, false)
+		feed := kv.NewFakeFeed()
+		feed.Put("s/back", []byte(serverText))
+		feed.Put("s/gone", []byte(serverText))
+		feed.Put("s/late", []byte(serverText))
 		s := newSite(t, feed, nil)
 		time.Sleep(3 * time.Second)
-		feed.setDown(true)
+		feed.SetDown(true)
 		time.Sleep(5 * time.Second)
-		feed.set("s/back", "", true)
-		feed.set("s/gone", "", true)
-		feed.setDown(false)
-		time.Sleep(retryMax + 100*time.Millisecond)
+		feed.Remove("s/back")
+		feed.Remove("s/gone")
+		feed.SetDown(false)
+		time.Sleep(longestPause + 100*time.Millisecond)
 		g.Expect(s.has("back") && s.has("gone") && s.has("late")).To(BeTrue())
-		feed.set("s/back", serverText, false)
-		feed.set("s/late", "", true)
+		feed.Put("s/back", []byte(serverText))
+		feed.Remove("s/late")
 		time.Sleep(lapseTime + lapsePoll + gatherPause)
 		g.Expect(s.has("back")).To(BeTrue())
 		g.Expect(s.has("gone")).To(BeFalse())
 		g.Expect(s.has("late")).To(BeFalse())
 		time.Sleep(3 * time.Second)
-		feed.set("s/back", "", true)
+		feed.Remove("s/back")
 		time.Sleep(300 * time.Millisecond)
 		g.Expect(s.has("back")).To(BeFalse(), "without an outage a removed entry counts at once")
 	})
@@ -251,11 +155,11 @@
 func TestProofOfAnotherRouter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		feed := newFakeFeed()
-		feed.set("s/a", serverText, false)
+		feed := kv.NewFakeFeed()
+		feed.Put("s/a", []byte(serverText))
 		s := newSite(t, feed, nil)
 		time.Sleep(time.Second)
-		feed.setDown(true)
+		feed.SetDown(true)
 		time.Sleep(10 * time.Second)
 		g.Expect(s.proof.Within(5 * time.Second)).To(BeFalse())
 		s.Vouch(s.Revision()+1, s.proof.Now())
@@ -302,25 +206,25 @@
 func TestFollowsThroughAnotherRouter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		readerFeed, ownFeed := newFakeFeed(), newFakeFeed()
-		for _, feed := range []*fakeFeed{readerFeed, ownFeed} {
-			feed.set("s/a", serverText, false)
+		readerFeed, ownFeed := kv.NewFakeFeed(), kv.NewFakeFeed()
+		for _, feed := range []*kv.FakeFeed{readerFeed, ownFeed} {
+			feed.Put("s/a", []byte(serverText))
 		}
 		reader := newSite(t, readerFeed, nil)
 		time.Sleep(10 * time.Millisecond)
 		peers := &fakePeers{reader: reader.Follower}
 		s := newSite(t, ownFeed, peers)
 		time.Sleep(20 * time.Second)
-		g.Expect(ownFeed.count()).To(BeNumerically("<=", 2), "only the first listing goes to the store")
+		g.Expect(ownFeed.Calls()).To(BeNumerically("<=", 2), "only the first listing goes to the store")
 		g.Expect(s.proof.Within(3 * time.Second)).To(BeTrue())
-		readerFeed.set("s/b", serverText, false)
+		readerFeed.Put("s/b", []byte(serverText))
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(s.has("b")).To(BeTrue())
-		readerFeed.setDown(true)
-		ownFeed.setDown(true)
+		readerFeed.SetDown(true)
+		ownFeed.SetDown(true)
 		time.Sleep(5 * time.Second)
 		g.Expect(s.proof.Within(4 * time.Second)).To(BeFalse())
-		ownFeed.setDown(false)
+		ownFeed.SetDown(false)
 		time.Sleep(2 * time.Second)
 		g.Expect(s.proof.Within(3*time.Second)).To(BeTrue(), "the store itself serves when the reader lost it")
 	})
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -28,7 +28,8 @@
 	listLimit = 4 * time.Second
 	// gatherPause follows a poll with changes, so that a series of changes takes a few polls and not one for each.
 	gatherPause = 100 * time.Millisecond
-	// Pauses between failed calls. Routers that lost the store together come back spread out.
+	// Pauses between failed calls. Routers that lost the store together come back spread out: each pause is up to half
+	// shorter or longer (the default of the back-off library).
 	retryMin = 50 * time.Millisecond
 	retryMax = 800 * time.Millisecond
 )
--- /dev/null
+++ b/internal/state/kv/contract_test.go
@@ -0,0 +1,17 @@
+package kv_test
+
+import (
+	"testing"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv/kvtest"
+)
+
+// Guards against fakes that promise other than the clients of real stores.
+func TestFakeContract(t *testing.T) { kvtest.CheckStore(t, kv.NewFake()) }
+
+// Guards against a fake feed that promises other than the client of the platform's store.
+func TestFakeFeedContract(t *testing.T) {
+	feed := kv.NewFakeFeed()
+	kvtest.CheckFeed(t, feed, feed)
+}
--- a/internal/transport/etcdkv/client_test.go
+++ b/internal/transport/etcdkv/client_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv/kvtest"
 	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
 )
 
@@ -27,45 +28,10 @@
 	return client, store
 }
 
-// Guards against a client whose compare-and-swap, paging or deletion differs from the interface.
+// Guards against a client whose comparison, paging, deletion or watch differs from the interface.
 func TestContract(t *testing.T) {
 	c, _ := start(t, kvstore.Options{}, wide)
-	ctx := t.Context()
-	if _, err := c.Get(ctx, "a/1"); !errors.Is(err, kv.ErrNotFound) {
-		t.Fatalf("absent key: %v", err)
-	}
-	first, err := c.CompareAndSwap(ctx, "a/1", 0, []byte("one"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := c.CompareAndSwap(ctx, "a/1", 0, []byte("two")); !errors.Is(err, kv.ErrConflict) {
-		t.Fatalf("create of an existing key: %v", err)
-	}
-	entry, err := c.Get(ctx, "a/1")
-	if err != nil || string(entry.Value) != "one" || entry.Revision != first {
-		t.Fatalf("got %v %v, written at %d", entry, err, first)
-	}
-	for _, key := range []string{"a/2", "a/3", "b/1"} {
-		if _, err := c.CompareAndSwap(ctx, key, 0, []byte(key)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	list, err := c.List(ctx, "a/", "a/1", 10)
-	if err != nil || len(list) != 2 || list[0].Key != "a/2" || list[1].Key != "a/3" {
-		t.Fatalf("list: %v %v", list, err)
-	}
-	if list, _ = c.List(ctx, "a/", "", 1); len(list) != 1 || list[0].Key != "a/1" {
-		t.Fatalf("limited list: %v", list)
-	}
-	if err := c.Delete(ctx, "a/1", first+1); !errors.Is(err, kv.ErrConflict) {
-		t.Fatalf("delete with a wrong revision: %v", err)
-	}
-	if err := c.Delete(ctx, "a/1", first); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := c.Get(ctx, "a/1"); !errors.Is(err, kv.ErrNotFound) {
-		t.Fatalf("deleted key: %v", err)
-	}
+	kvtest.CheckStore(t, c)
 }
 
 // Guards against a watch that misses a change made before it starts or while it waits.
--- a/test/standin/platformstore/store.go
+++ b/test/standin/platformstore/store.go
@@ -56,11 +56,10 @@
 }
 
 // Put writes a key, as the operator or a backend server does.
-func (s *Store) Put(key string, value []byte) int64 {
+func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.write(key, value, 0)
-	return s.revision
 }
 
 // Remove deletes a key.
