--- a/internal/state/kv/kvtest/kvtest.go
+++ b/internal/state/kv/kvtest/kvtest.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
@@ -20,68 +20,68 @@
 }
 
 func checkCompareAndSwap(t *testing.T, store kv.Store) {
-	g, ctx := NewWithT(t), t.Context()
+	g, ctx := gomega.NewWithT(t), t.Context()
 	_, err := store.Get(ctx, "c/1")
-	g.Expect(err).To(MatchError(kv.ErrNotFound))
+	g.Expect(err).To(gomega.MatchError(kv.ErrNotFound))
 	first, err := store.CompareAndSwap(ctx, "c/1", 0, []byte("one"))
-	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = store.CompareAndSwap(ctx, "c/1", 0, []byte("two"))
-	g.Expect(err).To(MatchError(kv.ErrConflict), "the key exists")
-	g.Expect(store.Get(ctx, "c/1")).To(Equal(kv.Entry{Key: "c/1", Value: []byte("one"), Revision: first}))
+	g.Expect(err).To(gomega.MatchError(kv.ErrConflict), "the key exists")
+	g.Expect(store.Get(ctx, "c/1")).To(gomega.Equal(kv.Entry{Key: "c/1", Value: []byte("one"), Revision: first}))
 	second, err := store.CompareAndSwap(ctx, "c/1", first, []byte("two"))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(second).To(BeNumerically(">", first))
-	g.Expect(store.Delete(ctx, "c/1", first)).To(MatchError(kv.ErrConflict))
-	g.Expect(store.Delete(ctx, "c/1", second)).To(Succeed())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(second).To(gomega.BeNumerically(">", first))
+	g.Expect(store.Delete(ctx, "c/1", first)).To(gomega.MatchError(kv.ErrConflict))
+	g.Expect(store.Delete(ctx, "c/1", second)).To(gomega.Succeed())
 	_, err = store.Get(ctx, "c/1")
-	g.Expect(err).To(MatchError(kv.ErrNotFound))
+	g.Expect(err).To(gomega.MatchError(kv.ErrNotFound))
 	third, err := store.CompareAndSwap(ctx, "c/1", 0, []byte("three"))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(third).To(BeNumerically(">", second), "revisions grow over a deletion")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(third).To(gomega.BeNumerically(">", second), "revisions grow over a deletion")
 	_, err = store.CompareAndSwap(ctx, "c/2", 0, make([]byte, kv.MaxValueBytes+1))
-	g.Expect(err).To(MatchError(kv.ErrTooLarge))
+	g.Expect(err).To(gomega.MatchError(kv.ErrTooLarge))
 }
 
 func checkList(t *testing.T, store kv.Store) {
-	g, ctx := NewWithT(t), t.Context()
+	g, ctx := gomega.NewWithT(t), t.Context()
 	for _, key := range []string{"a/3", "a/1", "b/1", "a/2"} {
 		_, err := store.CompareAndSwap(ctx, key, 0, []byte(key))
-		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	keys := func(prefix, after string, limit int) []string {
 		entries, err := store.List(ctx, prefix, after, limit)
-		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 		var list []string
 		for _, e := range entries {
 			list = append(list, e.Key)
 		}
 		return list
 	}
-	g.Expect(keys("a/", "", 10)).To(Equal([]string{"a/1", "a/2", "a/3"}))
-	g.Expect(keys("a/", "a/1", 10)).To(Equal([]string{"a/2", "a/3"}))
-	g.Expect(keys("a/", "", 1)).To(Equal([]string{"a/1"}))
-	g.Expect(keys("none/", "", 10)).To(BeEmpty())
+	g.Expect(keys("a/", "", 10)).To(gomega.Equal([]string{"a/1", "a/2", "a/3"}))
+	g.Expect(keys("a/", "a/1", 10)).To(gomega.Equal([]string{"a/2", "a/3"}))
+	g.Expect(keys("a/", "", 1)).To(gomega.Equal([]string{"a/1"}))
+	g.Expect(keys("none/", "", 10)).To(gomega.BeEmpty())
 }
 
 func checkWatch(t *testing.T, store kv.Store) {
-	g := NewWithT(t)
+	g := gomega.NewWithT(t)
 	first, err := store.CompareAndSwap(t.Context(), "w", 0, []byte("1"))
-	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	entry, err := store.Watch(t.Context(), "w", 0)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(entry.Revision).To(Equal(first), "a change before the watch is seen")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(entry.Revision).To(gomega.Equal(first), "a change before the watch is seen")
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	_, err = store.Watch(ctx, "w", first)
-	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
 	seen := make(chan kv.Entry, 1)
 	go func() {
 		entry, _ := store.Watch(t.Context(), "w", first) // an error leaves the entry empty
 		seen <- entry
 	}()
 	second, err := store.CompareAndSwap(t.Context(), "w", first, []byte("2"))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(seen, "5s").Should(Receive(Equal(kv.Entry{Key: "w", Value: []byte("2"), Revision: second})))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(seen, "5s").Should(gomega.Receive(gomega.Equal(kv.Entry{Key: "w", Value: []byte("2"), Revision: second})))
 }
 
 // FeedWriter changes the keys behind a feed.
@@ -98,39 +98,39 @@
 
 // CheckFeed checks a feed whose store is empty: listing, changes, discarded history and an outage.
 func CheckFeed(t *testing.T, feed kv.Feed, writer FeedWriter) {
-	g, ctx := NewWithT(t), t.Context()
+	g, ctx := gomega.NewWithT(t), t.Context()
 	for _, key := range []string{"s/a", "s/b", "s/c", "config"} {
 		writer.Put(key, []byte(key))
 	}
 	entries, revision, err := feed.List(ctx, "s/")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(entries).To(HaveLen(3), "only the keys with the prefix")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(entries).To(gomega.HaveLen(3), "only the keys with the prefix")
 	writer.Put("s/d", []byte("new"))
 	writer.Remove("s/a")
 	changes, next, err := feed.Changes(ctx, "s/", revision, time.Second)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(changes).To(HaveLen(2))
-	g.Expect(changes[0].Key).To(Equal("s/d"))
-	g.Expect(changes[0].Value).To(Equal([]byte("new")))
-	g.Expect(changes[1].Deleted).To(BeTrue())
-	g.Expect(next).To(BeNumerically(">=", changes[1].Revision))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes).To(gomega.HaveLen(2))
+	g.Expect(changes[0].Key).To(gomega.Equal("s/d"))
+	g.Expect(changes[0].Value).To(gomega.Equal([]byte("new")))
+	g.Expect(changes[1].Deleted).To(gomega.BeTrue())
+	g.Expect(next).To(gomega.BeNumerically(">=", changes[1].Revision))
 	changes, same, err := feed.Changes(ctx, "s/", next, 10*time.Millisecond)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(changes).To(BeEmpty())
-	g.Expect(same).To(Equal(next))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes).To(gomega.BeEmpty())
+	g.Expect(same).To(gomega.Equal(next))
 	time.AfterFunc(20*time.Millisecond, func() { writer.Put("s/e", []byte("later")) })
 	changes, _, err = feed.Changes(ctx, "s/", next, 5*time.Second)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(changes).To(HaveLen(1), "a waiting call ends with the change")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes).To(gomega.HaveLen(1), "a waiting call ends with the change")
 	writer.Compact()
 	_, _, err = feed.Changes(ctx, "s/", revision, time.Second)
-	g.Expect(err).To(MatchError(kv.ErrCompacted))
+	g.Expect(err).To(gomega.MatchError(kv.ErrCompacted))
 	entries, _, err = feed.List(ctx, "")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(entries).To(HaveLen(5))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(entries).To(gomega.HaveLen(5))
 	writer.SetDown(true)
 	_, _, err = feed.List(ctx, "")
-	g.Expect(err).To(MatchError(kv.ErrUnavailable))
+	g.Expect(err).To(gomega.MatchError(kv.ErrUnavailable))
 	_, _, err = feed.Changes(ctx, "", next, time.Second)
-	g.Expect(err).To(MatchError(kv.ErrUnavailable))
+	g.Expect(err).To(gomega.MatchError(kv.ErrUnavailable))
 }
