Time line over log files

gooseberrytide timeline FILE… prints the changes that the logs of a gateway fleet tell, equal lines of several routers as one; it shares the reading of logs with explain. The line that counts dropped lines has a time now.

--- a/cmd/gooseberrytide/explain_test.go
+++ b/cmd/gooseberrytide/explain_test.go
@@ -30,3 +30,29 @@
 	g.Expect(explain(&out, "none", []string{a})).To(MatchError(ContainSubstring("no line")))
 	g.Expect(explain(&out, "r1", []string{filepath.Join(dir, "missing")})).NotTo(Succeed())
 }
+
+// Guards against a time line in which a change stands once for each router, and against later equal changes that vanish.
+func TestTimelineOfLogs(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		return path
+	}
+	change := `{"level":"info","ts":%T,"logger":"discovery","msg":"configuration in force","version":3}`
+	at := func(ms string) string { return strings.Replace(change, "%T", ms, 1) + "\n" }
+	var files []string
+	for _, name := range []string{"a.log", "b.log", "c.log"} {
+		files = append(files, write(name, at("1000")+`{"ts":1001,"logger":"gateway","msg":"refused","request":"r1"}`+"\n"))
+	}
+	files = append(files, write("d.log", at("9000")+`{"ts":500,"msg":"started","incarnation":7}`+"\n"))
+	var out strings.Builder
+	g.Expect(printLogEvents(&out, files)).To(Succeed())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(3))
+	g.Expect(lines[0]).To(And(HavePrefix("00:00:00.500"), ContainSubstring("started  incarnation=7")))
+	g.Expect(lines[1]).To(And(HavePrefix("00:00:01.000"), ContainSubstring("3 routers"), ContainSubstring("version=3")))
+	g.Expect(lines[2]).To(And(HavePrefix("00:00:09.000"), ContainSubstring("d.log")))
+	g.Expect(printLogEvents(&out, []string{filepath.Join(dir, "missing")})).NotTo(Succeed())
+}
--- a/cmd/gooseberrytide/timeline.go
+++ b/cmd/gooseberrytide/timeline.go
@@ -20,8 +20,9 @@
 
 func timelineCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "timeline",
-		Usage: "show events of a router, or of one request on all routers",
+		Name:      "timeline",
+		Usage:     "show events of a router, of one request on all routers, or the changes that logs tell",
+		ArgsUsage: "[LOG-FILE…] (without files a router is asked)",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "request", Usage: "request `ID`"},
 			&cli.BoolFlag{Name: "follow", Usage: "go on with new events"},
@@ -30,6 +31,12 @@
 			jsonFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if files := c.Args().Slice(); len(files) > 0 {
+				if request := c.String("request"); request != "" {
+					return explain(c.Root().Writer, request, files)
+				}
+				return printLogEvents(c.Root().Writer, files)
+			}
 			client, err := client(c)
 			if err != nil {
 				return err
--- a/internal/daemon/gateway/logwriter.go
+++ b/internal/daemon/gateway/logwriter.go
@@ -65,7 +65,11 @@
 	if n == 0 {
 		return batch
 	}
-	return append(batch, `{"level":"warn","logger":"log","msg":"lines dropped","count":`+strconv.FormatInt(n, 10)+"}\n"...)
+	batch = append(batch, `{"level":"warn","ts":`...)
+	batch = strconv.AppendInt(batch, time.Now().UnixMilli(), 10)
+	batch = append(batch, `,"logger":"log","msg":"lines dropped","count":`...)
+	batch = strconv.AppendInt(batch, n, 10)
+	return append(batch, "}\n"...)
 }
 
 // maxBatch bounds one write.
