--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -11,7 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
-// Owners asks the routers that keep the loads of servers.
+// Owners asks the routers that own the loads of servers.
 type Owners interface {
 	// Reserve asks for a place. It is false when this router owns the server's load itself, when the server has no owner,
 	// or when no answer came.
