Refuse requests to engines while the processor is behind

Change: the wait of goroutines for the processor, from the runtime's histogram each 100 ms, is taken from the client's time left. Above 200 ms requests to model engines are refused at once with a second to return; plain calls go on.

--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -22,6 +22,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/state/runqueue"
 	"gooseberrytide.example/gooseberrytide/internal/transport/datagram"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
 	"gooseberrytide.example/gooseberrytide/internal/transport/relayhttp"
@@ -40,6 +41,9 @@
 	revokeMargin = 600 * time.Millisecond
 	// advancePeriod is how often waiting requests are looked at without another event.
 	advancePeriod = 5 * time.Millisecond
+	// delayPeriod is how often the wait for the processor is measured. It is the shortest time in which an overload is
+	// noticed, and its end.
+	delayPeriod = 100 * time.Millisecond
 	// retryShare is the part of the operators' bound of second sends that is used, since the routers' windows differ.
 	retryShare = 0.6
 )
@@ -72,6 +76,8 @@
 	rate      balance.Rate
 	lastTaken int64
 	lag       balance.Lag
+	// delay is the wait of goroutines for the processor.
+	delay *runqueue.Delay
 	// busy says that the router waits for the processor.
 	busy atomic.Bool
 	// ownRate holds the bits of the router's rate of requests per second.
@@ -90,6 +96,7 @@
 		incarnation: uint64(time.Now().UnixMicro()),
 		proof:       freshness.NewProof(freshness.BootTime),
 		peers:       gossip.NewPeers(),
+		delay:       runqueue.New(),
 		exchange:    freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:    prometheus.NewRegistry(),
 	}
@@ -114,6 +121,7 @@
 		Routing:      &n.routing,
 		Proof:        n.proof,
 		KeyLimit:     n.currentKeyLimit,
+		Delay:        n.delay.Load,
 		Admission:    n.admission,
 		Pool:         n.pool,
 		Budget:       n.budget,
@@ -206,6 +214,7 @@
 	go n.report(background)
 	go periodic.Run(background, advancePeriod, n.admission.Advance)
 	go periodic.Run(background, flushPeriod, n.owners.flush)
+	go periodic.Run(background, delayPeriod, n.delay.Sample)
 	select {
 	case err := <-failed:
 		return err
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -24,6 +24,9 @@
 const (
 	// deadlineMargin is taken from the client's deadline, so that the final answer reaches it in time.
 	deadlineMargin = 15 * time.Millisecond
+	// maxDelay is the wait for the processor from which requests to model engines are refused at once: the larger part of
+	// a first event's objective of 0.5 to 1 s would be gone before a request is read.
+	maxDelay = 200 * time.Millisecond
 	// maxSends bounds the sends of one request, those included that did not run.
 	maxSends = 4
 	// defaultOutput is the assumed number of output tokens of a request that does not tell.
@@ -72,9 +75,15 @@
 	if !x.identify() {
 		return
 	}
+	delay := x.g.opts.Delay()
+	if x.service.Engine != nil && delay > maxDelay {
+		x.refuse(refusalOverload, returnOverload)
+		return
+	}
 	x.deadline = x.arrival.Add(x.route.Timeout)
 	if x.info.Patience > 0 {
-		x.deadline = earlier(x.deadline, x.arrival.Add(x.info.Patience-deadlineMargin))
+		// The client's time began when it sent the request.
+		x.deadline = earlier(x.deadline, x.arrival.Add(x.info.Patience-deadlineMargin-delay))
 	}
 	if !x.readBody() {
 		return
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Budget    *retry.Window
 	Metrics   *Metrics
 	Log       *zap.Logger
+	// Delay returns how long requests wait for the processor before they are handled.
+	Delay func() time.Duration
 	// MaxBodyBytes bounds the request bodies held at a time.
 	MaxBodyBytes int64
 }
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -213,3 +213,23 @@
 	}
 	g.Eventually(w.gateway.bodies.Load).Should(BeZero())
 }
+
+// Guards against requests that are passed on after their clients have left: a router whose processor was behind read
+// requests seconds late, and counted the clients' time from then. Plain calls cost little and go on.
+func TestOverloadedProcessor(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1)
+	w.delay.Store(int64(maxDelay + time.Millisecond))
+	a := w.do(w.stream("/chat/x", "a"))
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(a.header.Get("Retry-After")).To(Equal("1.000"))
+	g.Expect(w.runs("a")).To(BeZero())
+	g.Expect(w.do(w.request(http.MethodGet, "/lookup/x", "b", "")).status).To(Equal(http.StatusOK))
+	w.delay.Store(int64(maxDelay - time.Millisecond))
+	late := w.stream("/chat/x", "c")
+	late.Header.Set("Deadline-Ms", "150")
+	g.Expect(w.do(late).status).To(Equal(http.StatusServiceUnavailable), "the client's time is over")
+	g.Expect(w.runs("c")).To(BeZero())
+	w.delay.Store(0)
+	g.Expect(w.do(w.stream("/chat/x", "d")).status).To(Equal(http.StatusOK))
+}
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -20,6 +20,7 @@
 	refusalMemory    = "memory"
 	refusalStopping  = "stopping"
 	refusalFull      = "servers-full"
+	refusalOverload  = "processor-overload"
 )
 
 // Times after which a refused client returns.
@@ -28,6 +29,8 @@
 	returnElsewhere = 50 * time.Millisecond
 	// returnSoon is for a shortage that passes quickly.
 	returnSoon = 300 * time.Millisecond
+	// returnOverload is for a router whose processor is behind. It is longer, so that fewer requests come meanwhile.
+	returnOverload = time.Second
 )
 
 // refuse answers that the request has not run and will not, and when to return.
@@ -44,7 +47,7 @@
 // spreads reports whether the client should open its next connection to another router: this one has more of the team's
 // requests than it may run, or is about to stop. A client that presses on one connection would otherwise load one router.
 func spreads(reason string) bool {
-	return reason == string(admission.ReasonBacklog) || reason == refusalMemory || reason == refusalStopping
+	return reason == string(admission.ReasonBacklog) || reason == refusalMemory || reason == refusalStopping || reason == refusalOverload
 }
 
 // reject answers that the request is not allowed.
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +38,8 @@
 	logs    *observer.ObservedLogs
 	routing *routing.Holder
 	control *admission.Controller
+	// delay is the wait for the processor, in nanoseconds.
+	delay   atomic.Int64
 	engines []*platformengine.Engine
 }
 
@@ -92,7 +95,7 @@
 	budget.SetBounds(0.2, 50)
 	w.gateway = New(Options{
 		Routing: w.routing, Proof: w.proof, KeyLimit: func() time.Duration { return 4 * time.Second },
-		Admission: w.control, Pool: upstream.New(upstream.Options{}), Budget: budget,
+		Delay: func() time.Duration { return time.Duration(w.delay.Load()) }, Admission: w.control, Pool: upstream.New(upstream.Options{}), Budget: budget,
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.New(core), MaxBodyBytes: 8 << 20,
 	})
 	w.front = httptest.NewServer(w.gateway)
