Know a queue's service, and list ready routers, in one place

A queue holds requests of one service; it was looked up through the first ticket of the first kind of some team. Decisions do not change.

--- a/cmd/gooseberrytide/explain_test.go
+++ b/cmd/gooseberrytide/explain_test.go
@@ -9,18 +9,20 @@
 	. "github.com/onsi/gomega"
 )
 
+// writeLog writes a log file and returns its path.
+func writeLog(g Gomega, dir, name, text string) string {
+	path := filepath.Join(dir, name)
+	g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
 // Guards against a trail that misses a router, is out of order, or holds lines of other requests.
 func TestExplainMergesTheLinesOfARequest(t *testing.T) {
 	g := NewWithT(t)
 	dir := t.TempDir()
-	write := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
-		return path
-	}
-	a := write("a.log", `{"ts":2000.5,"logger":"gateway","msg":"answered","request":"r1"}`+"\nnot JSON r1\n"+
+	a := writeLog(g, dir, "a.log", `{"ts":2000.5,"logger":"gateway","msg":"answered","request":"r1"}`+"\nnot JSON r1\n"+
 		`{"ts":1500,"logger":"gateway","msg":"answered","request":"r12"}`+"\n")
-	b := write("b.log", `12.5 router-b {"ts":1990,"logger":"gateway","msg":"repeat","request":"r1","result":"broken"}`+"\n")
+	b := writeLog(g, dir, "b.log", `12.5 router-b {"ts":1990,"logger":"gateway","msg":"repeat","request":"r1","result":"broken"}`+"\n")
 	var out strings.Builder
 	g.Expect(explain(&out, "r1", []string{a, b})).To(Succeed())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
@@ -35,18 +37,13 @@
 func TestTimelineOfLogs(t *testing.T) {
 	g := NewWithT(t)
 	dir := t.TempDir()
-	write := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
-		return path
-	}
 	change := `{"level":"info","ts":%T,"logger":"discovery","msg":"configuration in force","version":3}`
 	at := func(ms string) string { return strings.Replace(change, "%T", ms, 1) + "\n" }
 	var files []string
 	for _, name := range []string{"a.log", "b.log", "c.log"} {
-		files = append(files, write(name, at("1000")+`{"ts":1001,"logger":"gateway","msg":"refused","request":"r1"}`+"\n"))
+		files = append(files, writeLog(g, dir, name, at("1000")+`{"ts":1001,"logger":"gateway","msg":"refused","request":"r1"}`+"\n"))
 	}
-	files = append(files, write("d.log", at("9000")+`{"ts":500,"msg":"started","incarnation":7}`+"\n"))
+	files = append(files, writeLog(g, dir, "d.log", at("9000")+`{"ts":500,"msg":"started","incarnation":7}`+"\n"))
 	var out strings.Builder
 	g.Expect(printLogEvents(&out, files)).To(Succeed())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -32,7 +32,7 @@
 	usual    map[string]usualErrors
 	speeds   map[string]*speeds
 	queues   map[string]*queue
-	// waiters are the routers that were refused a place on the servers that this router keeps.
+	// waiters are the routers that were refused a place on the servers that this router owns.
 	waiters *reservation.Waiters
 	spread  spread
 	// capacity is the rate of all model engines together, in tokens per second.
@@ -108,12 +108,13 @@
 func (c *Core) OwnTeams(now time.Time) map[string]fairshare.Part {
 	teams := c.accounts.Own(now)
 	for _, q := range c.queues {
-		for name, team := range q.teams {
-			if team.engine() {
-				p := teams[name]
-				p.Waiting = true
-				teams[name] = p
-			}
+		if !q.engine() {
+			continue
+		}
+		for name := range q.teams {
+			p := teams[name]
+			p.Waiting = true
+			teams[name] = p
 		}
 	}
 	return teams
--- a/internal/coordination/admission/pump.go
+++ b/internal/coordination/admission/pump.go
@@ -7,6 +7,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 )
 
 const (
@@ -34,23 +35,19 @@
 	q.pumped = now
 	c.refuseLate(now, q)
 	c.refreshShares(now)
-	for c.anyRoom(q) && c.grantOne(now, q) {
+	for q.size > 0 && c.anyRoom(q.service) && c.grantOne(now, q) {
 	}
 }
 
-// anyRoom reports whether some server might take some waiting request. When all are full, which is usual under overload, it
-// saves the choice for each team and kind. Without any server the requests are to be refused.
-func (c *Core) anyRoom(q *queue) bool {
-	for _, team := range q.teams {
-		service := team.kinds[0].waiting[0].Service
-		servers := c.servers.Of(service.Name)
-		factors := c.speedsOf(service.Name)
-		return len(servers) == 0 || slices.ContainsFunc(servers, func(s *backends.Server) bool {
-			load := c.loads.Of(s.ID)
-			return limitsOf(service, s, factors.factor(s.ID), 1).Fit(load, engineload.Load{Running: 1})
-		})
-	}
-	return false
+// anyRoom reports whether some server might take some request of a service. When all are full, which is usual under
+// overload, it saves the choice for each team and kind. Without any server the requests are to be refused.
+func (c *Core) anyRoom(service *routing.Service) bool {
+	servers := c.servers.Of(service.Name)
+	factors := c.speedsOf(service.Name)
+	return len(servers) == 0 || slices.ContainsFunc(servers, func(s *backends.Server) bool {
+		load := c.loads.Of(s.ID)
+		return limitsOf(service, s, factors.factor(s.ID), 1).Fit(load, engineload.Load{Running: 1})
+	})
 }
 
 // grantOne grants the first request in fair order that has a place: by team, and within a team by kind. It reports
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -5,12 +5,16 @@
 	"maps"
 	"slices"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 )
 
 // queue holds the waiting requests of one service by team.
 type queue struct {
-	teams map[string]*teamQueue
-	size  int
+	// service is that of the request that came last.
+	service *routing.Service
+	teams   map[string]*teamQueue
+	size    int
 	// pumped is the time of the last look at all requests.
 	pumped time.Time
 	// list is scratch memory for ordering.
@@ -46,9 +50,6 @@
 
 func flowOf(t *Ticket) flow { return flow{team: t.Team, kind: t.Kind} }
 
-// engine reports whether the requests are for model engines.
-func (t *teamQueue) engine() bool { return t.kinds[0].waiting[0].Service.Engine != nil }
-
 // heads returns the first request of each kind in the order in which they are to be granted: repeats first, then the more
 // urgent, then the kinds with the least service. The kinds of a team so share what the team gets. In order of arrival, a
 // kind whose objective is short would never reach the head of a long queue in time.
@@ -102,7 +103,11 @@
 	return t.kinds[i]
 }
 
+// engine reports whether the requests are for model engines.
+func (q *queue) engine() bool { return q.service != nil && q.service.Engine != nil }
+
 func (q *queue) add(t *Ticket) {
+	q.service = t.Service
 	team := q.teams[t.Team]
 	if team == nil {
 		team = &teamQueue{name: t.Team}
--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -56,7 +56,7 @@
 // waitsHere reports whether requests of the team for model engines wait at this router.
 func (c *Core) waitsHere(team string) bool {
 	for _, q := range c.queues {
-		if t := q.teams[team]; t != nil && t.engine() {
+		if q.teams[team] != nil && q.engine() {
 			return true
 		}
 	}
--- a/internal/daemon/gateway/addresses.go
+++ b/internal/daemon/gateway/addresses.go
@@ -27,8 +27,8 @@
 			Busy: n.busy.Load(), Cores: n.settings.Cores, Rate: math.Float64frombits(n.ownRate.Load()),
 		})
 	}
-	for _, p := range n.peers.Live(time.Now()) {
-		if p.Ready && p.CallerAddress != "" {
+	for _, p := range n.readyPeers() {
+		if p.CallerAddress != "" {
 			candidates = append(candidates, balance.Candidate{
 				Router: p.Router, Address: p.CallerAddress, Near: p.Domain == domain, Busy: p.Busy,
 				Cores: float64(p.Cores), Rate: float64(p.Rate),
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -75,7 +75,7 @@
 	}
 	answer, ok := o.asks.Ask(ctx, owner, func(id uint64) {
 		r.ID, r.Router = id, o.node.settings.Router
-		o.node.send(address, r)
+		o.node.send(r, address)
 	})
 	o.outcomes.WithLabelValues(outcomeOf(answer, ok)).Inc()
 	return answer, ok
@@ -104,7 +104,7 @@
 	}
 	for _, wake := range o.node.admission.Wakes() {
 		if address, ok := table.addresses[wake.Router]; ok {
-			o.node.send(address, wake.Room)
+			o.node.send(wake.Room, address)
 		}
 	}
 	changed := o.node.admission.TakeChanged()
@@ -120,7 +120,7 @@
 	}
 	for owner, parts := range byOwner {
 		if address, ok := table.addresses[owner]; ok {
-			o.node.send(address, reservation.Loads{Router: o.node.settings.Router, Parts: parts})
+			o.node.send(reservation.Loads{Router: o.node.settings.Router, Parts: parts}, address)
 		}
 	}
 }
@@ -156,13 +156,12 @@
 	var list []reservation.Candidate
 	if n.ready() {
 		list = append(list, reservation.Candidate{
-			Router: n.settings.Router, Domain: n.settings.FailureDomain, Cores: float64(float32(n.settings.Cores)),
+			Router: n.settings.Router, Domain: n.settings.FailureDomain,
+			Cores: float64(float32(n.settings.Cores)), // as the others know it from reports
 		})
 	}
-	for _, p := range n.peers.Live(time.Now()) {
-		if p.Ready {
-			list = append(list, reservation.Candidate{Router: p.Router, Domain: p.Domain, Cores: float64(p.Cores)})
-		}
+	for _, p := range n.readyPeers() {
+		list = append(list, reservation.Candidate{Router: p.Router, Domain: p.Domain, Cores: float64(p.Cores)})
 	}
 	return list
 }
@@ -214,14 +213,16 @@
 	}))
 }
 
-// send sends a message to another router.
-func (n *Node) send(to netip.AddrPort, message any) {
+// send sends a message to other routers.
+func (n *Node) send(message any, to ...netip.AddrPort) {
 	data, err := datagrams.Encode(message)
 	if err != nil {
 		n.log.Error("message not encoded", logfield.Error(err))
 		return
 	}
-	n.socket.Send(to, data)
+	for _, address := range to {
+		n.socket.Send(address, data)
+	}
 }
 
 // onDatagram takes a message of another router.
@@ -235,7 +236,7 @@
 	case *gossip.Report:
 		n.takeReport(m)
 	case reservation.Request:
-		n.send(from, n.admission.Reserve(m))
+		n.send(n.admission.Reserve(m), from)
 	case reservation.Answer:
 		n.owners.asks.Settle(m)
 	case reservation.Room:
