Wait for a time or a context's end in one place

periodic.Sleep replaces eight functions and three selects of the same content; the one that also looks at the deadline calls it. Behaviour does not change.

--- a/cmd/gooseberrytide/apply.go
+++ b/cmd/gooseberrytide/apply.go
@@ -12,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
@@ -96,7 +97,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, waitPoll) {
+		if !periodic.Sleep(ctx, waitPoll) {
 			return fail(exitFailed, "generation %d is not confirmed by %s", gen, strings.Join(waiting, ", "))
 		}
 	}
--- a/cmd/gooseberrytide/publish.go
+++ b/cmd/gooseberrytide/publish.go
@@ -10,6 +10,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
@@ -59,7 +60,7 @@
 		if !again {
 			return result, err
 		}
-		if !sleep(ctx, rebasePause) {
+		if !periodic.Sleep(ctx, rebasePause) {
 			return published{}, ctx.Err()
 		}
 		if current, err = fetch(ctx, client); err != nil {
@@ -137,14 +138,3 @@
 	}
 	return status
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/gooseberrytide/timeline.go
+++ b/cmd/gooseberrytide/timeline.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
@@ -83,7 +84,7 @@
 
 // follow reads until the context ends. A router that does not answer for a moment does not end it.
 func (p *eventPrinter) follow(ctx context.Context, client *adminhttp.Client, query admin.TimelineQuery) error {
-	for sleep(ctx, followPoll) {
+	for periodic.Sleep(ctx, followPoll) {
 		// The sequence numbers of one router order its events only; a request's events come from several.
 		if query.Request == "" {
 			query.Since = p.last
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 const (
@@ -68,7 +69,7 @@
 	// turn names the reader in use, avoid the end of the time in which one is passed over.
 	turn  int
 	avoid map[string]time.Time
-	// reached and lostAt describe the contact with the store; restored is when it was reached again.
+	// reached says that the store answered the last call; restored is when it was reached again.
 	reached  bool
 	restored time.Time
 }
@@ -91,7 +92,7 @@
 			continue
 		}
 		f.noteFailure(err)
-		sleep(ctx, f.backoff.NextBackOff())
+		periodic.Sleep(ctx, f.backoff.NextBackOff())
 	}
 }
 
@@ -119,19 +120,11 @@
 	f.noteSuccess()
 	f.accept(changes, revision, sent)
 	if len(changes) > 0 {
-		sleep(ctx, gatherPause)
+		periodic.Sleep(ctx, gatherPause)
 	}
 	return nil
 }
 
-// sleep waits unless the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // wait returns how long the store may hold the next poll. The first poll after an outage is answered at once, so that
 // the proof is renewed without delay.
 func (f *Follower) wait() time.Duration {
--- a/internal/coordination/execute/executor.go
+++ b/internal/coordination/execute/executor.go
@@ -12,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/message"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 const (
@@ -186,14 +187,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return periodic.Sleep(ctx, d)
 }
 
 // earliest returns the earlier of the request's own deadline and the limit from now.
--- a/internal/coordination/publish/fleet_test.go
+++ b/internal/coordination/publish/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 )
 
@@ -95,7 +96,7 @@
 
 // beat sends heartbeats to all routers that can be reached.
 func (r *testRouter) beat(ctx context.Context) {
-	for sleep(ctx, heartbeat) {
+	for periodic.Sleep(ctx, heartbeat) {
 		f := r.fleet
 		f.mu.Lock()
 		gen := r.syncer.Announced()
--- a/internal/coordination/publish/force_test.go
+++ b/internal/coordination/publish/force_test.go
@@ -12,6 +12,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // inForceWithin is promise P9: an accepted configuration is in force everywhere after this time.
@@ -74,7 +75,7 @@
 
 // observe looks at all routers until the context ends.
 func (o *observer) observe(ctx context.Context) {
-	for sleep(ctx, 50*time.Millisecond) {
+	for periodic.Sleep(ctx, 50*time.Millisecond) {
 		due := o.due()
 		o.fleet.mu.Lock()
 		routers := append([]*testRouter(nil), o.fleet.routers...)
@@ -112,13 +113,13 @@
 			}
 			f.startAll(ctx)
 			group.Go(func() { o.observe(ctx) })
-			sleep(ctx, settled)
+			periodic.Sleep(ctx, settled)
 			for range rapid.IntRange(1, 25).Draw(rt, "steps") {
 				disturb(ctx, rt, o, &group)
 				pauseMS := rapid.SampledFrom([]int{0, 100, 600, 2500, 5000}).Draw(rt, "pause")
-				sleep(ctx, time.Duration(pauseMS)*time.Millisecond)
+				periodic.Sleep(ctx, time.Duration(pauseMS)*time.Millisecond)
 			}
-			sleep(ctx, inForceWithin+time.Second)
+			periodic.Sleep(ctx, inForceWithin+time.Second)
 			if fault := o.reported(); fault != "" {
 				rt.Fatal(fault)
 			}
--- a/internal/coordination/publish/publisher.go
+++ b/internal/coordination/publish/publisher.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 )
 
@@ -247,5 +248,5 @@
 
 // pause waits before the next try and says whether the context still runs.
 func pause(ctx context.Context, pauses *backoff.ExponentialBackOff) bool {
-	return sleep(ctx, pauses.NextBackOff())
+	return periodic.Sleep(ctx, pauses.NextBackOff())
 }
--- a/internal/coordination/publish/start.go
+++ b/internal/coordination/publish/start.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // maxProbes is the number of probes at once.
@@ -35,7 +36,7 @@
 func (s *Syncer) awaitMajority(ctx context.Context) {
 	deadline := s.opts.Clock().Add(startGrace)
 	for !s.hearsMajority() && s.opts.Clock().Before(deadline) {
-		if !sleep(ctx, storeTick) {
+		if !periodic.Sleep(ctx, storeTick) {
 			return
 		}
 	}
--- a/internal/coordination/publish/sync_store.go
+++ b/internal/coordination/publish/sync_store.go
@@ -9,13 +9,14 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 )
 
 // storeLoop watches the head, or reads it from time to time.
 func (s *Syncer) storeLoop(ctx context.Context) {
 	next := s.nextPoll()
-	for sleep(ctx, storeTick) {
+	for periodic.Sleep(ctx, storeTick) {
 		if s.opts.Watch() {
 			s.watch(ctx)
 			next = s.nextPoll()
@@ -119,14 +120,3 @@
 	s.advance(next)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordination/publish/syncer.go
+++ b/internal/coordination/publish/syncer.go
@@ -11,6 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
 )
 
@@ -245,7 +246,7 @@
 // It returns ErrUnconfirmed when the context ends first.
 func (s *Syncer) AwaitMajority(ctx context.Context, gen ident.Generation) error {
 	for !majority(s.opts.Peers.AtGeneration(gen), s.opts.Peers.Listed()) {
-		if !sleep(ctx, confirmPoll) {
+		if !periodic.Sleep(ctx, confirmPoll) {
 			return ErrUnconfirmed
 		}
 	}
--- a/internal/daemon/gateway/register.go
+++ b/internal/daemon/gateway/register.go
@@ -11,6 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -39,10 +40,7 @@
 		} else {
 			b.Reset()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		periodic.Sleep(ctx, wait)
 	}
 	n.unregister(ctx, lease)
 }
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -16,9 +16,8 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
-	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
-	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // report tells the other routers what this one does.
@@ -42,10 +41,7 @@
 		n.dropLost()
 		period = gossip.Period(len(active) + 1)
 		slept = time.Now()
-		select {
-		case <-ctx.Done():
-		case <-time.After(period):
-		}
+		periodic.Sleep(ctx, period)
 	}
 }
 
@@ -103,14 +99,12 @@
 		r.Proof = n.claim()
 	}
 	n.exchange.Sent(seq)
-	data, err := datagrams.Encode(&r)
-	if err != nil {
-		n.log.Error("report not encoded", logfield.Error(err))
-		return
-	}
-	for _, to := range targets {
-		n.socket.Send(to, data)
-	}
+	n.send(&r, targets...)
+}
+
+// readyPeers returns the other routers that take clients.
+func (n *Node) readyPeers() []gossip.Peer {
+	return slices.DeleteFunc(n.peers.Live(time.Now()), func(p gossip.Peer) bool { return !p.Ready })
 }
 
 // measureLoad returns the router's load, and moves clients to other routers when it is far above theirs.
@@ -121,10 +115,8 @@
 	n.lastTaken = taken
 	own := balance.Load{Rate: n.rate.PerSecond(now), Cores: n.settings.Cores}
 	var others []balance.Load
-	for _, p := range n.peers.Live(now) {
-		if p.Ready {
-			others = append(others, balance.Load{Rate: float64(p.Rate), Cores: float64(p.Cores)})
-		}
+	for _, p := range n.readyPeers() {
+		others = append(others, balance.Load{Rate: float64(p.Rate), Cores: float64(p.Cores)})
 	}
 	n.gateway.MoveClients(balance.Overloaded(own, others))
 	return own
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -139,10 +139,8 @@
 		if !d.listRead.Load() {
 			period = firstListPeriod
 		}
-		select {
-		case <-ctx.Done():
+		if !periodic.Sleep(ctx, period) {
 			return
-		case <-time.After(period):
 		}
 	}
 }
--- a/internal/state/periodic/periodic.go
+++ b/internal/state/periodic/periodic.go
@@ -1,4 +1,4 @@
-// Package periodic runs work at fixed periods.
+// Package periodic runs work at fixed periods, and waits that a context ends.
 package periodic
 
 import (
@@ -19,3 +19,15 @@
 		}
 	}
 }
+
+// Sleep waits for d. It returns false when the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/transport/backend/subscribe.go
+++ b/internal/transport/backend/subscribe.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/engine"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // errResync ends an event stream in order to get the whole cache anew.
@@ -53,7 +54,7 @@
 			continue
 		}
 		c.opts.Logger.Debug("event stream: lost", zap.String("backend", server.Name), zap.Error(err))
-		sleep(ctx, pause.NextBackOff())
+		periodic.Sleep(ctx, pause.NextBackOff())
 	}
 	return ctx.Err()
 }
@@ -123,13 +124,3 @@
 	}
 	return out
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/test/faults/actions.go
+++ b/test/faults/actions.go
@@ -12,6 +12,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
 	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
@@ -130,7 +131,7 @@
 func (w *world) pause(ctx context.Context, r *fleet.Router, length time.Duration) {
 	w.excuse(r)
 	r.Pause()
-	sleep(ctx, length)
+	periodic.Sleep(ctx, length)
 	r.Resume()
 	w.endExcuse(r)
 }
--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/load"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
@@ -97,7 +98,7 @@
 		}
 		a := t.complete(ctx, c, rng)
 		if a.Outcome != "completed" {
-			sleep(ctx, refusedPause)
+			periodic.Sleep(ctx, refusedPause)
 		}
 	}
 }
@@ -142,7 +143,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for n := 0; t.running(ctx); n++ {
-		sleep(ctx, time.Duration(rng.ExpFloat64()*float64(callPause)))
+		periodic.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(callPause)))
 		own := rand.New(rand.NewPCG(rng.Uint64(), uint64(n)))
 		group.Go(func() { t.call(ctx, c, own) })
 	}
@@ -171,14 +172,14 @@
 		pause := time.Duration(rng.IntN(80)) * time.Millisecond
 		other := t.any(rng)
 		group.Go(func() {
-			sleep(ctx, pause)
+			periodic.Sleep(ctx, pause)
 			t.send(ctx, c, other, "/credits", key, body)
 		})
 	}
 	a := t.send(ctx, c, router, "/credits", key, body)
 	group.Wait()
 	if a.Outcome != "completed" {
-		sleep(ctx, refusedPause)
+		periodic.Sleep(ctx, refusedPause)
 		t.send(ctx, c, t.any(rng), "/credits", key, body)
 	}
 }
@@ -200,7 +201,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { t.send(ctx, c, router.Caller, "/credits", key, body) })
 	for range 2 {
-		sleep(ctx, time.Duration(20+rng.IntN(100))*time.Millisecond)
+		periodic.Sleep(ctx, time.Duration(20+rng.IntN(100))*time.Millisecond)
 		other := t.any(rng)
 		group.Go(func() { t.send(ctx, c, other, "/credits", key, body) })
 	}
--- a/test/faults/publish.go
+++ b/test/faults/publish.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 )
 
@@ -123,7 +124,7 @@
 func (w *world) watch(r *fleet.Router) {
 	w.polls.Go(func() {
 		highest := ident.Generation(0)
-		for !r.Ended() && sleep(w.polling, pollPeriod) {
+		for !r.Ended() && periodic.Sleep(w.polling, pollPeriod) {
 			asked := time.Now()
 			status, err := r.Status(w.polling)
 			if err != nil {
@@ -194,7 +195,7 @@
 		list := w.current()
 		// A publish may be refused, by a conflict or for lack of a majority, and its answer may be lost.
 		_ = w.publish(ctx, list[rng.IntN(len(list))], teams[n%len(teams)].Name, 1+float64(n%7)/2)
-		sleep(ctx, time.Duration(rng.Int64N(int64(2*publishPause))))
+		periodic.Sleep(ctx, time.Duration(rng.Int64N(int64(2*publishPause))))
 	}
 }
 
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 const (
@@ -115,10 +117,10 @@
 	t.planned = s.planned
 	t.start(ctx, seed)
 	t.loop.Go(func() { w.publishLoop(ctx, rand.New(rand.NewPCG(seed, 3))) })
-	sleep(ctx, warmUp)
+	periodic.Sleep(ctx, warmUp)
 	err := s.inject(ctx, w, rand.New(rand.NewPCG(seed, 1)))
 	if err == nil {
-		sleep(ctx, calm)
+		periodic.Sleep(ctx, calm)
 		err = t.probeAll(ctx, rand.New(rand.NewPCG(seed, 2)))
 	}
 	t.end()
@@ -128,7 +130,7 @@
 	if err == nil {
 		err = w.awaitIdle(ctx)
 	}
-	sleep(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	r, checkErr := w.check(ctx, t)
 	if err == nil {
 		err = checkErr
--- a/test/faults/scenarios.go
+++ b/test/faults/scenarios.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/multierr"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/load"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
@@ -75,7 +76,7 @@
 
 // jitter waits for up to half a second.
 func jitter(ctx context.Context, rng *rand.Rand) {
-	sleep(ctx, time.Duration(rng.IntN(500))*time.Millisecond)
+	periodic.Sleep(ctx, time.Duration(rng.IntN(500))*time.Millisecond)
 }
 
 // pickRouter returns a router that is not yet a victim.
@@ -116,7 +117,7 @@
 	w.kill(victim)
 	if rng.IntN(2) == 0 {
 		// Otherwise the new process comes before the death of the old one is noticed.
-		sleep(ctx, w.opts.Duration/2)
+		periodic.Sleep(ctx, w.opts.Duration/2)
 	}
 	r, err := w.replace(ctx, victim, true)
 	if err != nil {
@@ -147,7 +148,7 @@
 		own := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		group.Go(func() { w.traffic.repeated(ctx, c, own, victim) })
 	}
-	sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
+	periodic.Sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
 	w.pause(ctx, victim, w.opts.Pause)
 	group.Wait()
 	return w.awaitServing(ctx, victim.ID)
@@ -175,7 +176,7 @@
 	if err := w.partition(ctx, side, platform); err != nil {
 		return err
 	}
-	sleep(ctx, w.opts.Duration)
+	periodic.Sleep(ctx, w.opts.Duration)
 	return w.heal(ctx)
 }
 
@@ -186,7 +187,7 @@
 		if err := w.store(ctx, f); err != nil {
 			return err
 		}
-		sleep(ctx, w.opts.Duration)
+		periodic.Sleep(ctx, w.opts.Duration)
 		return w.store(ctx, kvstore.Faults{})
 	}
 }
@@ -217,7 +218,7 @@
 		return err
 	}
 	victim.Kill()
-	sleep(ctx, w.opts.Duration)
+	periodic.Sleep(ctx, w.opts.Duration)
 	return nil
 }
 
@@ -229,7 +230,7 @@
 		if err := w.backendFaults(ctx, victim, f); err != nil {
 			return err
 		}
-		sleep(ctx, w.opts.Duration)
+		periodic.Sleep(ctx, w.opts.Duration)
 		return w.backendFaults(ctx, victim, engine.Faults{})
 	}
 }
@@ -241,7 +242,7 @@
 		if err := w.backendFaults(ctx, victim, service.Faults{Drop: 1 + rng.IntN(20), Refuse: rng.IntN(5)}); err != nil {
 			return err
 		}
-		sleep(ctx, w.opts.Duration/3)
+		periodic.Sleep(ctx, w.opts.Duration/3)
 	}
 	return nil
 }
@@ -289,7 +290,7 @@
 		for n := range 4 {
 			// A publish at a router that is cut off, or without a majority, is refused.
 			_ = w.publish(ctx, list[n%3], teams[n%3].Name, weight+float64(n)/8)
-			sleep(ctx, w.opts.Duration/8)
+			periodic.Sleep(ctx, w.opts.Duration/8)
 		}
 		if weight == 3 {
 			if err := w.restart(ctx, list[3]); err != nil {
--- a/test/faults/world.go
+++ b/test/faults/world.go
@@ -214,15 +214,3 @@
 	defer w.mu.Unlock()
 	w.violations = append(w.violations, text)
 }
-
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/test/measure/figures.go
+++ b/test/measure/figures.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
 	"gooseberrytide.example/gooseberrytide/test/standin/service"
@@ -73,7 +74,7 @@
 	if err != nil {
 		return usage{}, err
 	}
-	sleep(ctx, length)
+	periodic.Sleep(ctx, length)
 	after, err := r.state(ctx)
 	if err != nil {
 		return usage{}, err
--- a/test/measure/run.go
+++ b/test/measure/run.go
@@ -74,13 +74,13 @@
 	var callers sync.WaitGroup
 	r.start(base, &callers, func(t teamLoad) bool { return !t.floods })
 	callers.Go(func() { r.calls(base) })
-	sleep(ctx, warmUp)
+	periodic.Sleep(ctx, warmUp)
 	sampled, stopSampling := context.WithCancel(ctx)
 	go periodic.Run(sampled, samplePeriod, r.meter.Sample)
 	r.record.setPhase(phaseQuiet)
-	sleep(ctx, phaseTime)
+	periodic.Sleep(ctx, phaseTime)
 	r.start(base, &callers, func(t teamLoad) bool { return t.floods })
-	sleep(ctx, warmUp)
+	periodic.Sleep(ctx, warmUp)
 	r.record.setPhase(phaseFlood)
 	busy, err := r.window(ctx, phaseTime)
 	r.record.setPhase(phaseNone)
@@ -155,7 +155,7 @@
 	defer group.Wait()
 	for {
 		pause := time.Duration(rng.ExpFloat64() / t.rate * float64(time.Second))
-		if !sleep(ctx, pause) {
+		if !periodic.Sleep(ctx, pause) {
 			return
 		}
 		own := rand.New(rand.NewPCG(rng.Uint64(), 1))
@@ -191,7 +191,7 @@
 	want := engine.Text(0, prompt, 0, engine.Length(0, prompt, maxTokens, true))
 	r.record.completion(t, a, a.Text == want)
 	if a.Outcome == "not-run" || a.Outcome == load.OutcomeUnreachable {
-		sleep(ctx, 200*time.Millisecond)
+		periodic.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -220,7 +220,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for n := 0; ; n++ {
-		if !sleep(ctx, time.Duration(rng.ExpFloat64()/r.d.callRate*float64(time.Second))) {
+		if !periodic.Sleep(ctx, time.Duration(rng.ExpFloat64()/r.d.callRate*float64(time.Second))) {
 			return
 		}
 		key := fmt.Sprintf("key-%d", n)
@@ -249,15 +249,3 @@
 		}
 	}
 }
-
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/test/slopes/engines.go
+++ b/test/slopes/engines.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/load"
 	"gooseberrytide.example/gooseberrytide/test/standin/engine"
@@ -178,7 +179,7 @@
 				if a.Outcome == "completed" {
 					m.end()
 				} else {
-					pause(ctx, 100*time.Millisecond)
+					periodic.Sleep(ctx, 100*time.Millisecond)
 				}
 			}
 		})
--- a/test/slopes/idle.go
+++ b/test/slopes/idle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 )
 
@@ -65,7 +66,7 @@
 	if err := f.AwaitMembers(ctx); err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	w, err := observe(ctx, f, idleTime)
 	if err != nil {
 		return err
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	pause(ctx, changeTime-time.Since(began))
+	periodic.Sleep(ctx, changeTime-time.Since(began))
 	after, err := takeSample(ctx, f)
 	if err != nil {
 		return err
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -117,11 +117,3 @@
 	group.Wait()
 	return multierr.Combine(errs...)
 }
-
-// pause waits for a time or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/test/slopes/objects.go
+++ b/test/slopes/objects.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 )
 
@@ -36,7 +37,7 @@
 		return err
 	}
 	defer stop()
-	pause(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	w, err := observe(ctx, f, idleTime)
 	if err != nil {
 		return err
@@ -86,7 +87,7 @@
 	if err := f.AwaitMembers(ctx); err != nil {
 		return err
 	}
-	pause(ctx, changeTime)
+	periodic.Sleep(ctx, changeTime)
 	list.addTo(f.Set)
 	_, err := f.Apply(ctx, 1)
 	return err
@@ -111,7 +112,7 @@
 	if err := f.AwaitMembers(ctx); err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	idle, err := observe(ctx, f, idleTime)
 	if err != nil {
 		return err
@@ -150,7 +151,7 @@
 	if err := s.crash(ctx, f, "target"); err != nil {
 		return err
 	}
-	pause(ctx, 2*changeTime-time.Since(began))
+	periodic.Sleep(ctx, 2*changeTime-time.Since(began))
 	rest := *f
 	rest.Routers = f.Routers[:last]
 	after, err := takeSample(ctx, &rest)
--- a/test/slopes/probe.go
+++ b/test/slopes/probe.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/standin/kvstore"
 )
@@ -64,7 +65,7 @@
 	if err != nil {
 		return window{}, err
 	}
-	pause(ctx, length)
+	periodic.Sleep(ctx, length)
 	after, err := takeSample(ctx, f)
 	if err != nil {
 		return window{}, err
--- a/test/slopes/requests.go
+++ b/test/slopes/requests.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/fleet"
 	"gooseberrytide.example/gooseberrytide/test/load"
 )
@@ -56,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	idle, err := observe(ctx, f, requestTime)
 	if err != nil {
 		return err
@@ -151,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &load.Caller{Team: "t"}
@@ -160,7 +161,7 @@
 		body := load.CompletionBody("m", fmt.Sprintf("long prompt %d", n), longTokens)
 		group.Go(func() { c.CompleteAt(running, f.Routers[other].Caller, body) })
 	}
-	pause(ctx, 2*time.Second)
+	periodic.Sleep(ctx, 2*time.Second)
 	w, err := observe(ctx, f, requestTime)
 	m, metricsErr := f.Routers[other].Metrics(ctx)
 	cancel()
@@ -190,12 +191,12 @@
 	if err := publishFirst(ctx, f); err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	periodic.Sleep(ctx, settleTime)
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var served meter
 	group := served.drive(running, f, siblingEngines*4)
-	pause(ctx, 2*time.Second)
+	periodic.Sleep(ctx, 2*time.Second)
 	from, ended := served.total(), served.completed()
 	w, err := observe(ctx, f, requestTime)
 	cost, finished := served.total()-from, served.completed()-ended
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // runs sums how often an attempt ran.
@@ -89,7 +91,7 @@
 				break
 			}
 		}
-		wait(ctx, 200*time.Millisecond)
+		periodic.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -109,7 +111,7 @@
 			}
 		}
 		w.mu.Unlock()
-		wait(ctx, 100*time.Millisecond)
+		periodic.Sleep(ctx, 100*time.Millisecond)
 	}
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
 
@@ -23,14 +24,14 @@
 	{"store-down", func(ctx context.Context, w *world, _ int, length time.Duration) {
 		w.store.SetDown(true)
 		w.disturbAll()
-		wait(ctx, length)
+		periodic.Sleep(ctx, length)
 		w.store.SetDown(false)
 		w.calmAll()
 	}},
 	{"store-forgets", func(_ context.Context, w *world, _ int, _ time.Duration) { w.store.Compact() }},
 	{"store-loses-answers", func(ctx context.Context, w *world, _ int, length time.Duration) {
 		w.store.SetLoseWrites(true)
-		wait(ctx, length)
+		periodic.Sleep(ctx, length)
 		w.store.SetLoseWrites(false)
 	}},
 	{"store-refuses-router", storeProxy(proxyRefuse)},
@@ -66,18 +67,11 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func killRouter(ctx context.Context, w *world, pick int, length time.Duration) {
 	r := w.router(pick)
 	r.signal(syscall.SIGKILL)
 	<-r.done
-	wait(ctx, length/4)
+	periodic.Sleep(ctx, length/4)
 	w.restart(r)
 }
 
@@ -91,7 +85,7 @@
 func pauseRouter(ctx context.Context, w *world, pick int, length time.Duration) {
 	r := w.router(pick)
 	r.signal(syscall.SIGSTOP)
-	wait(ctx, length)
+	periodic.Sleep(ctx, length)
 	r.signal(syscall.SIGCONT)
 	r.calm()
 }
@@ -118,7 +112,7 @@
 		r.disturb()
 		r.store.set(mode)
 		r.store.reset()
-		wait(ctx, length)
+		periodic.Sleep(ctx, length)
 		r.store.set(proxyPass)
 		r.store.reset()
 		r.calm()
@@ -129,7 +123,7 @@
 	return func(ctx context.Context, w *world, pick int, length time.Duration) {
 		p := w.engine(pick).proxy
 		p.set(mode)
-		wait(ctx, length)
+		periodic.Sleep(ctx, length)
 		p.set(proxyPass)
 		p.reset()
 	}
@@ -139,7 +133,7 @@
 	return func(ctx context.Context, w *world, pick int, length time.Duration) {
 		e := w.engine(pick)
 		e.SetMode(mode)
-		wait(ctx, length)
+		periodic.Sleep(ctx, length)
 		e.SetMode(platformengine.Serve)
 	}
 }
@@ -151,7 +145,7 @@
 	w.announce(e, "draining")
 	e.leaving = time.Now()
 	w.mu.Unlock()
-	wait(ctx, length+drainTime)
+	periodic.Sleep(ctx, length+drainTime)
 	w.mu.Lock()
 	e.leaving = time.Time{}
 	w.announce(e, "ready")
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // options of a run.
@@ -126,7 +128,7 @@
 			if ctx.Err() != nil || time.Now().After(deadline) {
 				return errors.Errorf("%s is not ready", r.name)
 			}
-			wait(ctx, 50*time.Millisecond)
+			periodic.Sleep(ctx, 50*time.Millisecond)
 		}
 	}
 	return nil
@@ -162,7 +164,7 @@
 			defer lock.Unlock()
 			f.run(ctx, w, pick, lasts)
 		}()
-		wait(ctx, time.Duration(100+w.rand.IntN(900))*time.Millisecond)
+		periodic.Sleep(ctx, time.Duration(100+w.rand.IntN(900))*time.Millisecond)
 	}
 	wg.Wait()
 	return names
@@ -177,7 +179,7 @@
 		<-r.done
 		w.restart(r)
 	}
-	wait(ctx, recoveryTime)
+	periodic.Sleep(ctx, recoveryTime)
 	if ctx.Err() != nil {
 		return
 	}
