Log the teams' shares that a router computes

Once a second, and only while requests to model engines wait or were refused: the max-min levels, whether a team is starved, the teams with the most refusals with their service and demand in the whole fleet, unanswered and denied reservations, and the wait for the processor.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -159,6 +159,13 @@
 	return c.core.OwnUsage(time.Now())
 }
 
+// TakeShareReport returns the shares as this router knows them, and restarts the counts of decisions.
+func (c *Controller) TakeShareReport() ShareReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.TakeShareReport(time.Now())
+}
+
 // Waiting returns the number of waiting requests.
 func (c *Controller) Waiting() int {
 	c.mu.Lock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -38,6 +38,8 @@
 	// capacity is the total rate of all model engines, in tokens per second.
 	capacity float64
 	shares   shares
+	// decisions counts the decisions by team since the last share report.
+	decisions map[string]decisionCount
 }
 
 // New returns a core without servers.
@@ -54,6 +56,7 @@
 		queues:         make(map[string]*queue),
 		waiters:        reservation.NewWaiters(),
 		jitter:         jitter{state: opts.Seed | 1},
+		decisions:      make(map[string]decisionCount),
 	}
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -223,6 +223,7 @@
 	go periodic.Run(background, advancePeriod, n.admission.Advance)
 	go periodic.Run(background, flushPeriod, n.owners.flush)
 	go periodic.Run(background, delaySamplePeriod, n.runQueueDelay.Sample)
+	go periodic.Run(background, shareLogPeriod, n.logShares)
 	select {
 	case err := <-serveErrs:
 		return err
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -46,6 +46,8 @@
 	table           atomic.Pointer[ownerTable]
 	// outcomes counts the reservation requests by outcome.
 	outcomes *prometheus.CounterVec
+	// denied and unanswered count the reservation requests without a grant, for the log.
+	denied, unanswered atomic.Int64
 	// flushes is the number of flushes so far. Only the flushing goroutine uses it.
 	flushes int
 }
@@ -79,6 +81,12 @@
 		o.node.send(r, address)
 	})
 	o.outcomes.WithLabelValues(reservationOutcome(answer, ok)).Inc()
+	switch {
+	case !ok:
+		o.unanswered.Add(1)
+	case !answer.Granted:
+		o.denied.Add(1)
+	}
 	return answer, ok
 }
 
