Add a failing test: a team with long shared prompts gets several shares

Two teams overload the engines equally; the one whose prompts consist mostly of cached parts gets 4.4 times the tokens of the other. The admission charges a request without its shared parts.

--- a/internal/coordination/admission/shares_test.go
+++ b/internal/coordination/admission/shares_test.go
@@ -51,3 +51,20 @@
 	g.Expect(c.shares.fraction(300_000)).To(Equal(1.0))
 	g.Expect(c.shares.fraction(500_000)).To(Equal(overCapacityFraction))
 }
+
+// Load pattern: two teams overload the engines equally. The prompts of one consist mostly of parts that the engines
+// have cached, those of the other have no shared parts. Guards against a team that is charged for a fraction of its
+// tokens and gets several times the tokens of the other.
+func TestTeamWithSharedPromptsGetsNoLargerShare(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4, 4, 0)
+	shared := workload{team: "shared", router: -1, perSecond: 120, sessions: 10, shared: 9000, own: 1500, output: 40,
+		objective: time.Second}
+	plain := workload{team: "plain", router: -1, perSecond: 120, sessions: 10, own: 10_500, output: 40,
+		objective: time.Second}
+	sim.start(shared, 20*time.Second)
+	sim.start(plain, 20*time.Second)
+	sim.run(30 * time.Second)
+	logStats(t, sim)
+	g.Expect(sim.stats["plain"].tokens).To(BeNumerically(">", 0.5*sim.stats["shared"].tokens))
+}
--- a/internal/coordination/admission/simulation_test.go
+++ b/internal/coordination/admission/simulation_test.go
@@ -88,7 +88,8 @@
 // teamStats are the results of one team.
 type teamStats struct {
 	submitted, onTime, late, refused int
-	tokens                           float64
+	// tokens are those of the requests that ran: prompt tokens count once, output tokens twice.
+	tokens float64
 	// maxRefusedWait is the longest wait of a refused request.
 	maxRefusedWait time.Duration
 }
@@ -335,7 +336,7 @@
 		}
 	}
 	e.cached[part.ID], sim.prefilled[part.ID] = true, true
-	s.tokens += t.cost
+	s.tokens += float64(t.PromptTokens + 2*t.OutputTokens)
 	r := &simRequest{core: core, ticket: t, pendingTokens: pendingTokens, output: t.OutputTokens}
 	e.queue = append(e.queue, r)
 	if !e.busy {
