--- a/internal/coordination/admission/share_report.go
+++ b/internal/coordination/admission/share_report.go
@@ -39,15 +39,13 @@
 	totals := c.accounts.Totals(now)
 	r := ShareReport{CapacityLevel: c.shares.capacityLevel, FairLevel: c.shares.fairLevel, Starved: c.shares.starved}
 	queued := c.queuedByTeam()
-	for team := range queued {
-		c.decisions[team] = c.decisions[team] // adds teams without a decision
-	}
-	for team, n := range c.decisions {
+	for team, usage := range totals {
+		n := c.decisions[team]
 		if n.refused == 0 && queued[team] == 0 {
 			continue
 		}
 		r.Teams = append(r.Teams, TeamShare{
-			Team: team, Served: totals[team].Served, Asked: totals[team].Asked,
+			Team: team, Served: usage.Served, Asked: usage.Asked,
 			Queued: queued[team], Granted: n.granted, Refused: n.refused,
 		})
 	}
