admission: Charge teams their whole prompts

What callers saw: a team that asked for 20 M tokens in six seconds got 1.4 M while another got 3.5 M.

Cause: the charge left out the shared parts of a prompt. The platform measures shares in tokens read and generated, the kept ones included. The best served team, which runs long digests, was charged 58% of what it got; the team at an overloaded router, which mostly gets short requests through, 78%. All routers therefore saw two nearly equal teams.

Cached prompts let the engines give more than their stated rate, so the level of what they can give is at least that of what they have given.

A second cause remains: a team that starts to send gets credit for the time in which it was idle.

--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -41,11 +41,13 @@
 		return
 	}
 	totals := c.accounts.Totals(now)
+	fairLevel := fairshare.FairLevel(totals)
 	s := shares{
-		at:            now,
-		served:        make(map[string]float64, len(totals)),
-		capacityLevel: c.accounts.Level(totals, c.capacity),
-		fairLevel:     fairshare.FairLevel(totals),
+		at:     now,
+		served: make(map[string]float64, len(totals)),
+		// Engines give more than their rate while prompts are cached.
+		capacityLevel: max(c.accounts.Level(totals, c.capacity), fairLevel),
+		fairLevel:     fairLevel,
 	}
 	for team, usage := range totals {
 		s.served[team] = usage.Served
@@ -97,11 +99,11 @@
 }
 
 // tokenCost returns the service that a request counts for, in tokens: prompt tokens count once, output tokens twice.
-// Shared parts of the prompt do not count, since they are mostly cached and need no prefill.
+// Parts that an engine has cached count as well: shares are measured in what a team gets, not in the work that it
+// causes. Otherwise a team with long shared prompts gets several times the tokens of others.
 func tokenCost(req *Request) float64 {
 	if req.Service.Engine == nil {
 		return 0
 	}
-	ownTokens := max(req.PromptTokens-tokensOf(sharedParts(req.Parts)), 0)
-	return float64(ownTokens + 2*req.OutputTokens)
+	return float64(req.PromptTokens + 2*req.OutputTokens)
 }
