Add a failing test: a team that starts to send gets credit for its idle time

Two teams overload the engines, the second one from the tenth second on. The platform's rule compares such spans.

--- a/internal/coordination/admission/shares_test.go
+++ b/internal/coordination/admission/shares_test.go
@@ -68,3 +68,25 @@
 	logStats(t, sim)
 	g.Expect(sim.stats["plain"].tokens).To(BeNumerically(">", 0.5*sim.stats["shared"].tokens))
 }
+
+// fairWindowSeconds is the length of the spans in which the platform compares the service of two teams.
+const fairWindowSeconds = 6
+
+// Load pattern: one team overloads the engines alone, and ten seconds later a second team does, too. Guards against
+// credit for the time in which the second team was idle: for some seconds it gets nearly all service, and the first
+// team, which waits all the while, less than half as much.
+func TestTeamThatStartsToSendGetsNoCredit(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4, 4, 0)
+	sim.start(digest("first", 0, 80), 30*time.Second)
+	sim.run(10 * time.Second)
+	sim.start(digest("second", -1, 80), 20*time.Second)
+	sim.run(25 * time.Second)
+	logStats(t, sim)
+	for from := 10; from+fairWindowSeconds <= 30; from++ {
+		first := sim.stats["first"].tokensBetween(from, from+fairWindowSeconds)
+		second := sim.stats["second"].tokensBetween(from, from+fairWindowSeconds)
+		t.Logf("from second %d: %.0f, %.0f", from, first, second)
+		g.Expect(first).To(BeNumerically(">", second/2), "from second %d", from)
+	}
+}
--- a/internal/coordination/admission/simulation_test.go
+++ b/internal/coordination/admission/simulation_test.go
@@ -70,6 +70,7 @@
 
 // simulation runs workloads in virtual time through real cores, one for each router, against simulated engines.
 type simulation struct {
+	begin     time.Time
 	now       time.Time
 	events    eventHeap
 	seq       int
@@ -90,10 +91,21 @@
 	submitted, onTime, late, refused int
 	// tokens are those of the requests that ran: prompt tokens count once, output tokens twice.
 	tokens float64
+	// bySecond are the tokens of the requests that began to run in each second since the simulation's start.
+	bySecond map[int]float64
 	// maxRefusedWait is the longest wait of a refused request.
 	maxRefusedWait time.Duration
 }
 
+// tokensBetween returns the tokens of the requests that began to run from one second to before another.
+func (s *teamStats) tokensBetween(from, to int) float64 {
+	sum := 0.0
+	for second := from; second < to; second++ {
+		sum += s.bySecond[second]
+	}
+	return sum
+}
+
 const (
 	// reportPeriod is the time between reports of the routers; largeFleetReportPeriod is that in a fleet of some 60.
 	reportPeriod           = 40 * time.Millisecond
@@ -107,8 +119,9 @@
 }
 
 func newSimulationWithPeriod(routers, engines int, capacity float64, period time.Duration) *simulation {
+	begin := time.Unix(1_000_000, 0)
 	sim := &simulation{
-		now: time.Unix(1_000_000, 0), engines: map[string]*simEngine{}, rand: rand.New(rand.NewPCG(1, 2)),
+		begin: begin, now: begin, engines: map[string]*simEngine{}, rand: rand.New(rand.NewPCG(1, 2)),
 		service:   &routing.Service{Name: "pool", Engine: &routing.Engine{Slots: 64, CacheTokens: 560_000}},
 		prefilled: map[uint64]bool{}, stats: map[string]*teamStats{},
 	}
@@ -285,7 +298,7 @@
 func (sim *simulation) statsOf(team string) *teamStats {
 	s := sim.stats[team]
 	if s == nil {
-		s = &teamStats{}
+		s = &teamStats{bySecond: make(map[int]float64)}
 		sim.stats[team] = s
 	}
 	return s
@@ -392,6 +405,7 @@
 	} else {
 		s.late++
 	}
+	s.bySecond[int(sim.now.Sub(sim.begin)/time.Second)] += float64(t.PromptTokens + 2*t.OutputTokens)
 	r.core.RecordFirstEvent(sim.now, t)
 }
 
