admission: Count past service for as long as the share window lasts

What callers saw: a team that sends far more than its share gets less than half of the tokens of another one in the seconds after that one starts to send.

Cause: service decayed with the whole window of the shares, four seconds, as its time constant. It so counted twice as long as in a window of that length, whose mean age is half of it. A team that starts to send has an empty account and gets nearly all service until it is level; the others wait for that long. Idle time earned credit.

Why it works: with the mean age as the time constant, the credit is worth two seconds of service and not four.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -15,12 +15,17 @@
 type Options struct {
 	// Domain is the router's failure domain.
 	Domain string
-	// ShareWindow is the time constant with which past service of teams decays.
+	// ShareWindow is the time window over which each team is to receive its share.
 	ShareWindow time.Duration
 	// Seed seeds the jitter of the retry times of refused clients.
 	Seed uint64
 }
 
+// meanAgesPerWindow is the ratio of a time window to the mean age of the service in it. Service that decays with that
+// mean age as its time constant is counted for as long as in the window. With a longer one, a team that starts to send
+// gets credit for the time in which it was idle, and the others get little for seconds.
+const meanAgesPerWindow = 2
+
 // Core holds the waiting and running requests of one router. It is not safe for concurrent use.
 type Core struct {
 	opts           Options
@@ -48,7 +53,7 @@
 		opts:           opts,
 		servers:        backends.NewSet(nil),
 		loads:          engineload.New(),
-		accounts:       fairshare.New(opts.ShareWindow),
+		accounts:       fairshare.New(opts.ShareWindow / meanAgesPerWindow),
 		prefixes:       newPrefixIndex(),
 		health:         make(map[string]*health),
 		meanErrorRates: make(map[string]meanErrorRate),
