gateway: Keep waiting teams in a report that is too large

A report that exceeds a datagram drops teams from the end of a list that was sorted by service. The team with the least service, for which the other routers must yield, was dropped first. Teams with waiting requests now come first, then those with the most demand.

The test failed with the former order: 200 satisfied teams displaced a waiting one.

--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
@@ -85,12 +86,7 @@
 	if r.Totals, r.Owned = n.owners.totals(); !r.Owned {
 		r.Loads = sortedLoads(n.admission.OwnLoads())
 	}
-	for team, usage := range n.admission.OwnUsage() {
-		r.Teams = append(r.Teams, gossip.TeamUsage{
-			Team: team, Served: float32(usage.Served), Asked: float32(usage.Asked), Waiting: usage.Waiting,
-		})
-	}
-	slices.SortFunc(r.Teams, func(a, b gossip.TeamUsage) int { return cmp.Compare(b.Served, a.Served) })
+	r.Teams = sortedUsage(n.admission.OwnUsage())
 	own := n.measureLoad()
 	r.Rate, r.Cores = float32(own.Rate), float32(own.Cores)
 	r.Busy = n.lag.Busy()
@@ -137,6 +133,34 @@
 	return list
 }
 
+// sortedUsage lists the usage of teams in the order in which a report that is too large drops them from the end: teams
+// with waiting requests first, then those with the most demand. A waiting team with little service is the one for which
+// the other routers must yield.
+func sortedUsage(usage map[string]fairshare.Usage) []gossip.TeamUsage {
+	list := make([]gossip.TeamUsage, 0, len(usage))
+	for team, u := range usage {
+		list = append(list, gossip.TeamUsage{
+			Team: team, Served: float32(u.Served), Asked: float32(u.Asked), Waiting: u.Waiting,
+		})
+	}
+	slices.SortFunc(list, func(a, b gossip.TeamUsage) int {
+		return cmp.Or(compareWaiting(a, b), cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Team, b.Team))
+	})
+	return list
+}
+
+// compareWaiting orders teams with waiting requests first.
+func compareWaiting(a, b gossip.TeamUsage) int {
+	switch {
+	case a.Waiting == b.Waiting:
+		return 0
+	case a.Waiting:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // handleReport handles a report of another router.
 func (n *Node) handleReport(r *gossip.Report) {
 	if r.Router == n.settings.Router || !n.peers.Update(time.Now(), r) {
--- /dev/null
+++ b/internal/daemon/gateway/report_test.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+)
+
+// Guards against a report that is too large and drops the team for which the other routers must yield, because it has
+// received the least service.
+func TestFullReportKeepsTheStarvedTeam(t *testing.T) {
+	g := NewWithT(t)
+	usage := map[string]fairshare.Usage{"starved": {Served: 1, Asked: 9_000_000, Waiting: true}}
+	for i := range 200 {
+		usage[fmt.Sprintf("team-%03d", i)] = fairshare.Usage{Served: 50_000, Asked: 50_000}
+	}
+	r := &gossip.Report{Router: "r1", Teams: sortedUsage(usage)}
+	data, err := r.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	received, err := gossip.Decode(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(received.Teams)).To(BeNumerically("<", len(usage)))
+	g.Expect(received.UsageByTeam()).To(HaveKeyWithValue("starved", usage["starved"]))
+}
