admission: Count requests refused before admission as demand

A router that lacks processor time or memory refuses requests before they reach the admission. They did not count as demand, so the fair level was computed as if the team had not asked.

Only the demand is counted. Such a team does not count as waiting: its router cannot use capacity that others leave free.

The new test failed before with a demand of 0 instead of 140 tokens.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -81,6 +81,13 @@
 	return nil, Decision{}, context.Cause(ctx)
 }
 
+// RecordRefused counts a request that the router refused without submitting it.
+func (c *Controller) RecordRefused(req Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.RecordRefused(time.Now(), &req)
+}
+
 // RecordFirstEvent records the first event of a granted request.
 func (c *Controller) RecordFirstEvent(t *Ticket) {
 	c.mu.Lock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -154,6 +154,13 @@
 	return t
 }
 
+// RecordRefused counts a request that the router refused without submitting it, so that the team's demand is known in
+// the fleet.
+func (c *Core) RecordRefused(now time.Time, req *Request) {
+	c.accounts.AddDemand(now, req.Team, tokenCost(req))
+	c.countDecision(req, decisionCount{refused: 1})
+}
+
 // Withdraw removes a request that still waits for a decision. It returns false if the request does not wait.
 func (c *Core) Withdraw(t *Ticket) bool {
 	if t.state != ticketWaiting {
--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -104,12 +104,12 @@
 	t.tokensAhead = p.load.PendingTokens
 	c.loads.Add(p.server.ID, t.load)
 	c.charge(now, t.Team, t.cost)
-	c.countDecision(t, decisionCount{granted: 1})
+	c.countDecision(&t.Request, decisionCount{granted: 1})
 	t.decide(Decision{Server: p.server, Load: p.load, CachedTokens: p.cachedTokens, FirstEvent: p.firstEvent})
 }
 
 func (c *Core) refuse(t *Ticket, reason Reason, retryAfter time.Duration) {
 	t.state = ticketDone
-	c.countDecision(t, decisionCount{refused: 1})
+	c.countDecision(&t.Request, decisionCount{refused: 1})
 	t.decide(Decision{Reason: reason, RetryAfter: retryAfter})
 }
--- a/internal/coordination/admission/share_report.go
+++ b/internal/coordination/admission/share_report.go
@@ -72,9 +72,9 @@
 }
 
 // countDecision counts a decision on a request to a model engine.
-func (c *Core) countDecision(t *Ticket, d decisionCount) {
-	if t.Service.Engine != nil {
-		c.decisions[t.Team] = c.decisions[t.Team].plus(d)
+func (c *Core) countDecision(req *Request, d decisionCount) {
+	if req.Service.Engine != nil {
+		c.decisions[req.Team] = c.decisions[req.Team].plus(d)
 	}
 }
 
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -81,7 +81,7 @@
 	}
 	delay := x.g.opts.SchedulingDelay()
 	if x.service.Engine != nil && delay > maxSchedulingDelay {
-		x.refuse(refusalOverload, retryAfterOverload)
+		x.refuseUnsubmitted(refusalOverload, retryAfterOverload)
 		return
 	}
 	x.deadline = x.arrival.Add(x.route.Timeout)
@@ -188,7 +188,7 @@
 	var err error
 	if x.r.ContentLength > 0 {
 		if !x.g.reserveBody(x.r.ContentLength) {
-			x.refuse(refusalMemory, retryAfterShortage)
+			x.refuseUnsubmitted(refusalMemory, retryAfterShortage)
 			return false
 		}
 		x.body = make([]byte, x.r.ContentLength)
@@ -197,7 +197,7 @@
 		x.body, err = io.ReadAll(reader)
 		if err == nil && !x.g.reserveBody(int64(len(x.body))) {
 			x.body = nil
-			x.refuse(refusalMemory, retryAfterShortage)
+			x.refuseUnsubmitted(refusalMemory, retryAfterShortage)
 			return false
 		}
 	}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -238,3 +238,16 @@
 	h.delay.Store(0)
 	g.Expect(h.do(h.stream("/chat/x", "d")).status).To(Equal(http.StatusOK))
 }
+
+// Guards against a team whose demand is unknown to the other routers because its router refuses most of its requests for
+// lack of processor time. The other routers then do not yield to the team.
+func TestDemandRefusedForLackOfProcessorIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, 1)
+	h.delay.Store(int64(2 * maxSchedulingDelay))
+	g.Expect(h.do(h.stream("/digest/a", "a1")).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(h.totalRuns("a1")).To(BeZero())
+	usage := h.admission.OwnUsage()["farm"]
+	g.Expect(usage.Asked).To(BeNumerically("~", 100+2*20, 1))
+	g.Expect(usage.Served).To(BeZero())
+}
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -46,6 +46,13 @@
 	x.log("refused", zap.String("reason", reason), zap.Duration("retry_after", retryAfter))
 }
 
+// refuseUnsubmitted refuses a request for which this router lacks processor time or memory, and counts it as demand of
+// its team.
+func (x *exchange) refuseUnsubmitted(reason string, retryAfter time.Duration) {
+	x.g.opts.Admission.RecordRefused(x.admissionRequest())
+	x.refuse(reason, retryAfter)
+}
+
 // shouldCloseConnection reports whether a refusal closes the connection, so that the client connects to another router:
 // this router has more of the team's requests than it may run, lacks memory or processor time, or is shutting down.
 // Otherwise a client that sends many requests on one connection would load a single router.
