--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -194,8 +194,8 @@
 	rate.add(now, t.cost)
 }
 
-// expectedWait returns the time after which the waiting requests of a team's kind are granted if so many teams share the
-// observed rate of grants equally. The kinds of a team share the team's part equally as well, until they have no more
+// expectedWait returns the time in which the waiting requests of a team's kind are granted if the given number of teams
+// share the observed rate of grants equally. The kinds of a team share the team's part equally until they have no more
 // requests. It returns false if no request of the kind waits or the rate is not known.
 func (q *queue) expectedWait(now time.Time, f flow, teams int) (time.Duration, bool) {
 	team := q.teams[f.team]
@@ -207,9 +207,9 @@
 	if kind == nil {
 		return 0, false
 	}
-	before := 0.0
+	grantedBefore := 0.0
 	for _, other := range team.kinds {
-		before += min(other.cost, kind.cost)
+		grantedBefore += min(other.cost, kind.cost)
 	}
-	return time.Duration(before * float64(teams) / rate * float64(time.Second)), true
+	return time.Duration(grantedBefore * float64(teams) / rate * float64(time.Second)), true
 }
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -34,10 +34,10 @@
 	return req.Arrival.Add(min(max(objective-reserve, minWait), maxWait))
 }
 
-// waitsTooLong predicts whether a new request would wait too long behind those of its team and kind. It returns the expected
-// wait. A team below its share is granted first and has the observed rate for itself; a team above it shares the rate
-// with the other waiting teams. While engines have free capacity, the observed rate tells nothing about the rate of a
-// team below its share.
+// waitsTooLong predicts whether a new request would wait too long behind those of its team and kind. It returns the
+// expected wait. A team below its share is granted first and has the observed rate for itself; a team above it shares
+// the rate with the other waiting teams. While engines have free capacity, a team below its share may get more than the
+// observed rate, so that no wait can be predicted.
 func (c *Core) waitsTooLong(now time.Time, q *queue, t *Ticket) (time.Duration, bool) {
 	if t.Repeat {
 		return 0, false
--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -45,7 +45,7 @@
 	s := shares{
 		at:     now,
 		served: make(map[string]float64, len(totals)),
-		// Engines give more than their rate while prompts are cached.
+		// Engines exceed the configured rate while many prompts are cached.
 		capacityLevel: max(c.accounts.Level(totals, c.capacity), fairLevel),
 		fairLevel:     fairLevel,
 	}
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -73,8 +73,8 @@
 }
 
 // Encode returns the datagram of a report. If it is too large, entries are dropped from the end of the lists until it
-// fits: first of Parts, then of Loads and Teams. Loads and Teams must be sorted by descending importance. Encode modifies
-// r.
+// fits: first of Parts, then of Loads and Teams. Loads and Teams must be sorted so that the entries that
+// may be dropped come last. Encode modifies r.
 func (r *Report) Encode() ([]byte, error) {
 	for {
 		data, err := cbor.Marshal(r)
