admission: Split the simulation of the tests by part

Virtual time, the simulated engine and the statistics each have a file. No test changes what it checks.

--- a/internal/coordination/admission/load_patterns_test.go
+++ b/internal/coordination/admission/load_patterns_test.go
@@ -137,9 +137,9 @@
 	g.Expect(s.onTime).To(BeNumerically(">", 2*s.late))
 }
 
-// Load pattern: a team sends far more than its share through one router while two others overload the engines through all
-// routers. Guards against excess that is held for most of the objective before it is refused, and against a queue in
-// which every request waits so long that its first event is late.
+// Load pattern: a team sends far more than its share through one router while two others overload the engines through
+// all routers. Guards against excess that is held for most of the objective before it is refused, and against a queue
+// in which every request waits so long that its first event is late.
 func TestExcessOfStarvedTeamIsRefusedEarly(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(4, 4, 0)
--- a/internal/coordination/admission/simulation_test.go
+++ b/internal/coordination/admission/simulation_test.go
@@ -1,11 +1,9 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
@@ -16,58 +14,6 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 )
 
-// The simulated engine prefills prompts one after another, in chunks between the steps of the running batch. A step
-// decodes one token of each running request.
-const (
-	simPrefillRate        = 55.0 // prompt tokens per millisecond
-	simStepTime           = 2900 * time.Microsecond
-	simStepTimePerRequest = 100 * time.Microsecond
-	simChunkTokens        = 4096
-)
-
-// simRequest is a request in a simulated engine.
-type simRequest struct {
-	core          *Core
-	ticket        *Ticket
-	pendingTokens int
-	output        int
-}
-
-// simEngine is a simulated engine with its cache.
-type simEngine struct {
-	id              string
-	queue           []*simRequest
-	active          []*simRequest
-	cached          map[uint64]bool
-	repeatedPrefill int
-	busy            bool
-}
-
-// event is a function that is due at a point in virtual time.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // simulation runs workloads in virtual time through real cores, one for each router, against simulated engines.
 type simulation struct {
 	begin     time.Time
@@ -86,26 +32,6 @@
 	denied int
 }
 
-// teamStats are the results of one team.
-type teamStats struct {
-	submitted, onTime, late, refused int
-	// tokens are those of the requests that ran: prompt tokens count once, output tokens twice.
-	tokens float64
-	// bySecond are the tokens of the requests that began to run in each second since the simulation's start.
-	bySecond map[int]float64
-	// maxRefusedWait is the longest wait of a refused request, refusedWait the sum of all of them.
-	maxRefusedWait, refusedWait time.Duration
-}
-
-// tokensBetween returns the tokens of the requests that began to run from one second to before another.
-func (s *teamStats) tokensBetween(from, to int) float64 {
-	sum := 0.0
-	for second := from; second < to; second++ {
-		sum += s.bySecond[second]
-	}
-	return sum
-}
-
 const (
 	// reportPeriod is the time between reports of the routers; largeFleetReportPeriod is that in a fleet of some 60.
 	reportPeriod           = 40 * time.Millisecond
@@ -200,20 +126,6 @@
 	})
 }
 
-func (sim *simulation) at(t time.Time, do func()) {
-	sim.seq++
-	heap.Push(&sim.events, event{at: t, seq: sim.seq, do: do})
-}
-
-func (sim *simulation) after(d time.Duration, do func()) { sim.at(sim.now.Add(d), do) }
-
-func (sim *simulation) every(d time.Duration, do func()) {
-	sim.after(d, func() {
-		do()
-		sim.every(d, do)
-	})
-}
-
 // report exchanges the reports of all routers.
 func (sim *simulation) report() {
 	type routerReport struct {
@@ -252,16 +164,6 @@
 	return totals
 }
 
-func (sim *simulation) run(d time.Duration) {
-	end := sim.now.Add(d)
-	for len(sim.events) > 0 && !sim.events[0].at.After(end) {
-		e := heap.Pop(&sim.events).(event)
-		sim.now = e.at
-		e.do()
-	}
-	sim.now = end
-}
-
 // workload is a stream of requests of one team to one router or, in turn, to all of them.
 type workload struct {
 	team      string
@@ -295,15 +197,6 @@
 	sim.after(0, next)
 }
 
-func (sim *simulation) statsOf(team string) *teamStats {
-	s := sim.stats[team]
-	if s == nil {
-		s = &teamStats{bySecond: make(map[int]float64)}
-		sim.stats[team] = s
-	}
-	return s
-}
-
 func (sim *simulation) submit(w workload, router int) {
 	s := sim.statsOf(w.team + w.kind)
 	s.submitted++
@@ -337,96 +230,3 @@
 	}
 	sim.confirm(core, t, func() { sim.sendToEngine(core, t, s) })
 }
-
-// sendToEngine adds a granted request to its engine's queue.
-func (sim *simulation) sendToEngine(core *Core, t *Ticket, s *teamStats) {
-	e := sim.engines[t.server.ID]
-	part := t.Parts[0]
-	pendingTokens := t.Parts[1].Tokens
-	if !e.cached[part.ID] {
-		pendingTokens += part.Tokens
-		if sim.prefilled[part.ID] {
-			e.repeatedPrefill += part.Tokens
-		}
-	}
-	e.cached[part.ID], sim.prefilled[part.ID] = true, true
-	s.tokens += float64(t.PromptTokens + 2*t.OutputTokens)
-	r := &simRequest{core: core, ticket: t, pendingTokens: pendingTokens, output: t.OutputTokens}
-	e.queue = append(e.queue, r)
-	if !e.busy {
-		e.busy = true
-		sim.step(e)
-	}
-}
-
-// step prefills a chunk of queued prompts and decodes a token of each running request.
-func (sim *simulation) step(e *simEngine) {
-	if len(e.queue)+len(e.active) == 0 {
-		e.busy = false
-		return
-	}
-	took := simStepTime + time.Duration(len(e.active))*simStepTimePerRequest
-	budget := simChunkTokens
-	var done []*simRequest
-	for len(e.queue) > 0 && budget > 0 {
-		r := e.queue[0]
-		n := min(r.pendingTokens, budget)
-		r.pendingTokens -= n
-		budget -= n
-		if r.pendingTokens > 0 {
-			break
-		}
-		e.queue = e.queue[1:]
-		done = append(done, r)
-	}
-	took += time.Duration(float64(simChunkTokens-budget) / simPrefillRate * float64(time.Millisecond))
-	sim.after(took, func() {
-		for _, r := range done {
-			sim.recordFirstEvent(r)
-		}
-		kept := e.active[:0]
-		for _, r := range e.active {
-			r.output--
-			if r.output > 0 {
-				kept = append(kept, r)
-				continue
-			}
-			r.core.Finish(sim.now, r.ticket, ResultOK)
-		}
-		e.active = append(kept, done...)
-		sim.step(e)
-	})
-}
-
-func (sim *simulation) recordFirstEvent(r *simRequest) {
-	t := r.ticket
-	s := sim.statsOf(t.Team + t.Kind)
-	if sim.now.Sub(t.Arrival) <= t.Objective {
-		s.onTime++
-	} else {
-		s.late++
-	}
-	s.bySecond[int(sim.now.Sub(sim.begin)/time.Second)] += float64(t.PromptTokens + 2*t.OutputTokens)
-	r.core.RecordFirstEvent(sim.now, t)
-}
-
-// repeatedPrefillTokens returns the number of shared tokens that were prefilled by an engine after another one.
-func (sim *simulation) repeatedPrefillTokens() int {
-	n := 0
-	for _, e := range sim.engines {
-		n += e.repeatedPrefill
-	}
-	return n
-}
-
-func (s *teamStats) String() string {
-	return fmt.Sprintf("submitted %d, on time %d, late %d, refused %d after %v, %.0f tokens", s.submitted, s.onTime, s.late, s.refused,
-		s.refusedWait/time.Duration(max(s.refused, 1)), s.tokens)
-}
-
-func logStats(t *testing.T, sim *simulation) {
-	t.Helper()
-	for team, s := range sim.stats {
-		t.Log(team, s)
-	}
-}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -239,8 +239,8 @@
 	g.Expect(h.do(h.stream("/chat/x", "d")).status).To(Equal(http.StatusOK))
 }
 
-// Guards against a team whose demand is unknown to the other routers because its router refuses most of its requests for
-// lack of processor time. The other routers then do not yield to the team.
+// Guards against a team whose demand is unknown to the other routers because its router refuses most of its requests
+// for lack of processor time. The other routers then do not yield to the team.
 func TestDemandRefusedForLackOfProcessorIsCounted(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t, 1)
