admission: Make teams yield as soon as another is 5% below its share

Cause: the tolerance was wide enough that the others did not yield for half of the time.

The new test failed before: the team above its share could fill the engines.

--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -19,7 +19,7 @@
 	fairLevelSlack  = 15_000
 	fairLevelFactor = 1.1
 	// starvedFactor is the fraction of its fair share below which a waiting team counts as starved.
-	starvedFactor = 0.85
+	starvedFactor = 0.95
 )
 
 // shares are the max-min fair levels of service at a time.
--- a/internal/coordination/admission/shares_test.go
+++ b/internal/coordination/admission/shares_test.go
@@ -90,3 +90,19 @@
 		g.Expect(first).To(BeNumerically(">", second/2), "from second %d", from)
 	}
 }
+
+// Load pattern: a team at one small router stays at 0.88 of its fair share while another, which uses all routers, is
+// above its share. Guards against a tolerance within which both may stay: together with the credit of a team that starts
+// to send, the first then gets little more than half as much as the second.
+func TestTeamBelowItsShareMakesOthersYield(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	c := newCoreWithPeerUsage(now, 0, map[string]fairshare.Usage{
+		"narrow": {Served: 1_400_000, Asked: 12_000_000, Waiting: true},
+		"wide":   {Served: 1_800_000, Asked: 4_500_000, Waiting: true},
+		"medium": {Served: 1_100_000, Asked: 1_100_000},
+	})
+	g.Expect(c.shares.fairLevel).To(Equal(1_600_000.0))
+	g.Expect(c.shares.fraction(1_800_000)).To(Equal(yieldFraction))
+	g.Expect(c.shares.fraction(1_400_000)).To(Equal(1.0))
+}
