--- a/internal/transport/gateway/bench_test.go
+++ b/internal/transport/gateway/bench_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
 // Measures the cost of a refusal. Under a flood most requests are refused, which could take all processor time of a
@@ -30,3 +34,61 @@
 		}
 	}
 }
+
+// Measures the cost of a refusal with its connection, client included: with a new connection for each request or a kept
+// one, and with and without the body read.
+func BenchmarkRefusalOverConnections(b *testing.B) {
+	cases := []struct {
+		name       string
+		overloaded bool
+		keep       bool
+		bodyBytes  int
+	}{
+		{name: "new connection, 12 kB read", bodyBytes: 12_000},
+		{name: "new connection, 12 kB not read", overloaded: true, bodyBytes: 12_000},
+		{name: "new connection, 800 B read", bodyBytes: 800},
+		{name: "kept connection, 12 kB read", keep: true, bodyBytes: 12_000},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			h := newHarness(b, 1)
+			h.admission.SetServers(backends.NewSet(nil))
+			if c.overloaded {
+				h.delay.Store(int64(2 * maxSchedulingDelay))
+			}
+			client := &refusedClient{g: NewWithT(b), address: h.server.Listener.Addr().String()}
+			body := strings.Repeat("x", c.bodyBytes)
+			for b.Loop() {
+				client.send(h.request(http.MethodPost, "/digest/x", "a", body), c.keep)
+			}
+		})
+	}
+}
+
+// refusedClient sends requests that are refused over a connection of its own.
+type refusedClient struct {
+	g       *WithT
+	address string
+	conn    net.Conn
+}
+
+// send sends a request, and closes the connection unless it is to be kept.
+func (c *refusedClient) send(r *http.Request, keep bool) {
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.address)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.conn = conn
+	}
+	if err := r.Write(c.conn); err != nil {
+		c.g.Expect(err).NotTo(HaveOccurred())
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c.conn), r)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	}
+	if !keep || resp.Close {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
