sockopt: Set the options of accepted connections apart from accepting

Cause: five system calls set options on each accepted connection, also on one that is refused and closed at once. A small router that refuses most of its requests lacks the processor time. PlainListener leaves the options to the caller. No behaviour changes for the existing listeners.

--- a/internal/transport/sockopt/dial.go
+++ b/internal/transport/sockopt/dial.go
@@ -39,25 +39,49 @@
 
 // Listener is a listener that sets the options on accepted connections.
 type Listener struct {
-	net.Listener
+	*PlainListener
 }
 
 // Listen opens a TCP listener whose connections are closed when their peer stops responding.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive}
-	listener, err := config.Listen(ctx, "tcp4", address)
+	plain, err := ListenPlain(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Listener: listener}, nil
+	return &Listener{PlainListener: plain}, nil
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.PlainListener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	SetUserTimeout(conn, userTimeout)
+	Apply(conn)
 	return conn, nil
 }
+
+// PlainListener is a listener that sets no options on accepted connections. Each option takes a system call, which a
+// connection that is closed at once does not need.
+type PlainListener struct {
+	net.Listener
+}
+
+// ListenPlain opens a TCP listener. Apply sets the options on those of its connections that last.
+func ListenPlain(ctx context.Context, address string) (*PlainListener, error) {
+	config := net.ListenConfig{KeepAlive: -1, KeepAliveConfig: net.KeepAliveConfig{Enable: false}}
+	listener, err := config.Listen(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &PlainListener{Listener: listener}, nil
+}
+
+// Apply sets the options that close a connection whose peer stops responding. Errors are ignored: they occur only if the
+// connection is closed already.
+func Apply(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(KeepAlive)
+	}
+	SetUserTimeout(conn, userTimeout)
+}
