gateway: Spread the returns of clients that an overloaded router refuses

Cause: all of them were told to return after exactly one second, so that a burst of refusals came back as a burst. Log fields are built only for lines that the sampling keeps, and ForModelEngine and RefuseOverloaded are split off for requests whose body is not read.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -75,13 +75,12 @@
 
 // serve handles the request from its header to the end of the response.
 func (x *exchange) serve() {
-	x.metadata = platform.DecodeRequest(x.r.Header)
 	if !x.resolve() {
 		return
 	}
 	delay := x.g.opts.SchedulingDelay()
 	if x.service.Engine != nil && delay > maxSchedulingDelay {
-		x.refuseUnsubmitted(refusalOverload, retryAfterOverload)
+		x.refuseUnsubmitted(refusalOverload, spread(retryAfterOverload))
 		return
 	}
 	x.deadline = x.arrival.Add(x.route.Timeout)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
+	"gooseberrytide.example/gooseberrytide/platform"
 )
 
 // Options holds the settings of a Gateway. All fields are required.
@@ -73,8 +74,11 @@
 	if g.draining.Load() || g.movingClients.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{g: g, w: w, r: r, arrival: time.Now()}
-	x.serve()
+	g.newExchange(w, r).serve()
+}
+
+func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{g: g, w: w, r: r, arrival: time.Now(), metadata: platform.DecodeRequest(r.Header)}
 }
 
 // reserveBody reserves n bytes for a request body. It returns false if the limit would be exceeded.
--- /dev/null
+++ b/internal/transport/gateway/offload.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// ForModelEngine reports whether a request is for a route that leads to model engines.
+func (g *Gateway) ForModelEngine(r *http.Request) bool {
+	table := g.opts.Routing.Load()
+	if table == nil {
+		return false
+	}
+	route := table.Route(r.Host, r.URL.Path)
+	if route == nil {
+		return false
+	}
+	for _, target := range route.Targets {
+		if service := table.Service(target.Service); service != nil && service.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// RefuseOverloaded refuses a request because this router lacks processor time. Its body need not be read.
+func (g *Gateway) RefuseOverloaded(w http.ResponseWriter, r *http.Request) {
+	x := g.newExchange(w, r)
+	if x.resolve() {
+		x.refuseUnsubmitted(refusalOverload, spread(retryAfterOverload))
+	}
+}
+
+// spread returns a random time within 30% of d, so that refused clients do not all return at once.
+func spread(d time.Duration) time.Duration {
+	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(d))
+}
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -146,6 +146,10 @@
 
 // log logs an outcome or a decision with the fields of the request.
 func (x *exchange) log(outcome string, fields ...zap.Field) {
+	entry := x.g.opts.Log.Check(zap.InfoLevel, outcome)
+	if entry == nil {
+		return
+	}
 	route, version := "", int64(0)
 	if x.route != nil {
 		route = x.route.Name
@@ -154,7 +158,7 @@
 		version = x.table.Version
 	}
 	age, _ := x.g.opts.Proof.Age()
-	x.g.opts.Log.Info(outcome, append([]zap.Field{
+	entry.Write(append([]zap.Field{
 		zap.String("request", x.metadata.ID),
 		zap.String("route", route),
 		zap.String("team", x.team),
