offload: Pass connections of an overloaded router on to routers with room

What callers saw: clients of some teams connect to one router whatever the directory names, also one that reports not to be ready (a trial showed both). At 0.192 of a core it got up to 2,000 requests a second, spent its time on reading and refusing them, and its team got a fraction of its share while engines idled.

Cause: a request is served or refused by the router that it reaches. Nothing moves requests to routers that idle.

Change: while the estimated load of a router exceeds half of its processor, it reads the header of a new connection's first request and forwards the connection, byte by byte, to a router that the directory names and that has room (the less loaded of two, in the same failure domain first, with a configuration that is not older). The other router closes it after the response. While goroutines wait for the processor, a growing part of the requests is refused instead, without the HTTP server. Plain services are served as before. Draining waits for forwarded connections.

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -12,6 +12,8 @@
 type Candidate struct {
 	Router  string
 	Address string
+	// OffloadAddress is the address for connections that another router passes on.
+	OffloadAddress string
 	// SameDomain is set if the router is in the client's failure domain.
 	SameDomain bool
 	// Busy routers are left out while enough others remain.
@@ -38,17 +40,7 @@
 // requests, the better each knows the load that the others put on the engines. The remaining routers are a reserve. All
 // routers choose the same set.
 func Choose(candidates []Candidate) []string {
-	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Busy })
-	if len(available) < min(minActive, len(candidates)) {
-		available = slices.Clone(candidates)
-	}
-	slices.SortFunc(available, func(a, b Candidate) int {
-		return cmp.Or(
-			cmp.Compare(b.Cores, a.Cores),
-			cmp.Compare(xxhash.Sum64String(a.Router), xxhash.Sum64String(b.Router)),
-		)
-	})
-	chosen := available[:requiredRouters(available, totalRate(candidates))]
+	chosen := chooseCandidates(candidates)
 	slices.SortStableFunc(chosen, func(a, b Candidate) int {
 		switch {
 		case a.SameDomain == b.SameDomain:
@@ -66,6 +58,21 @@
 	return addresses
 }
 
+// chooseCandidates returns the routers that take clients, those with the most cores first.
+func chooseCandidates(candidates []Candidate) []Candidate {
+	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Busy })
+	if len(available) < min(minActive, len(candidates)) {
+		available = slices.Clone(candidates)
+	}
+	slices.SortFunc(available, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(b.Cores, a.Cores),
+			cmp.Compare(xxhash.Sum64String(a.Router), xxhash.Sum64String(b.Router)),
+		)
+	})
+	return available[:requiredRouters(available, totalRate(candidates))]
+}
+
 func totalRate(candidates []Candidate) float64 {
 	rate := 0.0
 	for _, c := range candidates {
--- /dev/null
+++ b/internal/coordination/balance/offload.go
@@ -0,0 +1,71 @@
+package balance
+
+import "math/rand/v2"
+
+const (
+	// A router passes new connections on from startUtilisation of its CPU on, and stops below stopUtilisation.
+	startUtilisation = 0.5
+	stopUtilisation  = 0.25
+	// roomUtilisation is the utilisation below which a router may take connections from others. It is below
+	// targetUtilisation, because the loads of other routers are known some hundred milliseconds late.
+	roomUtilisation = 0.6
+)
+
+// Offload decides when a router passes new connections on to other routers. Clients of some teams connect to one router
+// whatever the directory names, so that a small router can get many times what its CPU can serve while others idle. It
+// is not safe for concurrent use.
+type Offload struct {
+	active bool
+}
+
+// Update sets the router's load, connections that it passes on included, and reports whether it passes connections on.
+func (o *Offload) Update(own Load) bool {
+	switch {
+	case own.utilisation() > startUtilisation:
+		o.active = true
+	case own.utilisation() < stopUtilisation:
+		o.active = false
+	}
+	return o.active
+}
+
+// utilisation estimates the fraction of the router's CPU that its requests use. It is 0 if the number of cores is
+// unknown.
+func (l Load) utilisation() float64 {
+	if l.Cores <= 0 {
+		return 0
+	}
+	return l.Rate * coresPerRequest / l.Cores
+}
+
+// Targets returns the routers that may take connections from another one: those that the directory names and that have
+// room, in the same failure domain if there are any.
+func Targets(candidates []Candidate) []Candidate {
+	var near, far []Candidate
+	for _, c := range chooseCandidates(candidates) {
+		load := Load{Rate: c.Rate, Cores: c.Cores}
+		switch {
+		case c.Busy || load.utilisation() >= roomUtilisation:
+		case c.SameDomain:
+			near = append(near, c)
+		default:
+			far = append(far, c)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+// PickTarget returns the less loaded of two random targets. It returns false if there are none.
+func PickTarget(targets []Candidate) (Candidate, bool) {
+	if len(targets) == 0 {
+		return Candidate{}, false
+	}
+	a, b := targets[rand.IntN(len(targets))], targets[rand.IntN(len(targets))]
+	if b.Rate*a.Cores < a.Rate*b.Cores {
+		return b, true
+	}
+	return a, true
+}
--- /dev/null
+++ b/internal/coordination/balance/offload_test.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a router that passes connections on without need, or starts and stops with each change of its load.
+func TestOffloadStartsAndStops(t *testing.T) {
+	g := NewWithT(t)
+	var o Offload
+	load := func(rate float64) Load { return Load{Rate: rate, Cores: 0.2} }
+	g.Expect(o.Update(load(80))).To(BeFalse())
+	g.Expect(o.Update(load(120))).To(BeTrue())
+	g.Expect(o.Update(load(80))).To(BeTrue())
+	g.Expect(o.Update(load(40))).To(BeFalse())
+	g.Expect(o.Update(Load{Rate: 1e6})).To(BeFalse(), "the number of cores is unknown")
+}
+
+// Guards against connections that are passed on to routers without room, or to another failure domain without need.
+func TestTargetsHaveRoom(t *testing.T) {
+	g := NewWithT(t)
+	candidates := []Candidate{
+		{Router: "near", Cores: 0.8, Rate: 100, SameDomain: true},
+		{Router: "near-busy", Cores: 0.8, Busy: true, SameDomain: true},
+		{Router: "near-loaded", Cores: 0.8, Rate: 700, SameDomain: true},
+		{Router: "far", Cores: 0.8, Rate: 100},
+	}
+	names := func(list []Candidate) []string {
+		var names []string
+		for _, c := range list {
+			names = append(names, c.Router)
+		}
+		return names
+	}
+	g.Expect(names(Targets(candidates))).To(Equal([]string{"near"}))
+	candidates[0].Busy = true
+	g.Expect(names(Targets(candidates))).To(Equal([]string{"far"}))
+	candidates[3].Rate = 700
+	g.Expect(Targets(candidates)).To(BeEmpty())
+}
+
+// Guards against all overloaded routers choosing the same target.
+func TestPickTargetSpreadsConnections(t *testing.T) {
+	g := NewWithT(t)
+	_, ok := PickTarget(nil)
+	g.Expect(ok).To(BeFalse())
+	counts := make(map[string]int)
+	targets := []Candidate{{Router: "a", Cores: 0.8, Rate: 300}, {Router: "b", Cores: 0.8}, {Router: "c", Cores: 0.8, Rate: 100}}
+	for range 3000 {
+		c, ok := PickTarget(targets)
+		g.Expect(ok).To(BeTrue())
+		counts[c.Router]++
+	}
+	g.Expect(counts["a"]).To(BeNumerically("<", counts["c"]))
+	g.Expect(counts["c"]).To(BeNumerically("<", counts["b"]))
+	g.Expect(counts["a"]).To(BeNumerically(">", 0))
+}
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -38,6 +38,8 @@
 	Cores float32 `cbor:"12,keyasint,omitempty"`
 	// Busy is set if the sender lacks CPU time.
 	Busy bool `cbor:"13,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration that the sender has in force.
+	ConfigVersion int64 `cbor:"17,keyasint,omitempty"`
 	// Parts are the parts of prompts that servers have cached since the sender's last reports.
 	Parts []CachedParts `cbor:"10,keyasint,omitempty"`
 	// Proof shows how recent the sender's knowledge of the store is. Not every report has one.
--- a/internal/daemon/gateway/addresses.go
+++ b/internal/daemon/gateway/addresses.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 )
 
 // addressLifetime returns how long clients may cache an answer of the directory.
@@ -30,12 +31,17 @@
 	}
 	for _, p := range n.readyPeers() {
 		if p.CallerAddress != "" {
-			candidates = append(candidates, balance.Candidate{
-				Router: p.Router, Address: p.CallerAddress, SameDomain: p.Domain == domain, Busy: p.Busy,
-				Cores: float64(p.Cores), Rate: float64(p.Rate),
-			})
+			candidates = append(candidates, candidate(p, domain))
 		}
 	}
 	list := balance.Choose(candidates)
 	return list[:min(len(list), maxAddresses)]
 }
+
+// candidate returns another router as a candidate for clients in a failure domain.
+func candidate(p gossip.Peer, domain string) balance.Candidate {
+	return balance.Candidate{
+		Router: p.Router, Address: p.CallerAddress, SameDomain: p.Domain == domain, Busy: p.Busy,
+		Cores: float64(p.Cores), Rate: float64(p.Rate),
+	}
+}
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -25,7 +25,7 @@
 	grace := n.bounds.Load().Grace
 	n.draining.Store(true)
 	n.gateway.StartDraining()
-	n.log.Info("stopping", zap.Int("active", n.gateway.Active()), zap.Duration("grace", grace))
+	n.log.Info("stopping", zap.Int("active", n.activeRequests()), zap.Duration("grace", grace))
 	acceptUntil := startedAt.Add(time.Duration(acceptFraction * float64(grace)))
 	deadline := startedAt.Add(grace - closeMargin)
 	idleSince := time.Time{}
@@ -33,7 +33,7 @@
 		if now.After(acceptUntil) {
 			n.gateway.StopAccepting()
 		}
-		if n.gateway.Active() > 0 || idleSince.IsZero() {
+		if n.activeRequests() > 0 || idleSince.IsZero() {
 			idleSince = now
 		}
 		if now.After(acceptUntil) && now.Sub(idleSince) > maxAddressLifetime/2 {
@@ -48,5 +48,8 @@
 			n.log.Info("connections closed while in use", zap.String("listener", s.name), logfield.Error(err))
 		}
 	}
-	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.gateway.Active()))
+	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.activeRequests()))
 }
+
+// activeRequests returns the number of requests in progress, those that were passed on to other routers included.
+func (n *Node) activeRequests() int { return n.gateway.Active() + n.offload.inspector.Forwarded() }
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -22,8 +22,12 @@
 	idleTimeout   = 90 * time.Second
 )
 
-// metricsListener is the name of the listener for metrics.
-const metricsListener = "metrics"
+// Names of listeners. Those of the connections that were inspected for lack of processor time have their own name.
+const (
+	callersListener   = "callers"
+	inspectedListener = "inspected callers"
+	metricsListener   = "metrics"
+)
 
 // server is a listener with its handler.
 type server struct {
@@ -52,18 +56,19 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", n.settings.CallerListen, n.gateway},
+		{callersListener, n.settings.CallerListen, n.gateway},
 		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
 		{"directory", n.settings.DirectoryListen, directory},
 		{metricsListener, n.peerAddress(metricsPortOffset), n.metricsHandler()},
 		{"relay", n.peerAddress(0), &relayhttp.Handler{Relayer: n.follower}},
+		{"offload", n.peerAddress(offloadPortOffset), n.offload.handler()},
 	}
 	var servers []*server
 	for _, e := range endpoints {
 		if e.address == "" {
 			continue
 		}
-		listener, err := sockopt.Listen(ctx, e.address)
+		plain, err := sockopt.ListenPlain(ctx, e.address)
 		if err != nil && e.name == metricsListener {
 			n.log.Error("metrics not served", logfield.Error(err)) // requests are served nevertheless
 			continue
@@ -71,16 +76,26 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", e.name)
 		}
-		servers = append(servers, &server{name: e.name, listener: listener, http: &http.Server{
-			Handler:           e.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			ErrorLog:          zap.NewStdLog(n.log.Named("http")),
-		}})
+		var listener net.Listener = &sockopt.Listener{PlainListener: plain}
+		if e.name == callersListener {
+			var inspected net.Listener
+			listener, inspected = n.offload.inspector.Listen(plain)
+			servers = append(servers, n.newServer(inspectedListener, inspected, e.handler))
+		}
+		servers = append(servers, n.newServer(e.name, listener, e.handler))
 	}
 	return servers, nil
 }
 
+func (n *Node) newServer(name string, l net.Listener, h http.Handler) *server {
+	return &server{name: name, listener: l, http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          zap.NewStdLog(n.log.Named("http")),
+	}}
+}
+
 // peerAddress returns the address for other routers whose port is offset above the first internal port.
 func (n *Node) peerAddress(offset int) string {
 	return net.JoinHostPort(n.settings.IP.String(), strconv.Itoa(n.settings.PeerPort+offset))
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -25,6 +25,9 @@
 			return float64(n.admission.Waiting())
 		}},
 		{"active_requests", "Requests in progress.", func() float64 { return float64(n.gateway.Active()) }},
+		{"forwarded_connections", "Connections that are passed on to other routers.", func() float64 {
+			return float64(n.offload.inspector.Forwarded())
+		}},
 		{"config_age_seconds", "Age of the proof that the configuration is the newest; -1 before the first.", n.configAge},
 		{"config_version", "Version of the configuration in force.", n.configVersion},
 		{"known_routers", "Routers that registered, this one included.", func() float64 {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -69,6 +69,7 @@
 	peers     *gossip.Peers
 	exchange  *freshness.Exchange
 	owners    *loadOwners
+	offload   *offloader
 	socket    *datagram.Socket
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
@@ -152,6 +153,7 @@
 			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
 		}),
 	})
+	n.offload = newOffloader(n)
 	n.registerGauges()
 	return n, nil
 }
@@ -223,6 +225,7 @@
 	go periodic.Run(background, advancePeriod, n.admission.Advance)
 	go periodic.Run(background, flushPeriod, n.owners.flush)
 	go periodic.Run(background, delaySamplePeriod, n.runQueueDelay.Sample)
+	go periodic.Run(background, offloadUpdatePeriod, n.offload.update)
 	go periodic.Run(background, shareLogPeriod, n.logShares)
 	select {
 	case err := <-serveErrs:
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -45,10 +45,10 @@
 
 // testNode is a router that runs in the test's process.
 type testNode struct {
-	settings *platform.Settings
-	path     string
-	stop     context.CancelFunc
-	done     chan error
+	*Node
+	path string
+	stop context.CancelFunc
+	done chan error
 }
 
 func newTestFleet(t *testing.T, engineCount int) *testFleet {
@@ -96,30 +96,34 @@
 	return ports
 }
 
-// startRouter starts a router.
+// startRouter starts a router with 0.4 CPU cores.
 func (f *testFleet) startRouter(name string) *testNode {
+	f.t.Helper()
+	return f.startRouterWithCores(name, 0.4)
+}
+
+func (f *testFleet) startRouterWithCores(name string, cores float64) *testNode {
 	f.t.Helper()
 	ports := routerPorts(f.t)
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","region":"north","ip":"127.0.0.1",
-"listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":0.4},
+"listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":%v},
 "bounds":{"graceS":2,"revokeMs":2500,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
 		name, loopbackAddress(ports.Front), loopbackAddress(ports.Readiness), loopbackAddress(ports.Directory),
-		ports.Peer, ports.Peer+1, f.storeAddress)
+		ports.Peer, ports.Peer+2, cores, f.storeAddress)
 	n := &testNode{path: filepath.Join(f.t.TempDir(), name+".yaml"), done: make(chan error, 1)}
 	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	var err error
-	if n.settings, err = platform.ReadSettings(n.path); err != nil {
+	settings, err := platform.ReadSettings(n.path)
+	if err != nil {
 		f.t.Fatal(err)
 	}
-	node, err := New(n.settings, zap.NewNop())
-	if err != nil {
+	if n.Node, err = New(settings, zap.NewNop()); err != nil {
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	go func() { n.done <- node.Run(ctx, n.path) }()
+	go func() { n.done <- n.Run(ctx, n.path) }()
 	f.t.Cleanup(cancel)
 	f.nodes = append(f.nodes, n)
 	return n
@@ -134,8 +138,8 @@
 	return resp.StatusCode
 }
 
-// addresses returns the answer of the router's directory, or the text of the error.
-func (n *testNode) addresses() string {
+// directoryAnswer returns the answer of the router's directory, or the text of the error.
+func (n *testNode) directoryAnswer() string {
 	resp, err := http.Get("http://" + n.settings.DirectoryListen + platform.PathDirectory + "?name=shed.example&zone=a")
 	if err != nil {
 		return err.Error()
@@ -186,7 +190,7 @@
 		g.Expect(status).To(Equal(http.StatusOK), body)
 		g.Expect(strings.Count(body, "id: ")).To(Equal(5))
 	}
-	g.Eventually(a.addresses, "3s").Should(And(
+	g.Eventually(a.directoryAnswer, "3s").Should(And(
 		ContainSubstring(a.settings.CallerListen), ContainSubstring(b.settings.CallerListen)))
 	g.Expect(f.store.Keys("gooseberrytide/routers/")).To(HaveLen(2))
 	status, _ := a.call("/callout/x", "c", "wrong-key")
--- /dev/null
+++ b/internal/daemon/gateway/offload.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/transport/offload"
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+)
+
+const (
+	// offloadPortOffset is the offset of the port for forwarded connections from the first internal port.
+	offloadPortOffset = 2
+	// offloadUpdatePeriod is how often a router decides whether it passes connections on.
+	offloadUpdatePeriod = 100 * time.Millisecond
+	// offloadDialTimeout bounds the time to connect to another router. The client waits meanwhile.
+	offloadDialTimeout = 150 * time.Millisecond
+	// offloadMemoryFraction is the fraction of the memory limit that forwarded connections may take.
+	offloadMemoryFraction = 0.2
+	// While goroutines wait for the processor, a random fraction of the inspected requests is refused: none up to
+	// minRefusalDelay, all from maxRefusalDelay on.
+	minRefusalDelay = 20 * time.Millisecond
+	maxRefusalDelay = 120 * time.Millisecond
+)
+
+// offloader implements offload.Policy: it passes connections on to other routers while this one has more requests than
+// its processor can handle.
+type offloader struct {
+	node         *Node
+	inspector    *offload.Inspector
+	maxForwarded int
+	active       atomic.Bool
+	targets      atomic.Pointer[[]balance.Candidate]
+	connections  *prometheus.CounterVec
+	// passed is the number of connections that were forwarded or refused.
+	passed atomic.Int64
+
+	// The remaining fields are used by update only.
+	state     balance.Offload
+	rate      balance.Rate
+	lastCount int64
+}
+
+var _ offload.Policy = (*offloader)(nil)
+
+func newOffloader(n *Node) *offloader {
+	connections := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberrytide_inspected_connections_total",
+		Help: "Connections inspected for lack of processor time, by action: served, forwarded, refused.",
+	}, []string{"action"})
+	n.registry.MustRegister(connections)
+	o := &offloader{
+		node:         n,
+		maxForwarded: int(offloadMemoryFraction * float64(n.settings.MemoryBytes) / offload.ForwardedBytes),
+		connections:  connections,
+	}
+	o.inspector = offload.New(offload.Options{
+		Policy:        o,
+		Dial:          sockopt.DialFunc(offloadDialTimeout),
+		HeaderTimeout: headerTimeout,
+	})
+	return o
+}
+
+// Active implements offload.Policy.
+func (o *offloader) Active() bool { return o.active.Load() && !o.node.draining.Load() }
+
+// Decide implements offload.Policy. Requests of plain services are served here: they cost little.
+func (o *offloader) Decide(r *http.Request) offload.Decision {
+	if !o.Active() || !o.node.gateway.ForModelEngine(r) {
+		return offload.Decision{Action: offload.Serve}
+	}
+	if rand.Float64() < refusalProbability(o.node.runQueueDelay.Load()) {
+		return offload.Decision{Action: offload.Refuse}
+	}
+	if o.inspector.Forwarded() >= o.maxForwarded {
+		return offload.Decision{Action: offload.Refuse}
+	}
+	target, ok := balance.PickTarget(*o.targets.Load())
+	if !ok {
+		return offload.Decision{Action: offload.Serve}
+	}
+	return offload.Decision{Action: offload.Forward, Target: target.OffloadAddress}
+}
+
+// refusalProbability returns the fraction of requests to refuse while goroutines wait for the processor.
+func refusalProbability(delay time.Duration) float64 {
+	return float64(delay-minRefusalDelay) / float64(maxRefusalDelay-minRefusalDelay)
+}
+
+// Refuse implements offload.Policy.
+func (o *offloader) Refuse(w http.ResponseWriter, r *http.Request) {
+	o.node.gateway.RefuseOverloaded(w, r)
+}
+
+// Record implements offload.Policy.
+func (o *offloader) Record(a offload.Action) {
+	switch a {
+	case offload.Forward:
+		o.passed.Add(1)
+		o.connections.WithLabelValues("forwarded").Inc()
+	case offload.Refuse:
+		o.passed.Add(1)
+		o.connections.WithLabelValues("refused").Inc()
+	case offload.Serve:
+		o.connections.WithLabelValues("served").Inc()
+	}
+}
+
+// update measures the router's load and decides whether it passes connections on, and to which routers.
+func (o *offloader) update() {
+	now := time.Now()
+	count := o.node.gateway.TotalRequests() + o.passed.Load()
+	o.rate.Add(now, float64(count-o.lastCount))
+	o.lastCount = count
+	load := balance.Load{Rate: o.rate.PerSecond(now), Cores: o.node.settings.Cores}
+	active := o.state.Update(load)
+	if active {
+		targets := balance.Targets(o.candidates())
+		o.targets.Store(&targets)
+	}
+	if o.active.Swap(active) != active {
+		o.node.log.Info("offload", zap.Bool("active", active), zap.Float64("requests_per_s", math.Round(load.Rate)),
+			zap.Float64("cores", load.Cores), zap.Duration("processor_delay", o.node.runQueueDelay.Load()))
+	}
+}
+
+// candidates returns the routers that may take connections from this one. Their configuration must not be older: a
+// client that has seen a change of the configuration through this router must not be served by an older one.
+func (o *offloader) candidates() []balance.Candidate {
+	n := o.node
+	table := n.routing.Load()
+	registered := n.routers.Load()
+	if table == nil || registered == nil {
+		return nil
+	}
+	var list []balance.Candidate
+	for _, p := range n.readyPeers() {
+		router, ok := (*registered)[p.Router]
+		if !ok || p.ConfigVersion < table.Version {
+			continue
+		}
+		address, ok := offloadAddress(router.PeerAddress)
+		if !ok {
+			continue
+		}
+		c := candidate(p, n.settings.FailureDomain)
+		c.OffloadAddress = address
+		list = append(list, c)
+	}
+	return list
+}
+
+// handler returns the handler of connections that other routers forwarded. Each of them carries one request.
+func (o *offloader) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		o.node.gateway.ServeHTTP(w, r)
+	})
+}
+
+// offloadAddress returns the address for forwarded connections of the router with a peer address.
+func offloadAddress(peerAddress string) (string, bool) {
+	address, err := netip.ParseAddrPort(peerAddress)
+	if err != nil {
+		return "", false
+	}
+	return netip.AddrPortFrom(address.Addr(), address.Port()+offloadPortOffset).String(), true
+}
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -83,6 +83,9 @@
 		Ready:         n.ready(),
 		Queue:         n.admission.Waiting(),
 	}
+	if table := n.routing.Load(); table != nil {
+		r.ConfigVersion = table.Version
+	}
 	if r.Totals, r.Owned = n.owners.totals(); !r.Owned {
 		r.Loads = sortedLoads(n.admission.OwnLoads())
 	}
@@ -117,7 +120,7 @@
 	for _, p := range n.readyPeers() {
 		others = append(others, balance.Load{Rate: float64(p.Rate), Cores: float64(p.Cores)})
 	}
-	n.gateway.SetMoveClients(balance.Overloaded(own, others))
+	n.gateway.SetMoveClients(n.offload.Active() || balance.Overloaded(own, others))
 	return own
 }
 
--- /dev/null
+++ b/internal/transport/offload/inspector.go
@@ -0,0 +1,168 @@
+package offload
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+)
+
+// Action is what a router does with an inspected connection.
+type Action int
+
+const (
+	// Serve leaves the connection to this router's HTTP server.
+	Serve Action = iota
+	// Forward passes the connection on to another router.
+	Forward
+	// Refuse refuses the request and closes the connection.
+	Refuse
+)
+
+// Decision is the decision about one connection.
+type Decision struct {
+	Action Action
+	// Target is the address to which a connection is forwarded.
+	Target string
+}
+
+// Policy decides about connections. It must be safe for concurrent use.
+type Policy interface {
+	// Active reports whether new connections are inspected. If not, this router serves them.
+	Active() bool
+	// Decide decides by the first request of a connection. The request's body must not be read.
+	Decide(r *http.Request) Decision
+	// Refuse writes a response with a status of 400 or above and no body.
+	Refuse(w http.ResponseWriter, r *http.Request)
+	// Record is called with the action that was taken.
+	Record(a Action)
+}
+
+// Options holds the settings of an Inspector. All fields are required.
+type Options struct {
+	Policy Policy
+	// Dial opens a connection to another router.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// HeaderTimeout is the longest time to wait for the first request's header.
+	HeaderTimeout time.Duration
+}
+
+// Inspector inspects new connections while its policy is active.
+type Inspector struct {
+	opts Options
+	// served holds the inspected connections that this router serves.
+	served    *queueListener
+	forwarded atomic.Int64
+}
+
+// New returns an inspector.
+func New(opts Options) *Inspector { return &Inspector{opts: opts} }
+
+// Forwarded returns the number of connections that are being forwarded.
+func (i *Inspector) Forwarded() int { return int(i.forwarded.Load()) }
+
+// Listen returns a listener with the connections that need no inspection, and one with the inspected connections that
+// this router serves. It must be called once, and both must be closed. l must set no options, which the inspector sets.
+func (i *Inspector) Listen(l *sockopt.PlainListener) (direct, inspected net.Listener) {
+	i.served = newQueueListener(l.Addr())
+	return &directListener{Listener: l, inspector: i}, i.served
+}
+
+// directListener starts the inspection of connections, or returns them if the policy is not active.
+type directListener struct {
+	net.Listener
+	inspector *Inspector
+}
+
+// Accept implements net.Listener.
+func (l *directListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if !l.inspector.opts.Policy.Active() {
+			sockopt.Apply(conn)
+			return conn, nil
+		}
+		go l.inspector.inspect(conn)
+	}
+}
+
+// inspect reads the first request's header and carries out the policy's decision.
+func (i *Inspector) inspect(conn net.Conn) {
+	buf := buffers.Get().(*buffer)
+	defer buffers.Put(buf)
+	if conn.SetReadDeadline(time.Now().Add(i.opts.HeaderTimeout)) != nil {
+		_ = conn.Close()
+		return
+	}
+	head, complete := readHeader(conn, buf)
+	if len(head) == 0 || conn.SetReadDeadline(time.Time{}) != nil {
+		_ = conn.Close() // the client closed the connection or sent nothing in time
+		return
+	}
+	r, err := parseRequest(head)
+	if !complete || err != nil {
+		i.serve(conn, head) // the HTTP server responds to headers that are invalid or too long
+		return
+	}
+	r.RemoteAddr = conn.RemoteAddr().String()
+	decision := i.opts.Policy.Decide(r)
+	switch {
+	case decision.Action == Serve:
+		i.serve(conn, head)
+	case decision.Action == Forward && i.forward(conn, decision.Target, head, buf):
+		// The other router has responded, or the client has left.
+	default:
+		i.refuse(conn, r, buf, len(head))
+	}
+}
+
+// parseRequest parses the header of a request.
+func parseRequest(head []byte) (*http.Request, error) {
+	reader := readers.Get().(*bufio.Reader)
+	defer readers.Put(reader)
+	reader.Reset(bytes.NewReader(head))
+	return http.ReadRequest(reader)
+}
+
+// readers holds readers of headers.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
+
+// serve leaves a connection to this router's HTTP server, which reads head first.
+func (i *Inspector) serve(conn net.Conn, head []byte) {
+	i.opts.Policy.Record(Serve)
+	sockopt.Apply(conn)
+	if !i.served.put(&prefixedConn{Conn: conn, prefix: slices.Clone(head)}) {
+		_ = conn.Close()
+	}
+}
+
+// headerEnd ends the header of a request.
+var headerEnd = []byte("\r\n\r\n")
+
+// readHeader reads until the end of the first request's header. It returns the bytes read, which may contain a part of
+// the body, and whether the header is complete.
+func readHeader(conn net.Conn, buf *buffer) ([]byte, bool) {
+	n := 0
+	for n < len(buf) {
+		read, err := conn.Read(buf[n:])
+		searchFrom := max(n-len(headerEnd)+1, 0)
+		n += read
+		if bytes.Contains(buf[searchFrom:n], headerEnd) {
+			return buf[:n], true
+		}
+		if err != nil {
+			return nil, false
+		}
+	}
+	return buf[:n], false
+}
--- /dev/null
+++ b/internal/transport/offload/refuse.go
@@ -0,0 +1,64 @@
+package offload
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"time"
+)
+
+// bodyTimeout bounds the time to read the rest of a refused request's body.
+const bodyTimeout = time.Second
+
+// refuse sends the policy's refusal, reads the rest of the request's body, and closes the connection. A connection that
+// is closed with unread bytes is reset, and the client might lose the response. buf contains the header and its length
+// is read.
+func (i *Inspector) refuse(conn net.Conn, r *http.Request, buf *buffer, read int) {
+	defer func() { _ = conn.Close() }()
+	i.opts.Policy.Record(Refuse)
+	w := &refusal{header: make(http.Header)}
+	i.opts.Policy.Refuse(w, r)
+	resp := http.Response{StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true, Request: r}
+	var text bytes.Buffer
+	if err := resp.Write(&text); err != nil {
+		return
+	}
+	if _, err := conn.Write(text.Bytes()); err != nil {
+		return
+	}
+	bodyStart := bytes.Index(buf[:read], headerEnd) + len(headerEnd)
+	discardBody(conn, buf, r, int64(read-bodyStart))
+}
+
+// discardBody reads the rest of a request's body of which some bytes were read already. The end of a body without a
+// length is not known; the client's close ends it.
+func discardBody(conn net.Conn, buf *buffer, r *http.Request, read int64) {
+	if r.ContentLength >= 0 && read >= r.ContentLength {
+		return
+	}
+	if conn.SetReadDeadline(time.Now().Add(bodyTimeout)) != nil {
+		return
+	}
+	for r.ContentLength < 0 || read < r.ContentLength {
+		n, err := conn.Read(buf[:])
+		read += int64(n)
+		if err != nil {
+			return
+		}
+	}
+}
+
+// refusal is the http.ResponseWriter of a response without a body.
+type refusal struct {
+	header http.Header
+	status int
+}
+
+// Header implements http.ResponseWriter.
+func (w *refusal) Header() http.Header { return w.header }
+
+// Write implements http.ResponseWriter. A refusal has no body.
+func (w *refusal) Write([]byte) (int, error) { return 0, http.ErrBodyNotAllowed }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *refusal) WriteHeader(status int) { w.status = status }
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -188,7 +188,7 @@
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":"127.0.0.1","listen":{"front":%q,"readiness":%q,"directory":"127.0.0.1:%d"},
 "internalPorts":[%d,%d],"limits":{"memoryMb":200,"cpuShare":1},"platform":{"address":%q},
 "bounds":{"graceS":%d,"revokeMs":%d,"strictRevoke":true,"budgetSlack":100}}`,
-		name, r.frontAddress, r.readinessAddress, ports.Directory, ports.Peer, ports.Peer+1, p.address(),
+		name, r.frontAddress, r.readinessAddress, ports.Directory, ports.Peer, ports.Peer+2, p.address(),
 		graceSeconds, revokeTime.Milliseconds())
 	if err := os.WriteFile(r.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/test/standin/freeports/freeports.go
+++ b/test/standin/freeports/freeports.go
@@ -11,12 +11,16 @@
 // Router holds the ports of one router.
 type Router struct {
 	Front, Readiness, Directory int
-	// Peer is the first of two consecutive ports.
+	// Peer is the first of peerPorts consecutive ports.
 	Peer int
 }
 
-// maxPairAttempts limits the attempts to find two consecutive ports.
-const maxPairAttempts = 50
+const (
+	// peerPorts is the number of consecutive ports that a router uses for traffic between routers.
+	peerPorts = 3
+	// maxRangeAttempts limits the attempts to find consecutive ports.
+	maxRangeAttempts = 50
+)
 
 // ForRouter returns free ports for a router. It keeps a listener open on each port until all are found, so that no
 // port is returned twice, and closes them before it returns.
@@ -42,15 +46,22 @@
 			return ports, err
 		}
 	}
-	for range maxPairAttempts {
+	for range maxRangeAttempts {
 		first, err := listen(0)
 		if err != nil {
 			return ports, err
 		}
-		if _, err := listen(first + 1); err == nil {
+		free := 1
+		for free < peerPorts {
+			if _, err := listen(first + free); err != nil {
+				break
+			}
+			free++
+		}
+		if free == peerPorts {
 			ports.Peer = first
 			return ports, nil
 		}
 	}
-	return ports, errors.New("no two consecutive ports are free")
+	return ports, errors.Errorf("no %d consecutive ports are free", peerPorts)
 }
