daemon/gateway: Let routers without requests work less often

Cause: each router sent a report to all others every 400 ms, whether it took requests or not: 217,000 datagrams a second in a fleet of 295, each encoded, sent and decoded. It also woke 300 times a second to check waiting requests and changed loads of which it had none.

Change: a router without requests, loads and teams reports every 1.2 s in a fleet of 192 or more (400 ms up to 64), at once when its readiness changes, and says in the report how long it will be silent, so that others know when it is lost. Waiting requests are checked every 5 ms only while there are any; loads are flushed every 100 ms while there are none.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -9,6 +9,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // Owners sends reservation requests to the routers that own the loads of servers.
@@ -23,11 +24,13 @@
 	mu     sync.Mutex
 	core   *Core
 	owners Owners
+	// queued is signalled when a request starts to wait.
+	queued chan struct{}
 }
 
 // NewController returns a controller for a core. If owners is nil, grants need no confirmation.
 func NewController(core *Core, owners Owners) *Controller {
-	return &Controller{core: core, owners: owners}
+	return &Controller{core: core, owners: owners, queued: make(chan struct{}, 1)}
 }
 
 // Admit waits for the decision on a request. If the context ends, the request is withdrawn and the context's cause is
@@ -36,6 +39,7 @@
 	decided := make(chan Decision, 1)
 	c.mu.Lock()
 	t := c.core.Submit(time.Now(), req, func(d Decision) { decided <- d })
+	c.signalQueued()
 	c.mu.Unlock()
 	for {
 		select {
@@ -65,7 +69,37 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.core.confirm(time.Now(), t, answer)
+	confirmed := c.core.confirm(time.Now(), t, answer)
+	c.signalQueued()
+	return confirmed
+}
+
+// signalQueued wakes Run if requests wait.
+func (c *Controller) signalQueued() {
+	if c.core.Waiting() == 0 {
+		return
+	}
+	select {
+	case c.queued <- struct{}{}:
+	default:
+	}
+}
+
+// Run applies what is due until ctx ends: every period while requests wait, and otherwise every idlePeriod.
+func (c *Controller) Run(ctx context.Context, period, idlePeriod time.Duration) {
+	idle := time.NewTicker(idlePeriod)
+	defer idle.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-idle.C:
+			c.Advance()
+		case <-c.queued:
+			for c.Waiting() > 0 && periodic.Sleep(ctx, period) {
+				c.Advance()
+			}
+		}
+	}
 }
 
 // withdraw removes a request whose context has ended.
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -54,3 +54,25 @@
 	g.Expect(Period(16)).To(Equal(2 * basePeriod))
 	g.Expect(Period(4000)).To(Equal(MaxPeriod))
 }
+
+// Guards against reports of routers that take no requests whose cost grows with the square of the fleet, and against
+// routers that count as lost because they report less often.
+func TestIdleRoutersReportLessOftenInLargeFleets(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(IdlePeriod(8)).To(Equal(MaxPeriod))
+	g.Expect(IdlePeriod(64)).To(Equal(MaxPeriod))
+	g.Expect(IdlePeriod(300)).To(Equal(maxIdlePeriod))
+	idle := Report{Router: "r", Seq: 1, Ready: true, IntervalMS: int(maxIdlePeriod.Milliseconds())}
+	g.Expect(idle.Idle()).To(BeTrue())
+	busy := idle
+	busy.Rate = 1
+	g.Expect(busy.Idle()).To(BeFalse())
+	now := time.Now()
+	p := NewPeers()
+	g.Expect(p.Update(now, &idle)).To(BeTrue())
+	g.Expect(p.Live(now.Add(3 * maxIdlePeriod))).To(HaveLen(1))
+	g.Expect(p.Live(now.Add(4 * maxIdlePeriod))).To(BeEmpty())
+	unlimited := Report{Router: "r", Seq: 2, IntervalMS: 1 << 40}
+	g.Expect(p.Update(now, &unlimited)).To(BeTrue())
+	g.Expect(p.Live(now.Add(4 * maxIdlePeriod))).To(BeEmpty(), "an interval of another router is bounded")
+}
--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -7,8 +7,11 @@
 	"time"
 )
 
-// peerTimeout is the age of a router's last report above which the router counts as lost.
-const peerTimeout = 1300 * time.Millisecond
+// lostIntervals is the number of its report intervals without a report after which a router counts as lost.
+const lostIntervals = 3.25
+
+// peerTimeout is the age of its last report above which a router counts as lost that reports every MaxPeriod.
+const peerTimeout = time.Duration(lostIntervals * float64(MaxPeriod))
 
 // Peer is the latest report of another router.
 type Peer struct {
@@ -23,6 +26,12 @@
 	peers map[string]Peer
 }
 
+// lost reports whether the router has missed its reports.
+func (p *Peer) lost(now time.Time) bool {
+	interval := min(max(time.Duration(p.IntervalMS)*time.Millisecond, MaxPeriod), maxIdlePeriod)
+	return now.Sub(p.Heard) > time.Duration(lostIntervals*float64(interval))
+}
+
 // NewPeers returns an empty table.
 func NewPeers() *Peers { return &Peers{peers: make(map[string]Peer)} }
 
@@ -44,7 +53,7 @@
 	defer p.mu.Unlock()
 	var live []Peer
 	for _, peer := range p.peers {
-		if now.Sub(peer.Heard) <= peerTimeout {
+		if !peer.lost(now) {
 			live = append(live, peer)
 		}
 	}
@@ -58,7 +67,7 @@
 	defer p.mu.Unlock()
 	var lost []string
 	for name, peer := range p.peers {
-		if now.Sub(peer.Heard) > peerTimeout {
+		if peer.lost(now) {
 			lost = append(lost, name)
 			delete(p.peers, name)
 		}
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -40,12 +40,19 @@
 	Busy bool `cbor:"13,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that the sender has in force.
 	ConfigVersion int64 `cbor:"17,keyasint,omitempty"`
+	// IntervalMS is the longest time until the sender's next report to all routers, in milliseconds; 0 means MaxPeriod.
+	IntervalMS int `cbor:"18,keyasint,omitempty"`
 	// Parts are the parts of prompts that servers have cached since the sender's last reports.
 	Parts []CachedParts `cbor:"10,keyasint,omitempty"`
 	// Proof shows how recent the sender's knowledge of the store is. Not every report has one.
 	Proof *Proof `cbor:"14,keyasint,omitempty"`
 }
 
+// Idle reports whether the sender takes no requests and knows nothing that other routers need soon.
+func (r *Report) Idle() bool {
+	return r.Ready && !r.Busy && r.Rate == 0 && r.Queue == 0 && len(r.Loads)+len(r.Totals)+len(r.Teams)+len(r.Parts) == 0
+}
+
 // Proof states that the sender had the store's state of a revision, and that this state was confirmed AgeMS
 // milliseconds before the report.
 type Proof struct {
@@ -138,6 +145,20 @@
 	MaxPeriod = 400 * time.Millisecond
 )
 
+const (
+	// maxIdlePeriod is the longest time between the reports of a router that takes no requests.
+	maxIdlePeriod = 1200 * time.Millisecond
+	// idleRouters is the size of a fleet up to which routers that take no requests report every MaxPeriod. Their reports
+	// go to all routers, so that the cost of all of them grows with the square of the fleet.
+	idleRouters = 64
+)
+
+// IdlePeriod returns the time between the reports of a router that takes no requests, in a fleet with the given number
+// of routers.
+func IdlePeriod(routers int) time.Duration {
+	return min(max(MaxPeriod*time.Duration(routers)/idleRouters, MaxPeriod), maxIdlePeriod)
+}
+
 // Period returns the time between reports in a fleet with the given number of routers.
 func Period(routers int) time.Duration {
 	if routers <= baseRouters {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -41,11 +41,13 @@
 	// which a removed key must no longer be accepted. It covers the time between a client's send of a request and the
 	// router's check of the request's key.
 	revokeMargin = 600 * time.Millisecond
-	// advancePeriod is how often admission checks the waiting requests if no other event occurs.
-	advancePeriod = 5 * time.Millisecond
-	// delaySamplePeriod is how often the run queue delay is measured. The start and the end of an overload are not
-	// detected in a shorter time.
-	delaySamplePeriod = 100 * time.Millisecond
+	// advancePeriod is how often admission checks the waiting requests if no other event occurs. advanceIdlePeriod is how
+	// often it drops outdated loads while no request waits.
+	advancePeriod     = 5 * time.Millisecond
+	advanceIdlePeriod = 100 * time.Millisecond
+	// loadSamplePeriod is how often the run queue delay and the request rate are measured. The start and the end of an
+	// overload are not detected in a shorter time.
+	loadSamplePeriod = 100 * time.Millisecond
 	// retryBoundFraction is the fraction of the operators' bound on retries that a router uses. It is below 1 because the
 	// routers' time windows differ.
 	retryBoundFraction = 0.6
@@ -222,10 +224,9 @@
 	}()
 	go n.socket.Run(background, n.onDatagram)
 	go n.runReports(background)
-	go periodic.Run(background, advancePeriod, n.admission.Advance)
-	go periodic.Run(background, flushPeriod, n.owners.flush)
-	go periodic.Run(background, delaySamplePeriod, n.runQueueDelay.Sample)
-	go periodic.Run(background, offloadUpdatePeriod, n.offload.update)
+	go n.admission.Run(background, advancePeriod, advanceIdlePeriod)
+	go n.owners.run(background)
+	go periodic.Run(background, loadSamplePeriod, n.sampleLoad)
 	go periodic.Run(background, shareLogPeriod, n.logShares)
 	select {
 	case err := <-serveErrs:
@@ -241,6 +242,12 @@
 	return nil
 }
 
+// sampleLoad measures this router's load and decides whether connections are passed on.
+func (n *Node) sampleLoad() {
+	n.runQueueDelay.Sample()
+	n.offload.update()
+}
+
 // ready reports whether the router accepts new clients.
 func (n *Node) ready() bool {
 	return !n.draining.Load() && n.routing.Load() != nil && n.servers.Load().Len() > 0 &&
--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -19,8 +19,6 @@
 const (
 	// offloadPortOffset is the offset of the port for forwarded connections from the first internal port.
 	offloadPortOffset = 2
-	// offloadUpdatePeriod is how often a router decides whether it passes connections on.
-	offloadUpdatePeriod = 100 * time.Millisecond
 	// offloadDialTimeout bounds the time to connect to another router. The client waits meanwhile.
 	offloadDialTimeout = 150 * time.Millisecond
 	// offloadMemoryFraction is the fraction of the memory limit that forwarded connections may take.
--- a/internal/daemon/gateway/offload_test.go
+++ b/internal/daemon/gateway/offload_test.go
@@ -32,7 +32,7 @@
 	}
 	g.Eventually(small.directoryAnswer, "3s").Should(ContainSubstring(large.settings.CallerListen))
 	small.overload("first", 40)
-	time.Sleep(3 * offloadUpdatePeriod)
+	time.Sleep(3 * loadSamplePeriod)
 	return small, large
 }
 
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -16,16 +16,17 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 const (
 	// flushPeriod is how often changed loads are sent to their owners. It is well below the time that an engine needs to
 	// process a prompt.
 	flushPeriod = 10 * time.Millisecond
-	// flushesPerAssignment is the number of flushes after which the owners are assigned again. flushesPerResend is the
-	// number of flushes after which all loads are sent again, because datagrams may be lost.
-	flushesPerAssignment = 10
-	flushesPerResend     = 40
+	// assignmentPeriod is how often the owners are assigned again. resendPeriod is how often all loads are sent again,
+	// because datagrams may be lost.
+	assignmentPeriod = 100 * time.Millisecond
+	resendPeriod     = 400 * time.Millisecond
 )
 
 // newLoadOwners returns the load owners of a node and registers their metric.
@@ -48,8 +49,8 @@
 	outcomes *prometheus.CounterVec
 	// denied and unanswered count the reservation requests without a grant, for the log.
 	denied, unanswered atomic.Int64
-	// flushes is the number of flushes so far. Only the flushing goroutine uses it.
-	flushes int
+	// lastAssignment and lastResend are used by the flushing goroutine only.
+	lastAssignment, lastResend time.Time
 }
 
 // ownerTable is an assignment of servers to owners. It is immutable.
@@ -98,16 +99,40 @@
 	o.outcomes.WithLabelValues(label).Inc()
 }
 
+// run flushes until ctx ends: every flushPeriod while this router has requests or owns loads, and otherwise every
+// assignmentPeriod.
+func (o *loadOwners) run(ctx context.Context) {
+	period := flushPeriod
+	for periodic.Sleep(ctx, period) {
+		o.flush(time.Now())
+		period = flushPeriod
+		if o.idle() {
+			period = assignmentPeriod
+		}
+	}
+}
+
+// idle reports whether this router neither has requests nor owns loads.
+func (o *loadOwners) idle() bool {
+	table := o.table.Load()
+	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0)
+}
+
 // flush sends capacity notices to routers and changed loads to their owners. It updates the owners and resends all
 // loads when that is due.
-func (o *loadOwners) flush() {
-	reassigned := o.flushes%flushesPerAssignment == 0 && o.updateOwners()
-	resendAll := reassigned || o.flushes%flushesPerResend == 0
-	o.flushes++
+func (o *loadOwners) flush(now time.Time) {
+	resendAll := now.Sub(o.lastResend) >= resendPeriod
+	if now.Sub(o.lastAssignment) >= assignmentPeriod {
+		o.lastAssignment = now
+		resendAll = o.updateOwners() || resendAll
+	}
 	table := o.table.Load()
 	if table == nil {
 		return
 	}
+	if resendAll {
+		o.lastResend = now
+	}
 	for _, notification := range o.node.admission.TakeNotifications() {
 		if address, ok := table.addresses[notification.Router]; ok {
 			o.node.send(notification.Notice, address)
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -22,31 +22,68 @@
 )
 
 // runReports sends reports of this router's state to the other routers until ctx ends. Reports go to the active
-// routers, and every gossip.MaxPeriod to all.
+// routers, and every gossip.MaxPeriod to all. While this router takes no requests, it only sends reports to all, every
+// gossip.IdlePeriod.
 func (n *Node) runReports(ctx context.Context) {
 	seq := n.incarnation // above the sequence numbers of an earlier process
 	var sleepStart time.Time
 	var period time.Duration
-	var lastBroadcast time.Time
+	var last lastReport
 	for ctx.Err() == nil {
 		if !sleepStart.IsZero() {
 			n.lag.Observe(time.Since(sleepStart) - period)
 		}
-		seq++
-		all, active := n.reportTargets()
-		recipients := active
-		broadcast := time.Since(lastBroadcast) >= gossip.MaxPeriod
-		if broadcast {
-			recipients, lastBroadcast = all, time.Now()
+		r := n.newReport()
+		if last.due(&r) {
+			seq++
+			r.Seq = seq
+			period = n.sendReport(&r, &last)
 		}
-		n.sendReport(seq, recipients, broadcast)
 		n.removeLostPeers()
-		period = gossip.Period(len(active) + 1)
 		sleepStart = time.Now()
 		periodic.Sleep(ctx, period)
 	}
 }
 
+// lastReport describes the last report that was sent to all routers.
+type lastReport struct {
+	at       time.Time
+	idle     bool
+	ready    bool
+	interval time.Duration
+}
+
+// due reports whether a report must be sent. A router that is idle and whose readiness has not changed sends none until
+// the interval that it announced ends.
+func (l *lastReport) due(r *gossip.Report) bool {
+	return !l.idle || !r.Idle() || r.Ready != l.ready || time.Since(l.at) >= l.interval
+}
+
+// sendReport sends a report to the active routers, or to all if that is due. It returns the time until the next report
+// may be due.
+func (n *Node) sendReport(r *gossip.Report, last *lastReport) time.Duration {
+	all, active := n.reportTargets()
+	recipients := active
+	idle := r.Idle()
+	broadcast := time.Since(last.at) >= gossip.MaxPeriod || idle || r.Ready != last.ready
+	interval := gossip.MaxPeriod
+	if idle {
+		interval = gossip.IdlePeriod(len(all) + 1)
+	}
+	if broadcast {
+		recipients = all
+		*last = lastReport{at: time.Now(), idle: idle, ready: r.Ready, interval: interval}
+	}
+	r.IntervalMS = int(interval.Milliseconds())
+	// The claim is large and not needed often.
+	if broadcast && len(recipients) < maxDirectFleet {
+		r.Proof = n.freshnessClaim()
+	}
+	n.exchange.RecordSent(r.Seq)
+	n.send(r, recipients...)
+	return gossip.Period(len(active) + 1)
+}
+
 // reportTargets returns the addresses of all other routers, and of the active ones, which handle requests. Only the
 // active ones need to know each change of the loads at once.
 func (n *Node) reportTargets() (all, active []netip.AddrPort) {
@@ -71,13 +108,11 @@
 	return all, active
 }
 
-// sendReport sends a report. With withProof, the report also carries this router's freshness claim, unless the fleet is
-// large.
-func (n *Node) sendReport(seq uint64, recipients []netip.AddrPort, withProof bool) {
+// newReport returns a report of this router's state without a sequence number.
+func (n *Node) newReport() gossip.Report {
 	r := gossip.Report{
 		Router:        n.settings.Router,
 		Incarnation:   n.incarnation,
-		Seq:           seq,
 		CallerAddress: n.settings.CallerListen,
 		Domain:        n.settings.FailureDomain,
 		Ready:         n.ready(),
@@ -96,11 +131,7 @@
 	n.busy.Store(r.Busy)
 	n.ownRate.Store(math.Float64bits(own.Rate))
 	r.Parts = n.cachedPartsToReport()
-	if withProof && len(recipients) < maxDirectFleet {
-		r.Proof = n.freshnessClaim()
-	}
-	n.exchange.RecordSent(seq)
-	n.send(&r, recipients...)
+	return r
 }
 
 // readyPeers returns the other routers that accept new clients.
@@ -117,8 +148,10 @@
 	n.lastRequestCount = requestCount
 	own := balance.Load{Rate: n.rate.PerSecond(now), Cores: n.settings.Cores}
 	var others []balance.Load
-	for _, p := range n.readyPeers() {
-		others = append(others, balance.Load{Rate: float64(p.Rate), Cores: float64(p.Cores)})
+	if own.Rate > 0 {
+		for _, p := range n.readyPeers() {
+			others = append(others, balance.Load{Rate: float64(p.Rate), Cores: float64(p.Cores)})
+		}
 	}
 	n.gateway.SetMoveClients(n.offload.Active() || balance.Overloaded(own, others))
 	return own
