--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -74,5 +74,5 @@
 	g.Expect(p.Live(now.Add(4 * maxIdlePeriod))).To(BeEmpty())
 	unlimited := Report{Router: "r", Seq: 2, IntervalMS: 1 << 40}
 	g.Expect(p.Update(now, &unlimited)).To(BeTrue())
-	g.Expect(p.Live(now.Add(4 * maxIdlePeriod))).To(BeEmpty(), "an interval of another router is bounded")
+	g.Expect(p.Live(now.Add(4*maxIdlePeriod))).To(BeEmpty(), "an interval of another router is bounded")
 }
