discovery: Follow a store that comes back from an older copy

What could go wrong: revisions go back and are given out again, so a router that asked after the counter had passed its old value missed what was written between; a peer's confirmation at a lower or higher revision of another history kept a removed API key alive; entries of servers that drain or have left came back as ready; all routers' entries were lost at once; a lease's number could belong to another router.

Change: a position is a revision of one era, compared only through its methods. The platform's client reads the era in each answer; answers of an earlier era are dropped. In a new era a router lists again, keeps the newer configuration, the draining and the departed servers, and the routers' entries until the grace period ends, does not confirm its state until the configuration is written again or 2 s have passed, and registers anew within a second. Relayed changes and claims of freshness carry the era; another era confirms nothing. Conditional writes are not used on this path.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -54,7 +54,7 @@
 	begin := time.Now()
 	f := &testFollower{feed: feed, servers: &backends.Holder{}, routing: &routing.Holder{}}
 	f.proof = freshness.NewProof(func() time.Duration { return time.Hour + time.Since(begin) })
-	f.Follower = New(Options{Feed: feed, Proof: f.proof, Log: zap.NewNop(), Peers: peers, Sink: NewState(StateOptions{
+	f.Follower = New(Options{Feed: feed, Proof: f.proof, Log: zap.NewNop(), Peers: peers, IsConfig: testSchema{}.IsConfig, Sink: NewState(StateOptions{
 		Schema: testSchema{}, Routing: f.routing, Servers: f.servers, Log: zap.NewNop(),
 	})})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -163,12 +163,12 @@
 		feed.SetDown(true)
 		time.Sleep(10 * time.Second)
 		g.Expect(f.proof.Within(5 * time.Second)).To(BeFalse())
-		f.ConfirmRevision(f.Revision()+1, f.proof.Now())
+		f.ConfirmPosition(f.Position().At(f.Position().Revision+1), f.proof.Now())
 		g.Expect(f.proof.Within(5*time.Second)).To(BeFalse(), "this router lacks a change")
-		f.ConfirmRevision(f.Revision(), f.proof.Now()-time.Second)
+		f.ConfirmPosition(f.Position(), f.proof.Now()-time.Second)
 		g.Expect(f.proof.Within(time.Second)).To(BeTrue())
 		empty := New(Options{Proof: f.proof})
-		empty.ConfirmRevision(0, f.proof.Now())
+		empty.ConfirmPosition(kv.Position{}, f.proof.Now())
 		g.Expect(f.proof.Within(time.Millisecond)).To(BeFalse(), "this router has not read the store yet")
 	})
 }
@@ -195,7 +195,7 @@
 
 func (p *fakePeers) Readers() []string { return []string{"reader"} }
 
-func (p *fakePeers) Changes(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (Relayed, error) {
+func (p *fakePeers) Changes(ctx context.Context, _ string, after kv.Position, wait time.Duration) (Relayed, error) {
 	if p.fail {
 		return Relayed{}, errors.New("unreachable")
 	}
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
@@ -44,7 +44,10 @@
 	// Apply applies changes in order. Servers whose entries were removed are kept until graceEnd if that is after now, and
 	// dropped at once otherwise.
 	Apply(changes []kv.Change, now, graceEnd time.Time)
-	// Expire drops the servers whose grace period has ended.
+	// Restore replaces the state of all keys by that of an older copy, from which the store came back. It keeps what is
+	// known to have happened later. Otherwise it is like Replace.
+	Restore(entries []kv.Entry, now, graceEnd time.Time)
+	// Expire drops the servers and routers whose grace period has ended.
 	Expire(now time.Time)
 }
 
@@ -56,14 +59,21 @@
 	// Peers are other routers that read the store for this one. Default: none, so the router reads the store itself.
 	Peers Peers
 	Log   *zap.Logger
+	// IsConfig reports whether a key is that of the configuration. Default: no key.
+	IsConfig func(key string) bool
+	// OnRestored is called when the store has come back from an older copy. Default: nothing.
+	OnRestored func()
 }
 
 // Follower watches all keys of the store and passes their state and changes to a Sink.
 type Follower struct {
 	opts     Options
-	revision kv.Revision
-	// appliedRevision is a copy of revision that other goroutines may read.
-	appliedRevision atomic.Int64
+	position kv.Position
+	// appliedPosition is a copy of position that other goroutines may read.
+	appliedPosition atomic.Pointer[kv.Position]
+	// settledAt is the time from which the state of a new era may be confirmed: the store may lack a configuration that
+	// it had acknowledged until the operators have written it again.
+	settledAt time.Time
 	// listed is set once all keys have been listed, and cleared when they must be listed again.
 	listed  bool
 	history *History
@@ -80,6 +90,12 @@
 
 // New returns a follower.
 func New(opts Options) *Follower {
+	if opts.IsConfig == nil {
+		opts.IsConfig = func(string) bool { return false }
+	}
+	if opts.OnRestored == nil {
+		opts.OnRestored = func() {}
+	}
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = minRetryDelay
 	b.MaxInterval = maxRetryDelay
@@ -112,9 +128,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
 	sent := f.opts.Proof.Now()
-	changes, revision, err := f.opts.Feed.Changes(ctx, "", f.revision, wait)
-	if errors.Is(err, kv.ErrCompacted) {
-		f.opts.Log.Info("history discarded, listing again", zap.Int64("revision", int64(f.revision)))
+	changes, position, err := f.opts.Feed.Changes(ctx, "", f.position, wait)
+	if errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrRestored) {
+		f.opts.Log.Info("history discarded, listing again", f.revisionField())
 		f.listed = false
 		return nil
 	}
@@ -122,7 +138,7 @@
 		return err
 	}
 	f.recordSuccess()
-	f.applyChanges(changes, revision, sent)
+	f.applyChanges(changes, position, sent)
 	if len(changes) > 0 {
 		periodic.Sleep(ctx, changeBatchDelay)
 	}
@@ -135,7 +151,7 @@
 	switch {
 	case !f.reachable:
 		return 0
-	case time.Now().Before(f.graceEnd()):
+	case time.Now().Before(f.graceEnd()), time.Now().Before(f.settledAt):
 		return gracePollWait
 	case f.isRelaying():
 		return relayingPollWait
@@ -144,40 +160,86 @@
 	}
 }
 
-// Revision returns the store's revision that the local state corresponds to.
-func (f *Follower) Revision() kv.Revision { return kv.Revision(f.appliedRevision.Load()) }
+// Position returns the store's position that the local state corresponds to. It is zero before the first listing.
+func (f *Follower) Position() kv.Position {
+	if p := f.appliedPosition.Load(); p != nil {
+		return *p
+	}
+	return kv.Position{}
+}
 
-// ConfirmRevision records another router's proof that the store's state had this revision at a time on the proof's
-// clock. It confirms the local state only if that is at the same or a later revision.
-func (f *Follower) ConfirmRevision(revision kv.Revision, at time.Duration) {
-	if current := f.Revision(); current > 0 && current >= revision {
+// ConfirmPosition records another router's proof that the store's state had this position at a time on the proof's
+// clock. It confirms the local state only if that includes the position.
+func (f *Follower) ConfirmPosition(position kv.Position, at time.Duration) {
+	if current := f.Position(); !current.IsZero() && current.Includes(position) {
 		f.opts.Proof.Confirm(at)
 	}
 }
 
+// setPosition sets the position that the local state corresponds to.
+func (f *Follower) setPosition(p kv.Position) {
+	f.position = p
+	f.appliedPosition.Store(&p)
+}
+
+// confirm confirms the local state as of a time on the proof's clock, unless the store may still lack a configuration
+// that it had acknowledged.
+func (f *Follower) confirm(at time.Duration) {
+	if !time.Now().Before(f.settledAt) {
+		f.opts.Proof.Confirm(at)
+	}
+}
+
+func (f *Follower) revisionField() zap.Field {
+	return zap.Int64("revision", int64(f.position.Revision))
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	sent := f.opts.Proof.Now()
-	entries, revision, err := f.opts.Feed.List(ctx, "")
+	entries, position, err := f.opts.Feed.List(ctx, "")
 	if err != nil {
 		return err
 	}
+	if position.Era < f.position.Era {
+		return errors.New("discovery: answer of an earlier era")
+	}
 	f.recordSuccess()
-	f.opts.Sink.Replace(entries, time.Now(), f.graceEnd())
-	f.revision = revision
-	f.appliedRevision.Store(int64(revision))
+	if position.Era > f.position.Era && !f.position.IsZero() {
+		f.restore(entries, position)
+	} else {
+		f.opts.Sink.Replace(entries, time.Now(), f.graceEnd())
+	}
+	f.setPosition(position)
 	f.listed = true
-	f.history.reset(revision)
-	f.opts.Proof.Confirm(sent)
+	f.history.reset(position)
+	f.confirm(sent)
 	return nil
 }
 
+// settlePeriod is how long the operators may take to write the newest configuration again after the store came back from
+// an older copy.
+const settlePeriod = 2 * time.Second
+
+// restore applies the entries of a store that came back from an older copy.
+func (f *Follower) restore(entries []kv.Entry, position kv.Position) {
+	now := time.Now()
+	f.restoredAt = now
+	f.settledAt = now.Add(settlePeriod)
+	f.opts.Log.Warn("store restored from an older copy",
+		zap.Int64("era", int64(position.Era)), zap.Int64("previous_era", int64(f.position.Era)),
+		zap.Int64("revision", int64(position.Revision)), zap.Int64("previous_revision", int64(f.position.Revision)))
+	f.opts.Sink.Restore(entries, now, f.graceEnd())
+	f.opts.OnRestored()
+}
+
 const (
 	// removalGrace is how long after an outage entries may be missing only because their servers have not written them
 	// again. Servers need about two seconds; the rest of that time passes until the removal takes effect.
 	removalGrace = 1800 * time.Millisecond
-	// gracePollWait is the wait of polls in that period, so that servers that do not come back are dropped when it ends.
+	// gracePollWait is the wait of polls in that period and in settlePeriod, so that servers that do not come back are
+	// dropped, and the state is confirmed, when it ends.
 	gracePollWait = 200 * time.Millisecond
 )
 
@@ -196,7 +258,7 @@
 	}
 	f.reachable = true
 	f.restoredAt = time.Now()
-	f.opts.Log.Info("store reached", zap.Int64("revision", int64(f.revision)))
+	f.opts.Log.Info("store reached", f.revisionField())
 }
 
 func (f *Follower) recordFailure(err error) {
@@ -204,5 +266,5 @@
 		return
 	}
 	f.reachable = false
-	f.opts.Log.Warn("store lost", logfield.Error(err), zap.Int64("revision", int64(f.revision)))
+	f.opts.Log.Warn("store lost", logfield.Error(err), f.revisionField())
 }
--- a/internal/coordination/discovery/history.go
+++ b/internal/coordination/discovery/history.go
@@ -19,6 +19,7 @@
 type Relayed struct {
 	Changes  []kv.Change
 	Revision kv.Revision
+	Era      kv.Era
 	// Age is the age of the answering router's proof of freshness at the time of the answer.
 	Age time.Duration
 }
@@ -28,26 +29,26 @@
 	mu      sync.Mutex
 	changes []kv.Change
 	bytes   int
-	// base is the revision above which the history is complete, revision the newest one.
-	base, revision kv.Revision
-	// changed is closed and replaced when revision changes.
+	// base is the position after which the history is complete, position the newest one. Both are of the same era.
+	base, position kv.Position
+	// changed is closed and replaced when position changes.
 	changed chan struct{}
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{changed: make(chan struct{})} }
 
-// reset empties the history and sets its revision.
-func (h *History) reset(revision kv.Revision) {
+// reset empties the history and sets its position.
+func (h *History) reset(position kv.Position) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.changes, h.bytes = nil, 0
-	h.base, h.revision = revision, revision
+	h.base, h.position = position, position
 	h.notify()
 }
 
-// add appends the changes that lead to a revision, and discards the oldest changes above the limits.
-func (h *History) add(changes []kv.Change, revision kv.Revision) {
+// add appends the changes that lead to a position, and discards the oldest changes above the limits.
+func (h *History) add(changes []kv.Change, position kv.Position) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, c := range changes {
@@ -55,12 +56,12 @@
 		h.bytes += len(c.Value)
 	}
 	for len(h.changes) > maxHistory || h.bytes > maxHistoryBytes {
-		h.base = h.changes[0].Revision
+		h.base = h.position.At(h.changes[0].Revision)
 		h.bytes -= len(h.changes[0].Value)
 		h.changes = h.changes[1:]
 	}
-	if revision > h.revision {
-		h.revision = revision
+	if !h.position.Includes(position) {
+		h.position = position
 		h.notify()
 	}
 }
@@ -70,37 +71,37 @@
 	h.changed = make(chan struct{})
 }
 
-// Since waits up to wait for changes above a revision, and returns them with the newest revision. It returns
+// Since waits up to wait for changes after a position, and returns them with the newest position. It returns
 // kv.ErrCompacted if some of them are no longer kept.
-func (h *History) Since(ctx context.Context, after kv.Revision, wait time.Duration) ([]kv.Change, kv.Revision, error) {
+func (h *History) Since(ctx context.Context, after kv.Position, wait time.Duration) ([]kv.Change, kv.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for timedOut := false; ; {
 		h.mu.Lock()
-		changes, revision, err := h.since(after)
+		changes, position, err := h.since(after)
 		changed := h.changed
 		h.mu.Unlock()
 		if err != nil || len(changes) > 0 || timedOut {
-			return changes, revision, err
+			return changes, position, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			timedOut = true
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, kv.Position{}, ctx.Err()
 		}
 	}
 }
 
-func (h *History) since(after kv.Revision) ([]kv.Change, kv.Revision, error) {
-	if h.base == 0 || after < h.base || after > h.revision {
-		return nil, 0, kv.ErrCompacted
+func (h *History) since(after kv.Position) ([]kv.Change, kv.Position, error) {
+	if h.base.IsZero() || !after.Includes(h.base) || !h.position.Includes(after) {
+		return nil, kv.Position{}, kv.ErrCompacted
 	}
 	for i, c := range h.changes {
-		if c.Revision > after {
-			return h.changes[i:len(h.changes):len(h.changes)], h.revision, nil
+		if !after.Includes(after.At(c.Revision)) {
+			return h.changes[i:len(h.changes):len(h.changes)], h.position, nil
 		}
 	}
-	return nil, h.revision, nil
+	return nil, h.position, nil
 }
--- a/internal/coordination/discovery/relay.go
+++ b/internal/coordination/discovery/relay.go
@@ -30,15 +30,15 @@
 	// Readers returns the addresses of the routers that read the store for others. It is empty for a router that reads
 	// the store itself.
 	Readers() []string
-	// Changes asks another router for changes above a revision.
-	Changes(ctx context.Context, address string, after kv.Revision, wait time.Duration) (Relayed, error)
+	// Changes asks another router for changes after a position.
+	Changes(ctx context.Context, address string, after kv.Position, wait time.Duration) (Relayed, error)
 }
 
 // Relay answers another router that reads the store through this one. It returns kv.ErrCompacted if the history does
 // not hold all changes, and kv.ErrUnavailable without a proof of freshness.
-func (f *Follower) Relay(ctx context.Context, after kv.Revision, wait time.Duration) (Relayed, error) {
+func (f *Follower) Relay(ctx context.Context, after kv.Position, wait time.Duration) (Relayed, error) {
 	f.relayedAt.Store(time.Now().UnixNano())
-	changes, revision, err := f.history.Since(ctx, after, min(wait, maxPollWait))
+	changes, position, err := f.history.Since(ctx, after, min(wait, maxPollWait))
 	if err != nil {
 		return Relayed{}, err
 	}
@@ -46,7 +46,7 @@
 	if !ok {
 		return Relayed{}, kv.ErrUnavailable
 	}
-	return Relayed{Changes: changes, Revision: revision, Age: age}, nil
+	return Relayed{Changes: changes, Revision: position.Revision, Era: position.Era, Age: age}, nil
 }
 
 // isRelaying reports whether other routers read the store through this one.
@@ -75,23 +75,27 @@
 	ctx, cancel := context.WithTimeout(ctx, peerPollWait+peerResponseTimeout)
 	defer cancel()
 	sent := f.opts.Proof.Now()
-	answer, err := f.opts.Peers.Changes(ctx, address, f.revision, peerPollWait)
-	if err != nil || answer.Age > maxPeerAge {
+	answer, err := f.opts.Peers.Changes(ctx, address, f.position, peerPollWait)
+	if err != nil || answer.Age > maxPeerAge || answer.Era != f.position.Era {
 		f.avoidUntil[address] = time.Now().Add(avoidPeriod)
 		return false
 	}
 	f.readerIndex-- // keep using this reader
-	f.applyChanges(answer.Changes, answer.Revision, sent-answer.Age)
+	f.applyChanges(answer.Changes, f.position.At(answer.Revision), sent-answer.Age)
 	return true
 }
 
-// applyChanges applies changes that bring the state to a revision, and confirms that state as of a time on the proof's
-// clock.
-func (f *Follower) applyChanges(changes []kv.Change, revision kv.Revision, at time.Duration) {
-	fresh := slices.DeleteFunc(slices.Clone(changes), func(c kv.Change) bool { return c.Revision <= f.revision })
+// applyChanges applies changes that bring the state to a position of the same era, and confirms that state as of a time
+// on the proof's clock.
+func (f *Follower) applyChanges(changes []kv.Change, position kv.Position, at time.Duration) {
+	fresh := slices.DeleteFunc(slices.Clone(changes), func(c kv.Change) bool {
+		return f.position.Includes(f.position.At(c.Revision))
+	})
 	f.opts.Sink.Apply(fresh, time.Now(), f.graceEnd())
-	f.revision = max(f.revision, revision)
-	f.appliedRevision.Store(int64(f.revision))
-	f.history.add(fresh, f.revision)
-	f.opts.Proof.Confirm(at)
+	if slices.ContainsFunc(fresh, func(c kv.Change) bool { return f.opts.IsConfig(c.Key) }) {
+		f.settledAt = time.Time{}
+	}
+	f.setPosition(f.position.Later(position))
+	f.history.add(fresh, f.position)
+	f.confirm(at)
 }
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -55,6 +55,12 @@
 	// expiring holds the servers whose entries disappeared after an outage, with the time at which they are dropped.
 	expiring map[string]time.Time
 	routers  map[string]Router
+	// expiringRouters is like expiring for routers.
+	expiringRouters map[string]time.Time
+	// departed holds the servers that were dropped lately. An older copy of the store may still list them.
+	departed map[string]departure
+	// bound holds, while an older copy is applied, the servers that are known to drain.
+	bound map[string]*backends.Server
 	// revisions holds the revision of each entry of a server or router by key. Older changes of a key are ignored, since
 	// pages of a listing may be older than changes that follow.
 	revisions map[string]kv.Revision
@@ -79,9 +85,22 @@
 		expiring:  make(map[string]time.Time),
 		routers:   make(map[string]Router),
 		revisions: make(map[string]kv.Revision),
+
+		expiringRouters: make(map[string]time.Time),
+		departed:        make(map[string]departure),
 	}
 }
 
+// departure is a server that was dropped, and when.
+type departure struct {
+	server *backends.Server
+	at     time.Time
+}
+
+// departureRetention is how long dropped servers are remembered. It is well above the age of the copies that a store may
+// come back from.
+const departureRetention = time.Minute
+
 // Replace implements Sink.
 func (s *State) Replace(entries []kv.Entry, now, graceEnd time.Time) {
 	listed := make(map[string]bool, len(entries))
@@ -100,6 +119,35 @@
 	s.publish(changed)
 }
 
+// Restore implements Sink. The copy may list servers that have left since, or show servers as ready that drain: both
+// stay out of use. A server whose entry the copy lacks is kept until graceEnd, and so is a router.
+func (s *State) Restore(entries []kv.Entry, now, graceEnd time.Time) {
+	for key := range s.revisions {
+		s.revisions[key] = 0 // the copy's revisions do not compare with those before
+	}
+	s.bound = make(map[string]*backends.Server)
+	for id, server := range s.servers {
+		if server.Draining {
+			s.bound[id] = server
+		}
+	}
+	s.Replace(slices.DeleteFunc(slices.Clone(entries), s.hasDeparted), now, graceEnd)
+	s.bound = nil
+}
+
+// hasDeparted reports whether an entry is that of a server that was dropped lately, and not of a later start of it.
+func (s *State) hasDeparted(e kv.Entry) bool {
+	if !s.opts.Schema.IsServer(e.Key) {
+		return false
+	}
+	d, ok := s.departed[s.opts.Schema.ServerID(e.Key)]
+	if !ok {
+		return false
+	}
+	server, err := s.opts.Schema.DecodeServer(e.Key, e.Value)
+	return err == nil && server.SameIncarnation(d.server)
+}
+
 // Apply implements Sink.
 func (s *State) Apply(changes []kv.Change, now, graceEnd time.Time) {
 	changed := false
@@ -124,10 +172,21 @@
 			continue
 		}
 		s.opts.Log.Info("backend server gone", zap.String("server", id), zap.String("cause", "entry did not come back"))
-		delete(s.expiring, id)
-		delete(s.servers, id)
+		changed = s.dropServer(id, now) || changed
+	}
+	for id, at := range s.expiringRouters {
+		if now.Before(at) {
+			continue
+		}
+		delete(s.expiringRouters, id)
+		delete(s.routers, id)
 		changed = true
 	}
+	for id, d := range s.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(s.departed, id)
+		}
+	}
 	s.publish(changed)
 }
 
@@ -179,10 +238,14 @@
 	if err != nil {
 		s.opts.Log.Warn("cannot decode entry of a backend server", logfield.Error(err),
 			zap.Int64("revision", int64(e.Revision)))
-		return s.dropServer(s.opts.Schema.ServerID(e.Key))
+		return s.dropServer(s.opts.Schema.ServerID(e.Key), now)
 	}
 	previous := s.servers[server.ID]
+	if bound := s.bound[server.ID]; bound != nil && bound.SameIncarnation(server) {
+		server.Draining = true
+	}
 	delete(s.expiring, server.ID)
+	delete(s.departed, server.ID)
 	s.servers[server.ID] = server
 	if previous == nil || !previous.SameIncarnation(server) || previous.Draining != server.Draining {
 		s.opts.Log.Info("backend server", zap.String("server", server.ID), zap.String("service", server.Service),
@@ -199,6 +262,7 @@
 		s.opts.Log.Warn("cannot decode entry of a router", logfield.Error(err))
 		return false
 	}
+	delete(s.expiringRouters, router.ID)
 	s.routers[router.ID] = router
 	return true
 }
@@ -219,17 +283,26 @@
 			return false
 		}
 		s.opts.Log.Info("backend server gone", zap.String("server", id), zap.String("cause", "entry removed"))
-		return s.dropServer(id)
+		return s.dropServer(id, now)
 	case schema.IsRouter(key):
-		delete(s.routers, schema.RouterID(key))
+		id := schema.RouterID(key)
+		if now.Before(graceEnd) {
+			s.expiringRouters[id] = graceEnd
+			return false
+		}
+		delete(s.routers, id)
 		return true
 	default:
 		return false
 	}
 }
 
-func (s *State) dropServer(id string) bool {
-	_, known := s.servers[id]
+// dropServer removes a server and remembers it as departed. It reports whether it was known.
+func (s *State) dropServer(id string, now time.Time) bool {
+	server, known := s.servers[id]
+	if known {
+		s.departed[id] = departure{server: server, at: now}
+	}
 	delete(s.servers, id)
 	delete(s.expiring, id)
 	return known
--- a/internal/coordination/freshness/exchange.go
+++ b/internal/coordination/freshness/exchange.go
@@ -4,16 +4,18 @@
 	"maps"
 	"sync"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
 
 // maxSentReports is the number of this router's reports whose send times are kept. It covers 2.5 s of reports every
 // 40 ms; a claim that echoes an older report is too old to be useful.
 const maxSentReports = 64
 
-// Claim is a router's statement about its proof: it had the store's state of a revision, and that state was confirmed
+// Claim is a router's statement about its proof: it had the store's state of a position, and that state was confirmed
 // Age before the claim was made.
 type Claim struct {
-	Revision int64
+	Position kv.Position
 	Age      time.Duration
 	// Echoes are the sequence numbers of the latest reports that the claimant had received, by router, before it
 	// measured Age.
@@ -67,14 +69,14 @@
 }
 
 // Claim returns this router's claim. It returns false while no state is confirmed. The order of the steps matters: the
-// age is measured after the echoes are copied, and the revision is read after the age, so that the claimed revision is
+// age is measured after the echoes are copied, and the position is read after the age, so that the claimed position is
 // not older than the confirmed state.
-func (e *Exchange) Claim(proof *Proof, revision func() int64) (Claim, bool) {
+func (e *Exchange) Claim(proof *Proof, position func() kv.Position) (Claim, bool) {
 	e.mu.Lock()
 	echoes := maps.Clone(e.received)
 	e.mu.Unlock()
 	age, ok := proof.Age()
-	return Claim{Age: age, Revision: revision(), Echoes: echoes}, ok
+	return Claim{Age: age, Position: position(), Echoes: echoes}, ok
 }
 
 // ConfirmationTime returns a lower bound, by this router's clock, of the time at which the claimed state was confirmed.
--- a/internal/coordination/freshness/exchange_test.go
+++ b/internal/coordination/freshness/exchange_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
 
 // Guards against a claim that is dated by the time at which it is read: after a pause of the process, datagrams from
@@ -15,7 +17,7 @@
 	clock := func() time.Duration { return now }
 	a, b := NewExchange("a", clock), NewExchange("b", clock)
 	proof := NewProof(clock)
-	seven := func() int64 { return 7 }
+	seven := func() kv.Position { return kv.Position{Revision: 7} }
 	_, ok := b.Claim(proof, seven)
 	g.Expect(ok).To(BeFalse())
 	proof.Confirm(now)
@@ -53,12 +55,12 @@
 func TestClaimedRevisionIsNotOlderThanItsProof(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Hour
-	revision := int64(7)
+	position := kv.Position{Revision: 7}
 	proof := NewProof(func() time.Duration {
-		revision = 8 // the change takes effect while the age is measured
+		position.Revision = 8 // the change takes effect while the age is measured
 		return now
 	})
 	proof.Confirm(now)
-	claim, _ := NewExchange("b", func() time.Duration { return now }).Claim(proof, func() int64 { return revision })
-	g.Expect(claim.Revision).To(Equal(int64(8)))
+	claim, _ := NewExchange("b", func() time.Duration { return now }).Claim(proof, func() kv.Position { return position })
+	g.Expect(claim.Position.Revision).To(BeEquivalentTo(8))
 }
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -9,6 +9,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
 
 // maxDatagram is the maximum size of an encoded report, in bytes. Larger datagrams would be fragmented.
@@ -46,6 +47,13 @@
 	Parts []CachedParts `cbor:"10,keyasint,omitempty"`
 	// Proof shows how recent the sender's knowledge of the store is. Not every report has one.
 	Proof *Proof `cbor:"14,keyasint,omitempty"`
+	// ProofEra is the store's era of Proof.
+	ProofEra int64 `cbor:"19,keyasint,omitempty"`
+}
+
+// Position returns the position of the store that the proof states. The report must have a proof.
+func (r *Report) Position() kv.Position {
+	return kv.Position{Era: kv.Era(r.ProofEra), Revision: kv.Revision(r.Proof.Revision)}
 }
 
 // Idle reports whether the sender takes no requests and knows nothing that other routers need soon.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -76,6 +76,8 @@
 	registry  *prometheus.Registry
 	routers   atomic.Pointer[map[string]discovery.Router]
 	draining  atomic.Bool
+	// restored is signalled when the store has come back from an older copy.
+	restored chan struct{}
 	// lastCachedParts holds the cached prompt parts of the last report. Only the reporting goroutine uses it.
 	lastCachedParts []admission.CachedPart
 	// rate measures the router's request rate; lastRequestCount is the number of requests at the last report. Only the
@@ -107,6 +109,7 @@
 		runQueueDelay: runqueue.New(),
 		exchange:      freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:      prometheus.NewRegistry(),
+		restored:      make(chan struct{}, 1),
 	}
 	core := admission.New(admission.Options{
 		Domain:      settings.FailureDomain,
@@ -141,10 +144,12 @@
 		storeCalls.WithLabelValues(kind).Inc()
 	})
 	n.follower = discovery.New(discovery.Options{
-		Feed:  n.store,
-		Proof: n.proof,
-		Peers: &storeReaders{node: n, client: relayhttp.NewClient()},
-		Log:   log.Named("discovery"),
+		Feed:       n.store,
+		Proof:      n.proof,
+		Peers:      &storeReaders{node: n, client: relayhttp.NewClient()},
+		Log:        log.Named("discovery"),
+		IsConfig:   platform.Schema{}.IsConfig,
+		OnRestored: n.onRestored,
 		Sink: discovery.NewState(discovery.StateOptions{
 			Schema:    platform.Schema{},
 			Routing:   &n.routing,
--- a/internal/daemon/gateway/readers.go
+++ b/internal/daemon/gateway/readers.go
@@ -55,7 +55,7 @@
 
 // Changes implements discovery.Peers.
 func (r *storeReaders) Changes(
-	ctx context.Context, address string, after kv.Revision, wait time.Duration,
+	ctx context.Context, address string, after kv.Position, wait time.Duration,
 ) (discovery.Relayed, error) {
 	return r.client.Changes(ctx, address, after, wait)
 }
--- a/internal/daemon/gateway/register.go
+++ b/internal/daemon/gateway/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -23,6 +24,9 @@
 	renewPeriod = 6 * time.Second
 	// registerTimeout bounds one attempt to register, renew or unregister.
 	registerTimeout = 2 * time.Second
+	// reregisterSpread is the time over which the routers register anew after the store came back from an older copy,
+	// which has lost their entries. Their entries are kept in memory for longer.
+	reregisterSpread = time.Second
 )
 
 // register keeps the router registered in the store until ctx ends, and then removes its entry.
@@ -30,7 +34,7 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = 100 * time.Millisecond
 	b.MaxInterval = 2 * time.Second
-	var lease kv.LeaseID
+	var lease registration
 	for ctx.Err() == nil {
 		err := n.renewOrRegister(ctx, &lease)
 		wait := renewPeriod
@@ -40,22 +44,51 @@
 		} else {
 			b.Reset()
 		}
-		periodic.Sleep(ctx, wait)
+		n.sleepUntilRestored(ctx, wait)
 	}
 	n.unregister(ctx, lease)
 }
 
+// registration is the lease of this router's entry and the store's era in which it was granted. In another era the
+// lease's number may belong to another router.
+type registration struct {
+	lease kv.LeaseID
+	era   kv.Era
+}
+
+// sleepUntilRestored waits for d, or until the store has come back from an older copy and a random part of
+// reregisterSpread has passed.
+func (n *Node) sleepUntilRestored(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.restored:
+		periodic.Sleep(ctx, rand.N(reregisterSpread))
+	}
+}
+
+// onRestored makes the router register anew.
+func (n *Node) onRestored() {
+	select {
+	case n.restored <- struct{}{}:
+	default:
+	}
+}
+
 // renewOrRegister renews the lease. If there is none or it has expired, it requests a new one and writes the entry.
-func (n *Node) renewOrRegister(ctx context.Context, lease *kv.LeaseID) error {
+func (n *Node) renewOrRegister(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if *lease != 0 {
-		err := n.store.Renew(ctx, *lease)
+	if r.lease != 0 && r.era == n.store.Era() {
+		err := n.store.Renew(ctx, r.lease)
 		if !errors.Is(err, kv.ErrNotFound) {
 			return err
 		}
 	}
-	*lease = 0
+	*r = registration{}
+	era := n.store.Era()
 	id, _, err := n.store.Grant(ctx, registrationTTL)
 	if err != nil {
 		return err
@@ -71,18 +104,18 @@
 	if err := n.store.PutLeased(ctx, key, value, id); err != nil {
 		return err
 	}
-	*lease = id
+	*r = registration{lease: id, era: era}
 	return nil
 }
 
 // unregister removes the router's entry from the store by revoking its lease.
-func (n *Node) unregister(ctx context.Context, lease kv.LeaseID) {
-	if lease == 0 {
+func (n *Node) unregister(ctx context.Context, r registration) {
+	if r.lease == 0 || r.era != n.store.Era() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), registerTimeout)
 	defer cancel()
-	if err := n.store.Revoke(ctx, lease); err != nil {
+	if err := n.store.Revoke(ctx, r.lease); err != nil {
 		n.log.Info("entry not removed, it expires with its lease", logfield.Error(err))
 	}
 }
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -17,7 +17,6 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
-	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
@@ -77,7 +76,7 @@
 	r.IntervalMS = int(interval.Milliseconds())
 	// The claim is large and not needed often.
 	if broadcast && len(recipients) < maxDirectFleet {
-		r.Proof = n.freshnessClaim()
+		n.addFreshnessClaim(r)
 	}
 	n.exchange.RecordSent(r.Seq)
 	n.send(r, recipients...)
@@ -203,7 +202,7 @@
 		return
 	}
 	n.exchange.RecordReceived(r.Router, r.Seq)
-	n.handleClaim(r.Proof)
+	n.handleClaim(r)
 	if r.Owned {
 		n.owners.handleTotals(r.Router, r.Totals)
 	} else {
@@ -254,24 +253,26 @@
 	}
 }
 
-// freshnessClaim returns this router's freshness claim, or nil while no state of the store is confirmed.
-func (n *Node) freshnessClaim() *gossip.Proof {
-	c, ok := n.exchange.Claim(n.proof, func() int64 { return int64(n.follower.Revision()) })
+// addFreshnessClaim adds this router's freshness claim to a report, unless no state of the store is confirmed.
+func (n *Node) addFreshnessClaim(r *gossip.Report) {
+	c, ok := n.exchange.Claim(n.proof, n.follower.Position)
 	if !ok {
-		return nil
+		return
 	}
 	// Rounded up, so that the claimed age is never below the real one.
 	age := c.Age.Milliseconds() + 1
-	return &gossip.Proof{Revision: c.Revision, AgeMS: age, Echoes: c.Echoes}
+	r.Proof = &gossip.Proof{Revision: int64(c.Position.Revision), AgeMS: age, Echoes: c.Echoes}
+	r.ProofEra = int64(c.Position.Era)
 }
 
 // handleClaim renews this router's proof of freshness from the claim of another router.
-func (n *Node) handleClaim(p *gossip.Proof) {
+func (n *Node) handleClaim(r *gossip.Report) {
+	p := r.Proof
 	if p == nil || p.AgeMS < 0 {
 		return
 	}
-	claim := freshness.Claim{Revision: p.Revision, Age: time.Duration(p.AgeMS) * time.Millisecond, Echoes: p.Echoes}
+	claim := freshness.Claim{Position: r.Position(), Age: time.Duration(p.AgeMS) * time.Millisecond, Echoes: p.Echoes}
 	if at, ok := n.exchange.ConfirmationTime(claim); ok {
-		n.follower.ConfirmRevision(kv.Revision(p.Revision), at)
+		n.follower.ConfirmPosition(claim.Position, at)
 	}
 }
--- /dev/null
+++ b/internal/daemon/gateway/restore_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a fleet that falls apart, routers that stay without an entry, a herd of registrations, and removed API
+// keys that work again when the store comes back from an older copy.
+func TestFleetAfterTheStoreIsRestored(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	var nodes []*testNode
+	for i := range 4 {
+		nodes = append(nodes, f.startRouter(fmt.Sprintf("r-%d", i)))
+	}
+	for _, n := range nodes {
+		g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	}
+	g.Eventually(func() []string { return f.store.Keys("gooseberrytide/routers/") }, "3s").Should(HaveLen(len(nodes)))
+	older := f.store.Copy()
+	f.configure(2, "other-key")
+	for _, n := range nodes {
+		g.Eventually(func() int {
+			status, _ := n.call("/callout/x", "removed", "farm-key")
+			return status
+		}, "2s").Should(Equal(http.StatusUnauthorized))
+	}
+	leasesBefore := f.store.Calls()["kv-lease"]
+	f.store.SetDown(true)
+	time.Sleep(300 * time.Millisecond)
+	f.store.Restore(older)
+	f.store.SetDown(false)
+	for i := range 20 {
+		status, _ := nodes[i%len(nodes)].call("/callout/x", fmt.Sprintf("old-%d", i), "farm-key")
+		g.Expect(status).To(Equal(http.StatusUnauthorized))
+		status, _ = nodes[i%len(nodes)].call("/callout/x", fmt.Sprintf("new-%d", i), "other-key")
+		g.Expect(status).To(Equal(http.StatusOK))
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.configure(2, "other-key")
+	g.Eventually(func() []string { return f.store.Keys("gooseberrytide/routers/") }, "5s").Should(HaveLen(len(nodes)))
+	g.Expect(f.store.Calls()["kv-lease"] - leasesBefore).To(BeNumerically("<=", 2*len(nodes)))
+	for _, n := range nodes {
+		g.Expect(n.peers.Live(time.Now())).To(HaveLen(len(nodes) - 1))
+		g.Eventually(n.follower.Position, "3s").Should(HaveField("Era", BeEquivalentTo(1)))
+		g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	}
+}
--- a/internal/state/kv/contract_test.go
+++ b/internal/state/kv/contract_test.go
@@ -15,3 +15,11 @@
 	feed := kv.NewFakeFeed()
 	kvtest.CheckFeed(t, feed, feed)
 }
+
+func TestFakeFeedRestore(t *testing.T) {
+	feed := kv.NewFakeFeed()
+	kvtest.CheckRestore(t, feed, feed, func() func() {
+		state := feed.Copy()
+		return func() { feed.Restore(state) }
+	})
+}
--- a/internal/state/kv/fake_feed.go
+++ b/internal/state/kv/fake_feed.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
-// FakeFeed is an in-memory Feed that can simulate outages and discarded history.
+// FakeFeed is an in-memory Feed that can simulate outages, discarded history and a restore from an older copy.
 type FakeFeed struct {
 	mu       sync.Mutex
+	era      Era
 	revision Revision
 	entries  map[string]Entry
 	changes  []Change
@@ -56,6 +58,31 @@
 	f.notifyWaiters()
 }
 
+// Copy returns the current state, for Restore.
+func (f *FakeFeed) Copy() FakeCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return FakeCopy{revision: f.revision, entries: maps.Clone(f.entries)}
+}
+
+// FakeCopy is a state of a FakeFeed.
+type FakeCopy struct {
+	revision Revision
+	entries  map[string]Entry
+}
+
+// Restore replaces the state by an older copy, and begins a new era.
+func (f *FakeFeed) Restore(c FakeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.revision, f.compacted = c.revision, c.revision
+	f.entries, f.changes = maps.Clone(c.entries), nil
+	f.notifyWaiters()
+}
+
+func (f *FakeFeed) position() Position { return Position{Era: f.era, Revision: f.revision} }
+
 // SetDown starts or ends an outage. Calls that are waiting when an outage starts fail.
 func (f *FakeFeed) SetDown(down bool) {
 	f.mu.Lock()
@@ -78,12 +105,12 @@
 }
 
 // List implements Feed.
-func (f *FakeFeed) List(_ context.Context, prefix string) ([]Entry, Revision, error) {
+func (f *FakeFeed) List(_ context.Context, prefix string) ([]Entry, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.callCount++
 	if f.down {
-		return nil, 0, ErrUnavailable
+		return nil, Position{}, ErrUnavailable
 	}
 	var list []Entry
 	for key, entry := range f.entries {
@@ -92,47 +119,49 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
-	return list, f.revision, nil
+	return list, f.position(), nil
 }
 
 // Changes implements Feed.
 func (f *FakeFeed) Changes(
-	ctx context.Context, prefix string, after Revision, wait time.Duration,
-) ([]Change, Revision, error) {
+	ctx context.Context, prefix string, after Position, wait time.Duration,
+) ([]Change, Position, error) {
 	timeout := time.After(wait)
 	f.mu.Lock()
 	f.callCount++
 	f.mu.Unlock()
 	for {
-		list, revision, changed, err := f.changesAfter(prefix, after)
+		list, position, changed, err := f.changesAfter(prefix, after)
 		if err != nil || len(list) > 0 {
-			return list, revision, err
+			return list, position, err
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return nil, revision, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 	}
 }
 
-// changesAfter returns the changes above a revision and a channel that is closed at the next change.
-func (f *FakeFeed) changesAfter(prefix string, after Revision) ([]Change, Revision, <-chan struct{}, error) {
+// changesAfter returns the changes after a position and a channel that is closed at the next change.
+func (f *FakeFeed) changesAfter(prefix string, after Position) ([]Change, Position, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case f.down:
-		return nil, 0, nil, ErrUnavailable
-	case after < f.compacted:
-		return nil, 0, nil, ErrCompacted
+		return nil, Position{}, nil, ErrUnavailable
+	case after.Era != f.era:
+		return nil, Position{}, nil, ErrRestored
+	case after.Revision < f.compacted:
+		return nil, Position{}, nil, ErrCompacted
 	}
 	var list []Change
 	for _, c := range f.changes {
-		if c.Revision > after && strings.HasPrefix(c.Key, prefix) {
+		if c.Revision > after.Revision && strings.HasPrefix(c.Key, prefix) {
 			list = append(list, c)
 		}
 	}
-	return list, f.revision, f.changed, nil
+	return list, f.position(), f.changed, nil
 }
--- a/internal/state/kv/feed.go
+++ b/internal/state/kv/feed.go
@@ -9,6 +9,10 @@
 // ErrCompacted reports that the store has discarded the requested changes. The caller must list the keys again.
 var ErrCompacted = errors.New("kv: history discarded")
 
+// ErrRestored reports that the store came back from an older copy: the era of the position that was asked for has ended.
+// The caller must list the keys again.
+var ErrRestored = errors.New("kv: store restored from an older copy")
+
 // Change is a write or a deletion of a key.
 type Change struct {
 	Entry
@@ -18,11 +22,11 @@
 // Feed lists all keys with a prefix and follows their changes. Its results are linearizable: they include every change
 // that the store had acknowledged when the call was made.
 type Feed interface {
-	// List returns the entries and a revision. Changes after that revision include every change that the entries lack.
-	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
-	// Changes waits up to wait for changes above a revision and returns them with the revision for the next call.
-	// Errors: ErrCompacted, ErrUnavailable, ErrThrottled.
-	Changes(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
+	// List returns the entries and a position. Changes after that position include every change that the entries lack.
+	List(ctx context.Context, prefix string) ([]Entry, Position, error)
+	// Changes waits up to wait for changes after a position and returns them with the position for the next call.
+	// Errors: ErrCompacted, ErrRestored, ErrUnavailable, ErrThrottled.
+	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
 // LeaseID identifies a lease.
--- a/internal/state/kv/kvtest/kvtest.go
+++ b/internal/state/kv/kvtest/kvtest.go
@@ -97,6 +97,37 @@
 	SetDown(down bool)
 }
 
+// CheckRestore tests a feed whose store comes back from an older copy. takeCopy copies the store and returns a function
+// that restores it.
+func CheckRestore(t *testing.T, feed kv.Feed, writer FeedWriter, takeCopy func() (restore func())) {
+	g, ctx := gomega.NewWithT(t), t.Context()
+	writer.Put("s/kept", []byte("1"))
+	restore := takeCopy()
+	writer.Put("s/lost", []byte("1"))
+	_, before, err := feed.List(ctx, "")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	waiting := make(chan error, 1)
+	go func() {
+		_, _, err := feed.Changes(ctx, "", before, 5*time.Second)
+		waiting <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	restore()
+	g.Eventually(waiting, "2s").Should(gomega.Receive(gomega.HaveOccurred()), "a waiting call ends")
+	for range 3 {
+		writer.Put("s/new", []byte("1")) // the revision passes the one before the restore
+	}
+	_, _, err = feed.Changes(ctx, "", before, time.Second)
+	g.Expect(err).To(gomega.MatchError(kv.ErrRestored))
+	entries, after, err := feed.List(ctx, "")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(entries).To(gomega.HaveLen(2))
+	g.Expect(after.Era).To(gomega.BeNumerically(">", before.Era))
+	g.Expect(after.Includes(before) || before.Includes(after)).To(gomega.BeFalse())
+	_, _, err = feed.Changes(ctx, "", after, 10*time.Millisecond)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 // CheckFeed tests a feed of an empty store: listing, changes, discarded history and an outage.
 func CheckFeed(t *testing.T, feed kv.Feed, writer FeedWriter) {
 	g, ctx := gomega.NewWithT(t), t.Context()
@@ -114,7 +145,7 @@
 	g.Expect(changes[0].Key).To(gomega.Equal("s/d"))
 	g.Expect(changes[0].Value).To(gomega.Equal([]byte("new")))
 	g.Expect(changes[1].Deleted).To(gomega.BeTrue())
-	g.Expect(next).To(gomega.BeNumerically(">=", changes[1].Revision))
+	g.Expect(next.Includes(next.At(changes[1].Revision))).To(gomega.BeTrue())
 	changes, sameRevision, err := feed.Changes(ctx, "s/", next, 10*time.Millisecond)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(changes).To(gomega.BeEmpty())
--- a/internal/transport/relayhttp/relayhttp.go
+++ b/internal/transport/relayhttp/relayhttp.go
@@ -1,6 +1,7 @@
 package relayhttp
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -25,9 +26,9 @@
 	maxResponseBytes = 8 << 20
 )
 
-// Relayer returns the changes above a revision, and may wait for some. *discovery.Follower implements it.
+// Relayer returns the changes after a position, and may wait for some. *discovery.Follower implements it.
 type Relayer interface {
-	Relay(ctx context.Context, after kv.Revision, wait time.Duration) (discovery.Relayed, error)
+	Relay(ctx context.Context, after kv.Position, wait time.Duration) (discovery.Relayed, error)
 }
 
 // Handler is the HTTP handler that sends changes to other routers.
@@ -39,12 +40,14 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+	era, eraErr := strconv.ParseInt(cmp.Or(query.Get("era"), "0"), 10, 64)
 	wait, waitErr := strconv.Atoi(query.Get("wait_ms"))
-	if err != nil || waitErr != nil || r.URL.Path != Path {
+	if err != nil || eraErr != nil || waitErr != nil || r.URL.Path != Path {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	changes, err := h.Relayer.Relay(r.Context(), kv.Revision(after), time.Duration(wait)*time.Millisecond)
+	position := kv.Position{Era: kv.Era(era), Revision: kv.Revision(after)}
+	changes, err := h.Relayer.Relay(r.Context(), position, time.Duration(wait)*time.Millisecond)
 	switch {
 	case errors.Is(err, kv.ErrCompacted):
 		w.WriteHeader(http.StatusGone)
@@ -75,13 +78,14 @@
 	}}}
 }
 
-// Changes reads the changes above a revision from the router at an address. The router may wait up to the given time
+// Changes reads the changes after a position from the router at an address. The router may wait up to the given time
 // for changes.
 func (c *Client) Changes(
-	ctx context.Context, address string, after kv.Revision, wait time.Duration,
+	ctx context.Context, address string, after kv.Position, wait time.Duration,
 ) (discovery.Relayed, error) {
 	query := url.Values{
-		"after":   {strconv.FormatInt(int64(after), 10)},
+		"after":   {strconv.FormatInt(int64(after.Revision), 10)},
+		"era":     {strconv.FormatInt(int64(after.Era), 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path+"?"+query.Encode(), nil)
--- a/test/standin/platformstore/handler.go
+++ b/test/standin/platformstore/handler.go
@@ -17,6 +17,7 @@
 	s.mu.Lock()
 	s.calls[kind]++
 	down := s.down
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -95,6 +96,7 @@
 		s.expireLeases()
 		changes, ok := s.changesSince(query.Get("pathPrefix"), after)
 		revision, changed, down := s.revision, s.changed, s.down
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		switch {
 		case down:
--- a/test/standin/platformstore/store.go
+++ b/test/standin/platformstore/store.go
@@ -21,6 +21,7 @@
 // Store is the stand-in. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
+	era      int64
 	revision int64
 	items    map[string]Item
 	history  []Item
@@ -101,6 +102,33 @@
 	s.notifyWatchers()
 }
 
+// Copy is a state of a Store.
+type Copy struct {
+	revision int64
+	items    map[string]Item
+}
+
+// Copy returns the current state, for Restore. It has no keys with leases, since leases are not part of a copy.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := maps.Clone(s.items)
+	maps.DeleteFunc(items, func(_ string, item Item) bool { return item.Lease != 0 })
+	return Copy{revision: s.revision, items: items}
+}
+
+// Restore replaces the state by an older copy: leases are gone, the revision goes back, and a new era begins.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.compacted = c.revision, c.revision
+	s.items = maps.Clone(c.items)
+	s.history = nil
+	s.leases = make(map[int64]*lease)
+	s.notifyWatchers()
+}
+
 // Calls returns the number of calls by endpoint, such as kv-txn.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -178,7 +206,7 @@
 
 // changesSince returns the changes after a revision, and whether the history still holds them. The caller holds s.mu.
 func (s *Store) changesSince(prefix string, after int64) ([]Item, bool) {
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, false
 	}
 	var changes []Item
