offload: Close the callers' port for moments when even refusals take too long

Cause: at 50 to 60 µs a request the refusals alone take the whole processor.

Change: if goroutines wait more than 150 ms for the processor although the router passes connections on and refuses, it closes the callers' port for 200 ms, longer if that repeats at once, 1 s at most. The system then refuses connections without cost for the process. Also a fault of the soak: the store comes back from an older copy.

TestPauseClosesThePort and TestAcceptPausesGrowWhileTheProcessorIsBehind did not compile before.

--- a/internal/coordination/balance/offload.go
+++ b/internal/coordination/balance/offload.go
@@ -1,6 +1,9 @@
 package balance
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// A router passes new connections on from startUtilisation of its CPU on, and stops below stopUtilisation.
@@ -69,3 +72,31 @@
 	}
 	return a, true
 }
+
+const (
+	// A router closes the callers' port if goroutines wait longer than pauseWait for the processor although it passes
+	// connections on and refuses the rest. The pauses get longer until the wait falls below calmWait.
+	pauseWait = 150 * time.Millisecond
+	calmWait  = 60 * time.Millisecond
+	minPause  = 200 * time.Millisecond
+	// maxPause is short, because clients that always connect to this router cannot be told when to return.
+	maxPause = time.Second
+)
+
+// AcceptPause decides for how long a router accepts no connections, because even refusing them takes more time than it
+// has. It is not safe for concurrent use.
+type AcceptPause struct {
+	last time.Duration
+}
+
+// Next returns the length of the pause that begins now, or 0, for the time that goroutines wait for the processor.
+func (p *AcceptPause) Next(wait time.Duration) time.Duration {
+	if wait < calmWait {
+		p.last = 0
+	}
+	if wait <= pauseWait {
+		return 0
+	}
+	p.last = min(max(2*p.last, minPause), maxPause)
+	return p.last
+}
--- a/internal/coordination/balance/offload_test.go
+++ b/internal/coordination/balance/offload_test.go
@@ -57,3 +57,18 @@
 	g.Expect(counts["c"]).To(BeNumerically("<", counts["b"]))
 	g.Expect(counts["a"]).To(BeNumerically(">", 0))
 }
+
+// Guards against a router whose processor is fully taken by refusals, and against pauses without need.
+func TestAcceptPausesGrowWhileTheProcessorIsBehind(t *testing.T) {
+	g := NewWithT(t)
+	var p AcceptPause
+	g.Expect(p.Next(pauseWait / 2)).To(BeZero())
+	g.Expect(p.Next(2 * pauseWait)).To(Equal(minPause))
+	g.Expect(p.Next(2 * pauseWait)).To(Equal(2 * minPause))
+	g.Expect(p.Next(calmWait)).To(BeZero())
+	for range 5 {
+		g.Expect(p.Next(2 * pauseWait)).To(BeNumerically("<=", maxPause))
+	}
+	g.Expect(p.Next(0)).To(BeZero())
+	g.Expect(p.Next(2*pauseWait)).To(Equal(minPause), "the wait was short again")
+}
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -68,7 +68,7 @@
 		if e.address == "" {
 			continue
 		}
-		plain, err := sockopt.ListenPlain(ctx, e.address)
+		opened, err := n.open(ctx, e.name, e.address, e.handler)
 		if err != nil && e.name == metricsListener {
 			n.log.Error("metrics not served", logfield.Error(err)) // requests are served nevertheless
 			continue
@@ -76,17 +76,29 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", e.name)
 		}
-		var listener net.Listener = &sockopt.Listener{PlainListener: plain}
-		if e.name == callersListener {
-			var inspected net.Listener
-			listener, inspected = n.offload.inspector.Listen(plain)
-			servers = append(servers, n.newServer(inspectedListener, inspected, e.handler))
-		}
-		servers = append(servers, n.newServer(e.name, listener, e.handler))
+		servers = append(servers, opened...)
 	}
 	return servers, nil
 }
 
+// open opens a listener. The callers' listener is one for direct and one for inspected connections.
+func (n *Node) open(ctx context.Context, name, address string, h http.Handler) ([]*server, error) {
+	if name != callersListener {
+		listener, err := sockopt.Listen(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return []*server{n.newServer(name, listener, h)}, nil
+	}
+	direct, inspected, err := n.offload.inspector.Listen(func() (*sockopt.PlainListener, error) {
+		return sockopt.ListenPlain(ctx, address)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return []*server{n.newServer(name, direct, h), n.newServer(inspectedListener, inspected, h)}, nil
+}
+
 func (n *Node) newServer(name string, l net.Listener, h http.Handler) *server {
 	return &server{name: name, listener: l, http: &http.Server{
 		Handler:           h,
--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -38,11 +38,13 @@
 	active       atomic.Bool
 	targets      atomic.Pointer[[]balance.Candidate]
 	connections  *prometheus.CounterVec
+	pauses       prometheus.Counter
 	// passed is the number of connections that were forwarded or refused.
 	passed atomic.Int64
 
 	// The remaining fields are used by update only.
 	state     balance.Offload
+	pause     balance.AcceptPause
 	rate      balance.Rate
 	lastCount int64
 }
@@ -54,11 +56,15 @@
 		Name: "gooseberrytide_inspected_connections_total",
 		Help: "Connections inspected for lack of processor time, by action: served, forwarded, refused.",
 	}, []string{"action"})
-	n.registry.MustRegister(connections)
+	pauses := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "gooseberrytide_accept_pauses_total", Help: "Times that the callers' port was closed for lack of processor time.",
+	})
+	n.registry.MustRegister(connections, pauses)
 	o := &offloader{
 		node:         n,
 		maxForwarded: int(offloadMemoryFraction * float64(n.settings.MemoryBytes) / offload.ForwardedBytes),
 		connections:  connections,
+		pauses:       pauses,
 	}
 	o.inspector = offload.New(offload.Options{
 		Policy:        o,
@@ -125,12 +131,24 @@
 		targets := balance.Targets(o.candidates())
 		o.targets.Store(&targets)
 	}
+	if active && !o.node.draining.Load() && !o.inspector.Paused() {
+		o.pauseAccepting()
+	}
 	if o.active.Swap(active) != active {
 		o.node.log.Info("offload", zap.Bool("active", active), zap.Float64("requests_per_s", math.Round(load.Rate)),
 			zap.Float64("cores", load.Cores), zap.Duration("processor_delay", o.node.runQueueDelay.Load()))
 	}
 }
 
+// pauseAccepting closes the callers' port for a while if even refusals take more time than there is.
+func (o *offloader) pauseAccepting() {
+	wait := o.node.runQueueDelay.Load()
+	if pause := o.pause.Next(wait); pause > 0 && o.inspector.Pause(pause) {
+		o.pauses.Inc()
+		o.node.log.Info("accept paused", zap.Duration("pause", pause), zap.Duration("processor_delay", wait))
+	}
+}
+
 // candidates returns the routers that may take connections from this one. Their configuration must not be older: a
 // client that has seen a change of the configuration through this router must not be served by an older one.
 func (o *offloader) candidates() []balance.Candidate {
--- a/internal/transport/offload/doc.go
+++ b/internal/transport/offload/doc.go
@@ -7,6 +7,9 @@
 // response; so a router that drains only has to wait for the responses in progress. If the other router cannot be
 // reached, nothing has been sent and the request is refused. A request is sent to one router only.
 //
+// If even refusals take more time than there is, the port is closed for a short while: the system then refuses
+// connections, so that clients learn at once what they would otherwise learn at their deadlines.
+//
 // If one side closes a forwarded connection, the other side is closed as well, so that the other router learns that a
 // client has left. Forwarding costs two connections and the copies of the bytes, less than reading and refusing a
 // request with the HTTP server.
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -59,6 +59,7 @@
 	opts Options
 	// served holds the inspected connections that this router serves.
 	served    *queueListener
+	port      *portListener
 	forwarded atomic.Int64
 }
 
@@ -68,13 +69,23 @@
 // Forwarded returns the number of connections that are being forwarded.
 func (i *Inspector) Forwarded() int { return int(i.forwarded.Load()) }
 
-// Listen returns a listener with the connections that need no inspection, and one with the inspected connections that
-// this router serves. It must be called once, and both must be closed. l must set no options, which the inspector sets.
-func (i *Inspector) Listen(l *sockopt.PlainListener) (direct, inspected net.Listener) {
-	i.served = newQueueListener(l.Addr())
-	return &directListener{Listener: l, inspector: i}, i.served
+// Listen opens the port with listen, which is called again after each pause. It returns a listener with the connections
+// that need no inspection, and one with the inspected connections that this router serves. It must be called once, and
+// both listeners must be closed.
+func (i *Inspector) Listen(listen func() (*sockopt.PlainListener, error)) (direct, inspected net.Listener, err error) {
+	if i.port, err = newPortListener(listen); err != nil {
+		return nil, nil, err
+	}
+	i.served = newQueueListener(i.port.Addr())
+	return &directListener{Listener: i.port, inspector: i}, i.served, nil
 }
 
+// Pause closes the port for d, so that the system refuses connections at once. It reports whether the port was open.
+func (i *Inspector) Pause(d time.Duration) bool { return i.port != nil && i.port.Pause(d) }
+
+// Paused reports whether the port is closed by Pause.
+func (i *Inspector) Paused() bool { return i.port != nil && i.port.paused() }
+
 // directListener starts the inspection of connections, or returns them if the policy is not active.
 type directListener struct {
 	net.Listener
--- a/internal/transport/offload/offload_test.go
+++ b/internal/transport/offload/offload_test.go
@@ -39,16 +39,19 @@
 func start(t testing.TB, p *testPolicy, h http.Handler) (string, *Inspector) {
 	t.Helper()
 	i := New(Options{Policy: p, Dial: sockopt.DialFunc(time.Second), HeaderTimeout: 2 * time.Second})
-	l, err := sockopt.ListenPlain(context.Background(), "127.0.0.1:0")
+	address := "127.0.0.1:0"
+	direct, inspected, err := i.Listen(func() (*sockopt.PlainListener, error) {
+		return sockopt.ListenPlain(context.Background(), address)
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	direct, inspected := i.Listen(l)
+	address = direct.Addr().String()
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(direct) }()
 	go func() { _ = s.Serve(inspected) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return l.Addr().String(), i
+	return address, i
 }
 
 // startRouter starts the HTTP server of another router, and returns its address.
@@ -214,6 +217,44 @@
 	g.Expect(requests.Load()).To(BeEquivalentTo(1))
 }
 
+// Guards against a port that stays open during a pause, stays closed after it, or cannot be closed for good meanwhile,
+// and against requests in progress that a pause cuts off.
+func TestPauseClosesThePort(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	p := &testPolicy{decision: Decision{Action: Serve}}
+	address, i := start(t, p, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		echo(w, r)
+	}))
+	conn := dial(t, address)
+	_, err := io.WriteString(conn, requestText("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(p.counts[Serve].Load, "1s").Should(BeEquivalentTo(1))
+	const pause = 300 * time.Millisecond
+	g.Expect(i.Pause(pause)).To(BeTrue())
+	g.Expect(i.Pause(pause)).To(BeFalse())
+	begin := time.Now()
+	_, err = net.Dial("tcp4", address)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(time.Since(begin)).To(BeNumerically("<", pause/2), "refused at once")
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(i.Paused()).To(BeTrue())
+	g.Eventually(i.Paused, 2*pause).Should(BeFalse())
+	resp, _ = exchange(t, address, requestText("y"))
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(i.Pause(pause)).To(BeTrue())
+	g.Expect(i.port.Close()).To(Succeed())
+	_, err = i.port.Accept()
+	g.Expect(err).To(MatchError(net.ErrClosed))
+	time.Sleep(2 * pause)
+	_, err = net.Dial("tcp4", address)
+	g.Expect(err).To(HaveOccurred())
+}
+
 // Guards against clients without a response because the inspection does not understand their request.
 func TestInvalidHeadersAreServed(t *testing.T) {
 	g := NewWithT(t)
--- /dev/null
+++ b/internal/transport/offload/port.go
@@ -0,0 +1,121 @@
+package offload
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+)
+
+// reopenRetryPeriod is the time between attempts to open a port again.
+const reopenRetryPeriod = 20 * time.Millisecond
+
+// portListener accepts connections on a port that can be closed for a while. Meanwhile the system refuses connections at
+// once, which costs the process nothing.
+type portListener struct {
+	listen  func() (*sockopt.PlainListener, error)
+	address net.Addr
+
+	mu sync.Mutex
+	// current is nil while the port is closed.
+	current *sockopt.PlainListener
+	// reopened is closed when the port is opened again or closed for good.
+	reopened chan struct{}
+	closed   bool
+}
+
+var _ net.Listener = (*portListener)(nil)
+
+func newPortListener(listen func() (*sockopt.PlainListener, error)) (*portListener, error) {
+	l, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	return &portListener{listen: listen, address: l.Addr(), current: l}, nil
+}
+
+// Accept implements net.Listener. It waits while the port is closed.
+func (p *portListener) Accept() (net.Conn, error) {
+	for {
+		l, reopened, err := p.state()
+		if err != nil {
+			return nil, err
+		}
+		if l == nil {
+			<-reopened
+			continue
+		}
+		conn, err := l.Accept()
+		if err == nil || p.isCurrent(l) {
+			return conn, err
+		}
+	}
+}
+
+func (p *portListener) state() (*sockopt.PlainListener, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, net.ErrClosed
+	}
+	return p.current, p.reopened, nil
+}
+
+func (p *portListener) isCurrent(l *sockopt.PlainListener) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current == l
+}
+
+// Pause closes the port for d, unless it is closed already. It reports whether it did.
+func (p *portListener) Pause(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.current == nil {
+		return false
+	}
+	_ = p.current.Close()
+	p.current, p.reopened = nil, make(chan struct{})
+	time.AfterFunc(d, p.reopen)
+	return true
+}
+
+func (p *portListener) paused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current == nil
+}
+
+func (p *portListener) reopen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	l, err := p.listen()
+	if err != nil {
+		time.AfterFunc(reopenRetryPeriod, p.reopen)
+		return
+	}
+	p.current = l
+	close(p.reopened)
+}
+
+// Close implements net.Listener.
+func (p *portListener) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	p.closed = true
+	if p.current == nil {
+		close(p.reopened)
+		return nil
+	}
+	return p.current.Close()
+}
+
+// Addr implements net.Listener.
+func (p *portListener) Addr() net.Addr { return p.address }
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -32,6 +32,7 @@
 		d.markAllRestored()
 	}},
 	{"store-forgets", func(_ context.Context, d *deployment, _ int, _ time.Duration) { d.store.Compact() }},
+	{"store-restored", restoreStore},
 	{"store-loses-answers", func(ctx context.Context, d *deployment, _ int, duration time.Duration) {
 		d.store.SetLoseWriteResponses(true)
 		periodic.Sleep(ctx, duration)
@@ -112,6 +113,36 @@
 	d.restart(r)
 }
 
+const (
+	// restoreOutage is how long the store is away before it comes back from an older copy.
+	restoreOutage = 200 * time.Millisecond
+	// rewriteDelay is the time after which the operators and the engines write again what the copy lacks.
+	rewriteDelay = 300 * time.Millisecond
+)
+
+// restoreStore lets the store come back from a copy that is as old as duration.
+func restoreStore(ctx context.Context, d *deployment, _ int, duration time.Duration) {
+	older := d.store.Copy()
+	periodic.Sleep(ctx, duration)
+	d.store.SetDown(true)
+	d.markAllDisrupted()
+	periodic.Sleep(ctx, restoreOutage)
+	d.store.Restore(older)
+	d.store.SetDown(false)
+	periodic.Sleep(ctx, rewriteDelay)
+	d.writeConfig()
+	d.mu.Lock()
+	for _, e := range d.engines {
+		state := "ready"
+		if !e.drainingSince.IsZero() {
+			state = "draining"
+		}
+		d.writeEngineEntry(e, state)
+	}
+	d.mu.Unlock()
+	d.markAllRestored()
+}
+
 func storeProxy(mode proxyMode) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
 		r := d.router(pick)
