gossip: Let idle routers report seldom also while they are not ready

Cause, read in the code: a router that is not ready counted as one with news and reported to all others every 400 ms. A third of 295 routers that lose the store, or all of them at a restart, so send 70,000 to 217,000 reports a second.

A change of readiness is still reported at once. TestOnlyChangesOfIdleRoutersAreReportedAtOnce failed before.

--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -64,6 +64,8 @@
 	g.Expect(IdlePeriod(300)).To(Equal(maxIdlePeriod))
 	idle := Report{Router: "r", Seq: 1, Ready: true, IntervalMS: int(maxIdlePeriod.Milliseconds())}
 	g.Expect(idle.Idle()).To(BeTrue())
+	unready := Report{Router: "r", Seq: 1}
+	g.Expect(unready.Idle()).To(BeTrue(), "many routers may have lost the store at once")
 	busy := idle
 	busy.Rate = 1
 	g.Expect(busy.Idle()).To(BeFalse())
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -56,9 +56,10 @@
 	return kv.Position{Era: kv.Era(r.ProofEra), Revision: kv.Revision(r.Proof.Revision)}
 }
 
-// Idle reports whether the sender takes no requests and knows nothing that other routers need soon.
+// Idle reports whether the sender takes no requests and knows nothing that other routers need soon. A router that is not
+// ready may be idle: others only need to know at once when that changes.
 func (r *Report) Idle() bool {
-	return r.Ready && !r.Busy && r.Rate == 0 && r.Queue == 0 && len(r.Loads)+len(r.Totals)+len(r.Teams)+len(r.Parts) == 0
+	return !r.Busy && r.Rate == 0 && r.Queue == 0 && len(r.Loads)+len(r.Totals)+len(r.Teams)+len(r.Parts) == 0
 }
 
 // Proof states that the sender had the store's state of a revision, and that this state was confirmed AgeMS
--- a/internal/daemon/gateway/report_test.go
+++ b/internal/daemon/gateway/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -26,3 +27,17 @@
 	g.Expect(len(received.Teams)).To(BeNumerically("<", len(usage)))
 	g.Expect(received.UsageByTeam()).To(HaveKeyWithValue("starved", usage["starved"]))
 }
+
+// Guards against a change of a router's readiness that other routers learn of late, and against routers that have lost the
+// store and report as often as those with requests: a third of a fleet of 295 would send 70,000 reports a second.
+func TestOnlyChangesOfIdleRoutersAreReportedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	for _, ready := range []bool{true, false} {
+		last := lastReport{at: time.Now(), idle: true, ready: ready, interval: time.Minute}
+		g.Expect(last.due(&gossip.Report{Ready: ready})).To(BeFalse())
+		g.Expect(last.due(&gossip.Report{Ready: !ready})).To(BeTrue())
+		g.Expect(last.due(&gossip.Report{Ready: ready, Rate: 1})).To(BeTrue())
+		last.at = time.Now().Add(-2 * time.Minute)
+		g.Expect(last.due(&gossip.Report{Ready: ready})).To(BeTrue())
+	}
+}
