--- a/internal/daemon/gateway/offload_test.go
+++ b/internal/daemon/gateway/offload_test.go
@@ -125,3 +125,20 @@
 	g.Expect(refusalProbability((minRefusalDelay + maxRefusalDelay) / 2)).To(BeNumerically("~", 0.5, 0.01))
 	g.Expect(refusalProbability(2 * maxRefusalDelay)).To(BeNumerically(">=", 1))
 }
+
+// Guards against a router that drains while its port is closed for a pause, and refuses the connections of clients that
+// do not know other addresses yet.
+func TestPausedPortOpensAgainWhileDraining(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	n := f.startRouter("r-a")
+	g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	const pause = 100 * time.Millisecond
+	g.Expect(n.offload.inspector.Pause(pause)).To(BeTrue())
+	n.stop()
+	g.Eventually(func() int {
+		status, _ := n.call("/callout/x", "draining", "farm-key")
+		return status
+	}, 4*pause).Should(Equal(http.StatusOK))
+	g.Eventually(n.done, "5s").Should(Receive(BeNil()))
+}
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// parseRequest parses the header of a request.
+// parseRequest parses the header of a request. The body of the result must not be read, since its reader is reused.
 func parseRequest(head []byte) (*http.Request, error) {
 	reader := readers.Get().(*bufio.Reader)
 	defer readers.Put(reader)
