balance: Pass connections on to other failure domains only while the processor is behind

Cause: a router above half of its estimated load without a target of its own failure domain sent connections to others, although it could serve them.

TestTargetsHaveRoom did not compile before; it expects no target where the old code returned the far one.

--- a/internal/coordination/balance/offload.go
+++ b/internal/coordination/balance/offload.go
@@ -41,28 +41,36 @@
 	return l.Rate * coresPerRequest / l.Cores
 }
 
-// Targets returns the routers that may take connections from another one: those that the directory names and that have
-// room, in the same failure domain if there are any.
-func Targets(candidates []Candidate) []Candidate {
-	var near, far []Candidate
+// Targets holds the routers that may take connections from another one.
+type Targets struct {
+	// Near are in the same failure domain, Far in others.
+	Near, Far []Candidate
+}
+
+// ChooseTargets returns the routers that the directory names and that have room.
+func ChooseTargets(candidates []Candidate) Targets {
+	var t Targets
 	for _, c := range chooseCandidates(candidates) {
 		load := Load{Rate: c.Rate, Cores: c.Cores}
 		switch {
 		case c.Busy || load.utilisation() >= roomUtilisation:
 		case c.SameDomain:
-			near = append(near, c)
+			t.Near = append(t.Near, c)
 		default:
-			far = append(far, c)
+			t.Far = append(t.Far, c)
 		}
 	}
-	if len(near) > 0 {
-		return near
-	}
-	return far
+	return t
 }
 
-// PickTarget returns the less loaded of two random targets. It returns false if there are none.
-func PickTarget(targets []Candidate) (Candidate, bool) {
+// Pick returns the less loaded of two random targets. It returns one of another failure domain only if behind is set,
+// because this router's processor is behind and no near target has room: traffic between failure domains is slower and
+// costs more. It returns false if there is none.
+func (t Targets) Pick(behind bool) (Candidate, bool) {
+	targets := t.Near
+	if len(targets) == 0 && behind {
+		targets = t.Far
+	}
 	if len(targets) == 0 {
 		return Candidate{}, false
 	}
--- a/internal/coordination/balance/offload_test.go
+++ b/internal/coordination/balance/offload_test.go
@@ -18,7 +18,8 @@
 	g.Expect(o.Update(Load{Rate: 1e6})).To(BeFalse(), "the number of cores is unknown")
 }
 
-// Guards against connections that are passed on to routers without room, or to another failure domain without need.
+// Guards against connections that are passed on to routers without room, or to another failure domain without need. On
+// scale-2 of the grown taza site a router that was not behind sent its connections to other failure domains.
 func TestTargetsHaveRoom(t *testing.T) {
 	g := NewWithT(t)
 	candidates := []Candidate{
@@ -27,29 +28,30 @@
 		{Router: "near-loaded", Cores: 0.8, Rate: 700, SameDomain: true},
 		{Router: "far", Cores: 0.8, Rate: 100},
 	}
-	names := func(list []Candidate) []string {
-		var names []string
-		for _, c := range list {
-			names = append(names, c.Router)
-		}
-		return names
+	pick := func(behind bool) string {
+		c, _ := ChooseTargets(candidates).Pick(behind)
+		return c.Router
 	}
-	g.Expect(names(Targets(candidates))).To(Equal([]string{"near"}))
+	g.Expect(pick(false)).To(Equal("near"))
+	g.Expect(pick(true)).To(Equal("near"))
 	candidates[0].Busy = true
-	g.Expect(names(Targets(candidates))).To(Equal([]string{"far"}))
+	g.Expect(pick(false)).To(BeEmpty())
+	g.Expect(pick(true)).To(Equal("far"))
 	candidates[3].Rate = 700
-	g.Expect(Targets(candidates)).To(BeEmpty())
+	g.Expect(pick(true)).To(BeEmpty())
 }
 
 // Guards against all overloaded routers choosing the same target.
 func TestPickTargetSpreadsConnections(t *testing.T) {
 	g := NewWithT(t)
-	_, ok := PickTarget(nil)
+	_, ok := Targets{}.Pick(true)
 	g.Expect(ok).To(BeFalse())
 	counts := make(map[string]int)
-	targets := []Candidate{{Router: "a", Cores: 0.8, Rate: 300}, {Router: "b", Cores: 0.8}, {Router: "c", Cores: 0.8, Rate: 100}}
+	targets := Targets{Near: []Candidate{
+		{Router: "a", Cores: 0.8, Rate: 300}, {Router: "b", Cores: 0.8}, {Router: "c", Cores: 0.8, Rate: 100},
+	}}
 	for range 3000 {
-		c, ok := PickTarget(targets)
+		c, ok := targets.Pick(false)
 		g.Expect(ok).To(BeTrue())
 		counts[c.Router]++
 	}
--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -36,7 +36,7 @@
 	inspector    *offload.Inspector
 	maxForwarded int
 	active       atomic.Bool
-	targets      atomic.Pointer[[]balance.Candidate]
+	targets      atomic.Pointer[balance.Targets]
 	connections  *prometheus.CounterVec
 	pauses       prometheus.Counter
 	// passed is the number of connections that were forwarded or refused.
@@ -82,13 +82,14 @@
 	if !o.Active() || !o.node.gateway.ForModelEngine(r) {
 		return offload.Decision{Action: offload.Serve}
 	}
-	if rand.Float64() < refusalProbability(o.node.runQueueDelay.Load()) {
+	delay := o.node.runQueueDelay.Load()
+	if rand.Float64() < refusalProbability(delay) {
 		return offload.Decision{Action: offload.Refuse}
 	}
 	if o.inspector.Forwarded() >= o.maxForwarded {
 		return offload.Decision{Action: offload.Refuse}
 	}
-	target, ok := balance.PickTarget(*o.targets.Load())
+	target, ok := o.targets.Load().Pick(delay > minRefusalDelay)
 	if !ok {
 		return offload.Decision{Action: offload.Serve}
 	}
@@ -128,7 +129,7 @@
 	load := balance.Load{Rate: o.rate.PerSecond(now), Cores: o.node.settings.Cores}
 	active := o.state.Update(load)
 	if active {
-		targets := balance.Targets(o.candidates())
+		targets := balance.ChooseTargets(o.candidates())
 		o.targets.Store(&targets)
 	}
 	if active && !o.node.draining.Load() && !o.inspector.Paused() {
