--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -49,7 +49,7 @@
 		return false
 	}
 	// A router whose CPU is not the bottleneck keeps its clients: a new connection would cost them more than it gains.
-	if own.Rate*coresPerRequest < targetUtilisation*own.Cores {
+	if own.utilisation() < targetUtilisation {
 		return false
 	}
 	total := own
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -41,6 +41,7 @@
 	g.Expect(p.Update(now, &Report{Router: "r", Incarnation: 1, Seq: 9})).To(BeFalse())
 	g.Expect(p.Update(now, &Report{Router: "r", Incarnation: 3, Seq: 1})).To(BeTrue())
 	g.Expect(p.Live(now)).To(HaveLen(1))
+	const peerTimeout = 1300 * time.Millisecond // of a router that reports every MaxPeriod
 	later := now.Add(peerTimeout + time.Millisecond)
 	g.Expect(p.Live(later)).To(BeEmpty())
 	g.Expect(p.RemoveLost(later)).To(Equal([]string{"r"}))
--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -10,9 +10,6 @@
 // lostIntervals is the number of its report intervals without a report after which a router counts as lost.
 const lostIntervals = 3.25
 
-// peerTimeout is the age of its last report above which a router counts as lost that reports every MaxPeriod.
-const peerTimeout = time.Duration(lostIntervals * float64(MaxPeriod))
-
 // Peer is the latest report of another router.
 type Peer struct {
 	*Report
--- a/internal/transport/sockopt/dial.go
+++ b/internal/transport/sockopt/dial.go
@@ -69,7 +69,7 @@
 
 // ListenPlain opens a TCP listener. Apply sets the options on those of its connections that last.
 func ListenPlain(ctx context.Context, address string) (*PlainListener, error) {
-	config := net.ListenConfig{KeepAlive: -1, KeepAliveConfig: net.KeepAliveConfig{Enable: false}}
+	config := net.ListenConfig{KeepAlive: -1}
 	listener, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
