gateway: Measure processor delay apart from the tests' machine

Cause: an overloaded router refuses a random part of the requests while goroutines wait more than 20 ms for a processor, and in the test it measured the machine that runs the tests beside other packages.

--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -87,7 +87,7 @@
 	// lag measures by how much the pauses between reports exceed the report period. Only the reporting goroutine uses it.
 	lag balance.Lag
 	// runQueueDelay is the time that goroutines wait for a processor.
-	runQueueDelay *runqueue.Delay
+	runQueueDelay delayMeter
 	// busy is set if the process lacks CPU time, as of the last report.
 	busy atomic.Bool
 	// ownRate is the router's request rate per second, as the bits of a float64.
@@ -97,6 +97,14 @@
 	keyMaxConfigAge atomic.Int64
 }
 
+// delayMeter measures a delay. Load is safe for concurrent use.
+type delayMeter interface {
+	// Sample measures the delay since the previous sample.
+	Sample()
+	// Load returns the delay that the last sample measured.
+	Load() time.Duration
+}
+
 // New returns a node that is ready to run. It sets the memory limit of the Go runtime.
 func New(settings *platform.Settings, log *zap.Logger) (*Node, error) {
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
@@ -132,7 +140,7 @@
 		Routing:         &n.routing,
 		Proof:           n.proof,
 		MaxConfigAge:    n.currentKeyMaxConfigAge,
-		SchedulingDelay: n.runQueueDelay.Load,
+		SchedulingDelay: func() time.Duration { return n.runQueueDelay.Load() },
 		Admission:       n.admission,
 		Pool:            n.pool,
 		RetryBudget:     n.budget,
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -121,6 +121,7 @@
 	if n.Node, err = New(settings, zap.NewNop()); err != nil {
 		f.t.Fatal(err)
 	}
+	n.runQueueDelay = noDelay{}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() { n.done <- n.Run(ctx, n.path) }()
--- a/internal/daemon/gateway/offload_test.go
+++ b/internal/daemon/gateway/offload_test.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// noDelay is a delayMeter of a process whose goroutines never wait for a processor. With it, refusals do not depend on
+// the other work of the machine that runs the tests.
+type noDelay struct{}
+
+// Sample implements delayMeter.
+func (noDelay) Sample() {}
+
+// Load implements delayMeter.
+func (noDelay) Load() time.Duration { return 0 }
+
 // startOverloaded starts a small router that has more requests than it can handle, and a large one.
 func (f *testFleet) startOverloaded() (small, large *testNode) {
 	f.t.Helper()
