--- a/internal/daemon/gateway/offload_test.go
+++ b/internal/daemon/gateway/offload_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 )
 
@@ -42,7 +43,10 @@
 	}
 	g.Eventually(small.directoryAnswer, "3s").Should(ContainSubstring(large.settings.CallerListen))
 	small.overload("first", 40)
-	time.Sleep(3 * loadSamplePeriod)
+	g.Eventually(small.offload.Active, "2s").Should(BeTrue())
+	g.Eventually(func() []balance.Candidate { return small.offload.targets.Load().Near }, "2s").Should(HaveLen(1))
+	// A request on a connection that was accepted earlier is not passed on.
+	http.DefaultClient.CloseIdleConnections()
 	return small, large
 }
 
--- a/test/standin/freeports/freeports.go
+++ b/test/standin/freeports/freeports.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 
 	"github.com/pkg/errors"
@@ -18,8 +19,12 @@
 const (
 	// peerPorts is the number of consecutive ports that a router uses for traffic between routers.
 	peerPorts = 3
-	// maxRangeAttempts limits the attempts to find consecutive ports.
-	maxRangeAttempts = 50
+	// maxAttempts limits the attempts to find free ports.
+	maxAttempts = 50
+	// Ports are chosen from firstPort on and below endPort. The system takes the local ports of outgoing connections from
+	// a higher range, so that no connection takes a port between its choice and the start of the router.
+	firstPort = 15000
+	endPort   = 32000
 )
 
 // ForRouter returns free ports for a router. It keeps a listener open on each port until all are found, so that no
@@ -31,37 +36,35 @@
 			_ = l.Close()
 		}
 	}()
-	listen := func(port int) (int, error) {
+	listen := func(port int) error {
 		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			return 0, err
+		if err == nil {
+			listeners = append(listeners, l)
 		}
-		listeners = append(listeners, l)
-		return l.Addr().(*net.TCPAddr).Port, nil
+		return err
 	}
 	var ports Router
+	var err error
 	for _, port := range []*int{&ports.Front, &ports.Readiness, &ports.Directory} {
-		var err error
-		if *port, err = listen(0); err != nil {
+		if *port, err = consecutive(listen, 1); err != nil {
 			return ports, err
 		}
 	}
-	for range maxRangeAttempts {
-		first, err := listen(0)
-		if err != nil {
-			return ports, err
-		}
-		free := 1
-		for free < peerPorts {
-			if _, err := listen(first + free); err != nil {
-				break
-			}
+	ports.Peer, err = consecutive(listen, peerPorts)
+	return ports, err
+}
+
+// consecutive listens on n consecutive ports and returns the first.
+func consecutive(listen func(port int) error, n int) (int, error) {
+	for range maxAttempts {
+		first := firstPort + rand.IntN(endPort-firstPort-n)
+		free := 0
+		for free < n && listen(first+free) == nil {
 			free++
 		}
-		if free == peerPorts {
-			ports.Peer = first
-			return ports, nil
+		if free == n {
+			return first, nil
 		}
 	}
-	return ports, errors.Errorf("no %d consecutive ports are free", peerPorts)
+	return 0, errors.Errorf("no %d consecutive ports are free", n)
 }
