gossip: Relays tell large fleets who is live

Cause: each router reported to all others, routers without requests every 1.2 s and the others every 0.4 s with all loads. In a fleet of 295 that is 67,000 reports a second of routers without requests and 15,000 large ones to them.

Change: above 32 routers each router announces itself once to each other one, and then reports only to the routers that handle requests, the next eight that the directory would name, and three relays. The relays send lists of live routers, four to five bytes each. The alternatives: a longer period (the directory then names lost routers for longer), cheaper decoding (the wake-up and the bytes stay), and notices of loss instead of life (a notice that is lost keeps a lost router in the directory).

Datagrams that a router without requests sends: 245 a second before at 295 routers (to 294 every 1.2 s).

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -58,8 +58,25 @@
 	return addresses
 }
 
+// Preferred returns the names of the chosen routers and of the next ones in the order of the choice.
+func Preferred(candidates []Candidate, next int) []string {
+	available := sortedAvailable(candidates)
+	n := min(requiredRouters(available, totalRate(candidates))+next, len(available))
+	names := make([]string, n)
+	for i, c := range available[:n] {
+		names[i] = c.Router
+	}
+	return names
+}
+
 // chooseCandidates returns the routers that take clients, those with the most cores first.
 func chooseCandidates(candidates []Candidate) []Candidate {
+	available := sortedAvailable(candidates)
+	return available[:requiredRouters(available, totalRate(candidates))]
+}
+
+// sortedAvailable returns the routers that may take clients in the order of the choice.
+func sortedAvailable(candidates []Candidate) []Candidate {
 	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Busy })
 	if len(available) < min(minActive, len(candidates)) {
 		available = slices.Clone(candidates)
@@ -70,7 +87,7 @@
 			cmp.Compare(xxhash.Sum64String(a.Router), xxhash.Sum64String(b.Router)),
 		)
 	})
-	return available[:requiredRouters(available, totalRate(candidates))]
+	return available
 }
 
 func totalRate(candidates []Candidate) float64 {
--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -2,45 +2,72 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
 
-// lostIntervals is the number of its report intervals without a report after which a router counts as lost.
-const lostIntervals = 3.25
+const (
+	// lostIntervals is the number of its report intervals without a sign of life after which a router counts as lost.
+	lostIntervals = 3.25
+	// forgetAfter is the time after which the report of a lost router is dropped. Until then a relay's sightings are
+	// enough to count it as live again.
+	forgetAfter = time.Minute
+)
 
 // Peer is the latest report of another router.
 type Peer struct {
 	*Report
-	// Heard is the time at which the report was received.
+	// Heard is the time of the router's last sign of life: a report, or a sighting by a relay.
 	Heard time.Time
 }
 
+// entry is the state of another router.
+type entry struct {
+	Peer
+	// lost is set if RemoveLost has returned the router and no sign of life came since.
+	lost bool
+}
+
 // Peers holds the latest report of each other router. It is safe for concurrent use.
 type Peers struct {
-	mu    sync.Mutex
-	peers map[string]Peer
+	mu      sync.Mutex
+	entries map[string]*entry
+	// names holds the keys of entries, sorted.
+	names []string
+	// byPresence holds the names by the presence keys of their latest reports.
+	byPresence map[PresenceKey]string
 }
 
-// lost reports whether the router has missed its reports.
-func (p *Peer) lost(now time.Time) bool {
-	interval := min(max(time.Duration(p.IntervalMS)*time.Millisecond, MaxPeriod), maxIdlePeriod)
+// silent reports whether the router has missed its reports.
+func (p *Peer) silent(now time.Time) bool {
+	interval := min(max(time.Duration(p.IntervalMS)*time.Millisecond, MaxPeriod), RelayedInterval)
 	return now.Sub(p.Heard) > time.Duration(lostIntervals*float64(interval))
 }
 
 // NewPeers returns an empty table.
-func NewPeers() *Peers { return &Peers{peers: make(map[string]Peer)} }
+func NewPeers() *Peers {
+	return &Peers{entries: make(map[string]*entry), byPresence: make(map[PresenceKey]string)}
+}
 
 // Update records a report. It returns false for a report that is not newer than the one known.
 func (p *Peers) Update(now time.Time, r *Report) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, ok := p.peers[r.Router]
-	if ok && (r.Incarnation < known.Incarnation || r.Incarnation == known.Incarnation && r.Seq <= known.Seq) {
-		return false
+	known, ok := p.entries[r.Router]
+	if !ok {
+		known = &entry{}
+		p.entries[r.Router] = known
+		i, _ := slices.BinarySearch(p.names, r.Router)
+		p.names = slices.Insert(p.names, i, r.Router)
+	} else {
+		if r.Incarnation < known.Incarnation || r.Incarnation == known.Incarnation && r.Seq <= known.Seq {
+			return false
+		}
+		delete(p.byPresence, known.presenceKey())
 	}
-	p.peers[r.Router] = Peer{Report: r, Heard: now}
+	known.Peer = Peer{Report: r, Heard: now}
+	known.lost = false
+	p.byPresence[r.presenceKey()] = r.Router
 	return true
 }
 
@@ -48,26 +75,43 @@
 func (p *Peers) Live(now time.Time) []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var live []Peer
-	for _, peer := range p.peers {
-		if !peer.lost(now) {
-			live = append(live, peer)
+	live := make([]Peer, 0, len(p.names))
+	for _, name := range p.names {
+		if e := p.entries[name]; !e.silent(now) {
+			live = append(live, e.Peer)
 		}
 	}
-	slices.SortFunc(live, func(a, b Peer) int { return strings.Compare(a.Router, b.Router) })
 	return live
 }
 
-// RemoveLost removes the routers without a recent report and returns their names.
+// Known returns all routers with a report, lost ones included, sorted by name.
+func (p *Peers) Known() []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make([]Peer, len(p.names))
+	for i, name := range p.names {
+		known[i] = p.entries[name].Peer
+	}
+	return known
+}
+
+// RemoveLost returns the names of the routers that have become lost since the last call.
 func (p *Peers) RemoveLost(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var lost []string
-	for name, peer := range p.peers {
-		if peer.lost(now) {
+	p.names = slices.DeleteFunc(p.names, func(name string) bool {
+		e := p.entries[name]
+		if !e.lost && e.silent(now) {
+			e.lost = true
 			lost = append(lost, name)
-			delete(p.peers, name)
 		}
-	}
+		if now.Sub(e.Heard) <= forgetAfter {
+			return false
+		}
+		delete(p.entries, name)
+		delete(p.byPresence, e.presenceKey())
+		return true
+	})
 	return lost
 }
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -41,7 +41,8 @@
 	Busy bool `cbor:"13,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that the sender has in force.
 	ConfigVersion int64 `cbor:"17,keyasint,omitempty"`
-	// IntervalMS is the longest time until the sender's next report to all routers, in milliseconds; 0 means MaxPeriod.
+	// IntervalMS is the longest time until all routers have the sender's next sign of life, in milliseconds; 0 means
+	// MaxPeriod.
 	IntervalMS int `cbor:"18,keyasint,omitempty"`
 	// Parts are the parts of prompts that servers have cached since the sender's last reports.
 	Parts []CachedParts `cbor:"10,keyasint,omitempty"`
@@ -149,25 +150,25 @@
 	// basePeriod is the report period in a fleet of up to baseRouters routers.
 	basePeriod  = 40 * time.Millisecond
 	baseRouters = 8
-	// MaxPeriod is the longest report period, and the period of reports to routers that take no requests. These reports
-	// keep the sender in the directory.
+	// MaxPeriod is the longest report period. In a fleet without relays it is the period of reports to routers that take
+	// no requests, and keeps the sender in the directory.
 	MaxPeriod = 400 * time.Millisecond
 )
 
 const (
-	// maxIdlePeriod is the longest time between the reports of a router that takes no requests.
-	maxIdlePeriod = 1200 * time.Millisecond
-	// idleRouters is the size of a fleet up to which routers that take no requests report every MaxPeriod. Their reports
-	// go to all routers, so that the cost of all of them grows with the square of the fleet.
-	idleRouters = 64
+	// RelayedFleet is the size of a fleet above which relays tell the routers who is live. In a smaller fleet each router
+	// reports to all others, so that the cost grows with the square of the fleet.
+	RelayedFleet = 32
+	// RelayPeriod is the time between the lists of one relay.
+	RelayPeriod = 800 * time.Millisecond
+	// RelayedInterval is the interval that a router without requests states in a relayed fleet: a report to the relays
+	// and a list of a relay take up to MaxPeriod and RelayPeriod, unless several relays are lost.
+	RelayedInterval = 900 * time.Millisecond
+	// AnnouncePeriod is the mean time between the announcements that a router sends to all others in a relayed fleet, for
+	// those that have missed an earlier one.
+	AnnouncePeriod = 15 * time.Second
 )
 
-// IdlePeriod returns the time between the reports of a router that takes no requests, in a fleet with the given number
-// of routers.
-func IdlePeriod(routers int) time.Duration {
-	return min(max(MaxPeriod*time.Duration(routers)/idleRouters, MaxPeriod), maxIdlePeriod)
-}
-
 // Period returns the time between reports in a fleet with the given number of routers.
 func Period(routers int) time.Duration {
 	if routers <= baseRouters {
--- a/internal/coordination/reservation/owners.go
+++ b/internal/coordination/reservation/owners.go
@@ -22,7 +22,7 @@
 // domain are preferred, because most requests for a server come from there. The result is empty if there are no
 // candidates.
 func Owners(servers map[string]string, candidates []Candidate) map[string]string {
-	eligible := withEnoughCores(candidates)
+	eligible, _ := SplitByCores(candidates)
 	byDomain := make(map[string][]ident.RouterID)
 	var all []ident.RouterID
 	for _, c := range eligible {
@@ -42,17 +42,19 @@
 	return owners
 }
 
-// withEnoughCores returns the candidates with enough cores to be an owner.
-func withEnoughCores(candidates []Candidate) []Candidate {
+// SplitByCores returns the candidates with enough cores to serve other routers beside their own clients, as an owner or a
+// relay, and the other candidates.
+func SplitByCores(candidates []Candidate) (enough, tooFew []Candidate) {
 	maxCores := 0.0
 	for _, c := range candidates {
 		maxCores = max(maxCores, c.Cores)
 	}
-	var eligible []Candidate
 	for _, c := range candidates {
 		if c.Cores >= minCoresRatio*maxCores {
-			eligible = append(eligible, c)
+			enough = append(enough, c)
+		} else {
+			tooFew = append(tooFew, c)
 		}
 	}
-	return eligible
+	return enough, tooFew
 }
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -69,13 +69,15 @@
 	store     *platform.Store
 	follower  *discovery.Follower
 	peers     *gossip.Peers
+	relays    *gossip.Relays
 	exchange  *freshness.Exchange
 	owners    *loadOwners
 	offload   *offloader
-	socket    *datagram.Socket
-	registry  *prometheus.Registry
-	routers   atomic.Pointer[map[string]discovery.Router]
-	draining  atomic.Bool
+	// transmit sends a datagram. It is set before the first one is sent.
+	transmit func(to netip.AddrPort, data []byte)
+	registry *prometheus.Registry
+	routers  atomic.Pointer[map[string]discovery.Router]
+	draining atomic.Bool
 	// restored is signalled when the store has come back from an older copy.
 	restored chan struct{}
 	// lastCachedParts holds the cached prompt parts of the last report. Only the reporting goroutine uses it.
@@ -114,6 +116,7 @@
 		incarnation:   uint64(time.Now().UnixMicro()),
 		proof:         freshness.NewProof(freshness.BootTime),
 		peers:         gossip.NewPeers(),
+		relays:        gossip.NewRelays(settings.Router),
 		runQueueDelay: runqueue.New(),
 		exchange:      freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:      prometheus.NewRegistry(),
@@ -217,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	n.socket = socket
+	n.transmit = socket.Send
 	servers, err := n.listen(ctx)
 	if err != nil {
 		return err
@@ -235,8 +238,8 @@
 		defer close(registered)
 		n.register(background)
 	}()
-	go n.socket.Run(background, n.onDatagram)
-	go n.runReports(background)
+	go socket.Run(background, n.onDatagram)
+	go newReporter(n).run(background)
 	go n.admission.Run(background, advancePeriod, advanceIdlePeriod)
 	go n.owners.run(background)
 	go periodic.Run(background, loadSamplePeriod, n.sampleLoad)
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -253,7 +253,7 @@
 		return
 	}
 	for _, address := range to {
-		n.socket.Send(address, data)
+		n.transmit(address, data)
 	}
 }
 
@@ -267,6 +267,10 @@
 	switch m := message.(type) {
 	case *gossip.Report:
 		n.handleReport(m)
+	case gossip.Presence:
+		now := time.Now()
+		n.relays.Heard(now, m.Relay)
+		n.peers.Observe(now, &m)
 	case reservation.Request:
 		n.send(n.admission.Reserve(m), from)
 	case reservation.Answer:
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -2,14 +2,10 @@
 
 import (
 	"cmp"
-	"context"
 	"math"
-	"net/netip"
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
@@ -17,96 +13,8 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
-	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
-// runReports sends reports of this router's state to the other routers until ctx ends. Reports go to the active
-// routers, and every gossip.MaxPeriod to all. While this router takes no requests, it only sends reports to all, every
-// gossip.IdlePeriod.
-func (n *Node) runReports(ctx context.Context) {
-	seq := n.incarnation // above the sequence numbers of an earlier process
-	var sleepStart time.Time
-	var period time.Duration
-	var last lastReport
-	for ctx.Err() == nil {
-		if !sleepStart.IsZero() {
-			n.lag.Observe(time.Since(sleepStart) - period)
-		}
-		r := n.newReport()
-		if last.due(&r) {
-			seq++
-			r.Seq = seq
-			period = n.sendReport(&r, &last)
-		}
-		n.removeLostPeers()
-		sleepStart = time.Now()
-		periodic.Sleep(ctx, period)
-	}
-}
-
-// lastReport describes the last report that was sent to all routers.
-type lastReport struct {
-	at       time.Time
-	idle     bool
-	ready    bool
-	interval time.Duration
-}
-
-// due reports whether a report must be sent. A router that is idle and whose readiness has not changed sends none until
-// the interval that it announced ends.
-func (l *lastReport) due(r *gossip.Report) bool {
-	return !l.idle || !r.Idle() || r.Ready != l.ready || time.Since(l.at) >= l.interval
-}
-
-// sendReport sends a report to the active routers, or to all if that is due. It returns the time until the next report
-// may be due.
-func (n *Node) sendReport(r *gossip.Report, last *lastReport) time.Duration {
-	all, active := n.reportTargets()
-	recipients := active
-	idle := r.Idle()
-	broadcast := time.Since(last.at) >= gossip.MaxPeriod || idle || r.Ready != last.ready
-	interval := gossip.MaxPeriod
-	if idle {
-		interval = gossip.IdlePeriod(len(all) + 1)
-	}
-	if broadcast {
-		recipients = all
-		*last = lastReport{at: time.Now(), idle: idle, ready: r.Ready, interval: interval}
-	}
-	r.IntervalMS = int(interval.Milliseconds())
-	// The claim is large and not needed often.
-	if broadcast && len(recipients) < maxDirectFleet {
-		n.addFreshnessClaim(r)
-	}
-	n.exchange.RecordSent(r.Seq)
-	n.send(r, recipients...)
-	return gossip.Period(len(active) + 1)
-}
-
-// reportTargets returns the addresses of all other routers, and of the active ones, which handle requests. Only the
-// active ones need to know each change of the loads at once.
-func (n *Node) reportTargets() (all, active []netip.AddrPort) {
-	routers := n.routers.Load()
-	if routers == nil {
-		return nil, nil
-	}
-	handlesRequests := make(map[string]bool)
-	for _, p := range n.peers.Live(time.Now()) {
-		handlesRequests[p.Router] = p.Rate > 0 || p.Queue > 0 || len(p.Loads) > 0
-	}
-	for id, r := range *routers {
-		address, err := netip.ParseAddrPort(r.PeerAddress)
-		if id == n.settings.Router || err != nil {
-			continue
-		}
-		all = append(all, address)
-		if handlesRequests[id] {
-			active = append(active, address)
-		}
-	}
-	return all, active
-}
-
 // newReport returns a report of this router's state without a sequence number.
 func (n *Node) newReport() gossip.Report {
 	r := gossip.Report{
@@ -244,15 +152,6 @@
 	return parts
 }
 
-// removeLostPeers drops the state of routers that no longer send reports.
-func (n *Node) removeLostPeers() {
-	for _, router := range n.peers.RemoveLost(time.Now()) {
-		n.log.Info("router lost", zap.String("router", router))
-		n.admission.ForgetPeer(router)
-		n.exchange.Forget(router)
-	}
-}
-
 // addFreshnessClaim adds this router's freshness claim to a report, unless no state of the store is confirmed.
 func (n *Node) addFreshnessClaim(r *gossip.Report) {
 	c, ok := n.exchange.Claim(n.proof, n.follower.Position)
--- /dev/null
+++ b/internal/daemon/gateway/reporter.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/ownership"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
+)
+
+const (
+	// relayKey is the key of the rendezvous ranking that selects the relays.
+	relayKey = "presence-relays"
+	// standbyCount is the number of routers that get the reports of loads although they have no requests, because the
+	// directory names them next.
+	standbyCount = 8
+)
+
+// reporter sends reports of a router's state to the other routers. It is used by one goroutine.
+type reporter struct {
+	node *Node
+	seq  uint64
+	last lastReport
+	// announced holds the routers, with their incarnations, that have an announcement of this router's present state.
+	announced map[string]uint64
+	// nextAnnouncement is when all routers get an announcement again.
+	nextAnnouncement time.Time
+	// lastPresence is when this router last sent the list of live routers as a relay.
+	lastPresence time.Time
+}
+
+// lastReport describes the last report to the routers that need it even if nothing has changed.
+type lastReport struct {
+	at    time.Time
+	idle  bool
+	ready bool
+}
+
+// due reports whether a report must be sent. A router that is idle and whose readiness has not changed sends one every
+// gossip.MaxPeriod.
+func (l *lastReport) due(r *gossip.Report) bool {
+	return !l.idle || !r.Idle() || r.Ready != l.ready || time.Since(l.at) >= gossip.MaxPeriod
+}
+
+func newReporter(n *Node) *reporter {
+	// The sequence numbers are above those of an earlier process.
+	return &reporter{node: n, seq: n.incarnation, announced: make(map[string]uint64)}
+}
+
+// run sends reports until ctx ends.
+func (s *reporter) run(ctx context.Context) {
+	var sleepStart time.Time
+	period := gossip.Period(1)
+	for ctx.Err() == nil {
+		if !sleepStart.IsZero() {
+			s.node.lag.Observe(time.Since(sleepStart) - period)
+		}
+		r := s.node.newReport()
+		if s.last.due(&r) {
+			period = s.send(&r, time.Now())
+		}
+		s.node.removeLostPeers()
+		sleepStart = time.Now()
+		periodic.Sleep(ctx, period)
+	}
+}
+
+// send sends a report to the routers that need it now. It returns the time until the next report may be due.
+func (s *reporter) send(r *gossip.Report, now time.Time) time.Duration {
+	s.seq++
+	r.Seq = s.seq
+	others := s.node.otherRouters()
+	active := s.node.activeRouters(now)
+	if len(others) < gossip.RelayedFleet {
+		s.sendDirect(r, now, others, active)
+	} else {
+		s.sendRelayed(r, now, others, active)
+	}
+	return gossip.Period(len(active) + 1)
+}
+
+// sendDirect sends a report to the active routers, and to all others if that is due. Only the active ones, which handle
+// requests, need to know each change of the loads at once.
+func (s *reporter) sendDirect(r *gossip.Report, now time.Time, others []otherRouter, active map[string]bool) {
+	idle := r.Idle()
+	all := idle || r.Ready != s.last.ready || now.Sub(s.last.at) >= gossip.MaxPeriod
+	if all {
+		s.last = lastReport{at: now, idle: idle, ready: r.Ready}
+	}
+	var recipients []netip.AddrPort
+	for _, o := range others {
+		if all || active[o.id] {
+			recipients = append(recipients, o.address)
+		}
+	}
+	r.IntervalMS = int(gossip.MaxPeriod.Milliseconds())
+	// The claim is large and not needed often.
+	if all && len(recipients) < maxDirectFleet {
+		s.node.addFreshnessClaim(r)
+	}
+	s.node.exchange.RecordSent(r.Seq)
+	s.node.send(r, recipients...)
+}
+
+// sendRelayed sends a report to the relays and, if this router handles requests, to those that do or will next. The
+// others get an announcement when this router's state has changed, when they have started, and every AnnouncePeriod.
+func (s *reporter) sendRelayed(r *gossip.Report, now time.Time, others []otherRouter, active map[string]bool) {
+	idle := r.Idle()
+	// Those that know the loads of a router that has become idle hear of that.
+	loadsDue := !idle || !s.last.idle
+	r.IntervalMS = int(gossip.MaxPeriod.Milliseconds())
+	if idle {
+		r.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
+	}
+	if r.Ready != s.last.ready || !now.Before(s.nextAnnouncement) {
+		clear(s.announced)
+		s.nextAnnouncement = now.Add(gossip.AnnouncePeriod/2 + rand.N(gossip.AnnouncePeriod))
+	}
+	s.last = lastReport{at: now, idle: idle, ready: r.Ready}
+	relays := s.node.chooseRelays(now)
+	standby := s.node.standbyRouters(now)
+	var recipients, announce []netip.AddrPort
+	for _, o := range others {
+		switch {
+		case relays[o.id] || loadsDue && (active[o.id] || standby[o.id]):
+			recipients = append(recipients, o.address)
+		case s.announced[o.id] != o.incarnation:
+			announce = append(announce, o.address)
+		default:
+			continue
+		}
+		s.announced[o.id] = o.incarnation
+	}
+	if len(announce) > 0 {
+		a := r.Announcement()
+		a.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
+		s.node.send(&a, announce...)
+	}
+	s.node.send(r, recipients...)
+	if relays[s.node.settings.Router] && now.Sub(s.lastPresence) >= gossip.RelayPeriod {
+		s.lastPresence = now
+		s.sendPresence(r, now, others)
+	}
+}
+
+// sendPresence sends the list of live routers to all others. A router that has only just started has no list yet.
+func (s *reporter) sendPresence(own *gossip.Report, now time.Time, others []otherRouter) {
+	if 2*len(s.node.peers.Live(now)) < len(others) {
+		return
+	}
+	addresses := make([]netip.AddrPort, len(others))
+	for i, o := range others {
+		addresses[i] = o.address
+	}
+	for _, part := range s.node.peers.Presence(now, own) {
+		s.node.send(part, addresses...)
+	}
+}
+
+// otherRouter is a router with an entry in the store.
+type otherRouter struct {
+	id          string
+	incarnation uint64
+	address     netip.AddrPort
+}
+
+// otherRouters returns the routers with an entry in the store but this one.
+func (n *Node) otherRouters() []otherRouter {
+	registered := n.routers.Load()
+	if registered == nil {
+		return nil
+	}
+	others := make([]otherRouter, 0, len(*registered))
+	for id, r := range *registered {
+		address, err := netip.ParseAddrPort(r.PeerAddress)
+		if id != n.settings.Router && err == nil {
+			others = append(others, otherRouter{id: id, incarnation: r.Incarnation, address: address})
+		}
+	}
+	return others
+}
+
+// activeRouters returns the other routers that handle requests.
+func (n *Node) activeRouters(now time.Time) map[string]bool {
+	active := make(map[string]bool)
+	for _, p := range n.peers.Live(now) {
+		if p.Rate > 0 || p.Queue > 0 || len(p.Loads) > 0 {
+			active[p.Router] = true
+		}
+	}
+	return active
+}
+
+// standbyRouters returns the routers that the directory names or would name next.
+func (n *Node) standbyRouters(now time.Time) map[string]bool {
+	var candidates []balance.Candidate
+	for _, p := range n.peers.Live(now) {
+		if p.Ready {
+			candidates = append(candidates, candidate(p, n.settings.FailureDomain))
+		}
+	}
+	standby := make(map[string]bool)
+	for _, router := range balance.Preferred(candidates, standbyCount) {
+		standby[router] = true
+	}
+	return standby
+}
+
+// chooseRelays returns the relays in use, this router included if it is one. The routers must have been read.
+func (n *Node) chooseRelays(now time.Time) map[string]bool {
+	registered := n.routers.Load()
+	candidates := []reservation.Candidate{{Router: n.settings.Router, Cores: n.settings.Cores}}
+	lastSigns := make(map[string]time.Time)
+	for _, p := range n.peers.Known() {
+		lastSigns[p.Router] = p.Heard
+		if _, ok := (*registered)[p.Router]; !ok {
+			continue
+		}
+		candidates = append(candidates, reservation.Candidate{Router: p.Router, Cores: float64(p.Cores)})
+	}
+	preferred, rest := reservation.SplitByCores(candidates)
+	return n.relays.Choose(now, append(rankRelays(preferred), rankRelays(rest)...), lastSigns)
+}
+
+// rankRelays returns the names of routers in an order that all routers agree on.
+func rankRelays(candidates []reservation.Candidate) []string {
+	ids := make([]ident.RouterID, len(candidates))
+	for i, c := range candidates {
+		ids[i] = ident.RouterID(c.Router)
+	}
+	ranked := make([]string, len(ids))
+	for i, id := range ownership.Top(relayKey, ids, len(ids)) {
+		ranked[i] = string(id)
+	}
+	return ranked
+}
+
+// removeLostPeers drops the state of routers that no longer send reports.
+func (n *Node) removeLostPeers() {
+	for _, router := range n.peers.RemoveLost(time.Now()) {
+		n.log.Info("router lost", zap.String("router", router))
+		n.admission.ForgetPeer(router)
+		n.exchange.Forget(router)
+	}
+}
--- a/internal/protocol/datagrams/datagrams.go
+++ b/internal/protocol/datagrams/datagrams.go
@@ -19,10 +19,11 @@
 	kindAnswer
 	kindLoads
 	kindCapacityNotice
+	kindPresence
 )
 
-// Encode returns the datagram for a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads or
-// reservation.CapacityNotice. Other types are an error.
+// Encode returns the datagram for a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads,
+// reservation.CapacityNotice or gossip.Presence. Other types are an error.
 func Encode(message any) ([]byte, error) {
 	k, err := kindOf(message)
 	if err != nil {
@@ -52,6 +53,8 @@
 		return kindLoads, nil
 	case reservation.CapacityNotice:
 		return kindCapacityNotice, nil
+	case gossip.Presence:
+		return kindPresence, nil
 	default:
 		return 0, errors.Errorf("datagrams: unsupported message type %T", message)
 	}
@@ -74,6 +77,8 @@
 		return decode[reservation.Loads](body)
 	case kindCapacityNotice:
 		return decode[reservation.CapacityNotice](body)
+	case kindPresence:
+		return decode[gossip.Presence](body)
 	default:
 		return nil, errors.Errorf("datagrams: unknown message kind %d", data[0])
 	}
--- a/internal/protocol/datagrams/datagrams_test.go
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -21,6 +21,8 @@
 			Limits: reservation.Limits{Running: 4, PendingTokens: -1, ContextTokens: 9}},
 		reservation.CapacityNotice{Server: "e", Total: load},
 		reservation.Answer{ID: 7, Granted: true, Total: load},
+		gossip.Presence{Sightings: []gossip.Sighting{{AgeMS: 100, ConfigVersion: 3, Rate: 7, Busy: true,
+			Routers: []gossip.PresenceKey{1, 1 << 31}}}},
 		reservation.Loads{Router: "r", Parts: []reservation.ServerLoad{{Server: "e", Load: load}}},
 	}
 	for _, m := range messages {
