gossip, gateway: Let routers without requests do less, and announce directly after a great loss

The search now goes over a slice and skips recent reports, a router without requests checks every 100 ms, assigns owners every 400 ms, and relays and addresses are kept between reports.

TestRestartOfMostRouters failed as soon as relays were kept for 400 ms: with 45 of 60 routers lost, the next relays in the order were lost as well, and each attempt takes 1.7 s. A router that does not hear from most others now announces itself to all.

--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -9,6 +10,7 @@
 const (
 	// lostIntervals is the number of its report intervals without a sign of life after which a router counts as lost.
 	lostIntervals = 3.25
+	minSilence    = time.Duration(lostIntervals * float64(MaxPeriod))
 	// forgetAfter is the time after which the report of a lost router is dropped. Until then a relay's sightings are
 	// enough to count it as live again.
 	forgetAfter = time.Minute
@@ -32,16 +34,20 @@
 type Peers struct {
 	mu      sync.Mutex
 	entries map[string]*entry
-	// names holds the keys of entries, sorted.
-	names []string
+	// sorted holds the values of entries, sorted by name.
+	sorted []*entry
 	// byPresence holds the names by the presence keys of their latest reports.
 	byPresence map[PresenceKey]string
 }
 
 // silent reports whether the router has missed its reports.
 func (p *Peer) silent(now time.Time) bool {
+	age := now.Sub(p.Heard)
+	if age <= minSilence {
+		return false
+	}
 	interval := min(max(time.Duration(p.IntervalMS)*time.Millisecond, MaxPeriod), RelayedInterval)
-	return now.Sub(p.Heard) > time.Duration(lostIntervals*float64(interval))
+	return age > time.Duration(lostIntervals*float64(interval))
 }
 
 // NewPeers returns an empty table.
@@ -55,10 +61,12 @@
 	defer p.mu.Unlock()
 	known, ok := p.entries[r.Router]
 	if !ok {
-		known = &entry{}
+		known = &entry{Peer: Peer{Report: r}}
 		p.entries[r.Router] = known
-		i, _ := slices.BinarySearch(p.names, r.Router)
-		p.names = slices.Insert(p.names, i, r.Router)
+		i, _ := slices.BinarySearchFunc(p.sorted, r.Router, func(e *entry, name string) int {
+			return strings.Compare(e.Router, name)
+		})
+		p.sorted = slices.Insert(p.sorted, i, known)
 	} else {
 		if r.Incarnation < known.Incarnation || r.Incarnation == known.Incarnation && r.Seq <= known.Seq {
 			return false
@@ -75,9 +83,9 @@
 func (p *Peers) Live(now time.Time) []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	live := make([]Peer, 0, len(p.names))
-	for _, name := range p.names {
-		if e := p.entries[name]; !e.silent(now) {
+	live := make([]Peer, 0, len(p.sorted))
+	for _, e := range p.sorted {
+		if !e.silent(now) {
 			live = append(live, e.Peer)
 		}
 	}
@@ -88,9 +96,9 @@
 func (p *Peers) Known() []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := make([]Peer, len(p.names))
-	for i, name := range p.names {
-		known[i] = p.entries[name].Peer
+	known := make([]Peer, len(p.sorted))
+	for i, e := range p.sorted {
+		known[i] = e.Peer
 	}
 	return known
 }
@@ -100,16 +108,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var lost []string
-	p.names = slices.DeleteFunc(p.names, func(name string) bool {
-		e := p.entries[name]
+	p.sorted = slices.DeleteFunc(p.sorted, func(e *entry) bool {
 		if !e.lost && e.silent(now) {
 			e.lost = true
-			lost = append(lost, name)
+			lost = append(lost, e.Router)
 		}
 		if now.Sub(e.Heard) <= forgetAfter {
 			return false
 		}
-		delete(p.entries, name)
+		delete(p.entries, e.Router)
 		delete(p.byPresence, e.presenceKey())
 		return true
 	})
--- a/internal/coordination/gossip/presence_test.go
+++ b/internal/coordination/gossip/presence_test.go
@@ -127,5 +127,5 @@
 	g.Expect(p.RemoveLost(now.Add(forgetAfter + time.Second))).To(BeEmpty())
 	g.Expect(p.entries).To(BeEmpty())
 	g.Expect(p.byPresence).To(BeEmpty())
-	g.Expect(p.names).To(BeEmpty())
+	g.Expect(p.sorted).To(BeEmpty())
 }
--- a/internal/coordination/gossip/relays.go
+++ b/internal/coordination/gossip/relays.go
@@ -8,9 +8,6 @@
 const (
 	// relayCount is the number of relays of a fleet, so that the loss of one delays nothing.
 	relayCount = 3
-	// relayCandidates is the number of routers that serve as relays while fewer than relayCount have sent lists: after the
-	// loss of many routers most of the next ones may be lost as well.
-	relayCandidates = 9
 	// relayTimeout is the time without a list from a relay after which another router is chosen. The lists of the new one
 	// arrive before RelayedInterval ends for the routers that reported to the old one.
 	relayTimeout = 2*RelayPeriod + 100*time.Millisecond
@@ -46,17 +43,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	chosen := make(map[string]bool, relayCount)
-	confirmed := 0
 	for _, id := range routers {
-		if confirmed == relayCount || len(chosen) == relayCandidates {
+		if len(chosen) == relayCount {
 			break
 		}
-		if id != r.own && r.silent(now, id, lastSigns[id]) {
-			continue
-		}
-		chosen[id] = true
-		if id == r.own || now.Sub(r.lists[id]) <= relayTimeout {
-			confirmed++
+		if id == r.own || !r.silent(now, id, lastSigns[id]) {
+			chosen[id] = true
 		}
 	}
 	return chosen
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -27,6 +27,8 @@
 	// because datagrams may be lost.
 	assignmentPeriod = 100 * time.Millisecond
 	resendPeriod     = 400 * time.Millisecond
+	// ownersIdlePeriod is how often the owners are assigned while this router neither has requests nor owns loads.
+	ownersIdlePeriod = 400 * time.Millisecond
 )
 
 // newLoadOwners returns the load owners of a node and registers their metric.
@@ -100,14 +102,14 @@
 }
 
 // run flushes until ctx ends: every flushPeriod while this router has requests or owns loads, and otherwise every
-// assignmentPeriod.
+// ownersIdlePeriod.
 func (o *loadOwners) run(ctx context.Context) {
 	period := flushPeriod
 	for periodic.Sleep(ctx, period) {
 		o.flush(time.Now())
 		period = flushPeriod
 		if o.idle() {
-			period = assignmentPeriod
+			period = ownersIdlePeriod
 		}
 	}
 }
--- a/internal/daemon/gateway/reporter.go
+++ b/internal/daemon/gateway/reporter.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/ownership"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
@@ -22,6 +23,8 @@
 	// standbyCount is the number of routers that get the reports of loads although they have no requests, because the
 	// directory names them next.
 	standbyCount = 8
+	// idleCheckPeriod is how often a router without requests checks whether it has any.
+	idleCheckPeriod = 100 * time.Millisecond
 )
 
 // reporter sends reports of a router's state to the other routers. It is used by one goroutine.
@@ -35,6 +38,12 @@
 	nextAnnouncement time.Time
 	// lastPresence is when this router last sent the list of live routers as a relay.
 	lastPresence time.Time
+	// relays are the relays as of relaysAt.
+	relays   map[string]bool
+	relaysAt time.Time
+	// others are the routers of registered, without this one.
+	others     []otherRouter
+	registered *map[string]discovery.Router
 }
 
 // lastReport describes the last report to the routers that need it even if nothing has changed.
@@ -67,6 +76,9 @@
 		if s.last.due(&r) {
 			period = s.send(&r, time.Now())
 		}
+		if s.last.idle {
+			period = idleCheckPeriod
+		}
 		s.node.removeLostPeers()
 		sleepStart = time.Now()
 		periodic.Sleep(ctx, period)
@@ -77,7 +89,7 @@
 func (s *reporter) send(r *gossip.Report, now time.Time) time.Duration {
 	s.seq++
 	r.Seq = s.seq
-	others := s.node.otherRouters()
+	others := s.otherRouters()
 	active := s.node.activeRouters(now)
 	if len(others) < gossip.RelayedFleet {
 		s.sendDirect(r, now, others, active)
@@ -120,17 +132,22 @@
 	if idle {
 		r.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
 	}
-	if r.Ready != s.last.ready || !now.Before(s.nextAnnouncement) {
+	if r.Ready != s.last.ready || !now.Before(s.nextAnnouncement) || s.isolated(now) {
 		clear(s.announced)
-		s.nextAnnouncement = now.Add(gossip.AnnouncePeriod/2 + rand.N(gossip.AnnouncePeriod))
+		s.nextAnnouncement = now.Add(s.announcePause(now))
 	}
 	s.last = lastReport{at: now, idle: idle, ready: r.Ready}
-	relays := s.node.chooseRelays(now)
-	standby := s.node.standbyRouters(now)
+	if now.Sub(s.relaysAt) >= gossip.MaxPeriod {
+		s.relays, s.relaysAt = s.node.chooseRelays(now), now
+	}
+	var standby map[string]bool
+	if loadsDue {
+		standby = s.node.standbyRouters(now)
+	}
 	var recipients, announce []netip.AddrPort
 	for _, o := range others {
 		switch {
-		case relays[o.id] || loadsDue && (active[o.id] || standby[o.id]):
+		case s.relays[o.id] || loadsDue && (active[o.id] || standby[o.id]):
 			recipients = append(recipients, o.address)
 		case s.announced[o.id] != o.incarnation:
 			announce = append(announce, o.address)
@@ -145,15 +162,34 @@
 		s.node.send(&a, announce...)
 	}
 	s.node.send(r, recipients...)
-	if relays[s.node.settings.Router] && now.Sub(s.lastPresence) >= gossip.RelayPeriod {
+	if s.relays[s.node.settings.Router] && now.Sub(s.lastPresence) >= gossip.RelayPeriod {
 		s.lastPresence = now
 		s.sendPresence(r, now, others)
 	}
 }
 
+// announcePause returns the time until the next announcement to all routers. It is short while this router does not hear
+// from most others, because they or the relays may have been lost at once.
+func (s *reporter) announcePause(now time.Time) time.Duration {
+	if !s.hearsMost(now) {
+		return gossip.RelayPeriod
+	}
+	return gossip.AnnouncePeriod/2 + rand.N(gossip.AnnouncePeriod)
+}
+
+// isolated reports whether this router has stopped hearing from most others since its last announcement.
+func (s *reporter) isolated(now time.Time) bool {
+	return s.nextAnnouncement.Sub(now) > gossip.RelayPeriod && !s.hearsMost(now)
+}
+
+// hearsMost reports whether most of the routers with an entry in the store are live.
+func (s *reporter) hearsMost(now time.Time) bool {
+	return 2*len(s.node.peers.Live(now)) >= len(s.others)
+}
+
 // sendPresence sends the list of live routers to all others. A router that has only just started has no list yet.
 func (s *reporter) sendPresence(own *gossip.Report, now time.Time, others []otherRouter) {
-	if 2*len(s.node.peers.Live(now)) < len(others) {
+	if !s.hearsMost(now) {
 		return
 	}
 	addresses := make([]netip.AddrPort, len(others))
@@ -173,18 +209,19 @@
 }
 
 // otherRouters returns the routers with an entry in the store but this one.
-func (n *Node) otherRouters() []otherRouter {
-	registered := n.routers.Load()
-	if registered == nil {
-		return nil
+func (s *reporter) otherRouters() []otherRouter {
+	registered := s.node.routers.Load()
+	if registered == s.registered {
+		return s.others
 	}
 	others := make([]otherRouter, 0, len(*registered))
 	for id, r := range *registered {
 		address, err := netip.ParseAddrPort(r.PeerAddress)
-		if id != n.settings.Router && err == nil {
+		if id != s.node.settings.Router && err == nil {
 			others = append(others, otherRouter{id: id, incarnation: r.Incarnation, address: address})
 		}
 	}
+	s.others, s.registered = others, registered
 	return others
 }
 
