discovery: Compare the configuration with other routers before a new router serves

A router that starts just after the store came back from an older copy knows only that copy: it accepted API keys that were removed since, and served with a configuration that all others had replaced, until the operator wrote the newest one again. TestRouterStartedAfterARestoreRefusesRemovedKeys got 200 for a removed key at once.

Its first confirmation of freshness now waits until it has heard from most other routers and none has a newer configuration. It does not ask for that configuration: the operator writes it again within about two seconds, and a second way to get a configuration would need the same checks as the first.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -15,6 +15,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 )
 
@@ -50,16 +51,37 @@
 }
 
 func newTestFollower(t *testing.T, feed *kv.FakeFeed, peers Peers) *testFollower {
+	t.Helper()
+	return startFollower(t, feed, peers, func(int64) FleetConfig { return FleetConfig{Heard: true} })
+}
+
+// newStartingFollower returns a follower of a router that has just started in a fleet. fleetConfig gets the version that
+// the router has in force.
+func newStartingFollower(t *testing.T, feed *kv.FakeFeed, fleetConfig func(own int64) FleetConfig) *testFollower {
+	t.Helper()
+	return startFollower(t, feed, nil, fleetConfig)
+}
+
+func startFollower(
+	t *testing.T, feed *kv.FakeFeed, peers Peers, fleetConfig func(own int64) FleetConfig,
+) *testFollower {
 	t.Helper()
 	begin := time.Now()
 	f := &testFollower{feed: feed, servers: &backends.Holder{}, routing: &routing.Holder{}}
 	f.proof = freshness.NewProof(func() time.Duration { return time.Hour + time.Since(begin) })
 	f.Follower = New(Options{Feed: feed, Proof: f.proof, Log: zap.NewNop(), Peers: peers, IsConfig: testSchema{}.IsConfig, Sink: NewState(StateOptions{
 		Schema: testSchema{}, Routing: f.routing, Servers: f.servers, Log: zap.NewNop(),
-	})})
+	}), FleetConfig: func() FleetConfig {
+		own := int64(0)
+		if table := f.routing.Load(); table != nil {
+			own = table.Version
+		}
+		return fleetConfig(own)
+	}})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
+	go periodic.Run(ctx, 100*time.Millisecond, f.CheckStart)
 	return f
 }
 
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,8 @@
 	IsConfig func(key string) bool
 	// OnRestored is called when the store has come back from an older copy. Default: nothing.
 	OnRestored func()
+	// FleetConfig returns what the other routers report of the configuration. Default: there are no other routers.
+	FleetConfig func() FleetConfig
 }
 
 // Follower watches all keys of the store and passes their state and changes to a Sink.
@@ -74,6 +77,10 @@
 	// settledAt is the time from which the state of a new era may be confirmed: the store may lack a configuration that
 	// it had acknowledged until the operators have written it again.
 	settledAt time.Time
+	// mu protects start and unconfirmed, the latest time on the proof's clock as of which the state would be confirmed.
+	mu          sync.Mutex
+	start       startCheck
+	unconfirmed time.Duration
 	// listed is set once all keys have been listed, and cleared when they must be listed again.
 	listed  bool
 	history *History
@@ -96,6 +103,9 @@
 	if opts.OnRestored == nil {
 		opts.OnRestored = func() {}
 	}
+	if opts.FleetConfig == nil {
+		opts.FleetConfig = func() FleetConfig { return FleetConfig{Heard: true} }
+	}
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = minRetryDelay
 	b.MaxInterval = maxRetryDelay
@@ -172,7 +182,43 @@
 // clock. It confirms the local state only if that includes the position.
 func (f *Follower) ConfirmPosition(position kv.Position, at time.Duration) {
 	if current := f.Position(); !current.IsZero() && current.Includes(position) {
+		f.confirmStarted(at)
+	}
+}
+
+// CheckStart confirms the state that a router which has just started has read, as soon as it may rely on it. It must be
+// called from time to time.
+func (f *Follower) CheckStart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.start.passed || !f.checkStart() || f.unconfirmed == 0 {
+		return
+	}
+	f.opts.Proof.Confirm(f.unconfirmed)
+}
+
+// checkStart reports whether this router may rely on the configuration that it has read since its start. mu must be held.
+func (f *Follower) checkStart() bool {
+	if f.start.passed {
+		return true
+	}
+	fleet := f.opts.FleetConfig()
+	passed := f.start.pass(time.Now(), fleet)
+	if passed && fleet.Own < fleet.Newest {
+		f.opts.Log.Warn("serving with an older configuration than other routers", zap.Int64("own_version", fleet.Own),
+			zap.Int64("newest_version", fleet.Newest))
+	}
+	return passed
+}
+
+// confirmStarted confirms the local state as of a time on the proof's clock once the router may rely on it.
+func (f *Follower) confirmStarted(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.checkStart() {
 		f.opts.Proof.Confirm(at)
+	} else {
+		f.unconfirmed = max(f.unconfirmed, at)
 	}
 }
 
@@ -182,11 +228,11 @@
 	f.appliedPosition.Store(&p)
 }
 
-// confirm confirms the local state as of a time on the proof's clock, unless the store may still lack a configuration
-// that it had acknowledged.
+// confirm confirms the local state as of a time on the proof's clock, unless the store may lack a configuration that it
+// had acknowledged.
 func (f *Follower) confirm(at time.Duration) {
 	if !time.Now().Before(f.settledAt) {
-		f.opts.Proof.Confirm(at)
+		f.confirmStarted(at)
 	}
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -48,6 +48,8 @@
 	// loadSamplePeriod is how often the run queue delay and the request rate are measured. The start and the end of an
 	// overload are not detected in a shorter time.
 	loadSamplePeriod = 100 * time.Millisecond
+	// startCheckPeriod is how often a router that has just started checks whether it may serve.
+	startCheckPeriod = 100 * time.Millisecond
 	// retryBoundFraction is the fraction of the operators' bound on retries that a router uses. It is below 1 because the
 	// routers' time windows differ.
 	retryBoundFraction = 0.6
@@ -155,12 +157,13 @@
 		storeCalls.WithLabelValues(kind).Inc()
 	})
 	n.follower = discovery.New(discovery.Options{
-		Feed:       n.store,
-		Proof:      n.proof,
-		Peers:      &storeReaders{node: n, client: relayhttp.NewClient()},
-		Log:        log.Named("discovery"),
-		IsConfig:   platform.Schema{}.IsConfig,
-		OnRestored: n.onRestored,
+		Feed:        n.store,
+		Proof:       n.proof,
+		Peers:       &storeReaders{node: n, client: relayhttp.NewClient()},
+		Log:         log.Named("discovery"),
+		IsConfig:    platform.Schema{}.IsConfig,
+		OnRestored:  n.onRestored,
+		FleetConfig: n.fleetConfig,
 		Sink: discovery.NewState(discovery.StateOptions{
 			Schema:    platform.Schema{},
 			Routing:   &n.routing,
@@ -176,6 +179,22 @@
 	return n, nil
 }
 
+// fleetConfig returns the configuration versions that the routers have in force.
+func (n *Node) fleetConfig() discovery.FleetConfig {
+	var fleet discovery.FleetConfig
+	if table := n.routing.Load(); table != nil {
+		fleet.Own = table.Version
+	}
+	live := n.peers.Live(time.Now())
+	for _, p := range live {
+		fleet.Newest = max(fleet.Newest, p.ConfigVersion)
+	}
+	// A store that came back from an older copy has lost the entries of most routers, so that none may be registered.
+	registered := n.routers.Load()
+	fleet.Heard = registered != nil && len(live) > 0 && 2*len(live) >= len(*registered)-1
+	return fleet
+}
+
 // keyMaxConfigAge returns the age of the configuration up to which API keys are accepted.
 func keyMaxConfigAge(b platform.Bounds) time.Duration {
 	if !b.StrictRevoke {
@@ -244,6 +263,7 @@
 	go n.owners.run(background)
 	go periodic.Run(background, loadSamplePeriod, n.sampleLoad)
 	go periodic.Run(background, shareLogPeriod, n.logShares)
+	go periodic.Run(background, startCheckPeriod, n.follower.CheckStart)
 	select {
 	case err := <-serveErrs:
 		return err
--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -51,3 +51,33 @@
 		g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
 	}
 }
+
+// Guards against a router that starts after the store came back from an older copy, and accepts an API key that was
+// removed since.
+func TestRouterStartedAfterARestoreRefusesRemovedKeys(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	running := f.startRouter("r-running")
+	g.Eventually(running.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	g.Eventually(func() []string { return f.store.Keys("gooseberrytide/routers/") }, "3s").Should(HaveLen(1))
+	older := f.store.Copy()
+	f.configure(2, "other-key")
+	g.Eventually(func() int64 { return running.routing.Load().Version }, "2s").Should(BeEquivalentTo(2))
+	f.store.Restore(older)
+	started := f.startRouter("r-started")
+	g.Eventually(func() int64 {
+		if table := started.routing.Load(); table != nil {
+			return table.Version
+		}
+		return 0
+	}, "2s").Should(BeEquivalentTo(1))
+	for i := range 200 {
+		status, _ := started.call("/callout/x", fmt.Sprintf("old-%d", i), "farm-key")
+		g.Expect(status).NotTo(Equal(http.StatusOK))
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.configure(2, "other-key")
+	g.Eventually(started.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	status, _ := started.call("/callout/x", "new", "other-key")
+	g.Expect(status).To(Equal(http.StatusOK))
+}
