discovery: Read the entries of a fleet that starts in fewer polls

Each router polls the store several times while all register, as each poll ends with the next few entries.

--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -31,6 +31,9 @@
 	// changeBatchDelay is the pause after a poll with changes, so that a burst of changes takes a few polls instead of one
 	// for each change.
 	changeBatchDelay = 100 * time.Millisecond
+	// startBatchDelay is that pause while the router waits for reports of the others after its start. If all routers start
+	// at once, their entries are one long burst of changes.
+	startBatchDelay = 400 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the exponential backoff between failed calls. The backoff library's default
 	// jitter of 50 % in either direction spreads the retries of routers that lost the store at the same time.
 	minRetryDelay = 50 * time.Millisecond
@@ -150,11 +153,21 @@
 	f.recordSuccess()
 	f.applyChanges(changes, position, sent)
 	if len(changes) > 0 {
-		periodic.Sleep(ctx, changeBatchDelay)
+		periodic.Sleep(ctx, f.batchDelay())
 	}
 	return nil
 }
 
+// batchDelay returns the pause after a poll with changes.
+func (f *Follower) batchDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.start.passed {
+		return changeBatchDelay
+	}
+	return startBatchDelay
+}
+
 // nextPollWait returns how long the store may hold the next poll. It is 0 for the first poll after an outage, so that
 // the proof is renewed without delay.
 func (f *Follower) nextPollWait() time.Duration {
