gossip: Count a router as active by its requests for engines, not by any request

Cause, seen in a trial with a log of what each router sends: callers send each router about one request a second that only checks its configuration.

A router is active now if it places requests on engines or has five requests a second or more.

--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -57,12 +57,20 @@
 	return kv.Position{Era: kv.Era(r.ProofEra), Revision: kv.Revision(r.Proof.Revision)}
 }
 
-// Idle reports whether the sender takes no requests and knows nothing that other routers need soon. A router that is not
-// ready may be idle: others only need to know at once when that changes.
-func (r *Report) Idle() bool {
-	return !r.Busy && r.Rate == 0 && r.Queue == 0 && len(r.Loads)+len(r.Totals)+len(r.Teams)+len(r.Parts) == 0
+// minActiveRate is the request rate, in requests per second, from which a router counts as active whatever its requests
+// are. Operators and callers send a few requests to every router, which only check what it has in force.
+const minActiveRate = 5
+
+// Active reports whether the sender places requests on model engines, or has many requests. Such a router needs to know
+// each change of the loads at once.
+func (r *Report) Active() bool {
+	return r.Rate >= minActiveRate || r.Queue > 0 || len(r.Loads)+len(r.Teams)+len(r.Parts) > 0
 }
 
+// Idle reports whether the sender is not active and knows nothing that other routers need soon. A router that is not
+// ready may be idle: others only need to know at once when that changes.
+func (r *Report) Idle() bool { return !r.Busy && !r.Active() && len(r.Totals) == 0 }
+
 // Proof states that the sender had the store's state of a revision, and that this state was confirmed AgeMS
 // milliseconds before the report.
 type Proof struct {
--- a/internal/daemon/gateway/reporter.go
+++ b/internal/daemon/gateway/reporter.go
@@ -225,11 +225,11 @@
 	return others
 }
 
-// activeRouters returns the other routers that handle requests.
+// activeRouters returns the other routers that place requests on engines.
 func (n *Node) activeRouters(now time.Time) map[string]bool {
 	active := make(map[string]bool)
 	for _, p := range n.peers.Live(now) {
-		if p.Rate > 0 || p.Queue > 0 || len(p.Loads) > 0 {
+		if p.Active() {
 			active[p.Router] = true
 		}
 	}
