discovery, kv: Start from a stale listing and confirm it with the first poll

The state is not confirmed before that poll, so that no key is accepted and no request served by it.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -252,3 +252,32 @@
 		g.Expect(f.proof.Within(3*time.Second)).To(BeTrue(), "the router reads the store itself when the reader lost it")
 	})
 }
+
+// Guards against a router that serves with the state of a stale listing, or misses what was written between it and the
+// first poll.
+func TestStartsFromAStaleListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, compacted := range []bool{false, true} {
+			g := NewWithT(t)
+			feed := kv.NewFakeFeed()
+			feed.Put("config", []byte(`{"Version":1}`))
+			feed.Put("s/gone", []byte(serverJSON))
+			feed.SetStale(feed.Copy())
+			feed.Put("config", []byte(`{"Version":2}`))
+			feed.Remove("s/gone")
+			feed.Put("s/new", []byte(serverJSON))
+			if compacted {
+				feed.Compact()
+			}
+			f := newTestFollower(t, feed, nil)
+			time.Sleep(startBatchDelay / 2)
+			g.Expect(f.proof.Within(time.Hour)).To(BeFalse())
+			time.Sleep(startBatchDelay)
+			g.Expect(f.proof.Within(time.Hour)).To(BeTrue())
+			g.Expect(f.routing.Load().Version).To(BeEquivalentTo(2))
+			time.Sleep(4 * time.Second) // servers may be missing for a while after an outage
+			g.Expect(f.hasServer("gone")).To(BeFalse())
+			g.Expect(f.hasServer("new")).To(BeTrue())
+		}
+	})
+}
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -85,8 +85,10 @@
 	start       startCheck
 	unconfirmed time.Duration
 	// listed is set once all keys have been listed, and cleared when they must be listed again.
-	listed  bool
-	history *History
+	listed bool
+	// triedStale is set once a stale listing was requested; stale is set while the state is that of one.
+	triedStale, stale bool
+	history           *History
 	// relayedAt is when another router last polled this one, in nanoseconds since the Unix epoch.
 	relayedAt atomic.Int64
 	backoff   *backoff.ExponentialBackOff
@@ -134,7 +136,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	if address := f.reader(time.Now()); address != "" && f.pollPeer(ctx, address) {
+	if address := f.reader(time.Now()); address != "" && !f.stale && f.pollPeer(ctx, address) {
 		return nil
 	}
 	wait := f.nextPollWait()
@@ -151,6 +153,7 @@
 		return err
 	}
 	f.recordSuccess()
+	f.stale = false
 	f.applyChanges(changes, position, sent)
 	if len(changes) > 0 {
 		periodic.Sleep(ctx, f.batchDelay())
@@ -172,7 +175,7 @@
 // the proof is renewed without delay.
 func (f *Follower) nextPollWait() time.Duration {
 	switch {
-	case !f.reachable:
+	case !f.reachable, f.stale:
 		return 0
 	case time.Now().Before(f.graceEnd()), time.Now().Before(f.settledAt):
 		return gracePollWait
@@ -256,6 +259,9 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	if !f.triedStale {
+		return f.listStale(ctx)
+	}
 	sent := f.opts.Proof.Now()
 	entries, position, err := f.opts.Feed.List(ctx, "")
 	if err != nil {
@@ -271,12 +277,29 @@
 		f.opts.Sink.Replace(entries, time.Now(), f.graceEnd())
 	}
 	f.setPosition(position)
-	f.listed = true
+	f.listed, f.stale = true, false
 	f.history.reset(position)
 	f.confirm(sent)
 	return nil
 }
 
+// listStale lists all keys for the first time, at a lower cost. The next poll brings the state up to date and confirms it.
+func (f *Follower) listStale(ctx context.Context) error {
+	f.triedStale = true
+	entries, position, err := f.opts.Feed.ListStale(ctx, "")
+	if err != nil {
+		return err
+	}
+	f.recordSuccess()
+	f.opts.Sink.Replace(entries, time.Now(), f.graceEnd())
+	f.setPosition(position)
+	f.listed, f.stale = true, true
+	f.history.reset(position)
+	// If all routers start at once, the next poll has the entries of most.
+	periodic.Sleep(ctx, startBatchDelay)
+	return nil
+}
+
 // settlePeriod is how long the operators may take to write the newest configuration again after the store came back from
 // an older copy.
 const settlePeriod = 2 * time.Second
--- a/internal/state/kv/fake_feed.go
+++ b/internal/state/kv/fake_feed.go
@@ -21,6 +21,8 @@
 	changed   chan struct{}
 	down      bool
 	callCount int
+	// stale is the state that ListStale returns, or nil for the current one.
+	stale *FakeCopy
 }
 
 var _ Feed = (*FakeFeed)(nil)
@@ -104,22 +106,44 @@
 	f.changed = make(chan struct{})
 }
 
+// SetStale sets the state that ListStale returns.
+func (f *FakeFeed) SetStale(c FakeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stale = &c
+}
+
 // List implements Feed.
 func (f *FakeFeed) List(_ context.Context, prefix string) ([]Entry, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.list(prefix, FakeCopy{revision: f.revision, entries: f.entries})
+}
+
+// ListStale implements Feed.
+func (f *FakeFeed) ListStale(_ context.Context, prefix string) ([]Entry, Position, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stale != nil {
+		return f.list(prefix, *f.stale)
+	}
+	return f.list(prefix, FakeCopy{revision: f.revision, entries: f.entries})
+}
+
+// list returns the entries of a state. The caller holds the lock.
+func (f *FakeFeed) list(prefix string, state FakeCopy) ([]Entry, Position, error) {
 	f.callCount++
 	if f.down {
 		return nil, Position{}, ErrUnavailable
 	}
 	var list []Entry
-	for key, entry := range f.entries {
+	for key, entry := range state.entries {
 		if strings.HasPrefix(key, prefix) {
 			list = append(list, copyEntry(entry))
 		}
 	}
 	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
-	return list, f.position(), nil
+	return list, Position{Era: f.era, Revision: state.revision}, nil
 }
 
 // Changes implements Feed.
--- a/internal/state/kv/feed.go
+++ b/internal/state/kv/feed.go
@@ -24,6 +24,8 @@
 type Feed interface {
 	// List returns the entries and a position. Changes after that position include every change that the entries lack.
 	List(ctx context.Context, prefix string) ([]Entry, Position, error)
+	// ListStale is like List, but the state may be some seconds old. It costs the store less.
+	ListStale(ctx context.Context, prefix string) ([]Entry, Position, error)
 	// Changes waits up to wait for changes after a position and returns them with the position for the next call.
 	// Errors: ErrCompacted, ErrRestored, ErrUnavailable, ErrThrottled.
 	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
