--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -9,6 +9,7 @@
 
 const (
 	// lostIntervals is the number of its report intervals without a sign of life after which a router counts as lost.
+	// minSilence is that time for the shortest interval.
 	lostIntervals = 3.25
 	minSilence    = time.Duration(lostIntervals * float64(MaxPeriod))
 	// forgetAfter is the time after which the report of a lost router is dropped. Until then a relay's sightings are
--- a/internal/daemon/gateway/reporter.go
+++ b/internal/daemon/gateway/reporter.go
@@ -99,8 +99,8 @@
 	return gossip.Period(len(active) + 1)
 }
 
-// sendDirect sends a report to the active routers, and to all others if that is due. Only the active ones, which handle
-// requests, need to know each change of the loads at once.
+// sendDirect sends a report to the active routers, and to all others if that is due. Only the active ones need to know
+// each change of the loads at once.
 func (s *reporter) sendDirect(r *gossip.Report, now time.Time, others []otherRouter, active map[string]bool) {
 	idle := r.Idle()
 	all := idle || r.Ready != s.last.ready || now.Sub(s.last.at) >= gossip.MaxPeriod
@@ -122,16 +122,13 @@
 	s.node.send(r, recipients...)
 }
 
-// sendRelayed sends a report to the relays and, if this router handles requests, to those that do or will next. The
-// others get an announcement when this router's state has changed, when they have started, and every AnnouncePeriod.
+// sendRelayed sends a report to the relays and, if this router places requests on engines, to those that do or will
+// next. The others get an announcement when this router's state has changed, when they have started, and every
+// AnnouncePeriod.
 func (s *reporter) sendRelayed(r *gossip.Report, now time.Time, others []otherRouter, active map[string]bool) {
 	idle := r.Idle()
 	// Those that know the loads of a router that has become idle hear of that.
 	loadsDue := !idle || !s.last.idle
-	r.IntervalMS = int(gossip.MaxPeriod.Milliseconds())
-	if idle {
-		r.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
-	}
 	if r.Ready != s.last.ready || !now.Before(s.nextAnnouncement) || s.isolated(now) {
 		clear(s.announced)
 		s.nextAnnouncement = now.Add(s.announcePause(now))
@@ -140,15 +137,35 @@
 	if now.Sub(s.relaysAt) >= gossip.MaxPeriod {
 		s.relays, s.relaysAt = s.node.chooseRelays(now), now
 	}
+	if !loadsDue {
+		active = nil
+	}
+	recipients, announce := s.recipients(now, others, active)
+	s.announce(r, announce)
+	r.IntervalMS = int(gossip.MaxPeriod.Milliseconds())
+	if idle {
+		r.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
+	}
+	s.node.send(r, recipients...)
+	if s.relays[s.node.settings.Router] && now.Sub(s.lastPresence) >= gossip.RelayPeriod {
+		s.lastPresence = now
+		s.sendPresence(r, now, others)
+	}
+}
+
+// recipients returns the addresses of the routers that get the whole report and of those that get an announcement. The
+// loads are due if active is not nil: the routers in it and those on standby get the whole report then.
+func (s *reporter) recipients(
+	now time.Time, others []otherRouter, active map[string]bool,
+) (whole, announce []netip.AddrPort) {
 	var standby map[string]bool
-	if loadsDue {
+	if active != nil {
 		standby = s.node.standbyRouters(now)
 	}
-	var recipients, announce []netip.AddrPort
 	for _, o := range others {
 		switch {
-		case s.relays[o.id] || loadsDue && (active[o.id] || standby[o.id]):
-			recipients = append(recipients, o.address)
+		case s.relays[o.id] || active[o.id] || standby[o.id]:
+			whole = append(whole, o.address)
 		case s.announced[o.id] != o.incarnation:
 			announce = append(announce, o.address)
 		default:
@@ -156,16 +173,17 @@
 		}
 		s.announced[o.id] = o.incarnation
 	}
-	if len(announce) > 0 {
-		a := r.Announcement()
-		a.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
-		s.node.send(&a, announce...)
-	}
-	s.node.send(r, recipients...)
-	if s.relays[s.node.settings.Router] && now.Sub(s.lastPresence) >= gossip.RelayPeriod {
-		s.lastPresence = now
-		s.sendPresence(r, now, others)
+	return whole, announce
+}
+
+// announce sends an announcement of this router. Its recipients hear of it from relays only.
+func (s *reporter) announce(r *gossip.Report, recipients []netip.AddrPort) {
+	if len(recipients) == 0 {
+		return
 	}
+	a := r.Announcement()
+	a.IntervalMS = int(gossip.RelayedInterval.Milliseconds())
+	s.node.send(&a, recipients...)
 }
 
 // announcePause returns the time until the next announcement to all routers. It is short while this router does not hear
--- a/internal/daemon/gateway/reporter_test.go
+++ b/internal/daemon/gateway/reporter_test.go
@@ -28,7 +28,6 @@
 	mu        sync.Mutex
 	byAddress map[netip.AddrPort]*Node
 	datagrams int
-	bytes     int
 }
 
 // largeCores are the CPU cores of the first five routers of a reportFleet; the others have smallerCores.
@@ -92,7 +91,6 @@
 func (f *reportFleet) deliver(from, to netip.AddrPort, data []byte) {
 	f.mu.Lock()
 	f.datagrams++
-	f.bytes += len(data)
 	n := f.byAddress[to]
 	f.mu.Unlock()
 	if n != nil {
@@ -115,7 +113,7 @@
 	}
 }
 
-// relays returns the relays of most routers.
+// relays returns the routers that count themselves among the relays.
 func (f *reportFleet) relays() []string {
 	var list []string
 	for name, n := range f.nodes {
