--- a/test/standin/freeports/freeports.go
+++ b/test/standin/freeports/freeports.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -54,10 +55,17 @@
 	return ports, err
 }
 
-// consecutive listens on n consecutive ports and returns the first.
+// nextPort is the offset from firstPort of the next port to try. It begins at random, since several tests run at once.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(endPort - firstPort)) }
+
+// consecutive listens on n consecutive ports and returns the first. It returns no port twice, so that ports which are free
+// until their router starts are not given to another one.
 func consecutive(listen func(port int) error, n int) (int, error) {
 	for range maxAttempts {
-		first := firstPort + rand.IntN(endPort-firstPort-n)
+		offset := nextPort.Add(int64(n)) - int64(n)
+		first := firstPort + int(offset%int64(endPort-firstPort-n))
 		free := 0
 		for free < n && listen(first+free) == nil {
 			free++
