gateway: Choose standby routers from the ready peers

The reporter filtered live peers by readiness again; readyPeers does that. No change of behaviour; linters and the package's tests with the race detector pass.

--- a/internal/daemon/gateway/reporter.go
+++ b/internal/daemon/gateway/reporter.go
@@ -140,7 +140,7 @@
 	if !loadsDue {
 		active = nil
 	}
-	recipients, announce := s.recipients(now, others, active)
+	recipients, announce := s.recipients(others, active)
 	s.announce(r, announce)
 	r.IntervalMS = int(gossip.MaxPeriod.Milliseconds())
 	if idle {
@@ -155,12 +155,10 @@
 
 // recipients returns the addresses of the routers that get the whole report and of those that get an announcement. The
 // loads are due if active is not nil: the routers in it and those on standby get the whole report then.
-func (s *reporter) recipients(
-	now time.Time, others []otherRouter, active map[string]bool,
-) (whole, announce []netip.AddrPort) {
+func (s *reporter) recipients(others []otherRouter, active map[string]bool) (whole, announce []netip.AddrPort) {
 	var standby map[string]bool
 	if active != nil {
-		standby = s.node.standbyRouters(now)
+		standby = s.node.standbyRouters()
 	}
 	for _, o := range others {
 		switch {
@@ -255,12 +253,10 @@
 }
 
 // standbyRouters returns the routers that the directory names or would name next.
-func (n *Node) standbyRouters(now time.Time) map[string]bool {
+func (n *Node) standbyRouters() map[string]bool {
 	var candidates []balance.Candidate
-	for _, p := range n.peers.Live(now) {
-		if p.Ready {
-			candidates = append(candidates, candidate(p, n.settings.FailureDomain))
-		}
+	for _, p := range n.readyPeers() {
+		candidates = append(candidates, candidate(p, n.settings.FailureDomain))
 	}
 	standby := make(map[string]bool)
 	for _, router := range balance.Preferred(candidates, standbyCount) {
