upstream, gateway: Bound what a backend server may send

What callers saw: a server that sends a response head without end made a router take memory until it was killed, with all requests that it held.

Cause: http.ReadResponse has no limit of its own.

Change: the reader under the codec bounds a head by 16 KB, 256 lines and eight informational responses. What is read only to keep a connection is bounded in size and time, an event is 32 KB instead of 1 MB, a buffered body 64 KB instead of 256 KB. A server that exceeds a limit is ejected at once, counted in gooseberrytide_invalid_responses_total and logged once a minute with a bounded excerpt. Idle connections on which bytes arrive are closed. Other HTTP clients bound response headers by 64 KB instead of 10 MB, and messages of an etcd watch are bounded.

--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -64,6 +64,10 @@
 		if h.failures >= ejectAfterFailures || h.suspect || result == ResultUnreachable {
 			h.eject(now)
 		}
+	case ResultInvalid:
+		h.errorRate += errorSmoothing * (1 - h.errorRate)
+		h.lastEjection = maxEjection
+		h.eject(now)
 	case ResultFull:
 		h.pausedUntil = later(h.pausedUntil, now.Add(fullPause))
 	case ResultMoved:
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -83,6 +83,8 @@
 	ResultFull
 	// ResultMoved means that another server now has the address.
 	ResultMoved
+	// ResultInvalid is an answer that exceeds the limits of the protocol, so that it might never end.
+	ResultInvalid
 	// ResultCancelled means that the client left or that time ran out. It does not change the server's health.
 	ResultCancelled
 )
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -25,6 +25,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/runqueue"
 	"gooseberrytide.example/gooseberrytide/internal/transport/datagram"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
+	"gooseberrytide.example/gooseberrytide/internal/transport/httplimits"
 	"gooseberrytide.example/gooseberrytide/internal/transport/relayhttp"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
@@ -214,10 +215,11 @@
 // storeTransport returns a transport that keeps at most two idle connections to the store.
 func storeTransport() http.RoundTripper {
 	return &http.Transport{
-		DialContext:         sockopt.DialFunc(storeDialTimeout),
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            sockopt.DialFunc(storeDialTimeout),
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: httplimits.MaxResponseHeaderBytes,
 	}
 }
 
--- a/internal/protocol/eventstream/reader.go
+++ b/internal/protocol/eventstream/reader.go
@@ -9,8 +9,9 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event. An event holds some tens of tokens. The events that a small router reads at the same
+// time must fit its memory.
+const maxEventBytes = 32 << 10
 
 // readBufferBytes is the size of the read buffer. It holds several events of typical size.
 const readBufferBytes = 4 << 10
--- a/internal/transport/adminhttp/client.go
+++ b/internal/transport/adminhttp/client.go
@@ -15,6 +15,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/transport/httplimits"
 )
 
 // clientTimeout bounds a call. A publish may take 10 s to find out the result of a store write without a response, and
@@ -57,7 +58,9 @@
 	return &Client{
 		base:  strings.TrimRight(router, "/"),
 		token: token,
-		http:  &http.Client{Timeout: clientTimeout, Transport: &http.Transport{}},
+		http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{
+			MaxResponseHeaderBytes: httplimits.MaxResponseHeaderBytes,
+		}},
 	}
 }
 
--- a/internal/transport/etcdkv/calls.go
+++ b/internal/transport/etcdkv/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 
 	"github.com/pkg/errors"
 
@@ -166,8 +167,10 @@
 		return nil, 0, readError(callErr)
 	}
 	defer body.Close()
-	decoder := json.NewDecoder(body)
+	limited := &io.LimitedReader{R: body}
+	decoder := json.NewDecoder(limited)
 	for {
+		limited.N = maxResponseBytes
 		var message watchResponse
 		if err := decoder.Decode(&message); err != nil {
 			c.counts.failed.Add(1)
--- a/internal/transport/etcdkv/client.go
+++ b/internal/transport/etcdkv/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/transport/httplimits"
 )
 
 // DefaultTimeout is the default time limit of one call. A later response is treated as a lost response.
@@ -82,9 +83,10 @@
 func newTransport(timeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: httplimits.MaxResponseHeaderBytes,
 	}
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -44,6 +44,8 @@
 	// movingClients because other routers have less load.
 	draining      atomic.Bool
 	movingClients atomic.Bool
+	// invalidServers limits the log lines about invalid responses.
+	invalidServers logInterval
 	// stopping makes the gateway refuse new requests.
 	stopping atomic.Bool
 }
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -38,6 +38,7 @@
 	logs      *observer.ObservedLogs
 	routing   *routing.Holder
 	admission *admission.Controller
+	registry  *prometheus.Registry
 	// delay is the simulated wait for the processor, in nanoseconds.
 	delay   atomic.Int64
 	engines []*platformengine.Engine
@@ -73,7 +74,7 @@
 	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
 	clock := time.Hour
-	h := &harness{t: t, logs: logs, clock: &clock, routing: &routing.Holder{}}
+	h := &harness{t: t, logs: logs, clock: &clock, routing: &routing.Holder{}, registry: prometheus.NewRegistry()}
 	h.proof = freshness.NewProof(func() time.Duration { return clock })
 	h.proof.Confirm(clock)
 	h.routing.Store(routing.NewTable(testConfig()))
@@ -97,7 +98,7 @@
 		Routing: h.routing, Proof: h.proof, MaxConfigAge: func() time.Duration { return 4 * time.Second },
 		SchedulingDelay: func() time.Duration { return time.Duration(h.delay.Load()) },
 		Admission:       h.admission, Pool: upstream.New(upstream.Options{}), RetryBudget: budget,
-		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.New(core), MaxBodyBytes: 8 << 20,
+		Metrics: NewMetrics(h.registry), Log: zap.New(core), MaxBodyBytes: 8 << 20,
 	})
 	h.server = httptest.NewServer(h.gateway)
 	t.Cleanup(h.server.CloseClientConnections)
@@ -162,3 +163,19 @@
 		e.SetMode(m)
 	}
 }
+
+// counter returns the value of a counter without labels.
+func (h *harness) counter(name string) float64 {
+	h.t.Helper()
+	families, err := h.registry.Gather()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	h.t.Fatalf("no metric %s", name)
+	return 0
+}
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -10,6 +10,8 @@
 	Refusals *prometheus.CounterVec
 	// Sends counts sends to backend servers by result.
 	Sends *prometheus.CounterVec
+	// InvalidResponses counts responses that exceed the limits of the protocol.
+	InvalidResponses prometheus.Counter
 	// TimeToFirst is the time to the first event, or to the response, in seconds, by kind of route.
 	TimeToFirst *prometheus.HistogramVec
 }
@@ -29,10 +31,14 @@
 		Sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrytide_sends_total", Help: "Sends to backend servers by result.",
 		}, []string{"result"}),
+		InvalidResponses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrytide_invalid_responses_total",
+			Help: "Answers of backend servers that exceed the limits of the protocol.",
+		}),
 		TimeToFirst: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "gooseberrytide_first_seconds", Help: "Time to the first event or the answer.", Buckets: timeToFirstBuckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.TimeToFirst)
+	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.InvalidResponses, m.TimeToFirst)
 	return m
 }
--- a/internal/transport/gateway/send.go
+++ b/internal/transport/gateway/send.go
@@ -19,8 +19,9 @@
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
-// maxBufferedBytes is the size up to which a response body is read completely before it is forwarded.
-const maxBufferedBytes = 256 << 10
+// maxBufferedBytes is the size up to which a response body is read completely before it is forwarded. The buffers of all
+// requests that a small router has in progress must fit its memory.
+const maxBufferedBytes = 64 << 10
 
 // errServerTimeout is the cancellation cause of a send that is abandoned so that another server can be tried.
 var errServerTimeout = errors.New("server did not respond in time")
@@ -46,7 +47,7 @@
 	}
 	x.possibleRuns++
 	result := x.forwardResponse(ctx, ticket, resp, metadata, timer)
-	x.g.opts.Admission.Finish(ticket, admissionResult(ctx, result, metadata))
+	x.g.opts.Admission.Finish(ticket, x.admissionResult(ctx, result, metadata))
 	return result
 }
 
@@ -87,6 +88,8 @@
 		x.possibleRuns++
 		result, outcome = sendBroken, admission.ResultBroken
 	}
+	case x.recordInvalidResponse(err):
+		outcome = admission.ResultInvalid
 	switch {
 	case errors.Is(context.Cause(ctx), errServerTimeout):
 		result = sendSilent
@@ -106,10 +109,7 @@
 func (x *exchange) handleNotExecuted(
 	ticket *admission.Ticket, resp *upstream.Response, metadata relay.Response,
 ) sendResult {
-	// A short body is read to its end so that the connection can be reused.
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBytes)); err != nil {
-		x.lastErr = err
-	}
+	resp.Discard()
 	outcome := admission.ResultFull
 	if metadata.WrongServer {
 		outcome = admission.ResultMoved
@@ -120,7 +120,9 @@
 }
 
 // admissionResult returns what to report to the admission controller about a send with a response.
-func admissionResult(ctx context.Context, result sendResult, metadata relay.Response) admission.Result {
+func (x *exchange) admissionResult(ctx context.Context, result sendResult, metadata relay.Response) admission.Result {
+	case result == sendBroken && x.recordInvalidResponse(x.lastErr):
+		return admission.ResultInvalid
 	switch {
 	case result == sendAnswered && metadata.Status < http.StatusInternalServerError:
 		return admission.ResultOK
--- a/internal/transport/relayhttp/relayhttp.go
+++ b/internal/transport/relayhttp/relayhttp.go
@@ -14,6 +14,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/transport/httplimits"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
@@ -72,9 +73,10 @@
 // NewClient returns a client.
 func NewClient() *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         sockopt.DialFunc(dialTimeout),
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
+		DialContext:            sockopt.DialFunc(dialTimeout),
+		MaxIdleConnsPerHost:    1,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: httplimits.MaxResponseHeaderBytes,
 	}}}
 }
 
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -46,6 +46,8 @@
 	net.Conn
 	serverKey string
 	br        *bufio.Reader
+	// guard is what br reads from.
+	guard *guardedReader
 	// expires is the time until which the idle connection may be reused. The server may close it later.
 	expires time.Time
 	reused  bool
@@ -80,7 +82,8 @@
 		return nil, err
 	}
 	p.onConnect()
-	return &conn{Conn: raw, serverKey: key, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	guard := &guardedReader{src: raw}
+	return &conn{Conn: raw, serverKey: key, guard: guard, br: bufio.NewReaderSize(guard, readBufferBytes)}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection to a server, or nil if there is none.
@@ -109,7 +112,8 @@
 	p.idle[c.serverKey] = append(p.idle[c.serverKey], c)
 }
 
-// Retain closes the idle connections to servers for which wanted returns false, and those that have expired.
+// Retain closes the idle connections to servers for which wanted returns false, those that have expired, and those on
+// which bytes have arrived. It takes a system call for each idle connection.
 func (p *Pool) Retain(wanted func(key string) bool) {
 	now := time.Now()
 	p.mu.Lock()
@@ -117,7 +121,7 @@
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if wanted(key) && now.Before(c.expires) {
+			if wanted(key) && now.Before(c.expires) && sockopt.IsOpen(c.Conn) {
 				kept = append(kept, c)
 			} else {
 				closing = append(closing, c)
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 const (
@@ -18,8 +16,10 @@
 	maxInlineBytes = 8 << 10
 	// maxMismatchedResponses is the number of responses to other requests that are skipped while waiting for one response.
 	maxMismatchedResponses = 2
-	// maxMismatchedBodyBytes bounds the body of a response that is skipped.
-	maxMismatchedBodyBytes = 64 << 10
+	// maxDiscardedBytes and maxDiscardTime bound how much of a body is read only so that its connection can be reused. A
+	// new connection costs less than more bytes or a longer wait.
+	maxDiscardedBytes = 16 << 10
+	maxDiscardTime    = 100 * time.Millisecond
 )
 
 // Stage tells how much of a failed request was sent.
@@ -179,30 +179,34 @@
 	return b
 }
 
-var errMismatchedResponses = errors.New("received responses that belong to other requests")
-
 // readResponseHeader reads the header of the response that belongs to the request. It skips other responses.
 func readResponseHeader(c *conn, r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxMismatchedResponses + 1 {
 		resp, err := readFinalHeader(c, request)
 		if err != nil {
-			return nil, err
+			return nil, c.guard.classify(err)
 		}
 		if r.Matches == nil || r.Matches(resp) {
 			return resp, nil
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBodyBytes))
-		if err != nil || n == maxMismatchedBodyBytes || resp.Close {
-			return nil, errMismatchedResponses
+		if resp.Close || !discard(c, resp.Body) {
+			return nil, c.guard.invalid(errMismatchedResponses, false)
 		}
 	}
-	return nil, errMismatchedResponses
+	return nil, c.guard.invalid(errMismatchedResponses, false)
 }
 
 // readFinalHeader reads the next response header and skips informational (1xx) ones.
 func readFinalHeader(c *conn, request *http.Request) (*http.Response, error) {
-	for {
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.guard.startResponse(buffered)
+	defer c.guard.endHead()
+	for range maxInformationalResponses + 1 {
+		c.guard.startHead()
 		resp, err := http.ReadResponse(c.br, request)
 		if err != nil {
 			return nil, err
@@ -211,15 +215,37 @@
 			return resp, nil
 		}
 	}
+	return nil, errTooManyInformational
+}
+
+// discard reads the rest of a body so that its connection can be reused. It reports whether the body ended within the
+// limits.
+func discard(c *conn, body io.Reader) bool {
+	if c.SetReadDeadline(time.Now().Add(maxDiscardTime)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
+	return err == nil && n < maxDiscardedBytes && c.SetReadDeadline(time.Time{}) == nil
+}
+
+// Discard reads the rest of a short body, so that Close can keep the connection. Close closes the connection if the body
+// is too long or does not end in time.
+func (r *Response) Discard() {
+	if r.ContentLength == 0 {
+		r.complete = true
+		return
+	}
+	r.complete = discard(r.conn, r.Body)
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body, and an *InvalidResponseError if the body is
+// not encoded correctly.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
 	if err == io.EOF {
 		r.complete = true
 	}
-	return n, err
+	return n, r.conn.guard.classify(err)
 }
 
 // Close returns the connection to the pool if the request was written and the body read completely and the server keeps
--- a/internal/transport/vmlist/client.go
+++ b/internal/transport/vmlist/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/transport/httplimits"
 )
 
 // DefaultTimeout is the default time limit for reading the list.
@@ -63,7 +64,9 @@
 		opts.Timeout = DefaultTimeout
 	}
 	if opts.Transport == nil {
-		opts.Transport = &http.Transport{IdleConnTimeout: time.Minute}
+		opts.Transport = &http.Transport{
+			IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httplimits.MaxResponseHeaderBytes,
+		}
 	}
 	return &Client{
 		url:     strings.TrimRight(opts.URL, "/") + "/v1/vms",
--- /dev/null
+++ b/test/standin/endless/endless.go
@@ -0,0 +1,80 @@
+// Package endless is a stand-in for a server in trouble, which sends bytes without end until the caller closes the
+// connection.
+package endless
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Bytes are what a server sends on a connection.
+type Bytes struct {
+	// Start is sent once, Repeated again and again.
+	Start, Repeated string
+}
+
+// blockBytes is the size of one write.
+const blockBytes = 32 << 10
+
+// Send sends the bytes until a write fails.
+func (b Bytes) Send(w io.Writer) {
+	if _, err := io.WriteString(w, b.Start); err != nil {
+		return
+	}
+	block := []byte(strings.Repeat(b.Repeated, 1+blockBytes/len(b.Repeated)))
+	for {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// Heads returns the bytes of heads that do not end, by name.
+func Heads() map[string]Bytes {
+	return map[string]Bytes{
+		"status line":  {"", "HTTP/1.1"},
+		"header line":  {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"header lines": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"folded lines": {"HTTP/1.1 200 OK\r\nX: y\r\n", " z\r\n"},
+		"early hints":  {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"empty lines":  {"", "\r\n"},
+		"no answer":    {"", "\x00\xff"},
+	}
+}
+
+// Listen starts a server on loopback that reads one request on each connection and then sends the bytes. It returns its
+// address. The server ends with the test.
+func Listen(t testing.TB, b Bytes) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (b Bytes) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	b.Send(c)
+}
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/test/standin/endless"
 )
 
 // Mode determines how an Engine responds to requests.
@@ -32,6 +34,12 @@
 	Foreign
 	// Hang runs the request and sends no response.
 	Hang
+	// EndlessHead runs the request and sends a header line that does not end.
+	EndlessHead
+	// EndlessBody sends an event or a body that does not end.
+	EndlessBody
+	// EndlessRest sends a complete response and then bytes without end.
+	EndlessRest
 )
 
 // Engine is one backend server. It is safe for concurrent use, apart from its exported fields.
@@ -148,6 +156,9 @@
 		e.cancelled++
 		e.mu.Unlock()
 		return
+	case EndlessHead, EndlessBody, EndlessRest:
+		e.sendEndless(w, r, mode, attemptID)
+		return
 	case Foreign:
 		attemptID = "another"
 	}
@@ -196,3 +207,25 @@
 		}
 	}
 }
+
+// sendEndless takes over the connection and sends bytes without end.
+func (e *Engine) sendEndless(w http.ResponseWriter, r *http.Request, mode Mode, attempt string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: sig-%s\r\n", attempt, e.ID)
+	answer := "answer of " + e.ID
+	switch {
+	case mode == EndlessHead:
+		endless.Bytes{Start: head + "X: ", Repeated: "x"}.Send(conn)
+	case mode == EndlessRest && r.Header.Get("Model") == "":
+		start := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
+		endless.Bytes{Start: start, Repeated: "stray "}.Send(conn)
+	case r.Header.Get("Model") == "":
+		endless.Bytes{Start: head + "\r\n" + answer, Repeated: "x"}.Send(conn)
+	default:
+		endless.Bytes{Start: head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", Repeated: "t"}.Send(conn)
+	}
+}
