gateway: Remove the load of a request whose client leaves during the response

What callers saw: nothing at once. A client that left while the rest of a long body was forwarded, or a body that did not end, left one running request in the router's account of the server until the router restarted, so that the server got less work.

Cause: the exchange was aborted by a panic before the result was reported to the admission.

Change: an incomplete forward and a failed write are results of the send, which are reported before the connection is aborted. A server is not blamed for a client that left.

Test: TestLoadOfAbandonedResponsesIsRemoved failed before (one running request after three seconds).

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -234,6 +234,9 @@
 		x.cachedTokens, x.load, x.predictedFirstEvent = decision.CachedTokens, decision.Load, decision.FirstEvent
 		result := x.send(ctx, ticket, decision)
 		x.g.opts.Metrics.Sends.WithLabelValues(result.String()).Inc()
+		if result == sendIncomplete {
+			x.abort("response incomplete")
+		}
 		if result.final() {
 			return
 		}
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -90,8 +90,9 @@
 	case x.stream.started:
 		x.abort("stream incomplete")
 	case x.failureResponse != nil:
-		x.failureResponse.write(x, true)
-		x.recordAnswered(x.failureResponse.status)
+		if x.failureResponse.write(x, true) {
+			x.recordAnswered(x.failureResponse.status)
+		}
 	case x.possibleRuns == 0 && result == sendNotExecuted:
 		x.refuse(refusalFull, retryAfterShortage)
 	case x.possibleRuns == 0 && result == sendUnreachable:
--- a/internal/transport/gateway/result.go
+++ b/internal/transport/gateway/result.go
@@ -16,17 +16,21 @@
 	sendError
 	// sendBroken means that there was no complete and valid response to the request.
 	sendBroken
+	// sendIncomplete means that a part of the body was forwarded and the rest did not arrive in time.
+	sendIncomplete
 	// sendSilent means that the send was abandoned because the server did not respond in time.
 	sendSilent
 )
 
-var sendResultNames = [...]string{"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "silent"}
+var sendResultNames = [...]string{"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "silent"}
 
 // String returns the result's name for logs and metrics.
 func (s sendResult) String() string { return sendResultNames[s] }
 
 // final reports whether the exchange has ended.
-func (s sendResult) final() bool { return s == sendAnswered || s == sendClientDisconnected }
+func (s sendResult) final() bool {
+	return s == sendAnswered || s == sendClientDisconnected || s == sendIncomplete
+}
 
 // mayHaveRun reports whether the server may have run the request.
 func (s sendResult) mayHaveRun() bool { return s == sendError || s == sendBroken || s == sendSilent }
--- a/internal/transport/gateway/send.go
+++ b/internal/transport/gateway/send.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
-	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
@@ -88,9 +87,9 @@
 		x.possibleRuns++
 		result, outcome = sendBroken, admission.ResultBroken
 	}
+	switch {
 	case x.recordInvalidResponse(err):
 		outcome = admission.ResultInvalid
-	switch {
 	case errors.Is(context.Cause(ctx), errServerTimeout):
 		result = sendSilent
 	case ctx.Err() != nil && !sent:
@@ -121,14 +120,16 @@
 
 // admissionResult returns what to report to the admission controller about a send with a response.
 func (x *exchange) admissionResult(ctx context.Context, result sendResult, metadata relay.Response) admission.Result {
+	switch {
 	case result == sendBroken && x.recordInvalidResponse(x.lastErr):
 		return admission.ResultInvalid
-	switch {
 	case result == sendAnswered && metadata.Status < http.StatusInternalServerError:
 		return admission.ResultOK
 	case result == sendAnswered || result == sendError:
 		return admission.ResultError
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errServerTimeout):
+	case result == sendIncomplete && errors.Is(context.Cause(ctx), errDeadline):
+		return admission.ResultBroken
+	case result == sendClientDisconnected, ctx.Err() != nil && !errors.Is(context.Cause(ctx), errServerTimeout):
 		return admission.ResultCancelled
 	default:
 		return admission.ResultBroken
@@ -170,11 +171,13 @@
 	}
 	x.timeToFirst = time.Since(x.arrival)
 	response := &bufferedResponse{status: metadata.Status, header: resp.Header, body: buf.Bytes()}
-	response.write(x, n < maxBufferedBytes)
+	if !response.write(x, n < maxBufferedBytes) {
+		return sendClientDisconnected
+	}
 	if n == maxBufferedBytes {
 		if _, err := io.Copy(x.w, resp); err != nil {
 			x.lastErr = err
-			x.abort("response incomplete")
+			return sendIncomplete
 		}
 	}
 	x.recordAnswered(metadata.Status)
@@ -188,17 +191,19 @@
 	body   []byte
 }
 
-// write sends the response to the client. If complete is set, the body is the whole body and its length is declared.
-func (b *bufferedResponse) write(x *exchange, complete bool) {
+// write sends the response to the client. If complete is set, the body is the whole body and its length is declared. It
+// returns false if the client has disconnected.
+func (b *bufferedResponse) write(x *exchange, complete bool) bool {
 	platform.CopyResponseHeaders(x.w.Header(), b.header)
 	if complete {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	}
 	x.w.WriteHeader(b.status)
 	if _, err := x.w.Write(b.body); err != nil {
-		x.log("client-left", logfield.Error(err))
-		panic(http.ErrAbortHandler)
+		x.clientDisconnected(err)
+		return false
 	}
+	return true
 }
 
 // impliesNotExecuted reports whether clients take a status to mean that the request did not run. Such a status is not
