admission, gateway: Follow what backend servers announce about themselves

What callers and servers see: a server that leaves says so in its responses, up to seconds before the store does. Routers went on sending to it until the store said so, and with the store away or restored from an older copy longer than the time that it may still get requests. A server that turned a request away and named a time was asked again after 60 ms.

Cause: neither header was read.

Change, leaving: package serverdrain keeps which incarnations have announced it, whatever the store says. Nothing new is placed there, and a request that was granted before is withdrawn once its connection is open. Responses count if they belong to the request and are signed or say not executed; all, or only those passed on, was weighed: a refusal is not passed on, and an unsigned one may be garbled. Routers name the servers in their reports and tell the owner of the load at once, which answers with a Denial.

Change, pause: nothing is sent before the time is over, probes included; then the limit opens from one request, doubling each 100 ms. If all servers are in a pause, requests wait if it ends in time, or are refused at once with the earliest time, spread. Wrong values are bounded and logged. Other routers are not told, since a server asks for a pause from one router. The time of a suspended VM counts.

--- /dev/null
+++ b/internal/coordination/admission/announce.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+)
+
+const (
+	// reopenStep is how long a server that had asked for a pause stays at one limit of running requests. The limit starts
+	// at one request and doubles with each step, so that the routers do not send all that waits at the same moment.
+	reopenStep = 100 * time.Millisecond
+	// maxReopenSteps is the number of steps after which a server has its usual limits again.
+	maxReopenSteps = 10
+)
+
+// Announcement is what a response of a backend server says about the server itself.
+type Announcement struct {
+	// Leaving is set if the server is about to leave.
+	Leaving bool
+	// Pause is the time for which the server wants no requests from this router. 0 means none.
+	Pause time.Duration
+}
+
+// Announce records what a response says about the server that the request was sent to. It reports whether the server is
+// newly known to leave.
+func (c *Core) Announce(now time.Time, t *Ticket, a Announcement) bool {
+	if t.server == nil {
+		return false
+	}
+	if current := c.servers.Get(t.server.ID); current != nil && !current.SameStart(t.server) {
+		return false
+	}
+	if a.Pause > 0 {
+		h := c.healthOf(t.server.ID)
+		h.reopensAt = later(h.reopensAt, now.Add(a.Pause))
+	}
+	return a.Leaving && c.drains.Receive(now, t.server)
+}
+
+// MaySend reports whether a granted request may still be sent: its server may have announced since that it leaves or
+// wants a pause.
+func (c *Core) MaySend(now time.Time, t *Ticket) bool {
+	return t.state == ticketGranted && !c.drains.Draining(t.server) && !now.Before(c.healthOf(t.server.ID).reopensAt)
+}
+
+// SkipSuspended shortens the pauses of servers by a time for which the VM was suspended, which the clock of the other
+// methods does not count.
+func (c *Core) SkipSuspended(d time.Duration) {
+	for _, h := range c.health {
+		if !h.reopensAt.IsZero() {
+			h.reopensAt = h.reopensAt.Add(-d)
+		}
+	}
+}
+
+// ReportDraining records the servers that another router knows to leave. It returns those that are out of use because of
+// this report.
+func (c *Core) ReportDraining(router string, list []serverdrain.Incarnation) []string {
+	return c.drains.Report(router, list)
+}
+
+// ReceivedDraining returns the servers whose announcement this router received itself.
+func (c *Core) ReceivedDraining() []serverdrain.Incarnation { return c.drains.Received() }
+
+// Draining reports whether a server has announced that it leaves.
+func (c *Core) Draining(id string) bool { return c.drains.Announced(id) }
+
+// opening is when a service that takes no requests at present takes some again.
+type opening struct {
+	// paused is set if servers have asked for a pause, so that the time is known.
+	paused bool
+	// at is when the first server takes requests again, forRequest when the first one does that the request may go to. It
+	// is zero if there is none.
+	at, forRequest time.Time
+}
+
+// nextOpening returns when the servers of a request's service take requests again.
+func (c *Core) nextOpening(now time.Time, req *Request) opening {
+	var next opening
+	for _, server := range c.servers.ByService(req.Service.Name) {
+		h := c.health[server.ID]
+		if h == nil || c.drains.Draining(server) {
+			continue
+		}
+		next.paused = next.paused || now.Before(h.reopensAt)
+		opens := later(h.pausedUntil, h.reopensAt)
+		next.at = earliest(next.at, opens)
+		if !req.excludes(server.ID) {
+			next.forRequest = earliest(next.forRequest, opens)
+		}
+	}
+	return next
+}
+
+// earliest returns the earlier one of two times. A zero time stands for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// reopenLimit returns how many requests a server may run after a pause.
+func (h *health) reopenLimit(now time.Time) int {
+	if h == nil || h.reopensAt.IsZero() {
+		return math.MaxInt
+	}
+	steps := now.Sub(h.reopensAt) / reopenStep
+	if steps >= maxReopenSteps {
+		return math.MaxInt
+	}
+	return 1 << max(steps, 0)
+}
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -8,6 +8,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
@@ -115,6 +116,50 @@
 	return nil, Decision{}, context.Cause(ctx)
 }
 
+// Announce records what a response says about the server that a granted request was sent to. It reports whether the
+// server is newly known to leave.
+func (c *Controller) Announce(t *Ticket, a Announcement) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Announce(time.Now(), t, a)
+}
+
+// MaySend reports whether a granted request may still be sent to its server.
+func (c *Controller) MaySend(t *Ticket) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.MaySend(time.Now(), t)
+}
+
+// SkipSuspended shortens the pauses of servers by a time for which the VM was suspended.
+func (c *Controller) SkipSuspended(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SkipSuspended(d)
+}
+
+// ReportDraining records the servers that another router knows to leave. It returns those that are out of use because of
+// this report.
+func (c *Controller) ReportDraining(router string, list []serverdrain.Incarnation) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.ReportDraining(router, list)
+}
+
+// ReceivedDraining returns the servers whose announcement this router received itself.
+func (c *Controller) ReceivedDraining() []serverdrain.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.ReceivedDraining()
+}
+
+// Draining reports whether a server has announced that it leaves.
+func (c *Controller) Draining(server string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Draining(server)
+}
+
 // RecordRefused counts a request that the router refused without submitting it.
 func (c *Controller) RecordRefused(req Request) {
 	c.mu.Lock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -7,6 +7,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -30,6 +31,7 @@
 type Core struct {
 	opts           Options
 	servers        *backends.Set
+	drains         *serverdrain.Registry
 	loads          *engineload.Table
 	accounts       *fairshare.Accounts
 	prefixes       *prefixIndex
@@ -52,6 +54,7 @@
 	return &Core{
 		opts:           opts,
 		servers:        backends.NewSet(nil),
+		drains:         serverdrain.New(),
 		loads:          engineload.New(),
 		accounts:       fairshare.New(opts.ShareWindow / meanAgesPerWindow),
 		prefixes:       newPrefixIndex(),
@@ -75,6 +78,7 @@
 		}
 	}
 	c.servers = set
+	c.drains.SetServers(now, set)
 	for _, s := range c.speeds {
 		s.retain(func(id string) bool { return set.Get(id) != nil })
 	}
--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -34,20 +34,27 @@
 	q.lastScan = now
 	c.refuseLate(now, q)
 	c.refreshShares(now)
-	for q.size > 0 && c.hasCapacity(q.service) && c.grantOne(now, q) {
+	for q.size > 0 && c.hasCapacity(now, q.service) && c.grantOne(now, q) {
 	}
 }
 
 // hasCapacity reports whether some server might accept some request of a service. If all servers are full, which is
-// usual under overload, the check saves choosing a server for each team and kind. It is also true if the service has no
-// servers, so that the requests are then refused.
-func (c *Core) hasCapacity(service *routing.Service) bool {
+// usual under overload, the check saves choosing a server for each team and kind. It is also true if no server takes
+// requests, so that the requests are then refused.
+func (c *Core) hasCapacity(now time.Time, service *routing.Service) bool {
 	servers := c.servers.ByService(service.Name)
 	speeds := c.speedsOf(service.Name)
-	return len(servers) == 0 || slices.ContainsFunc(servers, func(s *backends.Server) bool {
-		load := c.loads.Total(s.ID)
-		return limitsOf(service, s, speeds.slowdownOf(s.ID), 1).Fit(load, engineload.Load{Running: 1})
-	})
+	fits := func(s *backends.Server) bool {
+		limits := limitsOf(service, s, speeds.slowdownOf(s.ID), 1)
+		return limits.Fit(c.loads.Total(s.ID), engineload.Load{Running: 1}) && c.takesRequests(now, s)
+	}
+	takesRequests := func(s *backends.Server) bool { return c.takesRequests(now, s) }
+	return slices.ContainsFunc(servers, fits) || !slices.ContainsFunc(servers, takesRequests)
+}
+
+// takesRequests reports whether a server takes requests at present, regardless of its load.
+func (c *Core) takesRequests(now time.Time, server *backends.Server) bool {
+	return !c.drains.Draining(server) && c.health[server.ID].available(now)
 }
 
 // grantOne grants the first placeable request in fair order: by team, and within a team by kind. If no server takes the
@@ -60,8 +67,10 @@
 		for _, t := range team.heads(now, q.grantedByFlow) {
 			p, available := c.choose(now, &t.Request, c.shares.fraction(team.served))
 			if !available {
-				c.refuseNoServer(q, t)
-				return true
+				if c.refuseWithoutServer(now, q, t) {
+					return true
+				}
+				continue
 			}
 			if p != nil {
 				c.grant(now, q, t, p)
--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -31,6 +31,8 @@
 	// the server.
 	suspect bool
 	probing bool
+	// reopensAt is when the pause ends that the server itself has asked for. Nothing is sent before, not even a probe.
+	reopensAt time.Time
 }
 
 // available reports whether the server may get requests.
@@ -38,7 +40,7 @@
 	if h == nil {
 		return true
 	}
-	if now.Before(h.pausedUntil) {
+	if now.Before(h.pausedUntil) || now.Before(h.reopensAt) {
 		return false
 	}
 	return !h.suspect || !h.probing
@@ -69,7 +71,9 @@
 		h.lastEjection = maxEjection
 		h.eject(now)
 	case ResultFull:
-		h.pausedUntil = later(h.pausedUntil, now.Add(fullPause))
+		if !now.Before(h.reopensAt) { // a server that named a time knows it better
+			h.pausedUntil = later(h.pausedUntil, now.Add(fullPause))
+		}
 	case ResultMoved:
 		h.pausedUntil = later(h.pausedUntil, now.Add(maxEjection))
 		h.suspect = true
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -55,7 +55,7 @@
 	parts := sharedParts(req.Parts)
 	var preferred preferredEngines
 	if req.Service.Engine != nil {
-		preferred = preferredEnginesFor(parts, withoutDraining(servers))
+		preferred = preferredEnginesFor(parts, c.withoutDraining(servers))
 		preferred.cachedAnywhere = c.prefixes.cachedAnywhere(now, parts)
 		preferred.sharedTokens = tokensOf(parts)
 	}
@@ -73,6 +73,7 @@
 			continue
 		}
 		limits := limitsOf(req.Service, server, speeds.slowdownOf(server.ID), fraction)
+		limits.Running = min(limits.Running, c.health[server.ID].reopenLimit(now))
 		if limits.Fit(p.load, loadOf(req, p.cachedTokens)) {
 			bestFree = p
 			bestFree.limits = limits
@@ -89,17 +90,16 @@
 
 // withoutDraining returns the servers from which the preferred engines of a prompt are chosen. Ejected servers stay in,
 // so that the preferred engines do not change during an ejection; meanwhile the request goes to the cheapest server.
-func withoutDraining(servers []*backends.Server) []*backends.Server {
-	draining := slices.ContainsFunc(servers, func(s *backends.Server) bool { return s.Draining })
-	if !draining {
+func (c *Core) withoutDraining(servers []*backends.Server) []*backends.Server {
+	if !slices.ContainsFunc(servers, c.drains.Draining) {
 		return servers
 	}
-	return slices.DeleteFunc(slices.Clone(servers), func(s *backends.Server) bool { return s.Draining })
+	return slices.DeleteFunc(slices.Clone(servers), c.drains.Draining)
 }
 
 // usable reports whether a server may get the request, regardless of its load.
 func (c *Core) usable(now time.Time, req *Request, server *backends.Server) bool {
-	return !server.Draining && !slices.Contains(req.Exclude, server.ID) && c.health[server.ID].available(now)
+	return !req.excludes(server.ID) && c.takesRequests(now, server)
 }
 
 // evaluate returns the placement of a request on a server with its cost, without limits.
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -15,6 +15,8 @@
 	// lateRetryAfter is the mean retry time after a refusal as late or without a server. It is the time constant with
 	// which shares move between teams.
 	lateRetryAfter = 400 * time.Millisecond
+	// spreadFraction is how far the retry times of refused clients are spread, as a fraction.
+	spreadFraction = 0.3
 	// maxQueueFraction is the fraction of the longest possible wait for which a team may queue. A longer queue would
 	// make all of its requests wait for the longest time and serve no more of them.
 	maxQueueFraction = 0.35
@@ -51,7 +53,7 @@
 	if !ok || wait <= time.Duration(maxQueueFraction*float64(t.refuseAt.Sub(now))) {
 		return 0, false
 	}
-	return wait, overShare || !c.hasCapacity(q.service)
+	return wait, overShare || !c.hasCapacity(now, t.Service)
 }
 
 // refuseLate refuses the requests that have waited too long or passed their deadline.
@@ -70,10 +72,21 @@
 	}
 }
 
-// refuseNoServer refuses a request because no server takes requests.
-func (c *Core) refuseNoServer(q *queue, t *Ticket) {
-	q.remove(t)
-	c.refuse(t, ReasonNoServer, c.jitter.around(lateRetryAfter))
+// refuseWithoutServer refuses a request because no server takes requests. It reports false if the request waits because
+// a server that asked for a pause takes requests again soon enough.
+func (c *Core) refuseWithoutServer(now time.Time, q *queue, t *Ticket) bool {
+	next := c.nextOpening(now, &t.Request)
+	switch {
+	case !next.paused:
+		q.remove(t)
+		c.refuse(t, ReasonNoServer, c.jitter.around(lateRetryAfter))
+	case !next.forRequest.IsZero() && next.forRequest.Before(t.refuseAt):
+		return false
+	default:
+		q.remove(t)
+		c.refuse(t, ReasonPaused, c.jitter.above(next.at.Sub(now)))
+	}
+	return true
 }
 
 // jitter randomizes the retry times of refused clients, so that they do not all retry at once.
@@ -81,11 +94,22 @@
 	state uint64
 }
 
-// around returns a time within 30% of d, clamped to the bounds of retry times.
-func (j *jitter) around(d time.Duration) time.Duration {
+// next returns a pseudo-random number from 0 to below 1.
+func (j *jitter) next() float64 {
 	j.state ^= j.state << 13
 	j.state ^= j.state >> 7
 	j.state ^= j.state << 17
-	factor := 0.7 + 0.6*float64(j.state%1024)/1024
+	return float64(j.state%1024) / 1024
+}
+
+// around returns a time within 30% of d, clamped to the bounds of retry times.
+func (j *jitter) around(d time.Duration) time.Duration {
+	factor := 1 - spreadFraction + 2*spreadFraction*j.next()
 	return min(max(time.Duration(factor*float64(d)), minRetryAfter), maxRetryAfter)
 }
+
+// above returns a time from d to 30% above it, at least minRetryAfter. It is not clamped, since a client that returns
+// before d is refused again.
+func (j *jitter) above(d time.Duration) time.Duration {
+	return max(d, minRetryAfter) + time.Duration(spreadFraction*j.next()*float64(max(d, minRetryAfter)))
+}
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
@@ -30,6 +31,9 @@
 		t.sentAt = now
 		return true
 	}
+	if answer.Draining {
+		t.Exclude = append(slices.Clone(t.Exclude), t.server.ID)
+	}
 	c.loads.Remove(t.server.ID, t.load)
 	c.loads.SetTotal(now, t.server.ID, answer.Total)
 	c.charge(now, t.Team, -t.cost)
@@ -59,6 +63,9 @@
 // Reserve answers another router's reservation request for a server whose load this router owns.
 func (c *Core) Reserve(now time.Time, r reservation.Request) reservation.Answer {
 	c.loads.SetPeerLoad(now, r.Router, r.Server, r.Own.Minus(r.Load))
+	if server := c.servers.Get(r.Server); server != nil && c.drains.Draining(server) {
+		return reservation.Answer{ID: r.ID, Total: c.loads.Total(r.Server), Draining: true}
+	}
 	total := c.loads.Total(r.Server)
 	answer := reservation.Answer{ID: r.ID, Total: total}
 	if r.Limits.Fit(total, r.Load) {
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
@@ -36,6 +37,9 @@
 	Exclude []string
 }
 
+// excludes reports whether a server must not be chosen because the request failed on it before.
+func (r *Request) excludes(server string) bool { return slices.Contains(r.Exclude, server) }
+
 // Reason is the reason why a request was refused.
 type Reason string
 
@@ -47,6 +51,8 @@
 	ReasonBacklog Reason = "backlog"
 	// ReasonNoServer means that no backend server takes requests.
 	ReasonNoServer Reason = "no-server"
+	// ReasonPaused means that all backend servers have asked for a pause.
+	ReasonPaused Reason = "servers-paused"
 	// ReasonDeadline means that the client or the route has given up.
 	ReasonDeadline Reason = "deadline"
 )
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -9,6 +9,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
 
@@ -50,6 +51,8 @@
 	Proof *Proof `cbor:"14,keyasint,omitempty"`
 	// ProofEra is the store's era of Proof.
 	ProofEra int64 `cbor:"19,keyasint,omitempty"`
+	// Draining lists the backend servers whose responses to the sender said that they leave.
+	Draining []serverdrain.Incarnation `cbor:"20,keyasint,omitempty"`
 }
 
 // Position returns the position of the store that the proof states. The report must have a proof.
--- a/internal/coordination/reservation/message.go
+++ b/internal/coordination/reservation/message.go
@@ -1,6 +1,9 @@
 package reservation
 
-import "gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+import (
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+)
 
 // Request asks the owner of a server to reserve capacity for a request.
 type Request struct {
@@ -25,6 +28,23 @@
 	Granted bool
 	// Total is the load of the server from all routers, including the request if it was granted.
 	Total engineload.Load
+	// Draining is set if the server leaves. The owner then sends a Denial.
+	Draining bool `cbor:"-"`
+}
+
+// Denial answers a Request for a server that leaves.
+type Denial struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Router string
+	Server serverdrain.Incarnation
+}
+
+// DrainNotice tells the owner of a server that the server has announced that it leaves.
+type DrainNotice struct {
+	_      struct{} `cbor:",toarray"`
+	Router string
+	Server serverdrain.Incarnation
 }
 
 // Loads reports to an owner the loads that a router puts on the owner's servers.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -93,6 +93,8 @@
 	lag balance.Lag
 	// runQueueDelay is the time that goroutines wait for a processor.
 	runQueueDelay delayMeter
+	// suspension measures for how long the VM was suspended. Only the sampling goroutine uses it.
+	suspension *suspension
 	// busy is set if the process lacks CPU time, as of the last report.
 	busy atomic.Bool
 	// ownRate is the router's request rate per second, as the bits of a float64.
@@ -124,6 +126,7 @@
 		exchange:      freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:      prometheus.NewRegistry(),
 		restored:      make(chan struct{}, 1),
+		suspension:    newSuspension(),
 	}
 	core := admission.New(admission.Options{
 		Domain:      settings.FailureDomain,
@@ -152,6 +155,7 @@
 		RetryBudget:     n.budget,
 		Metrics:         gateway.NewMetrics(n.registry),
 		Log:             log.Named("gateway"),
+		OnServerLeaving: n.onServerLeaving,
 		MaxBodyBytes:    int64(bodyMemoryFraction * float64(settings.MemoryBytes)),
 	})
 	n.store = platform.NewStore(settings.StoreAddress, storeTransport(), func(kind string) {
@@ -228,7 +232,7 @@
 
 func (n *Node) onServers(set *backends.Set) {
 	n.admission.SetServers(set)
-	n.pool.Retain(set.HasKey)
+	n.closeIdleConnections()
 }
 
 // Run serves until the context ends, and then drains. Changed settings are reloaded from settingsPath. It returns the
@@ -264,6 +268,7 @@
 	go n.admission.Run(background, advancePeriod, advanceIdlePeriod)
 	go n.owners.run(background)
 	go periodic.Run(background, loadSamplePeriod, n.sampleLoad)
+	go periodic.Run(background, idleConnectionPeriod, n.closeIdleConnections)
 	go periodic.Run(background, shareLogPeriod, n.logShares)
 	go periodic.Run(background, startCheckPeriod, n.follower.CheckStart)
 	select {
@@ -282,6 +287,9 @@
 
 // sampleLoad measures this router's load and decides whether connections are passed on.
 func (n *Node) sampleLoad() {
+	if d := n.suspension.sample(); d > 0 {
+		n.admission.SkipSuspended(d)
+	}
 	n.runQueueDelay.Sample()
 	n.offload.update()
 }
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -13,6 +13,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
@@ -274,7 +275,12 @@
 		n.relays.Heard(now, m.Relay)
 		n.peers.Observe(now, &m)
 	case reservation.Request:
-		n.send(n.admission.Reserve(m), from)
+		n.send(n.answerReservation(m), from)
+	case reservation.Denial:
+		n.handleDraining(m.Router, []serverdrain.Incarnation{m.Server})
+		n.owners.pendingRequests.Resolve(reservation.Answer{ID: m.ID, Draining: true})
+	case reservation.DrainNotice:
+		n.handleDraining(m.Router, []serverdrain.Incarnation{m.Server})
 	case reservation.Answer:
 		n.owners.pendingRequests.Resolve(m)
 	case reservation.CapacityNotice:
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -38,6 +38,7 @@
 	n.busy.Store(r.Busy)
 	n.ownRate.Store(math.Float64bits(own.Rate))
 	r.Parts = n.cachedPartsToReport()
+	r.Draining = n.admission.ReceivedDraining()
 	return r
 }
 
@@ -117,6 +118,7 @@
 		n.admission.SetPeerLoads(r.Router, r.LoadsByServer())
 	}
 	n.admission.SetPeerUsage(r.Router, r.UsageByTeam())
+	n.handleDraining(r.Router, r.Draining)
 	if len(r.Parts) > 0 {
 		n.admission.AddPeerCachedParts(reportedCachedParts(r))
 	}
--- a/internal/protocol/datagrams/datagrams.go
+++ b/internal/protocol/datagrams/datagrams.go
@@ -20,10 +20,12 @@
 	kindLoads
 	kindCapacityNotice
 	kindPresence
+	kindDenial
+	kindDrainNotice
 )
 
 // Encode returns the datagram for a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads,
-// reservation.CapacityNotice or gossip.Presence. Other types are an error.
+// reservation.CapacityNotice, reservation.Denial, reservation.DrainNotice or gossip.Presence. Other types are an error.
 func Encode(message any) ([]byte, error) {
 	k, err := kindOf(message)
 	if err != nil {
@@ -55,6 +57,10 @@
 		return kindCapacityNotice, nil
 	case gossip.Presence:
 		return kindPresence, nil
+	case reservation.Denial:
+		return kindDenial, nil
+	case reservation.DrainNotice:
+		return kindDrainNotice, nil
 	default:
 		return 0, errors.Errorf("datagrams: unsupported message type %T", message)
 	}
@@ -79,6 +85,10 @@
 		return decode[reservation.CapacityNotice](body)
 	case kindPresence:
 		return decode[gossip.Presence](body)
+	case kindDenial:
+		return decode[reservation.Denial](body)
+	case kindDrainNotice:
+		return decode[reservation.DrainNotice](body)
 	default:
 		return nil, errors.Errorf("datagrams: unknown message kind %d", data[0])
 	}
--- a/internal/protocol/datagrams/datagrams_test.go
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -8,6 +8,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 )
 
 // Guards against messages that another router cannot decode or decodes to something else, and against encoding
@@ -16,13 +17,16 @@
 	g := NewWithT(t)
 	load := engineload.Load{Running: 1, PendingTokens: 2, ContextTokens: 3}
 	messages := []any{
-		&gossip.Report{Router: "r", Incarnation: 1, Seq: 2, Totals: []reservation.ServerLoad{{Server: "e", Load: load}}},
+		&gossip.Report{Router: "r", Incarnation: 1, Seq: 2, Totals: []reservation.ServerLoad{{Server: "e", Load: load}},
+			Draining: []serverdrain.Incarnation{{Server: "e", StartedAt: 5}}},
 		reservation.Request{ID: 7, Router: "r", Server: "e", Load: load, Own: load,
 			Limits: reservation.Limits{Running: 4, PendingTokens: -1, ContextTokens: 9}},
 		reservation.CapacityNotice{Server: "e", Total: load},
 		reservation.Answer{ID: 7, Granted: true, Total: load},
 		gossip.Presence{Sightings: []gossip.Sighting{{AgeMS: 100, ConfigVersion: 3, Rate: 7, Busy: true,
 			Routers: []gossip.PresenceKey{1, 1 << 31}}}},
+		reservation.Denial{ID: 7, Router: "r", Server: serverdrain.Incarnation{Server: "e", StartedAt: 5}},
+		reservation.DrainNotice{Router: "r", Server: serverdrain.Incarnation{Server: "e", StartedAt: 5}},
 		reservation.Loads{Router: "r", Parts: []reservation.ServerLoad{{Server: "e", Load: load}}},
 	}
 	for _, m := range messages {
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -24,16 +24,21 @@
 // Key returns "ID@ADDRESS", which identifies the server at its address.
 func (s *Server) Key() string { return s.ID + "@" + s.Address }
 
+// SameStart reports whether both values describe a server since the same start, whatever service it belongs to.
+func (s *Server) SameStart(other *Server) bool {
+	return s.ID == other.ID && s.Address == other.Address && s.StartedAt == other.StartedAt
+}
+
 // SameIncarnation reports whether both values describe the same incarnation of the same server.
 func (s *Server) SameIncarnation(other *Server) bool {
-	return s.ID == other.ID && s.Address == other.Address && s.StartedAt == other.StartedAt && s.Service == other.Service
+	return s.SameStart(other) && s.Service == other.Service
 }
 
 // Set is an immutable set of servers, indexed by ID, by service and by key.
 type Set struct {
 	byID      map[string]*Server
 	byService map[string][]*Server
-	keys      map[string]bool
+	byKey     map[string]*Server
 }
 
 // NewSet returns a set of the given servers.
@@ -41,11 +46,11 @@
 	s := &Set{
 		byID:      make(map[string]*Server, len(servers)),
 		byService: make(map[string][]*Server),
-		keys:      make(map[string]bool),
+		byKey:     make(map[string]*Server, len(servers)),
 	}
 	for _, server := range servers {
 		s.byID[server.ID] = server
-		s.keys[server.Key()] = true
+		s.byKey[server.Key()] = server
 		s.byService[server.Service] = append(s.byService[server.Service], server)
 	}
 	for _, list := range s.byService {
@@ -57,8 +62,8 @@
 // Get returns the server with an ID, or nil if the set has none.
 func (s *Set) Get(id string) *Server { return s.byID[id] }
 
-// HasKey reports whether the set contains a server whose Key is key.
-func (s *Set) HasKey(key string) bool { return s.keys[key] }
+// ByKey returns the server whose Key is key, or nil if the set has none.
+func (s *Set) ByKey(key string) *Server { return s.byKey[key] }
 
 // ByService returns a service's servers, ordered by ID. The slice must not be modified.
 func (s *Set) ByService(service string) []*Server { return s.byService[service] }
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -44,6 +44,12 @@
 	Signed bool
 	// NotExecuted is set if the server did not run the request.
 	NotExecuted bool
+	// Leaving is set if the server is about to leave.
+	Leaving bool
+	// Pause is the time for which a server that turned the request away wants no requests from this router. InvalidPause
+	// is the text of a pause that is not a positive number of seconds.
+	Pause        time.Duration
+	InvalidPause string
 	// WrongServer is set if another server now has the address.
 	WrongServer bool
 }
--- /dev/null
+++ b/internal/transport/gateway/announce.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/relay"
+)
+
+// maxServerPause bounds the pause that a server asks for, so that a wrong value does not take it out of use for good.
+const maxServerPause = 5 * time.Minute
+
+// recordAnnouncement records what a response says about its server: that it leaves, or that it wants a pause. A response
+// counts if it belongs to the request and is either signed by the server or says that it did not run the request; a
+// response of another server at the address does not count.
+func (x *exchange) recordAnnouncement(ticket *admission.Ticket, server *backends.Server, metadata relay.Response) {
+	if metadata.WrongServer || !metadata.Signed && !metadata.NotExecuted {
+		return
+	}
+	pause := x.serverPause(metadata)
+	if !metadata.Leaving && pause == 0 {
+		return
+	}
+	leaving := x.g.opts.Admission.Announce(ticket, admission.Announcement{Leaving: metadata.Leaving, Pause: pause})
+	if leaving {
+		x.g.opts.Metrics.LeavingServers.Inc()
+		x.log("backend server leaves")
+		x.g.opts.OnServerLeaving(server)
+	}
+	if pause > 0 {
+		x.g.opts.Metrics.ServerPauses.Inc()
+		x.log("backend server pauses", zap.Duration("pause", pause))
+	}
+}
+
+// serverPause returns the pause that a response asks for, within bounds. 0 means none.
+func (x *exchange) serverPause(metadata relay.Response) time.Duration {
+	text := metadata.InvalidPause
+	if metadata.Pause > maxServerPause {
+		text = metadata.Pause.String()
+	}
+	if text != "" && x.g.invalidPauses.shouldLog(time.Now(), x.server) {
+		x.g.opts.Log.Warn("backend server asks for a pause that is not valid", zap.String("server", x.server),
+			zap.String("request", x.metadata.ID), zap.String("pause", text))
+	}
+	return min(metadata.Pause, maxServerPause)
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -300,7 +300,7 @@
 	if x.sends >= maxSends {
 		return false
 	}
-	if result == sendUnreachable {
+	if result == sendUnreachable || result == sendWithdrawn {
 		return true // nothing reached the server
 	}
 	if result.mayHaveRun() && (!x.route.Idempotent() || x.possibleRuns >= x.route.MaxAttempts) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 	"gooseberrytide.example/gooseberrytide/platform"
@@ -29,6 +30,8 @@
 	Log          *zap.Logger
 	// SchedulingDelay returns how long requests wait for the processor before they are handled.
 	SchedulingDelay func() time.Duration
+	// OnServerLeaving is called when a response says for the first time that its server leaves.
+	OnServerLeaving func(*backends.Server)
 	// MaxBodyBytes limits the total size of the request bodies in memory.
 	MaxBodyBytes int64
 }
@@ -46,6 +49,8 @@
 	movingClients atomic.Bool
 	// invalidServers limits the log lines about invalid responses.
 	invalidServers logInterval
+	// invalidPauses limits the log lines about pauses that are not valid.
+	invalidPauses logInterval
 	// stopping makes the gateway refuse new requests.
 	stopping atomic.Bool
 }
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -39,6 +39,8 @@
 	routing   *routing.Holder
 	admission *admission.Controller
 	registry  *prometheus.Registry
+	// leaving is the ID of the last server that announced that it leaves.
+	leaving atomic.Pointer[string]
 	// delay is the simulated wait for the processor, in nanoseconds.
 	delay   atomic.Int64
 	engines []*platformengine.Engine
@@ -99,6 +101,7 @@
 		SchedulingDelay: func() time.Duration { return time.Duration(h.delay.Load()) },
 		Admission:       h.admission, Pool: upstream.New(upstream.Options{}), RetryBudget: budget,
 		Metrics: NewMetrics(h.registry), Log: zap.New(core), MaxBodyBytes: 8 << 20,
+		OnServerLeaving: func(s *backends.Server) { h.leaving.Store(&s.ID) },
 	})
 	h.server = httptest.NewServer(h.gateway)
 	t.Cleanup(h.server.CloseClientConnections)
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -12,6 +12,10 @@
 	Sends *prometheus.CounterVec
 	// InvalidResponses counts responses that exceed the limits of the protocol.
 	InvalidResponses prometheus.Counter
+	// LeavingServers counts backend servers whose responses said that they leave, ServerPauses responses that asked for a
+	// pause.
+	LeavingServers prometheus.Counter
+	ServerPauses   prometheus.Counter
 	// TimeToFirst is the time to the first event, or to the response, in seconds, by kind of route.
 	TimeToFirst *prometheus.HistogramVec
 }
@@ -35,10 +39,16 @@
 			Name: "gooseberrytide_invalid_responses_total",
 			Help: "Answers of backend servers that exceed the limits of the protocol.",
 		}),
+		LeavingServers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrytide_leaving_servers_total", Help: "Backend servers whose answers said that they leave.",
+		}),
+		ServerPauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrytide_server_pauses_total", Help: "Answers of backend servers that asked for a pause.",
+		}),
 		TimeToFirst: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "gooseberrytide_first_seconds", Help: "Time to the first event or the answer.", Buckets: timeToFirstBuckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.InvalidResponses, m.TimeToFirst)
+	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.InvalidResponses, m.LeavingServers, m.ServerPauses, m.TimeToFirst)
 	return m
 }
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -95,7 +95,7 @@
 		}
 	case x.possibleRuns == 0 && result == sendNotExecuted:
 		x.refuse(refusalFull, retryAfterShortage)
-	case x.possibleRuns == 0 && result == sendUnreachable:
+	case x.possibleRuns == 0 && (result == sendUnreachable || result == sendWithdrawn):
 		x.refuse(string(admission.ReasonNoServer), retryAfterShortage)
 	case result == sendSilent:
 		x.failWithStatus(http.StatusGatewayTimeout, "no response")
--- a/internal/transport/gateway/result.go
+++ b/internal/transport/gateway/result.go
@@ -18,11 +18,15 @@
 	sendBroken
 	// sendIncomplete means that a part of the body was forwarded and the rest did not arrive in time.
 	sendIncomplete
+	// sendWithdrawn means that the server announced, before anything was sent, that it leaves or wants a pause.
+	sendWithdrawn
 	// sendSilent means that the send was abandoned because the server did not respond in time.
 	sendSilent
 )
 
-var sendResultNames = [...]string{"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "silent"}
+var sendResultNames = [...]string{
+	"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "withdrawn", "silent",
+}
 
 // String returns the result's name for logs and metrics.
 func (s sendResult) String() string { return sendResultNames[s] }
--- a/internal/transport/gateway/send.go
+++ b/internal/transport/gateway/send.go
@@ -35,12 +35,16 @@
 	defer cancel(nil)
 	timer := x.startInactivityTimer(cancel)
 	defer timer.stop()
-	resp, err := x.g.opts.Pool.Do(ctx, x.upstreamRequest(decision))
+	resp, err := x.g.opts.Pool.Do(ctx, x.upstreamRequest(ticket, decision))
 	if err != nil {
 		return x.handleNoResponse(ctx, ticket, err)
 	}
 	defer resp.Close()
 	metadata := platform.DecodeResponse(resp.StatusCode, resp.Header)
+	x.recordAnnouncement(ticket, decision.Server, metadata)
+	if metadata.Leaving {
+		resp.DisableReuse()
+	}
 	if metadata.NotExecuted {
 		return x.handleNotExecuted(ticket, resp, metadata)
 	}
@@ -51,7 +55,7 @@
 }
 
 // upstreamRequest returns the request for the server of an admission decision.
-func (x *exchange) upstreamRequest(decision admission.Decision) *upstream.Request {
+func (x *exchange) upstreamRequest(ticket *admission.Ticket, decision admission.Decision) *upstream.Request {
 	lastEvent := x.metadata.LastEvent
 	if x.stream.started {
 		lastEvent = x.stream.sequence.LastID()
@@ -69,7 +73,8 @@
 			Team:      x.team,
 			LastEvent: lastEvent,
 		}),
-		Body: x.body,
+		Body:    x.body,
+		MaySend: func() bool { return x.g.opts.Admission.MaySend(ticket) },
 		Matches: func(resp *http.Response) bool {
 			metadata := platform.DecodeResponse(resp.StatusCode, resp.Header)
 			return metadata.ID == id || metadata.ID == "" && metadata.NotExecuted
@@ -80,6 +85,10 @@
 // handleNoResponse classifies a send that failed without a response and reports it to the admission controller.
 func (x *exchange) handleNoResponse(ctx context.Context, ticket *admission.Ticket, err error) sendResult {
 	x.lastErr = err
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		x.g.opts.Admission.Finish(ticket, admission.ResultCancelled)
+		return sendWithdrawn
+	}
 	var sendErr *upstream.SendError
 	sent := !errors.As(err, &sendErr) || sendErr.Stage == upstream.Sent
 	result, outcome := sendUnreachable, admission.ResultUnreachable
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -112,6 +112,14 @@
 	p.idle[c.serverKey] = append(p.idle[c.serverKey], c)
 }
 
+// unusedIdleTimeout returns how long a connection may stay idle on which nothing was sent since it was taken.
+func unusedIdleTimeout(c *conn) time.Duration {
+	if c.reused {
+		return time.Until(c.expires)
+	}
+	return defaultIdleTimeout
+}
+
 // Retain closes the idle connections to servers for which wanted returns false, those that have expired, and those on
 // which bytes have arrived. It takes a system call for each idle connection.
 func (p *Pool) Retain(wanted func(key string) bool) {
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -66,6 +68,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MaySend reports, once a connection is open, whether the request may still be sent. Opening one takes up to a second.
+	// If it is nil, the request is sent.
+	MaySend func() bool
 	// Matches reports whether a response, of which only the header has been read, belongs to this request. If it is nil,
 	// every response does.
 	Matches func(*http.Response) bool
@@ -83,6 +88,9 @@
 	once          sync.Once
 }
 
+// ErrWithdrawn reports a request that was not sent because its MaySend returned false.
+var ErrWithdrawn = errors.New("request withdrawn before it was sent")
+
 // Do sends a request once and returns its response after the header has been read. When the context ends, the
 // connection is closed, which makes the server stop processing the request. Errors are of type *SendError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
@@ -90,6 +98,10 @@
 	if err != nil {
 		return nil, &SendError{Stage: NotSent, DialFailed: true, Err: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.put(c, unusedIdleTimeout(c))
+		return nil, &SendError{Stage: NotSent, Reused: c.reused, Err: ErrWithdrawn}
+	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { _ = c.Close() })
 	w := startWrite(c, r)
 	resp, err := readResponseHeader(c, r)
@@ -248,6 +260,9 @@
 	return n, r.conn.guard.classify(err)
 }
 
+// DisableReuse makes Close close the connection.
+func (r *Response) DisableReuse() { r.idleTimeout = 0 }
+
 // Close returns the connection to the pool if the request was written and the body read completely and the server keeps
 // the connection open. Otherwise it closes the connection, which makes the server stop processing the request.
 func (r *Response) Close() {
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -54,6 +54,9 @@
 	runs          map[string]int
 	recentHeaders []http.Header
 	bodies        map[string][]byte
+	// leaving makes all responses say that the engine leaves. If retryAfter is set, requests are turned away with it.
+	leaving    bool
+	retryAfter string
 	// cancelled counts requests whose connection the client closed while they ran.
 	cancelled int
 	// arrivals counts requests since the last ResetArrivals.
@@ -86,6 +89,20 @@
 	e.mode = m
 }
 
+// SetLeaving sets whether all later responses say that the engine leaves.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetRetryAfter makes the engine turn requests away with the given Retry-After. An empty text ends that.
+func (e *Engine) SetRetryAfter(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAfter = text
+}
+
 // Runs returns the number of executions of an attempt.
 func (e *Engine) Runs(attempt string) int {
 	e.mu.Lock()
@@ -128,14 +145,21 @@
 	mode := e.mode
 	e.recentHeaders = append(e.recentHeaders[max(0, len(e.recentHeaders)-1):], r.Header.Clone())
 	e.arrivals++
+	leaving, retryAfter := e.leaving, e.retryAfter
 	e.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != e.ID {
 		w.Header().Set("Instance-Id", e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if mode == Full {
+	if mode == Full || retryAfter != "" {
 		w.Header().Set("Not-Executed", "1")
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
