--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -25,6 +25,14 @@
 	status      int
 	failed      bool
 	undisturbed bool
+	// leaving identifies the engine incarnation whose answer said that it leaves. It is zero if the answer did not.
+	leaving incarnation
+}
+
+// incarnation is one start of an engine.
+type incarnation struct {
+	engine string
+	number int
 }
 
 // runClient sends requests one after another until the context ends, over kept connections. It goes on to the next
@@ -66,6 +74,7 @@
 func (d *deployment) send(ctx context.Context, transport http.RoundTripper, r *router, path, key string) sentRequest {
 	s := sentRequest{id: fmt.Sprintf("a%d", lastAttempt.Add(1)), path: path, key: key, router: r, start: time.Now()}
 	s.undisturbed = r.undisturbed(s.start)
+	d.attempts.Store(s.id, attempt{router: r, start: s.start})
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout+2*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.frontAddress+path+"x",
@@ -91,7 +100,8 @@
 		return s
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	s.leaving = leavingOf(resp.Header)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	s.end, s.status, s.failed = time.Now(), resp.StatusCode, err != nil
 	if err == nil && s.status == http.StatusOK {
 		d.checkAnswer(s, resp.Header, string(body), stream)
@@ -99,6 +109,9 @@
 	return s
 }
 
+// maxAnswerBytes is how much of an answer is read. Engines in trouble send bodies without end.
+const maxAnswerBytes = 1 << 20
+
 // checkAnswer checks that a successful answer is the engine's complete answer to this request.
 func (d *deployment) checkAnswer(s sentRequest, h http.Header, body string, stream bool) {
 	if h.Get("Attempt-Id") != s.id || h.Get("Instance-Signature") == "" {
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -37,6 +37,8 @@
 	unsafeRoute    = "/callout/"
 	safeRoute      = "/lookup/"
 	clientHost     = "shed.example"
+	// memoryLimitMB is the memory limit of each router, in MiB: that of the smallest VM.
+	memoryLimitMB = 134
 )
 
 // deployment is a store, engines and routers under test.
@@ -50,6 +52,9 @@
 	routers []*router
 	report  *report
 
+	// attempts holds an attempt for each ID that was sent.
+	attempts sync.Map
+
 	mu      sync.Mutex
 	version int
 	keys    map[string]time.Time // time of removal by API key; zero while the key is valid
@@ -60,6 +65,10 @@
 	*platformengine.Engine
 	proxy   *proxy
 	service string
+	// born is the start time of the engine's incarnation in milliseconds since the Unix epoch.
+	born int64
+	// cuts are the times at which faults began or ended that keep answers from the routers.
+	cuts []time.Time
 	// drainingSince is when the engine was written to the store as draining; zero while it is ready.
 	drainingSince time.Time
 }
@@ -82,6 +91,8 @@
 	// stoppingSince is when SIGTERM was sent to the current process; zero before.
 	stoppingSince time.Time
 	started       time.Time
+	// interruptions are the times of signals that end or suspend the process.
+	interruptions []time.Time
 }
 
 func newDeployment(dir, binary string, seed uint64, routers, engines int) (*deployment, error) {
@@ -112,8 +123,9 @@
 }
 
 func (d *deployment) addEngine(i int) error {
-	e := &engine{Engine: platformengine.New(fmt.Sprintf("i-%d", i)), service: []string{"pool", "app"}[i%2]}
+	e := &engine{Engine: platformengine.New(fmt.Sprintf("i-%d", i)), service: []string{"pool", "app"}[i%2], born: 1}
 	e.Events, e.Pause = 12, 25*time.Millisecond
+	e.Record()
 	server := httptest.NewServer(e.Engine)
 	d.servers = append(d.servers, server)
 	p, err := newProxy(server.Listener.Addr().String())
@@ -127,8 +139,8 @@
 }
 
 func (d *deployment) writeEngineEntry(e *engine, state string) {
-	d.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":16,"state":%q}`,
-		e.service, e.proxy.address(), state))
+	d.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":16,"state":%q,"born":%d}`,
+		e.service, e.proxy.address(), state, e.born))
 }
 
 // addKey adds an API key to the next configuration that is written, and returns it.
@@ -186,9 +198,9 @@
 		settingsPath:     filepath.Join(d.dir, name+".yaml"),
 	}
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":"127.0.0.1","listen":{"front":%q,"readiness":%q,"directory":"127.0.0.1:%d"},
-"internalPorts":[%d,%d],"limits":{"memoryMb":200,"cpuShare":1},"platform":{"address":%q},
+"internalPorts":[%d,%d],"limits":{"memoryMb":%d,"cpuShare":1},"platform":{"address":%q},
 "bounds":{"graceS":%d,"revokeMs":%d,"strictRevoke":true,"budgetSlack":100}}`,
-		name, r.frontAddress, r.readinessAddress, ports.Directory, ports.Peer, ports.Peer+2, p.address(),
+		name, r.frontAddress, r.readinessAddress, ports.Directory, ports.Peer, ports.Peer+2, memoryLimitMB, p.address(),
 		graceSeconds, revokeTime.Milliseconds())
 	if err := os.WriteFile(r.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -221,6 +233,9 @@
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s != syscall.SIGHUP {
+		r.interruptions = append(r.interruptions, time.Now())
+	}
 	if s == syscall.SIGTERM {
 		r.stoppingSince = time.Now()
 	} else if s != syscall.SIGHUP {
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -8,6 +8,9 @@
 //   - a router does not return to an older configuration;
 //   - a graceful shutdown cuts off no request that ends within its grace time;
 //   - a draining engine gets no requests after the drain time;
+//   - an engine that has announced in an answer that it leaves gets no requests from that router after the drain time;
+//   - an engine that has asked for a pause gets at most two requests from that router in it;
+//   - a router's memory stays below its limit;
 //   - after all routers were killed, requests are served again.
 //
 // Faults follow each other and overlap. The same seed gives the same sequence of faults, but the timing of the
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -52,11 +54,21 @@
 	{"engine-breaks-off", engineMode(platformengine.Truncate)},
 	{"engine-drops", engineMode(platformengine.Reset)},
 	{"engine-foreign-answers", engineMode(platformengine.Foreign)},
+	{"engine-endless-heads", engineMode(platformengine.EndlessHead)},
+	{"engine-endless-bodies", engineMode(platformengine.EndlessBody)},
+	{"engine-endless-rests", engineMode(platformengine.EndlessRest)},
+	{"engine-announces-leaving", leaveEngine},
+	{"engine-pauses", pauseEngine},
 	{"engine-leaves", drainEngine},
 	{"config", func(_ context.Context, d *deployment, _ int, _ time.Duration) { d.writeConfig() }},
 	{"remove-key", removeKey},
 }
 
+// selectFaults returns the faults whose names begin with prefix.
+func selectFaults(prefix string) []fault {
+	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !strings.HasPrefix(f.name, prefix) })
+}
+
 func (d *deployment) router(pick int) *router { return d.routers[pick%len(d.routers)] }
 
 func (d *deployment) engine(pick int) *engine { return d.engines[pick%len(d.engines)] }
@@ -158,11 +170,13 @@
 
 func engineProxy(mode proxyMode) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
-		p := d.engine(pick).proxy
-		p.setMode(mode)
+		e := d.engine(pick)
+		d.recordCut(e)
+		e.proxy.setMode(mode)
 		periodic.Sleep(ctx, duration)
-		p.setMode(proxyForward)
-		p.closeAll()
+		e.proxy.setMode(proxyForward)
+		e.proxy.closeAll()
+		d.recordCut(e)
 	}
 }
 
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -24,6 +24,8 @@
 	seconds          int
 	routers, engines int
 	clients          int
+	// fault is the beginning of the names of the faults that are injected.
+	fault string
 }
 
 // recoveryTime is the time within which requests must be served again after all routers were killed.
@@ -44,6 +46,7 @@
 			&cli.IntFlag{Name: "routers", Value: 3},
 			&cli.IntFlag{Name: "engines", Value: 6},
 			&cli.IntFlag{Name: "clients", Value: 12},
+			&cli.StringFlag{Name: "fault", Usage: "inject only faults whose names begin so"},
 		},
 		Action: run,
 	}
@@ -56,7 +59,7 @@
 func run(ctx context.Context, c *cli.Command) error {
 	o := options{
 		binary: c.String("bin"), dir: c.String("dir"), seconds: c.Int("seconds"),
-		routers: c.Int("routers"), engines: c.Int("engines"), clients: c.Int("clients"),
+		fault: c.String("fault"), routers: c.Int("routers"), engines: c.Int("engines"), clients: c.Int("clients"),
 	}
 	if o.dir == "" {
 		dir, err := os.MkdirTemp("", "soak")
@@ -105,15 +108,18 @@
 	}
 	go d.watchVersions(clientCtx)
 	go d.watchDraining(clientCtx)
-	names := d.inject(ctx, time.Duration(o.seconds)*time.Second)
+	go d.watchMemory(clientCtx)
+	names := d.inject(ctx, selectFaults(o.fault), time.Duration(o.seconds)*time.Second)
 	d.checkRecovery(ctx)
 	stopClients()
 	wg.Wait()
 	time.Sleep(time.Second) // a refused request must not run later either
 	d.checkRequests(log.list)
+	d.checkLeaving(log.list)
+	d.checkPauses()
 	r := d.report
-	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d violations; faults %v\n",
-		seed, r.served, r.refused, r.failed, len(r.violations), names)
+	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d MiB at most, %d violations; faults %v\n",
+		seed, r.served, r.refused, r.failed, r.peakMemoryMB, len(r.violations), names)
 	for _, f := range r.violations {
 		fmt.Println("  ", f)
 	}
@@ -147,7 +153,7 @@
 // inject starts faults at random times, also several at once, and waits until all have ended. It returns their names.
 // Faults whose picks select the same router run one after another, so that a router, and an engine if the number of
 // engines is a multiple of the number of routers, has one fault of its own at a time.
-func (d *deployment) inject(ctx context.Context, duration time.Duration) []string {
+func (d *deployment) inject(ctx context.Context, faults []fault, duration time.Duration) []string {
 	var wg sync.WaitGroup
 	var names []string
 	var targets [64]sync.Mutex
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -13,6 +13,14 @@
 	served     int
 	refused    int
 	failed     int
+	// peakMemoryMB is the largest memory of a router in MiB.
+	peakMemoryMB int
+}
+
+func (r *report) recordMemory(mb int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peakMemoryMB = max(r.peakMemoryMB, mb)
 }
 
 func (r *report) addViolation(format string, args ...any) {
--- a/test/standin/endless/endless.go
+++ b/test/standin/endless/endless.go
@@ -9,12 +9,15 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Bytes are what a server sends on a connection.
 type Bytes struct {
 	// Start is sent once, Repeated again and again.
 	Start, Repeated string
+	// Pause is the time between two blocks of 32 KB.
+	Pause time.Duration
 }
 
 // blockBytes is the size of one write.
@@ -30,19 +33,20 @@
 		if _, err := w.Write(block); err != nil {
 			return
 		}
+		time.Sleep(b.Pause)
 	}
 }
 
 // Heads returns the bytes of heads that do not end, by name.
 func Heads() map[string]Bytes {
 	return map[string]Bytes{
-		"status line":  {"", "HTTP/1.1"},
-		"header line":  {"HTTP/1.1 200 OK\r\nX: ", "x"},
-		"header lines": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-		"folded lines": {"HTTP/1.1 200 OK\r\nX: y\r\n", " z\r\n"},
-		"early hints":  {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"empty lines":  {"", "\r\n"},
-		"no answer":    {"", "\x00\xff"},
+		"status line":  {Start: "", Repeated: "HTTP/1.1"},
+		"header line":  {Start: "HTTP/1.1 200 OK\r\nX: ", Repeated: "x"},
+		"header lines": {Start: "HTTP/1.1 200 OK\r\n", Repeated: "A: b\r\n"},
+		"folded lines": {Start: "HTTP/1.1 200 OK\r\nX: y\r\n", Repeated: " z\r\n"},
+		"early hints":  {Start: "", Repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"empty lines":  {Start: "", Repeated: "\r\n"},
+		"no answer":    {Start: "", Repeated: "\x00\xff"},
 	}
 }
 
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -57,6 +58,11 @@
 	// leaving makes all responses say that the engine leaves. If retryAfter is set, requests are turned away with it.
 	leaving    bool
 	retryAfter string
+	// exchanges records the requests if recording is set.
+	recording bool
+	exchanges []Exchange
+	// incarnation counts the starts of the engine.
+	incarnation int
 	// cancelled counts requests whose connection the client closed while they ran.
 	cancelled int
 	// arrivals counts requests since the last ResetArrivals.
@@ -103,6 +109,51 @@
 	e.retryAfter = text
 }
 
+// Exchange is one request that an engine received.
+type Exchange struct {
+	Attempt string
+	At      time.Time
+	// Incarnation is that of the engine.
+	Incarnation int
+	// Pause is the time for which the engine asked in its response to get no requests.
+	Pause time.Duration
+}
+
+// Record makes the engine record the requests that it receives from now on.
+func (e *Engine) Record() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recording = true
+}
+
+// Exchanges returns the recorded requests.
+func (e *Engine) Exchanges() []Exchange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.exchanges)
+}
+
+// Restart begins a new incarnation, which does not leave and turns no requests away. It returns its number.
+func (e *Engine) Restart() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnation++
+	e.leaving, e.retryAfter = false, ""
+	return e.incarnation
+}
+
+// record records a request. The engine must be locked.
+func (e *Engine) record(attempt string) {
+	if !e.recording {
+		return
+	}
+	x := Exchange{Attempt: attempt, At: time.Now(), Incarnation: e.incarnation}
+	if seconds, err := strconv.ParseFloat(e.retryAfter, 64); err == nil {
+		x.Pause = time.Duration(seconds * float64(time.Second))
+	}
+	e.exchanges = append(e.exchanges, x)
+}
+
 // Runs returns the number of executions of an attempt.
 func (e *Engine) Runs(attempt string) int {
 	e.mu.Lock()
@@ -145,10 +196,12 @@
 	mode := e.mode
 	e.recentHeaders = append(e.recentHeaders[max(0, len(e.recentHeaders)-1):], r.Header.Clone())
 	e.arrivals++
-	leaving, retryAfter := e.leaving, e.retryAfter
+	e.record(attempt)
+	leaving, retryAfter, incarnation := e.leaving, e.retryAfter, e.incarnation
 	e.mu.Unlock()
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Instance-Incarnation", strconv.Itoa(incarnation))
 	}
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != e.ID {
 		w.Header().Set("Instance-Id", e.ID)
@@ -232,6 +285,10 @@
 	}
 }
 
+// endlessPause limits the rate of bytes without end to some tens of MB a second, so that the stand-ins leave processor
+// time for what is tested.
+const endlessPause = time.Millisecond
+
 // sendEndless takes over the connection and sends bytes without end.
 func (e *Engine) sendEndless(w http.ResponseWriter, r *http.Request, mode Mode, attempt string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -246,9 +303,9 @@
 		endless.Bytes{Start: head + "X: ", Repeated: "x"}.Send(conn)
 	case mode == EndlessRest && r.Header.Get("Model") == "":
 		start := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
-		endless.Bytes{Start: start, Repeated: "stray "}.Send(conn)
+		endless.Bytes{Start: start, Repeated: "stray ", Pause: endlessPause}.Send(conn)
 	case r.Header.Get("Model") == "":
-		endless.Bytes{Start: head + "\r\n" + answer, Repeated: "x"}.Send(conn)
+		endless.Bytes{Start: head + "\r\n" + answer, Repeated: "x", Pause: endlessPause}.Send(conn)
 	default:
 		endless.Bytes{Start: head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", Repeated: "t"}.Send(conn)
 	}
