--- a/internal/transport/upstream/endless_test.go
+++ b/internal/transport/upstream/endless_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -19,30 +18,6 @@
 // maxHeapGrowth is the heap that one request to a server that sends without end may take, in bytes.
 const maxHeapGrowth = 4 << 20
 
-// maxHeapDuring returns by how much the heap grows at most while f runs.
-func maxHeapDuring(f func()) int64 {
-	runtime.GC()
-	var before, now runtime.MemStats
-	runtime.ReadMemStats(&before)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f()
-	}()
-	highest := int64(0)
-	ticker := time.NewTicker(10 * time.Millisecond)
-	defer ticker.Stop()
-	for {
-		runtime.ReadMemStats(&now)
-		highest = max(highest, int64(now.HeapAlloc)-int64(before.HeapAlloc))
-		select {
-		case <-done:
-			return highest
-		case <-ticker.C:
-		}
-	}
-}
-
 // Guards against a router that runs out of memory because a server sends a response head that does not end.
 func TestEndlessResponseHeads(t *testing.T) {
 	kinds := endless.Heads()
@@ -56,7 +31,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			var err error
-			growth := maxHeapDuring(func() { _, err = New(Options{}).Do(ctx, testRequest(address, "a", "call")) })
+			growth := endless.HeapGrowth(func() { _, err = New(Options{}).Do(ctx, testRequest(address, "a", "call")) })
 			g.Expect(growth).To(BeNumerically("<", maxHeapGrowth))
 			var invalid *InvalidResponseError
 			g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", err)
@@ -80,7 +55,7 @@
 			address := endless.Listen(t, kind)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
-			growth := maxHeapDuring(func() {
+			growth := endless.HeapGrowth(func() {
 				resp, err := New(Options{}).Do(ctx, testRequest(address, "a", "call"))
 				g.Expect(err).NotTo(HaveOccurred())
 				defer resp.Close()
--- a/test/standin/endless/endless.go
+++ b/test/standin/endless/endless.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -82,3 +83,30 @@
 	}
 	b.Send(c)
 }
+
+// HeapGrowth returns by how many bytes the heap grows at most while f runs.
+func HeapGrowth(f func()) int64 {
+	runtime.GC()
+	var before, now runtime.MemStats
+	runtime.ReadMemStats(&before)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	highest := int64(0)
+	ticker := time.NewTicker(heapSamplePeriod)
+	defer ticker.Stop()
+	for {
+		runtime.ReadMemStats(&now)
+		highest = max(highest, int64(now.HeapAlloc)-int64(before.HeapAlloc))
+		select {
+		case <-done:
+			return highest
+		case <-ticker.C:
+		}
+	}
+}
+
+// heapSamplePeriod is how often HeapGrowth measures the heap.
+const heapSamplePeriod = 5 * time.Millisecond
