--- a/internal/protocol/eventstream/reader.go
+++ b/internal/protocol/eventstream/reader.go
@@ -13,6 +13,9 @@
 // time must fit its memory.
 const maxEventBytes = 32 << 10
 
+// maxExcerptBytes is how much of an event that is too large is shown in the error.
+const maxExcerptBytes = 64
+
 // readBufferBytes is the size of the read buffer. It holds several events of typical size.
 const readBufferBytes = 4 << 10
 
@@ -51,8 +54,8 @@
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
 }
 
-// Next returns the next event. It returns io.EOF if the stream ends after a whole event, and ErrTruncated if it ends
-// within one.
+// Next returns the next event. It returns io.EOF if the stream ends after a whole event, ErrTruncated if it ends within
+// one, and an error that wraps ErrTooLarge if an event exceeds maxEventBytes.
 func (r *Reader) Next() (Event, error) {
 	r.buf = r.buf[:0]
 	var e Event
@@ -81,7 +84,7 @@
 		part, err := r.in.ReadSlice('\n')
 		r.buf = append(r.buf, part...)
 		if len(r.buf) > maxEventBytes {
-			return ErrTooLarge
+			return errors.Wrapf(ErrTooLarge, "starting with %+q", r.buf[:maxExcerptBytes])
 		}
 		if err != bufio.ErrBufferFull {
 			return err
--- a/internal/transport/gateway/invalid.go
+++ b/internal/transport/gateway/invalid.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/eventstream"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 )
 
@@ -30,7 +31,7 @@
 	x.g.opts.Metrics.InvalidResponses.Inc()
 	if x.g.invalidServers.shouldLog(time.Now(), x.server) {
 		x.g.opts.Log.Warn("backend server sends an invalid response", zap.String("server", x.server),
-			zap.String("request", x.metadata.ID), zap.Error(err))
+			zap.String("request", x.metadata.ID), logfield.Error(err))
 	}
 	return true
 }
--- a/internal/transport/gateway/invalid_test.go
+++ b/internal/transport/gateway/invalid_test.go
@@ -37,6 +37,8 @@
 			lines := h.logs.FilterMessage("backend server sends an invalid response").All()
 			g.Expect(lines).To(HaveLen(1))
 			g.Expect(lines[0].ContextMap()).To(HaveKeyWithValue("request", "a"))
+			g.Expect(lines[0].ContextMap()).To(HaveKeyWithValue("error", ContainSubstring("starting with")))
+			g.Expect(lines[0].ContextMap()).NotTo(HaveKey("errorVerbose"))
 			next := h.do(h.request(http.MethodPost, "/callout/x", "b", ""))
 			g.Expect(next.status).To(Equal(http.StatusServiceUnavailable), "the only server is ejected at once")
 			g.Expect(h.totalRuns("b")).To(BeZero())
