--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -48,7 +48,8 @@
 			&cli.IntFlag{Name: "clients", Value: 12},
 			&cli.StringFlag{Name: "fault", Usage: "inject only faults whose names begin so"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{restoreCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -56,11 +57,16 @@
 	}
 }
 
-func run(ctx context.Context, c *cli.Command) error {
-	o := options{
+// optionsOf returns the options of a command line.
+func optionsOf(c *cli.Command) options {
+	return options{
 		binary: c.String("bin"), dir: c.String("dir"), seconds: c.Int("seconds"),
 		fault: c.String("fault"), routers: c.Int("routers"), engines: c.Int("engines"), clients: c.Int("clients"),
 	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	o := optionsOf(c)
 	if o.dir == "" {
 		dir, err := os.MkdirTemp("", "soak")
 		if err != nil {
