claim, etcdkv: Keep calls from running twice after the store was restored from an older copy

What callers saw: a call with an idempotency key whose claim, or whose result, the store had lost by a restore ran again when it was repeated, though the router that ran it was alive.

Cause: an absent record meant that the call had not run; revisions and records were taken for permanent.

Change: an etcd cluster that is restored answers with another cluster ID, which the client keeps.

--- a/internal/coordination/claim/begin.go
+++ b/internal/coordination/claim/begin.go
@@ -39,13 +39,28 @@
 		resolveDeadline: m.clock().Add(resolveTimeout),
 		pollBackoff:     newBackoff(minPollInterval, maxPollInterval),
 	}
-	claim, result, err := b.run(ctx)
+	claim, result, err := b.begin(ctx)
 	if claim == nil {
 		m.writeTokens.refund(1) // the write reserved to record the result
 	}
 	return claim, result, err
 }
 
+// begin claims the key, unless the store was restored lately.
+func (b *beginOperation) begin(ctx context.Context) (*Claim, *Result, error) {
+	if err := b.m.restores.start(ctx); err != nil {
+		return nil, nil, &StoreError{Err: err}
+	}
+	if b.m.restores.holding() {
+		return b.beginHeld(ctx)
+	}
+	claim, result, err := b.run(ctx)
+	if claim == nil || claim.unconfirmed {
+		return claim, result, err
+	}
+	return b.checkRestored(ctx, claim)
+}
+
 // beginOperation is the state of one call of Begin.
 type beginOperation struct {
 	m      *Manager
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -53,6 +53,9 @@
 	Self  ident.RouterID
 	// Incarnation is stored in the records for information. No guarantee depends on it.
 	Incarnation ident.Incarnation
+	// Cluster returns the identity of the store's data as of its latest response, or an empty text before the first. A
+	// store that was restored from a copy has another one. By default restores are not noticed.
+	Cluster func() string
 	// Budget returns the number of store writes per second that this router may make.
 	Budget func() int
 	// Clock returns the current time, for budgets and expiry. The default is time.Now.
@@ -71,6 +74,7 @@
 	log         *zap.Logger
 	writeTokens *tokenBucket
 	localCalls  *localCallTable
+	restores    *restoreGuard
 	seq         atomic.Uint64
 	// unresponsiveUntil is when claims are written again after the store did not respond, in nanoseconds since 1970.
 	unresponsiveUntil atomic.Int64
@@ -95,7 +99,7 @@
 		opts.Logger = zap.NewNop()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Manager{
+	m := &Manager{
 		store:       opts.Store,
 		self:        opts.Self,
 		incarnation: opts.Incarnation,
@@ -109,6 +113,15 @@
 		backgroundCtx:       ctx,
 		cancelBackground:    cancel,
 	}
+	m.restores = newRestoreGuard(m, opts.Cluster)
+	if opts.Cluster != nil {
+		m.backgroundTasks.Add(1)
+		go func() {
+			defer m.backgroundTasks.Done()
+			m.restores.run(ctx)
+		}()
+	}
+	return m
 }
 
 // Reconciling returns the number of records that are being reconciled in the background.
--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -26,6 +26,7 @@
 		Self:        ident.RouterID(d.settings.ID),
 		Incarnation: d.incarnation,
 		Budget:      quota.WritesPerSecond,
+		Cluster:     d.store.ClusterID,
 		Logger:      d.log,
 	})
 	d.executor = execute.New(execute.Options{
--- a/internal/transport/etcdkv/client.go
+++ b/internal/transport/etcdkv/client.go
@@ -42,10 +42,12 @@
 
 // Client is a kv.Store that uses the JSON gateway of etcd. It is safe for concurrent use.
 type Client struct {
-	base    string
-	timeout time.Duration
-	http    *http.Client
-	counts  counters
+	// clusterID is the cluster that the latest response named.
+	clusterID atomic.Pointer[string]
+	base      string
+	timeout   time.Duration
+	http      *http.Client
+	counts    counters
 }
 
 var _ kv.Store = (*Client)(nil)
@@ -141,6 +143,26 @@
 	return resp.Body, nil
 }
 
+// ClusterID returns the identity of the store's data as of the latest response, or an empty text before the first.
+func (c *Client) ClusterID() string {
+	if id := c.clusterID.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
+// recordCluster records the cluster that a response names.
+func (c *Client) recordCluster(response []byte) error {
+	var h headerOf
+	if err := json.Unmarshal(response, &h); err != nil {
+		return err
+	}
+	if id := h.Header.ClusterID; id != "" {
+		c.clusterID.Store(&id)
+	}
+	return nil
+}
+
 // statusError converts an error response of the gateway. Unless the error proves that the call had no effect, the call
 // counts as sent.
 func statusError(resp *http.Response) *callError {
@@ -169,6 +191,9 @@
 	if err == nil {
 		err = json.Unmarshal(data, response)
 	}
+	if err == nil {
+		err = c.recordCluster(data)
+	}
 	if err != nil {
 		c.counts.failed.Add(1)
 		return &callError{maybeSent: true, cause: err}
--- a/internal/transport/etcdkv/client_test.go
+++ b/internal/transport/etcdkv/client_test.go
@@ -34,6 +34,31 @@
 	kvtest.CheckStore(t, c)
 }
 
+// Guards against a restore of the store that is not noticed.
+func TestRestoreChangesTheCluster(t *testing.T) {
+	c, store := startClient(t, kvstore.Options{}, longTimeout)
+	if c.ClusterID() != "" {
+		t.Fatalf("cluster %q before the first response", c.ClusterID())
+	}
+	older := store.Copy()
+	revision, err := c.CompareAndSwap(t.Context(), "k", 0, []byte("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := c.ClusterID()
+	store.Restore(older)
+	if _, err := c.Get(t.Context(), "k"); !errors.Is(err, kv.ErrNotFound) {
+		t.Fatalf("the copy lacks the key: %v", err)
+	}
+	if c.ClusterID() == before || before == "" {
+		t.Fatalf("cluster %q after %q", c.ClusterID(), before)
+	}
+	again, err := c.CompareAndSwap(t.Context(), "other", 0, []byte("2"))
+	if err != nil || again != revision {
+		t.Fatalf("revision %d instead of %d again: %v", again, revision, err)
+	}
+}
+
 // Guards against a watch that misses a change made before it started or while it waits.
 func TestWatch(t *testing.T) {
 	c, store := startClient(t, kvstore.Options{}, longTimeout)
--- a/internal/transport/etcdkv/wire.go
+++ b/internal/transport/etcdkv/wire.go
@@ -3,7 +3,14 @@
 // JSON messages of the gateway. Bytes are base64, 64-bit numbers are strings, and zero values are omitted.
 
 type header struct {
-	Revision int64 `json:"revision,string"`
+	// ClusterID identifies the cluster's data. A cluster that is restored from a snapshot has another one.
+	ClusterID string `json:"cluster_id"`
+	Revision  int64  `json:"revision,string"`
+}
+
+// headerOf is the part of a response that all kinds of responses have.
+type headerOf struct {
+	Header header `json:"header"`
 }
 
 type keyValue struct {
--- a/test/standin/kvstore/calls.go
+++ b/test/standin/kvstore/calls.go
@@ -105,7 +105,7 @@
 	case strings.HasSuffix(r.URL.Path, "/keepalive"):
 		writeJSON(w, streamMessage[leaseResponse]{s.data.keepAlive(request.ID)})
 	case s.data.revoke(request.ID):
-		writeJSON(w, leaseResponse{Header: header{s.data.revision}})
+		writeJSON(w, leaseResponse{Header: s.data.header(s.data.revision)})
 	default:
 		writeError(w, codeNotFound, "etcdserver: requested lease not found")
 	}
@@ -146,10 +146,10 @@
 		next = revision + 1
 	}
 	if next <= compacted {
-		_ = send(watchResponse{Header: header{revision}, Created: true, Canceled: true, CompactRevision: compacted + 1})
+		_ = send(watchResponse{Header: s.data.header(revision), Created: true, Canceled: true, CompactRevision: compacted + 1})
 		return
 	}
-	if send(watchResponse{Header: header{revision}, Created: true}) != nil {
+	if send(watchResponse{Header: s.data.header(revision), Created: true}) != nil {
 		return
 	}
 	for {
@@ -158,7 +158,7 @@
 		revision = s.data.revision
 		s.data.mu.Unlock()
 		next = revision + 1
-		if len(events) > 0 && send(watchResponse{Header: header{revision}, Events: events}) != nil {
+		if len(events) > 0 && send(watchResponse{Header: s.data.header(revision), Events: events}) != nil {
 			return
 		}
 		select {
--- a/test/standin/kvstore/data.go
+++ b/test/standin/kvstore/data.go
@@ -1,8 +1,11 @@
 package kvstore
 
 import (
+	"slices"
 	"sort"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,18 +37,62 @@
 	changed   chan struct{}
 	leases    map[int64]*lease
 	nextLease int64
+	// clusterID identifies the data; it changes with each restore.
+	clusterID atomic.Int64
+}
+
+// header returns the header of a response at a revision.
+func (d *versionedData) header(revision int64) header {
+	return header{ClusterID: strconv.FormatInt(d.clusterID.Load(), 10), Revision: revision}
+}
+
+// Copy is the data of a store at some time.
+type Copy struct {
+	revision int64
+	versions map[string][]keyValue
+}
+
+// copy returns the present data.
+func (d *versionedData) copy() Copy {
+	c := Copy{revision: d.revision, versions: make(map[string][]keyValue, len(d.versions))}
+	for key, list := range d.versions {
+		c.versions[key] = slices.Clone(list)
+	}
+	return c
+}
+
+// restore replaces the data by a copy. Leases and the history of events are gone.
+func (d *versionedData) restore(c Copy) {
+	d.clusterID.Add(1)
+	d.revision, d.compacted = c.revision, c.revision
+	d.events = nil
+	d.versions = make(map[string][]keyValue, len(c.versions))
+	for key, list := range c.versions {
+		d.versions[key] = slices.Clone(list)
+	}
+	for _, l := range d.leases {
+		l.timer.Stop()
+	}
+	d.leases = make(map[int64]*lease)
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
 
 func newVersionedData(maxEvents int) *versionedData {
-	return &versionedData{
+	d := &versionedData{
 		revision:  1,
 		versions:  make(map[string][]keyValue),
 		maxEvents: maxEvents,
 		changed:   make(chan struct{}),
 		leases:    make(map[int64]*lease),
 	}
+	d.clusterID.Store(firstClusterID)
+	return d
 }
 
+// firstClusterID is the cluster before the first restore.
+const firstClusterID = 1000
+
 // lookup returns the state that a key had the given number of changes ago, and whether the key existed then.
 func (d *versionedData) lookup(key string, changesBack int) (keyValue, bool) {
 	list := d.versions[key]
@@ -57,7 +104,7 @@
 }
 
 func (d *versionedData) readRange(r rangeRequest, changesBack int) *rangeResponse {
-	response := &rangeResponse{Header: header{d.revision}}
+	response := &rangeResponse{Header: d.header(d.revision)}
 	for _, key := range d.keysInRange(r.Key, r.RangeEnd) {
 		kv, ok := d.lookup(key, changesBack)
 		if !ok {
@@ -125,7 +172,7 @@
 	for _, op := range ops {
 		response.Responses = append(response.Responses, d.applyOp(op, revision))
 	}
-	response.Header.Revision = d.revision
+	response.Header = d.header(d.revision)
 	return response
 }
 
@@ -133,10 +180,10 @@
 	switch {
 	case op.Put != nil:
 		d.put(*op.Put, revision)
-		return responseOp{Put: &putResponse{Header: header{revision}}}
+		return responseOp{Put: &putResponse{Header: d.header(revision)}}
 	case op.Delete != nil:
 		deleted := d.remove(string(op.Delete.Key), revision)
-		return responseOp{Delete: &deleteResponse{Header: header{d.revision}, Deleted: deleted}}
+		return responseOp{Delete: &deleteResponse{Header: d.header(d.revision), Deleted: deleted}}
 	case op.Range != nil:
 		return responseOp{Range: d.readRange(*op.Range, 0)}
 	}
--- a/test/standin/kvstore/lease.go
+++ b/test/standin/kvstore/lease.go
@@ -11,12 +11,12 @@
 	l := &lease{ttl: max(r.TTL, 1), keys: make(map[string]bool)}
 	l.timer = time.AfterFunc(time.Duration(l.ttl)*time.Second, func() { d.expire(id, l) })
 	d.leases[id] = l
-	return leaseResponse{Header: header{d.revision}, ID: id, TTL: l.ttl}
+	return leaseResponse{Header: d.header(d.revision), ID: id, TTL: l.ttl}
 }
 
 // keepAlive renews a lease. The response has TTL 0 if the lease is unknown or expired.
 func (d *versionedData) keepAlive(id int64) leaseResponse {
-	response := leaseResponse{Header: header{d.revision}, ID: id}
+	response := leaseResponse{Header: d.header(d.revision), ID: id}
 	if l, ok := d.leases[id]; ok {
 		l.timer.Reset(time.Duration(l.ttl) * time.Second)
 		response.TTL = l.ttl
--- a/test/standin/kvstore/server.go
+++ b/test/standin/kvstore/server.go
@@ -87,6 +87,21 @@
 	}
 }
 
+// Copy returns a copy of the present data.
+func (s *Server) Copy() Copy {
+	s.data.mu.Lock()
+	defer s.data.mu.Unlock()
+	return s.data.copy()
+}
+
+// Restore replaces the data by a copy, as a restore from a snapshot does: revisions go back and are given out again, leases
+// are gone, and the cluster has another ID.
+func (s *Server) Restore(c Copy) {
+	s.data.mu.Lock()
+	defer s.data.mu.Unlock()
+	s.data.restore(c)
+}
+
 // Faults returns the injected faults.
 func (s *Server) Faults() Faults {
 	s.mu.Lock()
--- a/test/standin/kvstore/wire.go
+++ b/test/standin/kvstore/wire.go
@@ -9,7 +9,8 @@
 // zero values are omitted.
 
 type header struct {
-	Revision int64 `json:"revision,string"`
+	ClusterID string `json:"cluster_id"`
+	Revision  int64  `json:"revision,string"`
 }
 
 type keyValue struct {
