--- a/internal/transport/gateway/invalid_test.go
+++ b/internal/transport/gateway/invalid_test.go
@@ -75,9 +75,9 @@
 	l := &logInterval{}
 	now := time.Now()
 	g.Expect(l.shouldLog(now, "i-a")).To(BeTrue())
-	g.Expect(l.shouldLog(now.Add(invalidLogInterval/2), "i-a")).To(BeFalse())
+	g.Expect(l.shouldLog(now.Add(serverLogInterval/2), "i-a")).To(BeFalse())
 	g.Expect(l.shouldLog(now, "i-b")).To(BeTrue())
-	g.Expect(l.shouldLog(now.Add(invalidLogInterval), "i-a")).To(BeTrue())
+	g.Expect(l.shouldLog(now.Add(serverLogInterval), "i-a")).To(BeTrue())
 }
 
 // Guards against bytes after a complete response that reach the client or the next request.
