--- a/test/standin/cmd/standin/main.go
+++ b/test/standin/cmd/standin/main.go
@@ -48,6 +48,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	return serveOn(ctx, listener, handler)
+}
+
+// serveOn prints the listener's address as a JSON line, and serves until the context ends.
+func serveOn(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	line := map[string]string{"listen": listener.Addr().String()}
 	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
 		return errors.Wrap(err, "print listen address")
