--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -13,29 +13,14 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/test/standin/endless"
 )
 
 // rawServer starts a TCP server that calls serve for each connection, and returns its address.
 func rawServer(t *testing.T, serve func(c net.Conn, br *bufio.Reader)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return endless.Serve(t, func(c net.Conn) { serve(c, bufio.NewReader(c)) })
 }
 
 // readRequest reads a request and its body.
--- a/test/standin/endless/endless.go
+++ b/test/standin/endless/endless.go
@@ -54,6 +54,13 @@
 // Listen starts a server on loopback that reads one request on each connection and then sends the bytes. It returns its
 // address. The server ends with the test.
 func Listen(t testing.TB, b Bytes) string {
+	t.Helper()
+	return Serve(t, b.serve)
+}
+
+// Serve starts a TCP server on loopback that calls handle for each connection and then closes it. It returns its address.
+// The server ends with the test.
+func Serve(t testing.TB, handle func(c net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -66,14 +73,17 @@
 			if err != nil {
 				return
 			}
-			go b.serve(c)
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c)
+			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// serve reads one request and sends the bytes.
 func (b Bytes) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
