--- a/internal/coordination/claim/restore.go
+++ b/internal/coordination/claim/restore.go
@@ -55,7 +55,9 @@
 	cluster func() string
 
 	mu sync.Mutex
-	// known is the cluster whose claims are in force. It is empty until clusterKey was read.
+	// ready is set once clusterKey was read. known is the cluster whose claims are in force, or empty if the store does
+	// not tell.
+	ready bool
 	known string
 	// holdUntil is the end of the time in which calls without a final record are not run.
 	holdUntil time.Time
@@ -82,7 +84,11 @@
 // notice begins a hold if the store has another cluster than the known one. The guard must be locked.
 func (g *restoreGuard) notice() {
 	current := g.cluster()
-	if current == "" || g.known == "" || current == g.known {
+	if !g.ready || current == "" || current == g.known {
+		return
+	}
+	if g.known == "" {
+		g.known = current
 		return
 	}
 	g.m.log.Warn("claim: store restored from an older copy", zap.String("cluster", current),
@@ -106,11 +112,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.known != "" {
+	if g.ready {
 		return nil
 	}
-	g.known = g.cluster()
+	g.ready, g.known = true, g.cluster()
 	switch {
+	case g.known == "":
 	case found && stored.Cluster != g.known:
 		g.known = stored.Cluster
 		g.notice()
@@ -123,7 +130,7 @@
 func (g *restoreGuard) started() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.known != ""
+	return g.ready
 }
 
 // remember records the latest state of a claim of this process.
--- a/internal/coordination/claim/restore_test.go
+++ b/internal/coordination/claim/restore_test.go
@@ -148,6 +148,25 @@
 	})
 }
 
+// Guards against a read for each call, and against a hold, at a store that does not tell its cluster.
+func TestStoreWithoutAClusterIsReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newRestorableStore()
+		store.setCluster("")
+		m := newRestorableManager(t, store, "r1")
+		for _, key := range []string{"a", "b", "c"} {
+			call := testCall
+			call.Key = key
+			mustBegin(t, m, call)
+		}
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if store.reads != 1 {
+			t.Fatalf("%d reads", store.reads)
+		}
+	})
+}
+
 // Guards against memory that grows with the number of calls.
 func TestRememberedClaimsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
