claim, etcdkv: Read the cluster and absent records in one place

The client decoded each response twice, up to 64 MB, to learn the cluster that it had decoded the first time; responses have their header in common now. The guard kept the call of each claim, which nothing reads, and read absent records in four places. No change of behaviour.

--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -65,7 +65,7 @@
 		return &StoreError{Err: errStoreUnresponsive}
 	}
 	rec := c.call.endedRecord(c.holder, result, c.m.clock())
-	c.m.restores.remember(c.key, c.call, rec)
+	c.m.restores.remember(c.key, rec)
 	_, err := c.m.compareAndSwap(ctx, c.key, c.revision, rec)
 	if err == nil {
 		return nil
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -197,6 +198,15 @@
 	return m.store.Get(bounded, key)
 }
 
+// readOrAbsent is like read, but returns an entry with revision 0 if the key is absent.
+func (m *Manager) readOrAbsent(ctx context.Context, key string) (kv.Entry, error) {
+	entry, err := m.read(ctx, key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return kv.Entry{}, nil
+	}
+	return entry, err
+}
+
 // newBackoff returns an exponential backoff that doubles from initial to maxInterval. Each delay is randomized by up to
 // half of its length, so that routers do not retry in step.
 func newBackoff(initial, maxInterval time.Duration) *backoff.ExponentialBackOff {
--- a/internal/coordination/claim/reconcile.go
+++ b/internal/coordination/claim/reconcile.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"go.uber.org/zap"
 
@@ -80,11 +79,11 @@
 
 // attempt tries once to reconcile the record and reports whether nothing is left to do.
 func (t *reconcileTask) attempt(ctx context.Context) bool {
-	entry, err := t.m.read(ctx, t.key)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+	entry, err := t.m.readOrAbsent(ctx, t.key)
+	if err != nil {
 		return false
 	}
-	if err == nil {
+	if entry.Revision != 0 {
 		switch t.decide(entry) {
 		case actionWait:
 			return false
--- a/internal/coordination/claim/restore.go
+++ b/internal/coordination/claim/restore.go
@@ -41,7 +41,6 @@
 
 // recentClaim is a claim of this process that a copy of the store may lack.
 type recentClaim struct {
-	call   Call
 	record record
 	// endedAt is zero while the claim is held.
 	endedAt time.Time
@@ -102,14 +101,10 @@
 	if g.cluster == nil || g.started() {
 		return nil
 	}
-	entry, err := g.m.read(ctx, clusterKey)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+	stored, _, err := g.readCluster(ctx)
+	if err != nil {
 		return err
 	}
-	stored, found := clusterRecord{}, false
-	if err == nil {
-		found = json.Unmarshal(entry.Value, &stored) == nil
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.ready {
@@ -118,15 +113,29 @@
 	g.ready, g.known = true, g.cluster()
 	switch {
 	case g.known == "":
-	case found && stored.Cluster != g.known:
+	case stored.Cluster != "" && stored.Cluster != g.known:
 		g.known = stored.Cluster
 		g.notice()
-	case found && stored.NoticedMS > 0:
+	case stored.NoticedMS > 0:
 		g.holdUntil = time.UnixMilli(stored.NoticedMS).Add(restoreHold)
 	}
 	return nil
 }
 
+// readCluster returns the record of clusterKey with its revision. A record that is absent or cannot be decoded has no
+// cluster.
+func (g *restoreGuard) readCluster(ctx context.Context) (clusterRecord, kv.Revision, error) {
+	entry, err := g.m.readOrAbsent(ctx, clusterKey)
+	if err != nil {
+		return clusterRecord{}, 0, err
+	}
+	var stored clusterRecord
+	if entry.Revision == 0 || json.Unmarshal(entry.Value, &stored) != nil {
+		stored = clusterRecord{}
+	}
+	return stored, entry.Revision, nil
+}
+
 func (g *restoreGuard) started() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -134,13 +143,13 @@
 }
 
 // remember records the latest state of a claim of this process.
-func (g *restoreGuard) remember(key string, call Call, r record) {
+func (g *restoreGuard) remember(key string, r record) {
 	if g.cluster == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := &recentClaim{call: call, record: r}
+	c := &recentClaim{record: r}
 	if r.State != stateOpen {
 		c.endedAt = g.m.clock()
 	}
@@ -225,11 +234,11 @@
 
 // writeClaimAgain writes a claim unless the store has a record that it must not replace.
 func (g *restoreGuard) writeClaimAgain(ctx context.Context, key string, c recentClaim) error {
-	entry, err := g.m.read(ctx, key)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+	entry, err := g.m.readOrAbsent(ctx, key)
+	if err != nil {
 		return err
 	}
-	if err == nil && !replaceable(entry, c.record) {
+	if entry.Revision != 0 && !replaceable(entry, c.record) {
 		return nil
 	}
 	if !g.m.writeTokens.takeBackground(false) {
@@ -257,13 +266,9 @@
 
 // writeCluster records the present cluster in the store, for routers that start later.
 func (g *restoreGuard) writeCluster(ctx context.Context, cluster string, restored bool) bool {
-	entry, err := g.m.read(ctx, clusterKey)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
-		return false
-	}
-	var stored clusterRecord
-	if err == nil && json.Unmarshal(entry.Value, &stored) == nil && stored.Cluster == cluster {
-		return true
+	stored, revision, err := g.readCluster(ctx)
+	if err != nil || stored.Cluster == cluster {
+		return err == nil
 	}
 	latest := clusterRecord{Cluster: cluster}
 	if restored {
@@ -275,7 +280,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err = g.m.store.CompareAndSwap(bounded, clusterKey, entry.Revision, value)
+	_, err = g.m.store.CompareAndSwap(bounded, clusterKey, revision, value)
 	return err == nil || errors.Is(err, kv.ErrConflict)
 }
 
@@ -303,7 +308,7 @@
 // be lost.
 func (b *beginOperation) checkRestored(ctx context.Context, claim *Claim) (*Claim, *Result, error) {
 	if !b.m.restores.holding() {
-		b.m.restores.remember(b.key, b.call, b.call.openRecord(b.holder))
+		b.m.restores.remember(b.key, b.call.openRecord(b.holder))
 		return claim, nil, nil
 	}
 	if err := claim.Abandon(ctx); err != nil {
--- a/internal/coordination/claim/restore_test.go
+++ b/internal/coordination/claim/restore_test.go
@@ -174,7 +174,7 @@
 		body := make([]byte, 1<<20)
 		for i := range 64 {
 			r := Result{Outcome: Completed, Body: body}
-			m.restores.remember(string(rune('a'+i)), testCall, testCall.endedRecord(holderID{}, &r, m.clock()))
+			m.restores.remember(string(rune('a'+i)), testCall.endedRecord(holderID{}, &r, m.clock()))
 		}
 		m.restores.mu.Lock()
 		bytes, claims := m.restores.recentBytes, len(m.restores.recent)
--- a/internal/transport/etcdkv/client.go
+++ b/internal/transport/etcdkv/client.go
@@ -151,18 +151,6 @@
 	return ""
 }
 
-// recordCluster records the cluster that a response names.
-func (c *Client) recordCluster(response []byte) error {
-	var h headerOf
-	if err := json.Unmarshal(response, &h); err != nil {
-		return err
-	}
-	if id := h.Header.ClusterID; id != "" {
-		c.clusterID.Store(&id)
-	}
-	return nil
-}
-
 // statusError converts an error response of the gateway. Unless the error proves that the call had no effect, the call
 // counts as sent.
 func statusError(resp *http.Response) *callError {
@@ -178,7 +166,7 @@
 }
 
 // call sends a request and decodes the whole response within the time limit.
-func (c *Client) call(ctx context.Context, path string, request, response any) *callError {
+func (c *Client) call(ctx context.Context, path string, request any, response callResponse) *callError {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	body, callErr := c.open(ctx, path, request)
@@ -191,12 +179,12 @@
 	if err == nil {
 		err = json.Unmarshal(data, response)
 	}
-	if err == nil {
-		err = c.recordCluster(data)
-	}
 	if err != nil {
 		c.counts.failed.Add(1)
 		return &callError{maybeSent: true, cause: err}
 	}
+	if id := response.clusterID(); id != "" {
+		c.clusterID.Store(&id)
+	}
 	return nil
 }
--- a/internal/transport/etcdkv/wire.go
+++ b/internal/transport/etcdkv/wire.go
@@ -8,11 +8,16 @@
 	Revision  int64  `json:"revision,string"`
 }
 
-// headerOf is the part of a response that all kinds of responses have.
-type headerOf struct {
+// headed is the part that the responses of calls have in common.
+type headed struct {
 	Header header `json:"header"`
 }
 
+func (h *headed) clusterID() string { return h.Header.ClusterID }
+
+// callResponse is the response of a call.
+type callResponse interface{ clusterID() string }
+
 type keyValue struct {
 	Key         []byte `json:"key"`
 	ModRevision int64  `json:"mod_revision,string"`
@@ -26,8 +31,8 @@
 }
 
 type rangeResponse struct {
-	Header header     `json:"header"`
-	Kvs    []keyValue `json:"kvs"`
+	headed
+	Kvs []keyValue `json:"kvs"`
 }
 
 const (
@@ -63,8 +68,8 @@
 }
 
 type txnResponse struct {
-	Header    header `json:"header"`
-	Succeeded bool   `json:"succeeded"`
+	headed
+	Succeeded bool `json:"succeeded"`
 }
 
 type watchRequest struct {
