claim: Remember a call that ends while the store does not respond

Its claim stayed remembered as held for as long as the process lived, and would have been written again as open after a restore. Found in reading. TestCallsThatEndInAnOutageAreRemembered failed before.

--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -60,12 +60,12 @@
 		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
 		return nil
 	}
+	rec := c.call.endedRecord(c.holder, result, c.m.clock())
+	c.m.restores.remember(c.key, rec)
 	if c.m.storeUnresponsive() {
 		c.m.reconcile(c.call, c.key, c.holder, c.revision, result)
 		return &StoreError{Err: errStoreUnresponsive}
 	}
-	rec := c.call.endedRecord(c.holder, result, c.m.clock())
-	c.m.restores.remember(c.key, rec)
 	_, err := c.m.compareAndSwap(ctx, c.key, c.revision, rec)
 	if err == nil {
 		return nil
--- a/internal/coordination/claim/restore_test.go
+++ b/internal/coordination/claim/restore_test.go
@@ -148,6 +148,26 @@
 	})
 }
 
+// Guards against a claim that is remembered as held for ever, and written again as open, because its call ended while the
+// store did not respond.
+func TestCallsThatEndInAnOutageAreRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newRestorableManager(t, newRestorableStore(), "r1")
+		held := mustBegin(t, m, testCall)
+		m.markStoreUnresponsive()
+		var refused *StoreError
+		if err := held.Finish(t.Context(), Result{Outcome: Completed, Status: 201}); !errors.As(err, &refused) {
+			t.Fatal(err)
+		}
+		m.restores.mu.Lock()
+		defer m.restores.mu.Unlock()
+		c := m.restores.recent[held.key]
+		if c == nil || c.record.State != stateDone || c.endedAt.IsZero() {
+			t.Fatalf("remembered as %+v", c)
+		}
+	})
+}
+
 // Guards against a read for each call, and against a hold, at a store that does not tell its cluster.
 func TestStoreWithoutAClusterIsReadOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
