gateway: Count connections closed without a complete response, and log why no retry followed

A `cut` line named the last error only. It did not tell a server that broke off from one that was given up because it was silent, nor whether the number of attempts, the retry budget or the lack of a server refused the retry.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -71,6 +71,8 @@
 	failureResponse *bufferedResponse
 	// lastErr is the cause of the last failed send.
 	lastErr error
+	// retryDenied is why the request was not sent again after its last failed send.
+	retryDenied retryDenial
 }
 
 // serve handles the request from its header to the end of the response.
@@ -235,7 +237,7 @@
 		result := x.send(ctx, ticket, decision)
 		x.g.opts.Metrics.Sends.WithLabelValues(result.String()).Inc()
 		if result == sendIncomplete {
-			x.abort("response incomplete")
+			x.abort(cutBodyIncomplete)
 		}
 		if result.final() {
 			return
@@ -297,16 +299,35 @@
 // budget, unless nothing reached the server. For sendError, forwardBuffered calls it before it withholds the server's
 // response.
 func (x *exchange) mayRetry(result sendResult) bool {
-	if x.sends >= maxSends {
-		return false
-	}
-	if result == sendUnreachable || result == sendWithdrawn {
-		return true // nothing reached the server
-	}
-	if result.mayHaveRun() && (!x.route.Idempotent() || x.possibleRuns >= x.route.MaxAttempts) {
-		return false
-	}
-	return x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name)
+	x.retryDenied = x.denyRetry(result)
+	return x.retryDenied == ""
+}
+
+// retryDenial is the reason why a request is not sent again. It is empty if the request may be sent again.
+type retryDenial string
+
+const (
+	denialSends    retryDenial = "sends"
+	denialRoute    retryDenial = "not-idempotent"
+	denialAttempts retryDenial = "max-attempts"
+	denialBudget   retryDenial = "retry-budget"
+	denialNoServer retryDenial = "no-server"
+)
+
+func (x *exchange) denyRetry(result sendResult) retryDenial {
+	switch {
+	case x.sends >= maxSends:
+		return denialSends
+	case result == sendUnreachable || result == sendWithdrawn:
+		return "" // nothing reached the server
+	case result.mayHaveRun() && !x.route.Idempotent():
+		return denialRoute
+	case result.mayHaveRun() && x.possibleRuns >= x.route.MaxAttempts:
+		return denialAttempts
+	case !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name):
+		return denialBudget
+	}
+	return ""
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -10,6 +10,8 @@
 	Refusals *prometheus.CounterVec
 	// Sends counts sends to backend servers by result.
 	Sends *prometheus.CounterVec
+	// CutResponses counts requests whose connection was closed without a complete response, by cause.
+	CutResponses *prometheus.CounterVec
 	// InvalidResponses counts responses that exceed the limits of the protocol.
 	InvalidResponses prometheus.Counter
 	// LeavingServers counts backend servers whose responses said that they leave, ServerPauses responses that asked for a
@@ -35,6 +37,10 @@
 		Sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrytide_sends_total", Help: "Sends to backend servers by result.",
 		}, []string{"result"}),
+		CutResponses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrytide_cut_responses_total",
+			Help: "Requests whose connection was closed without a complete answer, by cause.",
+		}, []string{"cause"}),
 		InvalidResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gooseberrytide_invalid_responses_total",
 			Help: "Answers of backend servers that exceed the limits of the protocol.",
@@ -49,6 +55,7 @@
 			Name: "gooseberrytide_first_seconds", Help: "Time to the first event or the answer.", Buckets: timeToFirstBuckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.InvalidResponses, m.LeavingServers, m.ServerPauses, m.TimeToFirst)
+	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.CutResponses, m.InvalidResponses, m.LeavingServers, m.ServerPauses,
+		m.TimeToFirst)
 	return m
 }
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -78,6 +78,7 @@
 // handleNotAdmitted ends a request for which the admission controller chose no server.
 func (x *exchange) handleNotAdmitted(decision admission.Decision) {
 	if x.possibleRuns > 0 || x.stream.started {
+		x.retryDenied = denialNoServer
 		x.fail(sendBroken)
 		return
 	}
@@ -87,8 +88,10 @@
 // fail writes the final response after a failed send that is not retried.
 func (x *exchange) fail(result sendResult) {
 	switch {
+	case x.stream.started && result == sendSilent:
+		x.abort(cutServerSilent)
 	case x.stream.started:
-		x.abort("stream incomplete")
+		x.abort(cutServerFailed)
 	case x.failureResponse != nil:
 		if x.failureResponse.write(x, true) {
 			x.recordAnswered(x.failureResponse.status)
@@ -111,7 +114,7 @@
 		x.log("client-left")
 		panic(http.ErrAbortHandler)
 	case x.stream.started:
-		x.abort("deadline")
+		x.abort(cutDeadline)
 	case x.possibleRuns == 0:
 		x.refuse(string(admission.ReasonDeadline), 0)
 	default:
@@ -123,12 +126,29 @@
 func (x *exchange) failWithStatus(status int, reason string) {
 	platform.EncodeRouterResponse(x.w.Header(), x.metadata.ID, 0)
 	x.writeRouterResponse(status)
-	x.log("failed", zap.Int("status", status), zap.String("reason", reason), logfield.Error(x.lastErr))
+	x.log("failed", zap.Int("status", status), zap.String("reason", reason),
+		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
 }
 
-// abort breaks the connection of a response that has been sent in part, so that the client cannot take it for complete.
-func (x *exchange) abort(reason string) {
-	x.log("cut", zap.String("reason", reason), logfield.Error(x.lastErr))
+// cutCause is the cause for which a connection is closed without a complete response.
+type cutCause string
+
+const (
+	// cutDeadline means that the client's deadline or the route's timeout passed.
+	cutDeadline cutCause = "deadline"
+	// cutServerFailed means that the server did not complete the response and that no other server could continue it.
+	cutServerFailed cutCause = "server-failed"
+	// cutServerSilent means the same of a server that sent nothing for too long.
+	cutServerSilent cutCause = "server-silent"
+	// cutBodyIncomplete means that the rest of a long body did not arrive.
+	cutBodyIncomplete cutCause = "body-incomplete"
+)
+
+// abort closes the connection of a response that has been sent in part, so that the client cannot take it for complete.
+func (x *exchange) abort(cause cutCause) {
+	x.g.opts.Metrics.CutResponses.WithLabelValues(string(cause)).Inc()
+	x.log("cut", zap.String("reason", string(cause)), zap.Int("events", x.stream.eventsSent),
+		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
 	panic(http.ErrAbortHandler)
 }
 
