hedge, gateway: Hedge requests to servers that are quiet instead of giving the servers up

What callers saw: a request that had been accepted ended with a closed connection, or with 504, while its server was about to go on. It takes a server that sends nothing for 1.5 s, or a router that stands still for as long.

Cause: a timer cancelled the send before it was known whether the request may be sent again and whether another server takes it. If not, the response that had been begun was aborted. The timer also fired for events that lay in the socket.

Now the first attempt is read on while a substitute is made. Whichever delivers first goes on, and the other one is cancelled. A substitute needs an attempt, the retry budget and a server. Bytes that have arrived are not silence.

The health of a quiet server counts a failure at once, so that lost servers are ejected as before.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -174,6 +174,13 @@
 	c.core.RecordFirstEvent(time.Now(), t)
 }
 
+// RecordQuiet records that the server of a granted request has sent nothing for too long.
+func (c *Controller) RecordQuiet(t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.RecordQuiet(time.Now(), t)
+}
+
 // Finish records the result of a granted request.
 func (c *Controller) Finish(t *Ticket, r Result) {
 	c.mu.Lock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -182,6 +182,25 @@
 	c.dispatch(now, c.queue(t.Service.Name))
 }
 
+// RecordQuiet records that the server of a granted request has sent nothing for too long. The request goes on, but the
+// server's health counts it as a failure, so that a lost server gets no further requests.
+func (c *Core) RecordQuiet(now time.Time, t *Ticket) {
+	if t.state != ticketGranted || t.quiet {
+		return
+	}
+	t.quiet = true
+	h := c.healthOf(t.server.ID)
+	c.endProbe(h, t)
+	h.record(now, ResultBroken, c.meanErrorRate(now, t.Service.Name))
+}
+
+// endProbe lets another request test the server if this one has tested it so far.
+func (c *Core) endProbe(h *health, t *Ticket) {
+	if t.probe {
+		h.probing, t.probe = false, false
+	}
+}
+
 // Finish records the result of a granted request. If it failed before its first event, the team is not charged for it.
 func (c *Core) Finish(now time.Time, t *Ticket, result Result) {
 	if t.state != ticketGranted {
@@ -190,10 +209,10 @@
 	t.state = ticketDone
 	c.loads.Remove(t.server.ID, t.load)
 	h := c.healthOf(t.server.ID)
-	if t.probe {
-		h.probing = false
+	c.endProbe(h, t)
+	if !t.quiet || result != ResultBroken {
+		h.record(now, result, c.meanErrorRate(now, t.Service.Name))
 	}
-	h.record(now, result, c.meanErrorRate(now, t.Service.Name))
 	if !t.firstEventSeen && result != ResultOK {
 		c.charge(now, t.Team, -t.cost)
 	}
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -106,6 +106,8 @@
 	server         *backends.Server
 	load           engineload.Load
 	firstEventSeen bool
+	// quiet is set once the server has sent nothing for too long.
+	quiet bool
 	// tokensAhead is the number of prompt tokens that the engine had to prefill before those of the request.
 	tokensAhead int
 	cost        float64
--- /dev/null
+++ b/internal/coordination/hedge/hedge.go
@@ -0,0 +1,210 @@
+package hedge
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// State is the state of a Hedge.
+type State uint8
+
+const (
+	// Waiting means that the first attempt has been quiet for no longer than its limit.
+	Waiting State = iota
+	// Delivering means that a part of the first attempt's response is being delivered. The attempt is not quiet meanwhile.
+	Delivering
+	// Hedged means that the first attempt is quiet and that a substitute is in progress.
+	Hedged
+	// Replaced means that a substitute delivers and that the first attempt is cancelled.
+	Replaced
+	// Stopped means that the first attempt has ended. No substitute is started any more.
+	Stopped
+)
+
+// maxTimerDelay is the delay of a timer above which the process, and not the server, is taken to have been inactive.
+const maxTimerDelay = 200 * time.Millisecond
+
+// Options configures a Hedge for attempts of type A that continue at positions of type P.
+type Options[A, P any] struct {
+	// Context bounds the substitutes.
+	Context context.Context
+	// FirstLimit is the time after which an attempt without any part of the response is quiet, PauseLimit the time after
+	// which it is quiet after a part. No substitute is made if FirstLimit is 0.
+	FirstLimit, PauseLimit time.Duration
+	// Unread reports whether bytes of the first attempt's response have arrived that it has not read yet.
+	Unread func() bool
+	// OnQuiet is called each time that the first attempt has exceeded its limit, before a substitute is made.
+	OnQuiet func()
+	// Substitute makes an attempt that continues at a position. It returns once the attempt has its first part, or false
+	// if there is no such attempt. It returns soon after its context has ended.
+	Substitute func(ctx context.Context, position P) (A, bool)
+	// Discard ends a substitute that does not deliver, because the first attempt has delivered in the meantime.
+	Discard func(A)
+	// CancelFirst cancels the first attempt.
+	CancelFirst func()
+}
+
+// Hedge coordinates the first attempt at a request with its substitutes, of which there is one at a time. It is safe for
+// concurrent use.
+type Hedge[A, P any] struct {
+	opts Options[A, P]
+
+	mu       sync.Mutex
+	state    State
+	stopping bool
+	position P
+	limit    time.Duration
+	// due is when timer fires. A timer that fires earlier was restarted in the meantime.
+	due   time.Time
+	timer *time.Timer
+	// cancel ends the substitute in progress, settled is closed when it has delivered or failed. Both are nil if there is
+	// none.
+	cancel  context.CancelFunc
+	settled chan struct{}
+	// substitute is the attempt that delivers in state Replaced.
+	substitute A
+}
+
+// New starts a hedge for an attempt that continues at a position. Stop must be called when the attempt has ended.
+func New[A, P any](position P, opts Options[A, P]) *Hedge[A, P] {
+	h := &Hedge[A, P]{opts: opts, position: position, limit: opts.FirstLimit}
+	if h.limit > 0 {
+		h.mu.Lock() // the timer may fire before the field is set
+		defer h.mu.Unlock()
+		h.due = time.Now().Add(h.limit)
+		h.timer = time.AfterFunc(h.limit, h.onTimer)
+	}
+	return h
+}
+
+// State returns the state.
+func (h *Hedge[A, P]) State() State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state
+}
+
+// Deliver records that the first attempt has a part, after which the response continues at the given position. A
+// substitute in progress is cancelled. It returns false if a substitute delivers already; the part must then be dropped.
+func (h *Hedge[A, P]) Deliver(position P) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state == Replaced {
+		return false
+	}
+	h.position = position
+	h.limit = h.opts.PauseLimit
+	h.cancelSubstitute()
+	h.state = Delivering
+	return true
+}
+
+// Await records that a part has been delivered and that the first attempt waits for the next one.
+func (h *Hedge[A, P]) Await() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state == Delivering {
+		h.state = Waiting
+		h.restart()
+	}
+}
+
+// Stop ends the hedge after the first attempt has ended. If a substitute is in progress, Stop waits until it has its first
+// part or has failed. It returns the substitute that delivers, if there is one.
+func (h *Hedge[A, P]) Stop() (A, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = true
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	if settled := h.settled; settled != nil {
+		h.mu.Unlock()
+		<-settled
+		h.mu.Lock()
+	}
+	if h.state == Replaced {
+		return h.substitute, true
+	}
+	h.state = Stopped
+	var none A
+	return none, false
+}
+
+// restart starts the timer with the current limit. The hedge must be locked.
+func (h *Hedge[A, P]) restart() {
+	if h.timer == nil || h.stopping || h.limit <= 0 {
+		return
+	}
+	h.due = time.Now().Add(h.limit)
+	h.timer.Reset(h.limit)
+}
+
+// cancelSubstitute cancels the substitute in progress, if there is one. The hedge must be locked.
+func (h *Hedge[A, P]) cancelSubstitute() {
+	if h.cancel != nil {
+		h.cancel()
+	}
+	h.cancel, h.settled = nil, nil
+}
+
+// onTimer makes a substitute if the first attempt is quiet.
+func (h *Hedge[A, P]) onTimer() {
+	s, ok := h.begin()
+	if !ok {
+		return
+	}
+	defer close(s.settled)
+	h.opts.OnQuiet()
+	a, ok := h.opts.Substitute(s.ctx, s.position)
+	if h.finish(s, a, ok) {
+		h.opts.CancelFirst()
+	} else if ok {
+		h.opts.Discard(a)
+	}
+}
+
+// substitution is a substitute in progress.
+type substitution[P any] struct {
+	ctx      context.Context
+	position P
+	// settled is closed when the substitute delivers or has failed.
+	settled chan struct{}
+}
+
+// begin changes to state Hedged if the first attempt is quiet.
+func (h *Hedge[A, P]) begin() (substitution[P], bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if h.state != Waiting || h.stopping || now.Before(h.due) {
+		return substitution[P]{}, false
+	}
+	if now.Sub(h.due) > maxTimerDelay || h.opts.Unread() {
+		h.restart()
+		return substitution[P]{}, false
+	}
+	h.state = Hedged
+	s := substitution[P]{position: h.position, settled: make(chan struct{})}
+	s.ctx, h.cancel = context.WithCancel(h.opts.Context)
+	h.settled = s.settled
+	return s, true
+}
+
+// finish records the outcome of a substitute: ok if it has its first part. It returns whether the substitute delivers.
+func (h *Hedge[A, P]) finish(s substitution[P], a A, ok bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.settled != s.settled {
+		return false // the first attempt has delivered a part in the meantime
+	}
+	if ok {
+		h.state, h.substitute = Replaced, a
+		return true
+	}
+	h.cancelSubstitute()
+	h.state = Waiting
+	h.restart()
+	return false
+}
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -52,13 +52,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.advance(now, service)
-	if float64(sum(c.retries)+1) > w.ratio*float64(sum(c.requests))+w.slack {
+	if !w.available(c) {
 		return false
 	}
 	c.retries[c.current%bucketCount]++
 	return true
 }
 
+// Available reports whether a service's budget allows a retry now, without taking one.
+func (w *WindowBudget) Available(now time.Time, service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.available(w.advance(now, service))
+}
+
+func (w *WindowBudget) available(c *windowCounts) bool {
+	return float64(sum(c.retries)+1) <= w.ratio*float64(sum(c.requests))+w.slack
+}
+
 // advance moves a service's window to the current time and returns its counts. Buckets that have left the window are
 // cleared.
 func (w *WindowBudget) advance(now time.Time, service string) *windowCounts {
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/protocol/eventstream"
-	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -23,60 +19,44 @@
 // writeTimeout bounds a write to a client that does not read.
 const writeTimeout = 5 * time.Second
 
-// forwardEvents forwards complete events to the client as they arrive.
-func (x *exchange) forwardEvents(
-	ctx context.Context, ticket *admission.Ticket, resp *upstream.Response, timer *inactivityTimer,
-) sendResult {
-	reader := eventstream.NewReader(resp)
-	if !x.stream.started {
-		x.stream.sequence = eventstream.NewSequence(x.metadata.LastEvent)
+// deliverEvent forwards an event to the client. It returns 0 if the stream goes on.
+func (x *exchange) deliverEvent(a *attempt, event eventstream.Event) sendResult {
+	if x.stream.eventsSent == 0 {
+		x.recordFirst()
 	}
+	x.g.opts.Admission.RecordFirstEvent(a.ticket)
+	x.writeStreamHeader(a)
+	x.stream.sequence = a.position.sequence
+	x.stream.eventsSent++
 	controller := http.NewResponseController(x.w)
-	for {
-		event, err := reader.Next()
-		if err == io.EOF {
-			x.writeStreamHeader(resp)
-			x.recordAnswered(http.StatusOK)
-			return sendAnswered
-		}
-		if err == nil {
-			err = x.stream.sequence.Check(event)
-		}
-		if err != nil {
-			x.lastErr = err
-			if ctx.Err() != nil {
-				x.lastErr = context.Cause(ctx)
-			}
-			return sendBroken
-		}
-		timer.reset()
-		if x.stream.eventsSent == 0 {
-			x.timeToFirst = time.Since(x.arrival)
-		}
-		x.g.opts.Admission.RecordFirstEvent(ticket)
-		x.writeStreamHeader(resp)
-		x.stream.eventsSent++
-		// The response recorders of tests do not support write deadlines.
-		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := x.w.Write(event.Raw); err != nil {
-			return x.clientDisconnected(err)
-		}
-		if reader.Buffered() {
-			continue
-		}
-		if err := controller.Flush(); err != nil {
-			return x.clientDisconnected(err)
-		}
+	// The response recorders of tests do not support write deadlines.
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := x.w.Write(event.Raw); err != nil {
+		return x.clientDisconnected(err)
 	}
+	if a.events.Buffered() {
+		return 0
+	}
+	if err := controller.Flush(); err != nil {
+		return x.clientDisconnected(err)
+	}
+	return 0
+}
+
+// deliverEnd ends an event stream.
+func (x *exchange) deliverEnd(a *attempt) sendResult {
+	x.writeStreamHeader(a)
+	x.recordAnswered(http.StatusOK)
+	return sendAnswered
 }
 
 // writeStreamHeader sends the response header of the first server. Later calls do nothing.
-func (x *exchange) writeStreamHeader(resp *upstream.Response) {
+func (x *exchange) writeStreamHeader(a *attempt) {
 	if x.stream.started {
 		return
 	}
 	x.stream.started = true
-	platform.CopyResponseHeaders(x.w.Header(), resp.Header)
+	platform.CopyResponseHeaders(x.w.Header(), a.resp.Header)
 	x.w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -5,13 +5,14 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
-	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/hedge"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
@@ -50,20 +51,11 @@
 	body     []byte
 	deadline time.Time
 
-	// sends counts the sends to servers, possibleRuns those after which the request may have run.
-	sends        int
-	possibleRuns int
-	excluded     []string
-	// server is the ID of the last server that the request was sent to.
-	server string
-	// admissionWait is the time from the arrival to the last admission decision, timeToFirst the time from the arrival to
-	// the first event or the response.
-	admissionWait time.Duration
-	timeToFirst   time.Duration
-	cachedTokens  int
-	// load and predictedFirstEvent are the server's load and the predicted time to the first event at admission.
-	load                engineload.Load
-	predictedFirstEvent time.Duration
+	sends sends
+	// current is the last attempt, without the substitutes that have not delivered. It is nil before the first one.
+	current *attempt
+	// timeToFirst is the time from the arrival to the first event or the response, in nanoseconds.
+	timeToFirst atomic.Int64
 	// stream is the state of an event stream that is being sent to the client.
 	stream streamState
 	// failureResponse is a server's response with a status of 500 or above. It is sent to the client if no other server
@@ -227,27 +219,23 @@
 			x.handleContextEnd(ctx)
 			return
 		}
-		x.admissionWait = time.Since(x.arrival)
 		if decision.Server == nil {
 			x.handleNotAdmitted(decision)
 			return
 		}
-		x.server = decision.Server.ID
-		x.cachedTokens, x.load, x.predictedFirstEvent = decision.CachedTokens, decision.Load, decision.FirstEvent
-		result := x.send(ctx, ticket, decision)
-		x.g.opts.Metrics.Sends.WithLabelValues(result.String()).Inc()
+		at := position{started: x.stream.started, sequence: x.stream.sequence}
+		result := x.run(ctx, x.newAttempt(ctx, ticket, decision, at))
 		if result == sendIncomplete {
 			x.abort(cutBodyIncomplete)
 		}
 		if result.final() {
 			return
 		}
-		x.excluded = append(x.excluded, x.server)
 		if ctx.Err() != nil {
 			x.handleContextEnd(ctx)
 			return
 		}
-		if result != sendError && !x.mayRetry(result) {
+		if !x.mayRetry(result) {
 			x.fail(result)
 			return
 		}
@@ -255,10 +243,81 @@
 	}
 }
 
+// run makes an attempt, and substitutes for it, until one of them has delivered the response or failed.
+func (x *exchange) run(ctx context.Context, a *attempt) sendResult {
+	for {
+		x.current = a
+		h := x.newHedge(ctx, a)
+		result := x.forward(a, h)
+		substitute, replaced := h.Stop()
+		if a.replaced() {
+			result = sendSilent
+		}
+		a.finish(result)
+		if !replaced {
+			x.recordFailure(a)
+			return result
+		}
+		x.log("replaced", zap.String("substitute", substitute.decision.Server.ID), logfield.Error(a.err))
+		a = substitute
+	}
+}
+
+// recordFailure keeps what the client is told if no other attempt follows.
+func (x *exchange) recordFailure(a *attempt) {
+	if a.err != nil {
+		x.lastErr = a.err
+	}
+	if a.failureResponse != nil {
+		x.failureResponse = a.failureResponse
+	}
+}
+
+// forward forwards the response of an attempt to the client, unless a substitute delivers first.
+func (x *exchange) forward(a *attempt, h *hedge.Hedge[*attempt, position]) sendResult {
+	if a.resp == nil {
+		if result := a.open(); result != 0 {
+			return result
+		}
+	}
+	for {
+		p, result := a.next()
+		if result != 0 {
+			return result
+		}
+		if !h.Deliver(a.position) {
+			return sendSilent
+		}
+		if result := x.deliver(a, p); result != 0 {
+			return result
+		}
+		h.Await()
+	}
+}
+
+// deliver forwards a part of a response to the client. It returns 0 if further parts follow.
+func (x *exchange) deliver(a *attempt, p part) sendResult {
+	switch {
+	case p.body != nil:
+		return x.deliverBody(a, p.body)
+	case p.end:
+		return x.deliverEnd(a)
+	default:
+		return x.deliverEvent(a, p.event)
+	}
+}
+
+// mayHaveRun reports whether a server may have run the request.
+func (x *exchange) mayHaveRun() bool {
+	_, possibleRuns := x.sends.total()
+	return possibleRuns > 0
+}
+
 // admissionRequest returns the request's description for the admission controller.
 func (x *exchange) admissionRequest() admission.Request {
 	arrival := x.arrival
-	if x.sends > 0 {
+	tried := x.sends.tried()
+	if len(tried) > 0 {
 		arrival = time.Now() // the waiting time starts again for each further server
 	}
 	req := admission.Request{
@@ -268,10 +327,10 @@
 		Service:   x.service,
 		Priority:  x.priority,
 		Arrival:   arrival,
-		Repeat:    x.sends > 0,
+		Repeat:    len(tried) > 0,
 		Objective: x.route.Objective,
 		Deadline:  x.deadline,
-		Exclude:   x.excluded,
+		Exclude:   tried,
 	}
 	if x.service.Engine != nil {
 		req.Parts = x.metadata.Parts
@@ -296,8 +355,7 @@
 }
 
 // mayRetry reports whether the request may be sent again after a failed send. If so, it charges the retry to the
-// budget, unless nothing reached the server. For sendError, forwardBuffered calls it before it withholds the server's
-// response.
+// budget, unless nothing reached the server.
 func (x *exchange) mayRetry(result sendResult) bool {
 	x.retryDenied = x.denyRetry(result)
 	return x.retryDenied == ""
@@ -315,14 +373,15 @@
 )
 
 func (x *exchange) denyRetry(result sendResult) retryDenial {
+	count, possibleRuns := x.sends.total()
 	switch {
-	case x.sends >= maxSends:
+	case count >= maxSends:
 		return denialSends
 	case result == sendUnreachable || result == sendWithdrawn:
 		return "" // nothing reached the server
 	case result.mayHaveRun() && !x.route.Idempotent():
 		return denialRoute
-	case result.mayHaveRun() && x.possibleRuns >= x.route.MaxAttempts:
+	case result.mayHaveRun() && possibleRuns >= x.route.MaxAttempts:
 		return denialAttempts
 	case !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name):
 		return denialBudget
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -39,6 +39,7 @@
 	routing   *routing.Holder
 	admission *admission.Controller
 	registry  *prometheus.Registry
+	budget    *retry.WindowBudget
 	// leaving is the ID of the last server that announced that it leaves.
 	leaving atomic.Pointer[string]
 	// delay is the simulated wait for the processor, in nanoseconds.
@@ -107,12 +108,12 @@
 		}
 	}
 	h.admission.SetServers(backends.NewSet(servers))
-	budget := retry.NewWindowBudget(10 * time.Second)
-	budget.SetBounds(0.2, 50)
+	h.budget = retry.NewWindowBudget(10 * time.Second)
+	h.budget.SetBounds(0.2, 50)
 	h.gateway = New(Options{
 		Routing: h.routing, Proof: h.proof, MaxConfigAge: func() time.Duration { return 4 * time.Second },
 		SchedulingDelay: func() time.Duration { return time.Duration(h.delay.Load()) },
-		Admission:       h.admission, Pool: upstream.New(upstream.Options{}), RetryBudget: budget,
+		Admission:       h.admission, Pool: upstream.New(upstream.Options{}), RetryBudget: h.budget,
 		Metrics: NewMetrics(h.registry), Log: zap.New(core), MaxBodyBytes: 8 << 20,
 		OnServerLeaving: func(s *backends.Server) { h.leaving.Store(&s.ID) },
 	})
--- /dev/null
+++ b/internal/transport/gateway/hedge.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/hedge"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+)
+
+const (
+	// firstEventFactor is the time without a first event, as a multiple of the route's objective, after which a substitute
+	// is made at another server.
+	firstEventFactor = 3
+	// pauseFactor is the pause between events, as a multiple of the route's maximum pause, after which a substitute is made.
+	pauseFactor = 2.5
+	// minQuiet is the lower bound of both times. It prevents a busy server from being treated as unresponsive.
+	minQuiet = 1500 * time.Millisecond
+	// attemptTimeShare is the share of the remaining time that one server gets to respond before a substitute is made.
+	attemptTimeShare = 0.5
+)
+
+// newHedge returns the hedge of an attempt. It makes no substitutes for a request that may run only once.
+func (x *exchange) newHedge(ctx context.Context, a *attempt) *hedge.Hedge[*attempt, position] {
+	first, pause := x.quietLimits()
+	if a.ahead != nil {
+		first = pause
+	}
+	return hedge.New(a.position, hedge.Options[*attempt, position]{
+		Context:     ctx,
+		FirstLimit:  first,
+		PauseLimit:  pause,
+		Unread:      a.monitor.Unread,
+		OnQuiet:     func() { x.g.opts.Admission.RecordQuiet(a.ticket) },
+		Substitute:  x.substitute,
+		Discard:     func(s *attempt) { s.discard() },
+		CancelFirst: func() { a.cancel(errReplaced) },
+	})
+}
+
+// quietLimits returns the times after which an attempt is quiet: before the first part of its response, and after it. They
+// are 0 if no substitute may be made.
+func (x *exchange) quietLimits() (first, pause time.Duration) {
+	if !x.route.Idempotent() {
+		return 0, 0
+	}
+	first = time.Duration(attemptTimeShare * float64(time.Until(x.deadline)))
+	if x.route.Kind != routing.Stream {
+		return first, 0
+	}
+	first = min(first, max(firstEventFactor*x.route.Objective, minQuiet))
+	return first, max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minQuiet)
+}
+
+// substitute makes an attempt at another server. It returns the attempt with its first part, or false if there is no permit
+// for it or if it failed.
+func (x *exchange) substitute(ctx context.Context, at position) (*attempt, bool) {
+	if !x.sends.mayRunAgain(x.route.MaxAttempts) || !x.g.opts.RetryBudget.Available(time.Now(), x.service.Name) {
+		return nil, false
+	}
+	ticket, decision, err := x.g.opts.Admission.Admit(ctx, x.admissionRequest())
+	if err != nil || decision.Server == nil {
+		return nil, false
+	}
+	if !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name) {
+		x.g.opts.Admission.Finish(ticket, admission.ResultCancelled)
+		return nil, false
+	}
+	a := x.newAttempt(ctx, ticket, decision, at)
+	result := a.open()
+	if result == 0 {
+		var p part
+		if p, result = a.next(); result == 0 {
+			a.ahead = &p
+			a.log("substitute responds")
+			return a, true
+		}
+	}
+	a.finish(result)
+	a.log("substitute failed", zap.Stringer("result", result), logfield.Error(a.err))
+	return nil, false
+}
+
+// discard ends a substitute whose part is not delivered.
+func (a *attempt) discard() {
+	a.outcome = admission.ResultCancelled
+	a.finish(sendDiscarded)
+}
--- /dev/null
+++ b/internal/transport/gateway/log.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// log logs an outcome or a decision with the fields of the request and of its current attempt.
+func (x *exchange) log(outcome string, fields ...zap.Field) { x.logAttempt(x.current, outcome, fields) }
+
+// log logs an outcome or a decision with the fields of the request and of the attempt.
+func (a *attempt) log(outcome string, fields ...zap.Field) { a.x.logAttempt(a, outcome, fields) }
+
+// logAttempt logs an outcome or a decision with the fields of the request and of an attempt, which may be nil.
+func (x *exchange) logAttempt(a *attempt, outcome string, fields []zap.Field) {
+	entry := x.g.opts.Log.Check(zap.InfoLevel, outcome)
+	if entry == nil {
+		return
+	}
+	if a == nil {
+		a = &attempt{}
+	}
+	route, version := "", int64(0)
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.table != nil {
+		version = x.table.Version
+	}
+	server := ""
+	if a.decision.Server != nil {
+		server = a.decision.Server.ID
+	}
+	sent, _ := x.sends.total()
+	age, _ := x.g.opts.Proof.Age()
+	entry.Write(append([]zap.Field{
+		zap.String("request", x.metadata.ID),
+		zap.String("route", route),
+		zap.String("team", x.team),
+		zap.String("server", server),
+		zap.Int("sends", sent),
+		zap.Int64("config", version),
+		zap.Duration("config_age", age),
+		zap.Duration("waited", a.admissionWait),
+		zap.Duration("first", time.Duration(x.timeToFirst.Load())),
+		zap.Duration("took", time.Since(x.arrival)),
+		zap.Int("tokens", x.metadata.PromptTokens),
+		zap.Int("cached", a.decision.CachedTokens),
+		zap.Int("running", a.decision.Load.Running),
+		zap.Int("pending", a.decision.Load.PendingTokens),
+		zap.Duration("predicted", a.decision.FirstEvent),
+	}, fields...)...)
+}
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -77,7 +77,10 @@
 
 // handleNotAdmitted ends a request for which the admission controller chose no server.
 func (x *exchange) handleNotAdmitted(decision admission.Decision) {
-	if x.possibleRuns > 0 || x.stream.started {
+	if x.current == nil {
+		x.current = &attempt{admissionWait: time.Since(x.arrival)}
+	}
+	if x.mayHaveRun() || x.stream.started {
 		x.retryDenied = denialNoServer
 		x.fail(sendBroken)
 		return
@@ -87,21 +90,18 @@
 
 // fail writes the final response after a failed send that is not retried.
 func (x *exchange) fail(result sendResult) {
+	mayHaveRun := x.mayHaveRun()
 	switch {
-	case x.stream.started && result == sendSilent:
-		x.abort(cutServerSilent)
 	case x.stream.started:
 		x.abort(cutServerFailed)
 	case x.failureResponse != nil:
-		if x.failureResponse.write(x, true) {
+		if x.failureResponse.write(x) {
 			x.recordAnswered(x.failureResponse.status)
 		}
-	case x.possibleRuns == 0 && result == sendNotExecuted:
+	case !mayHaveRun && result == sendNotExecuted:
 		x.refuse(refusalFull, retryAfterShortage)
-	case x.possibleRuns == 0 && (result == sendUnreachable || result == sendWithdrawn):
+	case !mayHaveRun && (result == sendUnreachable || result == sendWithdrawn):
 		x.refuse(string(admission.ReasonNoServer), retryAfterShortage)
-	case result == sendSilent:
-		x.failWithStatus(http.StatusGatewayTimeout, "no response")
 	default:
 		x.failWithStatus(http.StatusBadGateway, "no valid response")
 	}
@@ -115,7 +115,7 @@
 		panic(http.ErrAbortHandler)
 	case x.stream.started:
 		x.abort(cutDeadline)
-	case x.possibleRuns == 0:
+	case !x.mayHaveRun():
 		x.refuse(string(admission.ReasonDeadline), 0)
 	default:
 		x.failWithStatus(http.StatusGatewayTimeout, "deadline")
@@ -138,8 +138,6 @@
 	cutDeadline cutCause = "deadline"
 	// cutServerFailed means that the server did not complete the response and that no other server could continue it.
 	cutServerFailed cutCause = "server-failed"
-	// cutServerSilent means the same of a server that sent nothing for too long.
-	cutServerSilent cutCause = "server-silent"
 	// cutBodyIncomplete means that the rest of a long body did not arrive.
 	cutBodyIncomplete cutCause = "body-incomplete"
 )
@@ -164,36 +162,3 @@
 		return "5xx"
 	}
 }
-
-// log logs an outcome or a decision with the fields of the request.
-func (x *exchange) log(outcome string, fields ...zap.Field) {
-	entry := x.g.opts.Log.Check(zap.InfoLevel, outcome)
-	if entry == nil {
-		return
-	}
-	route, version := "", int64(0)
-	if x.route != nil {
-		route = x.route.Name
-	}
-	if x.table != nil {
-		version = x.table.Version
-	}
-	age, _ := x.g.opts.Proof.Age()
-	entry.Write(append([]zap.Field{
-		zap.String("request", x.metadata.ID),
-		zap.String("route", route),
-		zap.String("team", x.team),
-		zap.String("server", x.server),
-		zap.Int("sends", x.sends),
-		zap.Int64("config", version),
-		zap.Duration("config_age", age),
-		zap.Duration("waited", x.admissionWait),
-		zap.Duration("first", x.timeToFirst),
-		zap.Duration("took", time.Since(x.arrival)),
-		zap.Int("tokens", x.metadata.PromptTokens),
-		zap.Int("cached", x.cachedTokens),
-		zap.Int("running", x.load.Running),
-		zap.Int("pending", x.load.PendingTokens),
-		zap.Duration("predicted", x.predictedFirstEvent),
-	}, fields...)...)
-}
--- a/internal/transport/gateway/result.go
+++ b/internal/transport/gateway/result.go
@@ -20,12 +20,14 @@
 	sendIncomplete
 	// sendWithdrawn means that the server announced, before anything was sent, that it leaves or wants a pause.
 	sendWithdrawn
-	// sendSilent means that the send was abandoned because the server did not respond in time.
+	// sendSilent means that the server was quiet and that a substitute has delivered first.
 	sendSilent
+	// sendDiscarded means that the attempt was a substitute and that the first attempt has delivered first.
+	sendDiscarded
 )
 
 var sendResultNames = [...]string{
-	"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "withdrawn", "silent",
+	"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "withdrawn", "silent", "discarded",
 }
 
 // String returns the result's name for logs and metrics.
@@ -37,4 +39,4 @@
 }
 
 // mayHaveRun reports whether the server may have run the request.
-func (s sendResult) mayHaveRun() bool { return s == sendError || s == sendBroken || s == sendSilent }
+func (s sendResult) mayHaveRun() bool { return s == sendError || s == sendBroken }
--- a/internal/transport/gateway/silence_test.go
+++ b/internal/transport/gateway/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -75,3 +76,55 @@
 		})
 	}
 }
+
+// Guards against two servers that go on with one stream, and against load that stays counted at the slower one.
+func TestSubstituteTakesOver(t *testing.T) {
+	g := NewWithT(t)
+	h := newSilentHarness(t, 2, platformengine.Serve)
+	h.engines[0].Silence = time.Minute
+	for i := range 2 {
+		id := "a" + strconv.Itoa(i)
+		r := h.stream("/digest/x", id)
+		r.Header.Set("Deadline-Ms", "5000")
+		resp := h.do(r)
+		g.Expect(resp.err).NotTo(HaveOccurred())
+		g.Expect(resp.status).To(Equal(http.StatusOK))
+		g.Expect(strings.Count(resp.body, "id: ")).To(Equal(5))
+		g.Expect(h.engines[1].Runs(id)).To(Equal(1))
+	}
+	g.Eventually(h.engines[0].Cancelled).Should(BeNumerically(">=", 1))
+	g.Eventually(func() int {
+		running := 0
+		for _, load := range h.admission.OwnLoads() {
+			running += load.Running
+		}
+		return running
+	}).Should(BeZero())
+}
+
+// Guards against a substitute that goes on after the first server has responded.
+func TestSubstituteIsCancelled(t *testing.T) {
+	g := NewWithT(t)
+	h := newSilentHarness(t, 2, platformengine.Hang)
+	r := h.stream("/digest/x", "a1")
+	r.Header.Set("Deadline-Ms", "5000")
+	resp := h.do(r)
+	g.Expect(resp.status).To(Equal(http.StatusOK))
+	g.Expect(strings.Count(resp.body, "id: ")).To(Equal(5))
+	g.Eventually(h.engines[1].Cancelled, "2s").Should(BeNumerically(">=", 1))
+	g.Eventually(func() int { return h.admission.OwnLoads()["i-b"].Running }, "2s").Should(BeZero())
+}
+
+// Guards against a second run of a request that may run only once, and against retries above the budget, because of a
+// server that is silent.
+func TestNoSubstituteWithoutPermit(t *testing.T) {
+	g := NewWithT(t)
+	h := newSilentHarness(t, 2, platformengine.Silent)
+	resp := h.do(h.request(http.MethodPost, "/callout/x", "once", "call"))
+	g.Expect(resp.status).To(Equal(http.StatusOK))
+	g.Expect(h.totalRuns("once")).To(Equal(1))
+	h.budget.SetBounds(0, 0)
+	resp = h.do(h.request(http.MethodGet, "/lookup/x", "no-budget", ""))
+	g.Expect(resp.status).To(Equal(http.StatusOK))
+	g.Expect(h.totalRuns("no-budget")).To(Equal(1))
+}
--- a/internal/transport/sockopt/user_timeout_other.go
+++ b/internal/transport/sockopt/user_timeout_other.go
@@ -12,3 +12,6 @@
 
 // IsOpen always returns true, since the state of an idle connection cannot be tested without blocking.
 func IsOpen(net.Conn) bool { return true }
+
+// HasUnread always returns false, since the state of a connection cannot be tested without blocking.
+func HasUnread(net.Conn) bool { return false }
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -68,6 +68,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Monitor, if it is set, is told the connection.
+	Monitor *Monitor
 	// MaySend reports, once a connection is open, whether the request may still be sent. Opening one takes up to a second.
 	// If it is nil, the request is sent.
 	MaySend func() bool
@@ -103,6 +105,9 @@
 		return nil, &SendError{Stage: NotSent, Reused: c.reused, Err: ErrWithdrawn}
 	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if r.Monitor != nil {
+		r.Monitor.conn.Store(c)
+	}
 	w := startWrite(c, r)
 	resp, err := readResponseHeader(c, r)
 	if err == nil && !w.finished() {
