admission: Test that a server takes requests again once it has gone on

Each quiet request counts as a failure, and each failure of a suspect server doubles its ejection. With six requests, a silence of 1.6 s takes the server out of use for 3 s, also after all six responses are complete: ResultOK clears the suspicion but not the time until which the server is paused. A service whose servers were all silent refuses everything.

--- a/internal/coordination/admission/quiet_test.go
+++ b/internal/coordination/admission/quiet_test.go
@@ -52,3 +52,19 @@
 	a.submit(1)
 	g.Expect(a.granted).To(HaveLen(3))
 }
+
+// Guards against a service without servers after all of them have been silent: a server that has gone on and completed its
+// responses takes requests again.
+func TestServerThatGoesOnIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	a := newAnnounceTest(1)
+	a.submit(6)
+	g.Expect(len(a.granted)).To(BeNumerically(">=", ejectAfterFailures))
+	for _, tk := range a.granted {
+		a.core.RecordQuiet(a.now, tk)
+	}
+	for _, tk := range a.granted {
+		a.core.Finish(a.now, tk, ResultOK)
+	}
+	g.Expect(a.core.healthOf(a.granted[0].server.ID).available(a.now)).To(BeTrue())
+}
