--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -80,6 +80,11 @@
 			return a, true
 		}
 	}
+	if ctx.Err() != nil {
+		a.discard()
+		a.log("substitute cancelled")
+		return nil, false
+	}
 	a.finish(result)
 	a.log("substitute failed", zap.Stringer("result", result), logfield.Error(a.err))
 	return nil, false
