--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
-	"gooseberrytide.example/gooseberrytide/internal/coordination/hedge"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
@@ -166,50 +164,6 @@
 	return targets[0].Service
 }
 
-// readBody reads the complete body. If the body exceeds a limit, it writes the response and returns false. It aborts
-// the connection if the body cannot be read.
-func (x *exchange) readBody() bool {
-	limit := x.table.Limits.MaxBodyBytes
-	if x.r.ContentLength > limit {
-		x.reject(http.StatusRequestEntityTooLarge, "body too large")
-		return false
-	}
-	if x.r.Body == nil || x.r.ContentLength == 0 {
-		return true
-	}
-	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
-	var err error
-	if x.r.ContentLength > 0 {
-		if !x.g.reserveBody(x.r.ContentLength) {
-			x.refuseUnsubmitted(refusalMemory, retryAfterShortage)
-			return false
-		}
-		x.body = make([]byte, x.r.ContentLength)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
-		if err == nil && !x.g.reserveBody(int64(len(x.body))) {
-			x.body = nil
-			x.refuseUnsubmitted(refusalMemory, retryAfterShortage)
-			return false
-		}
-	}
-	if err == nil {
-		return true
-	}
-	if x.r.ContentLength > 0 {
-		x.g.bodyBytes.Add(-int64(len(x.body)))
-	}
-	x.body = nil
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		x.reject(http.StatusRequestEntityTooLarge, "body too large")
-		return false
-	}
-	x.log("incomplete", logfield.Error(err))
-	panic(http.ErrAbortHandler)
-}
-
 // sendWithRetries sends the request to one server after another until the client has a final response or no further
 // send is allowed.
 func (x *exchange) sendWithRetries(ctx context.Context) {
@@ -243,70 +197,6 @@
 	}
 }
 
-// run makes an attempt, and substitutes for it, until one of them has delivered the response or failed.
-func (x *exchange) run(ctx context.Context, a *attempt) sendResult {
-	for {
-		x.current = a
-		h := x.newHedge(ctx, a)
-		result := x.forward(a, h)
-		substitute, replaced := h.Stop()
-		if a.replaced() {
-			result = sendSilent
-		}
-		a.finish(result)
-		if !replaced {
-			x.recordFailure(a)
-			return result
-		}
-		x.log("replaced", zap.String("substitute", substitute.decision.Server.ID), logfield.Error(a.err))
-		a = substitute
-	}
-}
-
-// recordFailure keeps what the client is told if no other attempt follows.
-func (x *exchange) recordFailure(a *attempt) {
-	if a.err != nil {
-		x.lastErr = a.err
-	}
-	if a.failureResponse != nil {
-		x.failureResponse = a.failureResponse
-	}
-}
-
-// forward forwards the response of an attempt to the client, unless a substitute delivers first.
-func (x *exchange) forward(a *attempt, h *hedge.Hedge[*attempt, position]) sendResult {
-	if a.resp == nil {
-		if result := a.open(); result != 0 {
-			return result
-		}
-	}
-	for {
-		p, result := a.next()
-		if result != 0 {
-			return result
-		}
-		if !h.Deliver(a.position) {
-			return sendSilent
-		}
-		if result := x.deliver(a, p); result != 0 {
-			return result
-		}
-		h.Await()
-	}
-}
-
-// deliver forwards a part of a response to the client. It returns 0 if further parts follow.
-func (x *exchange) deliver(a *attempt, p part) sendResult {
-	switch {
-	case p.body != nil:
-		return x.deliverBody(a, p.body)
-	case p.end:
-		return x.deliverEnd(a)
-	default:
-		return x.deliverEvent(a, p.event)
-	}
-}
-
 // mayHaveRun reports whether a server may have run the request.
 func (x *exchange) mayHaveRun() bool {
 	_, possibleRuns := x.sends.total()
@@ -354,41 +244,6 @@
 	}
 }
 
-// mayRetry reports whether the request may be sent again after a failed send. If so, it charges the retry to the
-// budget, unless nothing reached the server.
-func (x *exchange) mayRetry(result sendResult) bool {
-	x.retryDenied = x.denyRetry(result)
-	return x.retryDenied == ""
-}
-
-// retryDenial is the reason why a request is not sent again. It is empty if the request may be sent again.
-type retryDenial string
-
-const (
-	denialSends    retryDenial = "sends"
-	denialRoute    retryDenial = "not-idempotent"
-	denialAttempts retryDenial = "max-attempts"
-	denialBudget   retryDenial = "retry-budget"
-	denialNoServer retryDenial = "no-server"
-)
-
-func (x *exchange) denyRetry(result sendResult) retryDenial {
-	count, possibleRuns := x.sends.total()
-	switch {
-	case count >= maxSends:
-		return denialSends
-	case result == sendUnreachable || result == sendWithdrawn:
-		return "" // nothing reached the server
-	case result.mayHaveRun() && !x.route.Idempotent():
-		return denialRoute
-	case result.mayHaveRun() && possibleRuns >= x.route.MaxAttempts:
-		return denialAttempts
-	case !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name):
-		return denialBudget
-	}
-	return ""
-}
-
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
