hedge, gateway, admission, upstream: Replace silent substitutes, and use servers again that have gone on

All quiet requests now count as one cause for an ejection, and the server is used again once one of them has a further part.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -167,11 +167,11 @@
 	c.core.RecordRefused(time.Now(), &req)
 }
 
-// RecordFirstEvent records the first event of a granted request.
-func (c *Controller) RecordFirstEvent(t *Ticket) {
+// RecordEvent records an event of a granted request.
+func (c *Controller) RecordEvent(t *Ticket) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.core.RecordFirstEvent(time.Now(), t)
+	c.core.RecordEvent(time.Now(), t)
 }
 
 // RecordQuiet records that the server of a granted request has sent nothing for too long.
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -168,9 +168,14 @@
 	return true
 }
 
-// RecordFirstEvent records the first event of a granted request, which shows that its prefill is done.
-func (c *Core) RecordFirstEvent(now time.Time, t *Ticket) {
-	if t.state != ticketGranted || t.firstEventSeen {
+// RecordEvent records an event of a granted request. The first one shows that its prefill is done, and any one that a
+// server which was quiet has gone on.
+func (c *Core) RecordEvent(now time.Time, t *Ticket) {
+	if t.state != ticketGranted {
+		return
+	}
+	c.recordResumed(now, t)
+	if t.firstEventSeen {
 		return
 	}
 	t.firstEventSeen = true
@@ -191,7 +196,15 @@
 	t.quiet = true
 	h := c.healthOf(t.server.ID)
 	c.endProbe(h, t)
-	h.record(now, ResultBroken, c.meanErrorRate(now, t.Service.Name))
+	h.recordQuiet(now)
+}
+
+// recordResumed records that the server of a request that was quiet has gone on.
+func (c *Core) recordResumed(now time.Time, t *Ticket) {
+	if t.quiet {
+		t.quiet = false
+		c.healthOf(t.server.ID).recordResumed(now)
+	}
 }
 
 // endProbe lets another request test the server if this one has tested it so far.
@@ -210,6 +223,9 @@
 	c.loads.Remove(t.server.ID, t.load)
 	h := c.healthOf(t.server.ID)
 	c.endProbe(h, t)
+	if result == ResultOK {
+		c.recordResumed(now, t)
+	}
 	if !t.quiet || result != ResultBroken {
 		h.record(now, result, c.meanErrorRate(now, t.Service.Name))
 	}
--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -31,6 +31,8 @@
 	// the server.
 	suspect bool
 	probing bool
+	// silent is set if the server was ejected because it sent nothing for too long, until it goes on.
+	silent bool
 	// reopensAt is when the pause ends that the server itself has asked for. Nothing is sent before, not even a probe.
 	reopensAt time.Time
 }
@@ -76,11 +78,35 @@
 		}
 	case ResultMoved:
 		h.pausedUntil = later(h.pausedUntil, now.Add(maxEjection))
-		h.suspect = true
+		h.suspect, h.silent = true, false
 	}
 }
 
+// recordQuiet updates the health when a request has had nothing from the server for too long. All requests at a silent
+// server count as one cause to eject it.
+func (h *health) recordQuiet(now time.Time) {
+	h.failures++
+	h.errorRate += errorSmoothing * (1 - h.errorRate)
+	if now.Before(h.pausedUntil) || h.failures < ejectAfterFailures && !h.suspect {
+		return
+	}
+	h.eject(now)
+	h.silent = true
+}
+
+// recordResumed updates the health when a server that was quiet has gone on.
+func (h *health) recordResumed(now time.Time) {
+	h.failures = 0
+	if !h.silent {
+		return
+	}
+	h.silent, h.suspect = false, false
+	h.lastEjection = 0
+	h.pausedUntil = now
+}
+
 func (h *health) eject(now time.Time) {
+	h.silent = false
 	h.lastEjection = min(max(2*h.lastEjection, minEjection), maxEjection)
 	h.pausedUntil = now.Add(h.lastEjection)
 	h.suspect = true
--- a/internal/coordination/admission/simulated_engine_test.go
+++ b/internal/coordination/admission/simulated_engine_test.go
@@ -98,7 +98,7 @@
 		s.late++
 	}
 	s.bySecond[int(sim.now.Sub(sim.begin)/time.Second)] += platformTokens(t)
-	r.core.RecordFirstEvent(sim.now, t)
+	r.core.RecordEvent(sim.now, t)
 }
 
 // repeatedPrefillTokens returns the number of shared tokens that were prefilled by an engine after another one.
--- a/internal/coordination/hedge/hedge.go
+++ b/internal/coordination/hedge/hedge.go
@@ -14,7 +14,7 @@
 	Waiting State = iota
 	// Delivering means that a part of the first attempt's response is being delivered. The attempt is not quiet meanwhile.
 	Delivering
-	// Hedged means that the first attempt is quiet and that a substitute is in progress.
+	// Hedged means that the first attempt is quiet and that substitutes are in progress.
 	Hedged
 	// Replaced means that a substitute delivers and that the first attempt is cancelled.
 	Replaced
@@ -45,8 +45,8 @@
 	CancelFirst func()
 }
 
-// Hedge coordinates the first attempt at a request with its substitutes, of which there is one at a time. It is safe for
-// concurrent use.
+// Hedge coordinates the first attempt at a request with its substitutes. If a substitute has no part within the limit
+// either, a further one is made beside it. It is safe for concurrent use.
 type Hedge[A, P any] struct {
 	opts Options[A, P]
 
@@ -58,9 +58,9 @@
 	// due is when timer fires. A timer that fires earlier was restarted in the meantime.
 	due   time.Time
 	timer *time.Timer
-	// cancel ends the substitute in progress, settled is closed when it has delivered or failed. Both are nil if there is
-	// none.
-	cancel  context.CancelFunc
+	// substitutes are those in progress.
+	substitutes map[*substitution]struct{}
+	// settled is closed when a substitute delivers or the last one in progress has failed. It is nil if there is none.
 	settled chan struct{}
 	// substitute is the attempt that delivers in state Replaced.
 	substitute A
@@ -68,7 +68,9 @@
 
 // New starts a hedge for an attempt that continues at a position. Stop must be called when the attempt has ended.
 func New[A, P any](position P, opts Options[A, P]) *Hedge[A, P] {
-	h := &Hedge[A, P]{opts: opts, position: position, limit: opts.FirstLimit}
+	h := &Hedge[A, P]{
+		opts: opts, position: position, limit: opts.FirstLimit, substitutes: make(map[*substitution]struct{}),
+	}
 	if h.limit > 0 {
 		h.mu.Lock() // the timer may fire before the field is set
 		defer h.mu.Unlock()
@@ -85,8 +87,8 @@
 	return h.state
 }
 
-// Deliver records that the first attempt has a part, after which the response continues at the given position. A
-// substitute in progress is cancelled. It returns false if a substitute delivers already; the part must then be dropped.
+// Deliver records that the first attempt has a part, after which the response continues at the given position. Substitutes
+// in progress are cancelled. It returns false if a substitute delivers already; the part must then be dropped.
 func (h *Hedge[A, P]) Deliver(position P) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -95,7 +97,8 @@
 	}
 	h.position = position
 	h.limit = h.opts.PauseLimit
-	h.cancelSubstitute()
+	h.cancelSubstitutes()
+	h.settle()
 	h.state = Delivering
 	return true
 }
@@ -110,20 +113,20 @@
 	}
 }
 
-// Stop ends the hedge after the first attempt has ended. If a substitute is in progress, Stop waits until it has its first
-// part or has failed. It returns the substitute that delivers, if there is one.
+// Stop ends the hedge after the first attempt has ended. If substitutes are in progress, Stop waits until one of them has
+// its first part or all have failed. It returns the substitute that delivers, if there is one.
 func (h *Hedge[A, P]) Stop() (A, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stopping = true
-	if h.timer != nil {
-		h.timer.Stop()
-	}
 	if settled := h.settled; settled != nil {
 		h.mu.Unlock()
 		<-settled
 		h.mu.Lock()
 	}
+	if h.timer != nil {
+		h.timer.Stop()
+	}
 	if h.state == Replaced {
 		return h.substitute, true
 	}
@@ -134,30 +137,37 @@
 
 // restart starts the timer with the current limit. The hedge must be locked.
 func (h *Hedge[A, P]) restart() {
-	if h.timer == nil || h.stopping || h.limit <= 0 {
+	if h.timer == nil || h.limit <= 0 {
 		return
 	}
 	h.due = time.Now().Add(h.limit)
 	h.timer.Reset(h.limit)
 }
 
-// cancelSubstitute cancels the substitute in progress, if there is one. The hedge must be locked.
-func (h *Hedge[A, P]) cancelSubstitute() {
-	if h.cancel != nil {
-		h.cancel()
+// cancelSubstitutes cancels the substitutes in progress. The hedge must be locked.
+func (h *Hedge[A, P]) cancelSubstitutes() {
+	for s := range h.substitutes {
+		s.cancel()
 	}
-	h.cancel, h.settled = nil, nil
+	clear(h.substitutes)
+}
+
+// settle ends the wait for the substitutes in progress. The hedge must be locked.
+func (h *Hedge[A, P]) settle() {
+	if h.settled != nil {
+		close(h.settled)
+	}
+	h.settled = nil
 }
 
 // onTimer makes a substitute if the first attempt is quiet.
 func (h *Hedge[A, P]) onTimer() {
-	s, ok := h.begin()
+	s, position, ok := h.begin()
 	if !ok {
 		return
 	}
-	defer close(s.settled)
 	h.opts.OnQuiet()
-	a, ok := h.opts.Substitute(s.ctx, s.position)
+	a, ok := h.opts.Substitute(s.ctx, position)
 	if h.finish(s, a, ok) {
 		h.opts.CancelFirst()
 	} else if ok {
@@ -166,45 +176,60 @@
 }
 
 // substitution is a substitute in progress.
-type substitution[P any] struct {
-	ctx      context.Context
-	position P
-	// settled is closed when the substitute delivers or has failed.
-	settled chan struct{}
+type substitution struct {
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
-// begin changes to state Hedged if the first attempt is quiet.
-func (h *Hedge[A, P]) begin() (substitution[P], bool) {
+// begin changes to state Hedged if the first attempt is quiet. It returns the position at which the substitute continues.
+func (h *Hedge[A, P]) begin() (*substitution, P, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	if h.state != Waiting || h.stopping || now.Before(h.due) {
-		return substitution[P]{}, false
+	if !h.mayBegin() || now.Before(h.due) {
+		return nil, h.position, false
 	}
-	if now.Sub(h.due) > maxTimerDelay || h.opts.Unread() {
-		h.restart()
-		return substitution[P]{}, false
+	late := now.Sub(h.due) > maxTimerDelay
+	h.restart()
+	if late || h.opts.Unread() {
+		return nil, h.position, false
 	}
 	h.state = Hedged
-	s := substitution[P]{position: h.position, settled: make(chan struct{})}
-	s.ctx, h.cancel = context.WithCancel(h.opts.Context)
-	h.settled = s.settled
-	return s, true
+	s := &substitution{}
+	s.ctx, s.cancel = context.WithCancel(h.opts.Context)
+	h.substitutes[s] = struct{}{}
+	if h.settled == nil {
+		h.settled = make(chan struct{})
+	}
+	return s, h.position, true
+}
+
+// mayBegin reports whether a substitute may be made in the current state. After the first attempt has ended, only one that
+// joins others in progress may. The hedge must be locked.
+func (h *Hedge[A, P]) mayBegin() bool {
+	return h.state == Hedged || h.state == Waiting && !h.stopping
 }
 
 // finish records the outcome of a substitute: ok if it has its first part. It returns whether the substitute delivers.
-func (h *Hedge[A, P]) finish(s substitution[P], a A, ok bool) bool {
+func (h *Hedge[A, P]) finish(s *substitution, a A, ok bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.settled != s.settled {
-		return false // the first attempt has delivered a part in the meantime
+	if _, current := h.substitutes[s]; !current {
+		return false // another attempt has delivered a part in the meantime
 	}
-	if ok {
+	delete(h.substitutes, s)
+	switch {
+	case ok:
 		h.state, h.substitute = Replaced, a
-		return true
+		h.cancelSubstitutes()
+	case len(h.substitutes) == 0:
+		s.cancel()
+		h.state = Waiting
+		h.restart()
+	default:
+		s.cancel()
+		return false
 	}
-	h.cancelSubstitute()
-	h.state = Waiting
-	h.restart()
-	return false
+	h.settle()
+	return ok
 }
--- a/internal/coordination/hedge/hedge_test.go
+++ b/internal/coordination/hedge/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 
 // substitutes makes substitutes that end as the test says, and counts what happens to them.
 type substitutes struct {
+	mu sync.Mutex
 	// latency is the time until a substitute has its first part or fails. ok is set if it has a part.
 	latency time.Duration
 	ok      bool
@@ -29,9 +31,12 @@
 func (s *substitutes) make(ctx context.Context, position int) (string, bool) {
 	s.started.Add(1)
 	s.lastPosition.Store(int32(position))
+	s.mu.Lock()
+	latency, ok := s.latency, s.ok
+	s.mu.Unlock()
 	select {
-	case <-time.After(s.latency):
-		return "substitute", s.ok
+	case <-time.After(latency):
+		return "substitute", ok
 	case <-ctx.Done():
 		s.cancelled.Add(1)
 		return "", false
@@ -163,7 +168,7 @@
 // Guards against a failure although a substitute is in progress when the first attempt breaks off.
 func TestStopWaitsForTheSubstitute(t *testing.T) {
 	for _, ok := range []bool{true, false} {
-		s := &substitutes{latency: time.Second, ok: ok}
+		s := &substitutes{latency: firstLimit - time.Millisecond, ok: ok}
 		run(t, s, func(g Gomega, h *Hedge[string, int]) {
 			sleep(firstLimit + time.Millisecond)
 			_, replaced := h.Stop()
@@ -174,6 +179,35 @@
 	}
 }
 
+// Guards against a request that waits until its deadline for a substitute whose server sends nothing, also after the first
+// attempt has ended.
+func TestSilentSubstituteIsJoinedByAnother(t *testing.T) {
+	for _, firstEnds := range []bool{false, true} {
+		s := &substitutes{latency: time.Hour}
+		run(t, s, func(g Gomega, h *Hedge[string, int]) {
+			sleep(firstLimit + time.Millisecond)
+			g.Expect(s.started.Load()).To(BeEquivalentTo(1))
+			stopped := make(chan bool, 1)
+			if firstEnds {
+				go func() {
+					_, replaced := h.Stop()
+					stopped <- replaced
+				}()
+			}
+			s.mu.Lock()
+			s.latency, s.ok = 10*time.Millisecond, true
+			s.mu.Unlock()
+			sleep(firstLimit + 11*time.Millisecond)
+			g.Expect(s.started.Load()).To(BeEquivalentTo(2))
+			g.Expect(h.State()).To(Equal(Replaced))
+			g.Expect(s.cancelled.Load()).To(BeEquivalentTo(1), "the substitute that does not deliver")
+			if firstEnds {
+				g.Expect(<-stopped).To(BeTrue())
+			}
+		})
+	}
+}
+
 // Guards against waiting for a substitute after the client has left.
 func TestStopReturnsWhenTheContextEnds(t *testing.T) {
 	s := &substitutes{latency: time.Hour, ok: true}
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -24,7 +24,7 @@
 	if x.stream.eventsSent == 0 {
 		x.recordFirst()
 	}
-	x.g.opts.Admission.RecordFirstEvent(a.ticket)
+	x.g.opts.Admission.RecordEvent(a.ticket)
 	x.writeStreamHeader(a)
 	x.stream.sequence = a.position.sequence
 	x.stream.eventsSent++
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -56,38 +56,62 @@
 	return first, max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minQuiet)
 }
 
-// substitute makes an attempt at another server. It returns the attempt with its first part, or false if there is no permit
-// for it or if it failed.
+// substitute makes an attempt at another server, and at a further one if that did not run the request. It returns the
+// attempt with its first part, or false if there is no permit for it or if it failed.
 func (x *exchange) substitute(ctx context.Context, at position) (*attempt, bool) {
+	for {
+		a := x.admitSubstitute(ctx, at)
+		if a == nil {
+			return nil, false
+		}
+		result := x.readAhead(a)
+		switch {
+		case result == 0:
+			a.log("substitute responds")
+			return a, true
+		case ctx.Err() != nil:
+			a.discard()
+			a.log("substitute cancelled")
+			return nil, false
+		}
+		a.finish(result)
+		a.log("substitute failed", zap.Stringer("result", result), logfield.Error(a.err))
+		if result.mayHaveRun() {
+			return nil, false
+		}
+	}
+}
+
+// admitSubstitute prepares a substitute if the number of attempts, the retry budget and the admission permit one. Otherwise
+// it returns nil.
+func (x *exchange) admitSubstitute(ctx context.Context, at position) *attempt {
 	if !x.sends.mayRunAgain(x.route.MaxAttempts) || !x.g.opts.RetryBudget.Available(time.Now(), x.service.Name) {
-		return nil, false
+		return nil
 	}
 	ticket, decision, err := x.g.opts.Admission.Admit(ctx, x.admissionRequest())
 	if err != nil || decision.Server == nil {
-		return nil, false
+		return nil
 	}
 	if !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name) {
 		x.g.opts.Admission.Finish(ticket, admission.ResultCancelled)
-		return nil, false
+		return nil
 	}
-	a := x.newAttempt(ctx, ticket, decision, at)
-	result := a.open()
-	if result == 0 {
-		var p part
-		if p, result = a.next(); result == 0 {
-			a.ahead = &p
-			a.log("substitute responds")
-			return a, true
-		}
+	return x.newAttempt(ctx, ticket, decision, at)
+}
+
+// readAhead sends a substitute and reads its first part. It returns 0 if there is one.
+func (x *exchange) readAhead(a *attempt) sendResult {
+	limit, _ := x.quietLimits()
+	quiet := time.AfterFunc(limit, func() { x.g.opts.Admission.RecordQuiet(a.ticket) })
+	defer quiet.Stop()
+	if result := a.open(); result != 0 {
+		return result
 	}
-	if ctx.Err() != nil {
-		a.discard()
-		a.log("substitute cancelled")
-		return nil, false
+	p, result := a.next()
+	if result == 0 {
+		a.ahead = &p
 	}
-	a.finish(result)
-	a.log("substitute failed", zap.Stringer("result", result), logfield.Error(a.err))
-	return nil, false
+	return result
 }
 
 // discard ends a substitute whose part is not delivered.
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -104,6 +104,10 @@
 		p.put(c, unusedIdleTimeout(c))
 		return nil, &SendError{Stage: NotSent, Reused: c.reused, Err: ErrWithdrawn}
 	}
+	if ctx.Err() != nil {
+		p.put(c, unusedIdleTimeout(c))
+		return nil, &SendError{Stage: NotSent, Reused: c.reused, Err: context.Cause(ctx)}
+	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Monitor != nil {
 		r.Monitor.conn.Store(c)
