daemon/gateway, gateway: Answer the requests that are in progress at the end of a graceful stop

A router that had 400 ms of its grace period left closed its listeners, waited 200 ms for the connections in use, and ended with the requests that were left. Their clients got a closed connection, although a status could have told them whether the request may have run.

A request that was not sent to a server is refused with 503 and a retry time, one that may have run gets 502, and a stream that was begun is cut and counted with the cause "stopping".

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
@@ -27,6 +28,8 @@
 	owners Owners
 	// queued is signalled when a request starts to wait.
 	queued chan struct{}
+	// sendsStopped makes MaySend return false.
+	sendsStopped atomic.Bool
 }
 
 // NewController returns a controller for a core. If owners is nil, grants need no confirmation.
@@ -124,8 +127,15 @@
 	return c.core.Announce(time.Now(), t, a)
 }
 
+// StopSends forbids all further sends. Without it, the end of requests in progress would grant waiting requests that
+// cannot be completed any more.
+func (c *Controller) StopSends() { c.sendsStopped.Store(true) }
+
 // MaySend reports whether a granted request may still be sent to its server.
 func (c *Controller) MaySend(t *Ticket) bool {
+	if c.sendsStopped.Load() {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.core.MaySend(time.Now(), t)
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -102,6 +102,7 @@
 func (n *Node) newServer(name string, l net.Listener, h http.Handler) *server {
 	return &server{name: name, listener: l, http: &http.Server{
 		Handler:           h,
+		BaseContext:       func(net.Listener) context.Context { return n.serving },
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(n.log.Named("http")),
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -81,6 +81,9 @@
 	registry *prometheus.Registry
 	routers  atomic.Pointer[map[string]discovery.Router]
 	draining atomic.Bool
+	// serving is the parent of all requests' contexts. endRequests ends it.
+	serving     context.Context
+	endRequests context.CancelCauseFunc
 	// restored is signalled when the store has come back from an older copy.
 	restored chan struct{}
 	// lastCachedParts holds the cached prompt parts of the last report. Only the reporting goroutine uses it.
@@ -128,6 +131,7 @@
 		restored:      make(chan struct{}, 1),
 		suspension:    newSuspension(),
 	}
+	n.serving, n.endRequests = context.WithCancelCause(context.Background())
 	core := admission.New(admission.Options{
 		Domain:      settings.FailureDomain,
 		ShareWindow: settings.Bounds.ShareWindow,
@@ -280,7 +284,7 @@
 	cancel()
 	select {
 	case <-registered:
-	case <-time.After(closeMargin / 2):
+	case <-time.After(unregisterTime):
 	}
 	return nil
 }
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -46,6 +46,7 @@
 // testNode is a router that runs in the test's process.
 type testNode struct {
 	*Node
+	t    *testing.T
 	path string
 	stop context.CancelFunc
 	done chan error
@@ -110,7 +111,7 @@
 "bounds":{"graceS":2,"revokeMs":2500,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
 		name, loopbackAddress(ports.Front), loopbackAddress(ports.Readiness), loopbackAddress(ports.Directory),
 		ports.Peer, ports.Peer+2, cores, f.storeAddress)
-	n := &testNode{path: filepath.Join(f.t.TempDir(), name+".yaml"), done: make(chan error, 1)}
+	n := &testNode{t: f.t, path: filepath.Join(f.t.TempDir(), name+".yaml"), done: make(chan error, 1)}
 	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
@@ -107,9 +108,15 @@
 	}
 }
 
-// handleContextEnd ends a request whose client has disconnected or whose deadline has passed.
+// ErrStopping is the cancellation cause of the requests that are still in progress when the router stops.
+var ErrStopping = errors.New("router stops")
+
+// handleContextEnd ends a request whose client has disconnected or whose deadline has passed, or that the router cannot
+// complete before it stops.
 func (x *exchange) handleContextEnd(ctx context.Context) {
 	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		x.endStopping()
 	case context.Cause(ctx) != errDeadline:
 		x.log("client-left")
 		panic(http.ErrAbortHandler)
@@ -122,6 +129,18 @@
 	}
 }
 
+// endStopping ends a request that cannot be completed before the router stops.
+func (x *exchange) endStopping() {
+	switch {
+	case x.stream.started:
+		x.abort(cutStopping)
+	case !x.mayHaveRun():
+		x.refuse(refusalStopping, retryAfterUnavailable)
+	default:
+		x.failWithStatus(http.StatusBadGateway, "router stops")
+	}
+}
+
 // failWithStatus responds that the request failed and may have run.
 func (x *exchange) failWithStatus(status int, reason string) {
 	platform.EncodeRouterResponse(x.w.Header(), x.metadata.ID, 0)
@@ -138,6 +157,8 @@
 	cutDeadline cutCause = "deadline"
 	// cutServerFailed means that the server did not complete the response and that no other server could continue it.
 	cutServerFailed cutCause = "server-failed"
+	// cutStopping means that the router stopped before the response was complete.
+	cutStopping cutCause = "stopping"
 	// cutBodyIncomplete means that the rest of a long body did not arrive.
 	cutBodyIncomplete cutCause = "body-incomplete"
 )
