offload, gateway: Respond to forwarded requests that the other router leaves without a response

A router that passes connections on closed the client's connection when the other router closed its own without a byte of a response: one that is killed, or that stops while the connection waits to be accepted. The client could not tell whether its request may have run. Now it gets 502; a request of which nothing was sent is refused. The request is not sent to a third router, since the other one may have run it. A client that has left gets nothing, as before.

EndForwarding ends the forwarded connections of a router that stops in the same way. An inspected request for which the HTTP server is already shut down is refused instead of being closed.

Before, TestForwardedRequestWithoutAResponseFails and TestInspectedRequestIsRefusedAfterTheShutdown failed with "unexpected EOF". TestEarlyResponseOfTheOtherRouterReachesTheClient passed before, too; it guards the end of the copying that was changed.

--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -106,6 +106,9 @@
 	o.node.gateway.RefuseOverloaded(w, r)
 }
 
+// Fail implements offload.Policy.
+func (o *offloader) Fail(w http.ResponseWriter, r *http.Request) { o.node.gateway.FailForwarded(w, r) }
+
 // Record implements offload.Policy.
 func (o *offloader) Record(a offload.Action) {
 	switch a {
--- a/internal/transport/gateway/offload.go
+++ b/internal/transport/gateway/offload.go
@@ -32,6 +32,12 @@
 	}
 }
 
+// FailForwarded responds to a request that was forwarded to a router which closed the connection without a response. The
+// request may have run.
+func (g *Gateway) FailForwarded(w http.ResponseWriter, r *http.Request) {
+	g.newExchange(w, r).failWithStatus(http.StatusBadGateway, "no response of the router")
+}
+
 // spread returns a random time within 30% of d, so that refused clients do not all return at once.
 func spread(d time.Duration) time.Duration {
 	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(d))
--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
@@ -18,47 +22,97 @@
 
 var buffers = sync.Pool{New: func() any { return new(buffer) }}
 
+// forwardResult is how the forwarding of a connection ended.
+type forwardResult int
+
+const (
+	// forwardEnded means that the other router has responded or that the client has left.
+	forwardEnded forwardResult = iota
+	// forwardUnreachable means that nothing reached the other router. The connection is unchanged.
+	forwardUnreachable
+	// forwardNoResponse means that the other router may have run the request and sent no response.
+	forwardNoResponse
+)
+
 // forward passes a connection on to another router, beginning with the bytes that were read from it, until one side
-// closes it. It returns false if the router could not be reached; the connection is then unchanged. buf contains head.
-func (i *Inspector) forward(client net.Conn, target string, head []byte, buf *buffer) bool {
-	i.forwarded.Add(1)
-	defer i.forwarded.Add(-1)
+// closes it. The client's connection is closed only if the result is forwardEnded. buf contains head. It returns how many
+// bytes were read from the client meanwhile.
+func (i *Inspector) forward(client net.Conn, target string, head []byte, buf *buffer) (forwardResult, int64) {
 	router, err := i.opts.Dial(context.Background(), "tcp4", target)
 	if err != nil {
-		return false
+		return forwardUnreachable, 0
+	}
+	defer func() { _ = router.Close() }()
+	if n, err := router.Write(head); err != nil && n == 0 {
+		return forwardUnreachable, 0
 	}
 	i.opts.Policy.Record(Forward)
 	sockopt.Apply(client)
-	if _, err := router.Write(head); err == nil {
-		go copyRequest(router, client)
-		copyBytes(client, router, buf)
+	removeStop := context.AfterFunc(i.stopping, func() { _ = router.Close() })
+	defer removeStop()
+	request := startRequestCopy(router, client)
+	response := copyBytes(client, router, buf)
+	if response.copied == 0 && !request.stop(client) {
+		return forwardNoResponse, request.copied
 	}
-	_ = router.Close()
 	_ = client.Close()
-	return true
+	return forwardEnded, 0
+}
+
+// requestCopy copies the rest of a request to the other router.
+type requestCopy struct {
+	done chan struct{}
+	// copied and clientLeft are set when done is closed.
+	copied     int64
+	clientLeft bool
+}
+
+// startRequestCopy starts to copy. If the client leaves, the connection to the router is closed.
+func startRequestCopy(router, client net.Conn) *requestCopy {
+	c := &requestCopy{done: make(chan struct{})}
+	go func() {
+		defer close(c.done)
+		buf := buffers.Get().(*buffer)
+		defer buffers.Put(buf)
+		result := copyBytes(router, client, buf)
+		c.copied = result.copied
+		c.clientLeft = result.readErr != nil && !errors.Is(result.readErr, os.ErrDeadlineExceeded)
+		if c.clientLeft {
+			_ = router.Close()
+		}
+	}()
+	return c
+}
+
+// stop ends the copying and reports whether the client has left.
+func (c *requestCopy) stop(client net.Conn) (clientLeft bool) {
+	if client.SetReadDeadline(time.Now()) != nil {
+		return true
+	}
+	<-c.done
+	return c.clientLeft
 }
 
-// copyRequest copies the rest of the request to the other router. Then it closes the connection to the router, because
-// the client has left.
-func copyRequest(router, client net.Conn) {
-	buf := buffers.Get().(*buffer)
-	defer buffers.Put(buf)
-	copyBytes(router, client, buf)
-	_ = router.Close()
+// copyResult is how much was copied and, if reading ended it, the error.
+type copyResult struct {
+	copied  int64
+	readErr error
 }
 
 // copyBytes copies until one side is closed. It does not use io.Copy, which on Linux moves the bytes through a pipe; for
 // short messages this takes more system calls.
-func copyBytes(to, from net.Conn, buf *buffer) {
+func copyBytes(to, from net.Conn, buf *buffer) copyResult {
+	var copied int64
 	for {
 		n, err := from.Read(buf[:])
+		copied += int64(n)
 		if n > 0 {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
-				return
+				return copyResult{copied: copied}
 			}
 		}
 		if err != nil {
-			return
+			return copyResult{copied: copied, readErr: err}
 		}
 	}
 }
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -41,6 +41,8 @@
 	Decide(r *http.Request) Decision
 	// Refuse writes a response with a status of 400 or above and no body.
 	Refuse(w http.ResponseWriter, r *http.Request)
+	// Fail writes a response with a status of 500 or above and no body, which says that the request may have run.
+	Fail(w http.ResponseWriter, r *http.Request)
 	// Record is called with the action that was taken.
 	Record(a Action)
 }
@@ -61,10 +63,20 @@
 	served    *queueListener
 	port      *portListener
 	forwarded atomic.Int64
+	// stopping ends the connections to other routers. EndForwarding ends it.
+	stopping      context.Context
+	endForwarding context.CancelFunc
 }
 
 // New returns an inspector.
-func New(opts Options) *Inspector { return &Inspector{opts: opts} }
+func New(opts Options) *Inspector {
+	i := &Inspector{opts: opts}
+	i.stopping, i.endForwarding = context.WithCancel(context.Background())
+	return i
+}
+
+// EndForwarding ends all forwarded connections. Clients that have received nothing get a response.
+func (i *Inspector) EndForwarding() { i.endForwarding() }
 
 // Forwarded returns the number of connections that are being forwarded.
 func (i *Inspector) Forwarded() int { return int(i.forwarded.Load()) }
@@ -122,18 +134,36 @@
 	}
 	r, err := parseRequest(head)
 	if !complete || err != nil {
-		i.serve(conn, head) // the HTTP server responds to headers that are invalid or too long
+		if !i.serve(conn, head) { // the HTTP server responds to headers that are invalid or too long
+			_ = conn.Close()
+		}
 		return
 	}
 	r.RemoteAddr = conn.RemoteAddr().String()
-	decision := i.opts.Policy.Decide(r)
-	switch {
-	case decision.Action == Serve:
-		i.serve(conn, head)
-	case decision.Action == Forward && i.forward(conn, decision.Target, head, buf):
-		// The other router has responded, or the client has left.
+	i.carryOut(i.opts.Policy.Decide(r), conn, r, head, buf)
+}
+
+// carryOut carries out a decision about a connection. head is what was read from it.
+func (i *Inspector) carryOut(decision Decision, conn net.Conn, r *http.Request, head []byte, buf *buffer) {
+	bodyBytes := int64(len(head) - bytes.Index(head, headerEnd) - len(headerEnd))
+	switch decision.Action {
+	case Serve:
+		if !i.serve(conn, head) {
+			i.refuse(conn, r, buf, bodyBytes)
+		}
+	case Forward:
+		i.forwarded.Add(1)
+		defer i.forwarded.Add(-1)
+		result, read := i.forward(conn, decision.Target, head, buf)
+		switch result {
+		case forwardUnreachable:
+			i.refuse(conn, r, buf, bodyBytes)
+		case forwardNoResponse:
+			i.respond(conn, r, buf, bodyBytes+read, i.opts.Policy.Fail)
+		case forwardEnded:
+		}
 	default:
-		i.refuse(conn, r, buf, len(head))
+		i.refuse(conn, r, buf, bodyBytes)
 	}
 }
 
@@ -148,13 +178,15 @@
 // readers holds readers of headers.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 
-// serve leaves a connection to this router's HTTP server, which reads head first.
-func (i *Inspector) serve(conn net.Conn, head []byte) {
-	i.opts.Policy.Record(Serve)
+// serve leaves a connection to this router's HTTP server, which reads head first. It returns false if the server has been
+// shut down.
+func (i *Inspector) serve(conn net.Conn, head []byte) bool {
 	sockopt.Apply(conn)
 	if !i.served.put(&prefixedConn{Conn: conn, prefix: slices.Clone(head)}) {
-		_ = conn.Close()
+		return false
 	}
+	i.opts.Policy.Record(Serve)
+	return true
 }
 
 // headerEnd ends the header of a request.
--- /dev/null
+++ b/internal/transport/offload/noresponse_test.go
@@ -0,0 +1,84 @@
+package offload
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a client that gets a closed connection because the other router closed its own without a response, as
+// one that stops or is killed does.
+func TestForwardedRequestWithoutAResponseFails(t *testing.T) {
+	g := NewWithT(t)
+	other := startRouter(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		panic(http.ErrAbortHandler)
+	})
+	address, i := start(t, &testPolicy{decision: Decision{Action: Forward, Target: other}}, http.HandlerFunc(echo))
+	resp, _ := exchange(t, address, requestText("x"))
+	g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), "the other router may have run the request")
+	g.Expect(resp.Header.Get("Attempt-Id")).To(Equal("7"))
+	g.Expect(resp.Close).To(BeTrue())
+	g.Eventually(i.Forwarded, "2s").Should(BeZero())
+}
+
+// Guards against a router that stops and closes the connections of requests that it passed on, without a response.
+func TestForwardedRequestsGetAResponseWhenTheRouterStops(t *testing.T) {
+	g := NewWithT(t)
+	arrived, left := make(chan struct{}), make(chan struct{})
+	other := startRouter(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(arrived)
+		<-r.Context().Done()
+		close(left)
+	})
+	address, i := start(t, &testPolicy{decision: Decision{Action: Forward, Target: other}}, http.HandlerFunc(echo))
+	go func() {
+		<-arrived
+		i.EndForwarding()
+	}()
+	resp, _ := exchange(t, address, requestText("x"))
+	g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	g.Eventually(left, "500ms").Should(BeClosed())
+	g.Eventually(i.Forwarded, "2s").Should(BeZero())
+}
+
+// Guards against a response that the client loses because its connection is reset while it still sends the body.
+func TestEarlyResponseOfTheOtherRouterReachesTheClient(t *testing.T) {
+	g := NewWithT(t)
+	other := startRouter(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	address, _ := start(t, &testPolicy{decision: Decision{Action: Forward, Target: other}}, http.HandlerFunc(echo))
+	conn := dial(t, address)
+	// Small buffers make the client's writes wait for the router's reads.
+	g.Expect(conn.(*net.TCPConn).SetWriteBuffer(4 << 10)).To(Succeed())
+	go func() { _, _ = io.WriteString(conn, requestText(strings.Repeat("b", 4<<20))) }()
+	time.Sleep(100 * time.Millisecond) // the response arrives while the body is being sent
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+}
+
+// Guards against an inspected request that is dropped because the HTTP server has been shut down meanwhile.
+func TestInspectedRequestIsRefusedAfterTheShutdown(t *testing.T) {
+	g := NewWithT(t)
+	address, i := start(t, &testPolicy{decision: Decision{Action: Serve}}, http.HandlerFunc(echo))
+	conn := dial(t, address)
+	text := requestText("x")
+	_, err := io.WriteString(conn, text[:10])
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond) // the inspection has begun
+	g.Expect(i.served.Close()).To(Succeed())
+	_, err = io.WriteString(conn, text[10:])
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+}
--- a/internal/transport/offload/offload_test.go
+++ b/internal/transport/offload/offload_test.go
@@ -35,6 +35,11 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+func (p *testPolicy) Fail(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.WriteHeader(http.StatusBadGateway)
+}
+
 // start starts an HTTP server behind an inspector, and returns its address.
 func start(t testing.TB, p *testPolicy, h http.Handler) (string, *Inspector) {
 	t.Helper()
--- a/internal/transport/offload/refuse.go
+++ b/internal/transport/offload/respond.go
@@ -7,17 +7,21 @@
 	"time"
 )
 
-// bodyTimeout bounds the time to read the rest of a refused request's body.
+// bodyTimeout bounds the time to read the rest of a request's body after the response.
 const bodyTimeout = time.Second
 
-// refuse sends the policy's refusal, reads the rest of the request's body, and closes the connection. A connection that
-// is closed with unread bytes is reset, and the client might lose the response. buf contains the header and its length
-// is read.
-func (i *Inspector) refuse(conn net.Conn, r *http.Request, buf *buffer, read int) {
-	defer func() { _ = conn.Close() }()
+// refuse sends the policy's refusal. read is how much of the body was read.
+func (i *Inspector) refuse(conn net.Conn, r *http.Request, buf *buffer, read int64) {
 	i.opts.Policy.Record(Refuse)
-	w := &refusal{header: make(http.Header)}
-	i.opts.Policy.Refuse(w, r)
+	i.respond(conn, r, buf, read, i.opts.Policy.Refuse)
+}
+
+// respond sends the response that handler writes, reads the rest of the request's body, and closes the connection. A
+// connection that is closed with unread bytes is reset, and the client might lose the response.
+func (i *Inspector) respond(conn net.Conn, r *http.Request, buf *buffer, read int64, handler http.HandlerFunc) {
+	defer func() { _ = conn.Close() }()
+	w := &bodylessResponse{header: make(http.Header)}
+	handler(w, r)
 	resp := http.Response{StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true, Request: r}
 	var text bytes.Buffer
 	if err := resp.Write(&text); err != nil {
@@ -26,8 +30,7 @@
 	if _, err := conn.Write(text.Bytes()); err != nil {
 		return
 	}
-	bodyStart := bytes.Index(buf[:read], headerEnd) + len(headerEnd)
-	discardBody(conn, buf, r, int64(read-bodyStart))
+	discardBody(conn, buf, r, read)
 }
 
 // discardBody reads the rest of a request's body of which some bytes were read already. The end of a body without a
@@ -48,17 +51,17 @@
 	}
 }
 
-// refusal is the http.ResponseWriter of a response without a body.
-type refusal struct {
+// bodylessResponse is the http.ResponseWriter of a response without a body.
+type bodylessResponse struct {
 	header http.Header
 	status int
 }
 
 // Header implements http.ResponseWriter.
-func (w *refusal) Header() http.Header { return w.header }
+func (w *bodylessResponse) Header() http.Header { return w.header }
 
-// Write implements http.ResponseWriter. A refusal has no body.
-func (w *refusal) Write([]byte) (int, error) { return 0, http.ErrBodyNotAllowed }
+// Write implements http.ResponseWriter. The response has no body.
+func (w *bodylessResponse) Write([]byte) (int, error) { return 0, http.ErrBodyNotAllowed }
 
 // WriteHeader implements http.ResponseWriter.
-func (w *refusal) WriteHeader(status int) { w.status = status }
+func (w *bodylessResponse) WriteHeader(status int) { w.status = status }
