daemon/gateway: Answer the passed requests that are in progress at the end of a graceful stop

A router that stops ended with its forwarded connections, whose clients got a closed connection. They now get 502 if nothing of the response has arrived, and the other router is told, which cancels the run. The shutdown waits until these responses are written.

Before, TestGracefulStopAnswersUnfinishedPassedRequests failed with "requests in progress when the process ends: Expected <int>: 1 to be zero-valued".

--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -24,6 +24,8 @@
 	unregisterTime  = 100 * time.Millisecond
 	// drainPollPeriod is the time between checks for requests in progress.
 	drainPollPeriod = 50 * time.Millisecond
+	// forwardPollPeriod is the time between checks for forwarded connections while the listeners are shut down.
+	forwardPollPeriod = 5 * time.Millisecond
 )
 
 // drain stops serving. Requests that can end within the grace period are completed. The others get a response that tells
@@ -54,6 +56,7 @@
 		n.log.Info("ending requests", zap.Int("active", unfinished))
 		n.admission.StopSends()
 		n.endRequests(gateway.ErrStopping)
+		n.offload.inspector.EndForwarding()
 		n.shutdown(servers, finalResponses)
 	}
 	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.activeRequests()))
@@ -73,6 +76,9 @@
 		})
 	}
 	shutdowns.Wait()
+	for ctx.Err() == nil && n.offload.inspector.Forwarded() > 0 {
+		time.Sleep(forwardPollPeriod)
+	}
 }
 
 // activeRequests returns the number of requests in progress, those that were passed on to other routers included.
--- a/internal/daemon/gateway/drain_test.go
+++ b/internal/daemon/gateway/drain_test.go
@@ -56,3 +56,23 @@
 	g.Eventually(bodies, "100ms").Should(Receive(ContainSubstring("unexpected EOF")))
 	g.Expect(n.cutResponses()).To(Equal(map[string]float64{"stopping": 1}))
 }
+
+// Guards against a graceful stop that closes the connections of requests which were passed on and have no response.
+func TestGracefulStopAnswersUnfinishedPassedRequests(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	small, large := f.startOverloaded()
+	f.engines[0].SetMode(platformengine.Hang)
+	statuses := make(chan int, 1)
+	before := large.gateway.TotalRequests()
+	go func() {
+		status, _ := small.call("/digest/x", "unfinished", "farm-key")
+		statuses <- status
+	}()
+	g.Eventually(func() int64 { return large.gateway.TotalRequests() - before }, "1s").Should(BeEquivalentTo(1))
+	small.stop()
+	g.Eventually(small.done, "3s").Should(Receive(BeNil()))
+	g.Expect(small.activeRequests()).To(BeZero(), "requests in progress when the process ends")
+	g.Eventually(statuses, "100ms").Should(Receive(Equal(http.StatusBadGateway)))
+	g.Eventually(f.engines[0].Cancelled, "1s").Should(Equal(1), "the server is told")
+}
