gateway: Give the end of a stream its own write deadline

The deadline of a write to the client was set for each event and stayed set after it. If the server ended the stream more than 5 s after its last event, the final chunk could not be written any more: the connection was closed, and the client took a whole stream for an incomplete one, while the log said "answered". The deadline now starts again at the end.

--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -29,8 +29,7 @@
 	x.stream.sequence = a.position.sequence
 	x.stream.eventsSent++
 	controller := http.NewResponseController(x.w)
-	// The response recorders of tests do not support write deadlines.
-	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	extendWriteDeadline(controller)
 	if _, err := x.w.Write(event.Raw); err != nil {
 		return x.clientDisconnected(err)
 	}
@@ -46,10 +45,17 @@
 // deliverEnd ends an event stream.
 func (x *exchange) deliverEnd(a *attempt) sendResult {
 	x.writeStreamHeader(a)
+	extendWriteDeadline(http.NewResponseController(x.w))
 	x.recordAnswered(http.StatusOK)
 	return sendAnswered
 }
 
+// extendWriteDeadline starts the time for the next write to the client.
+func extendWriteDeadline(controller *http.ResponseController) {
+	// The response recorders of tests do not support write deadlines.
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // writeStreamHeader sends the response header of the first server. Later calls do nothing.
 func (x *exchange) writeStreamHeader(a *attempt) {
 	if x.stream.started {
