daemon/gateway: Handle SIGHUP from the start of the process to its end

The handler of SIGHUP was installed by the goroutine that watches the settings, after the listeners had been opened, and removed when the drain was over. A SIGHUP before or after that ended the process, with the connections that it had accepted. The signal is now handled before the settings are read, and until the process has ended.

--- a/internal/daemon/gateway/main.go
+++ b/internal/daemon/gateway/main.go
@@ -14,6 +14,9 @@
 // Main runs a router on the platform until SIGTERM or SIGINT. The platform passes the path of the settings file in the
 // environment variable platform.SettingsVariable.
 func Main(ctx context.Context) error {
+	// Without a handler, SIGHUP ends the process. It may come before the settings have been read.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errors.Errorf("%s is not set", platform.SettingsVariable)
@@ -30,5 +33,6 @@
 	if err != nil {
 		return err
 	}
+	node.hangup = hangup
 	return node.Run(ctx, path)
 }
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -81,6 +82,8 @@
 	registry *prometheus.Registry
 	routers  atomic.Pointer[map[string]discovery.Router]
 	draining atomic.Bool
+	// hangup receives SIGHUP. If it is nil, the settings are reloaded only periodically.
+	hangup <-chan os.Signal
 	// serving is the parent of all requests' contexts. endRequests ends it.
 	serving     context.Context
 	endRequests context.CancelCauseFunc
--- a/internal/daemon/gateway/reload.go
+++ b/internal/daemon/gateway/reload.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,18 +13,15 @@
 // reloadPeriod is how often the settings file is read without a signal, because it may change without one.
 const reloadPeriod = 2 * time.Second
 
-// watchSettings reloads the settings periodically and on SIGHUP, which would end the process without a handler.
+// watchSettings reloads the settings periodically and on SIGHUP.
 func (n *Node) watchSettings(ctx context.Context, path string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(reloadPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-n.hangup:
 			n.log.Info("reload", zap.String("cause", "SIGHUP"))
 		case <-ticker.C:
 		}
