gateway: Count every cut response, and by its true cause

The counter of cut responses counted a client that left in the middle of a long body, and a long body that passed the deadline, as "body-incomplete". It did not count panics, and connections that were closed because the client had not read for 5 s, which the log gave as "client-left". Long bodies are now counted by the cause of their context's end, and the causes "client-blocked" and "panic" are new. What concerns cut responses is in a file of its own.

--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gooseberrytide.example/gooseberrytide/internal/protocol/eventstream"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
@@ -66,9 +69,13 @@
 	x.w.WriteHeader(http.StatusOK)
 }
 
-// clientDisconnected ends an exchange after a write to the client has failed.
+// clientDisconnected ends an exchange after a write to the client has failed. The HTTP server then closes the connection.
 func (x *exchange) clientDisconnected(err error) sendResult {
 	x.lastErr = err
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.recordCut(cutClientBlocked)
+		return sendClientDisconnected
+	}
 	x.log("client-left")
 	return sendClientDisconnected
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -180,7 +180,7 @@
 		at := position{started: x.stream.started, sequence: x.stream.sequence}
 		result := x.run(ctx, x.newAttempt(ctx, ticket, decision, at))
 		if result == sendIncomplete {
-			x.abort(cutBodyIncomplete)
+			x.endIncomplete(ctx)
 		}
 		if result.final() {
 			return
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -81,7 +81,9 @@
 	if g.draining.Load() || g.movingClients.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	g.newExchange(w, r).serve()
+	x := g.newExchange(w, r)
+	defer x.recordPanic()
+	x.serve()
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -149,28 +149,6 @@
 		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
 }
 
-// cutCause is the cause for which a connection is closed without a complete response.
-type cutCause string
-
-const (
-	// cutDeadline means that the client's deadline or the route's timeout passed.
-	cutDeadline cutCause = "deadline"
-	// cutServerFailed means that the server did not complete the response and that no other server could continue it.
-	cutServerFailed cutCause = "server-failed"
-	// cutStopping means that the router stopped before the response was complete.
-	cutStopping cutCause = "stopping"
-	// cutBodyIncomplete means that the rest of a long body did not arrive.
-	cutBodyIncomplete cutCause = "body-incomplete"
-)
-
-// abort closes the connection of a response that has been sent in part, so that the client cannot take it for complete.
-func (x *exchange) abort(cause cutCause) {
-	x.g.opts.Metrics.CutResponses.WithLabelValues(string(cause)).Inc()
-	x.log("cut", zap.String("reason", string(cause)), zap.Int("events", x.stream.eventsSent),
-		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
-	panic(http.ErrAbortHandler)
-}
-
 func statusClass(status int) string {
 	switch {
 	case status < 300:
