--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -40,7 +40,9 @@
 	store        *platformstore.Store
 	storeAddress string
 	engines      []*platformengine.Engine
-	nodes        []*testNode
+	// addresses are the addresses of engines.
+	addresses []string
+	nodes     []*testNode
 }
 
 // testNode is a router that runs in the test's process.
@@ -48,8 +50,10 @@
 	*Node
 	t    *testing.T
 	path string
-	stop context.CancelFunc
-	done chan error
+	// signals replaces the system's signals.
+	signals chan os.Signal
+	stop    context.CancelFunc
+	done    chan error
 }
 
 func newTestFleet(t *testing.T, engineCount int) *testFleet {
@@ -69,6 +73,7 @@
 			backend.Close()
 		})
 		f.engines = append(f.engines, e)
+		f.addresses = append(f.addresses, backend.Listener.Addr().String())
 		service := []string{"pool", "app"}[i%2]
 		f.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready"}`,
 			service, backend.Listener.Addr().String()))
@@ -111,7 +116,7 @@
 "bounds":{"graceS":2,"revokeMs":2500,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
 		name, loopbackAddress(ports.Front), loopbackAddress(ports.Readiness), loopbackAddress(ports.Directory),
 		ports.Peer, ports.Peer+2, cores, f.storeAddress)
-	n := &testNode{t: f.t, path: filepath.Join(f.t.TempDir(), name+".yaml"), done: make(chan error, 1)}
+	n := &testNode{t: f.t, path: filepath.Join(f.t.TempDir(), name+".yaml"), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
 	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -123,6 +128,7 @@
 		f.t.Fatal(err)
 	}
 	n.runQueueDelay = noDelay{}
+	n.hangup = n.signals
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() { n.done <- n.Run(ctx, n.path) }()
