gateway: Test the number of attempts of waiting substitutes, and slow servers of requests that are sent once

A substitute that still waits to be admitted, or for its reservation, is not counted as an attempt. If the limit passes meanwhile, a further substitute is made, and both are sent: three runs with a limit of two attempts. Both may go to the same server, since neither knows of the other.

A request that may not be sent again has a limit, too, since that is only checked when the limit has passed. Its server then counts a failure, although a response that takes more than half of the request's time is none. Two of them eject a server that works.

--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -45,6 +45,7 @@
 	// delay is the simulated wait for the processor, in nanoseconds.
 	delay   atomic.Int64
 	engines []*platformengine.Engine
+	servers []*backends.Server
 }
 
 func testConfig() *routing.Config {
@@ -107,6 +108,7 @@
 			servers = append(servers, &backends.Server{ID: id, Service: service, Address: address, Slots: 8})
 		}
 	}
+	h.servers = servers
 	h.admission.SetServers(backends.NewSet(servers))
 	h.budget = retry.NewWindowBudget(10 * time.Second)
 	h.budget.SetBounds(0.2, 50)
