gateway: Keep substitutes to the number of attempts, and sound servers in use

One is admitted at a time, and counted before the next one. - A 500 of a substitute's server was dropped, and the client got 502 (TestFailureOfASubstituteIsForwarded).

A panic in a substitute is recovered, as the HTTP server does for the request.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -69,7 +69,7 @@
 	body  *bufferedResponse
 }
 
-// newAttempt prepares the send for an admission decision.
+// newAttempt prepares the send for an admission decision, and records it.
 func (x *exchange) newAttempt(
 	ctx context.Context, ticket *admission.Ticket, decision admission.Decision, at position,
 ) *attempt {
@@ -80,12 +80,12 @@
 		x: x, ticket: ticket, decision: decision, admissionWait: time.Since(x.arrival), position: at,
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	x.sends.begin(decision.Server.ID)
 	return a
 }
 
 // open sends the request and reads the header of the response. It returns 0 if the server runs the request.
 func (a *attempt) open() sendResult {
-	a.x.sends.begin(a.decision.Server.ID)
 	resp, err := a.x.g.opts.Pool.Do(a.ctx, a.upstreamRequest())
 	if err != nil {
 		return a.handleNoResponse(err)
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,8 @@
 	deadline time.Time
 
 	sends sends
+	// admitting is locked while a substitute waits for its admission. Its send is recorded before the next one is admitted.
+	admitting sync.Mutex
 	// current is the last attempt, without the substitutes that have not delivered. It is nil before the first one.
 	current *attempt
 	// timeToFirst is the time from the arrival to the first event or the response, in nanoseconds.
@@ -58,7 +61,7 @@
 	stream streamState
 	// failureResponse is a server's response with a status of 500 or above. It is sent to the client if no other server
 	// returns a valid response.
-	failureResponse *bufferedResponse
+	failureResponse atomic.Pointer[bufferedResponse]
 	// lastErr is the cause of the last failed send.
 	lastErr error
 	// retryDenied is why the request was not sent again after its last failed send.
--- a/internal/transport/gateway/forward.go
+++ b/internal/transport/gateway/forward.go
@@ -35,7 +35,7 @@
 		x.lastErr = a.err
 	}
 	if a.failureResponse != nil {
-		x.failureResponse = a.failureResponse
+		x.failureResponse.Store(a.failureResponse)
 	}
 }
 
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -35,13 +35,21 @@
 		FirstLimit:  first,
 		PauseLimit:  pause,
 		Unread:      a.monitor.Unread,
-		OnQuiet:     func() { x.g.opts.Admission.RecordQuiet(a.ticket) },
+		OnQuiet:     func() { x.recordQuiet(a) },
 		Substitute:  x.substitute,
 		Discard:     func(s *attempt) { s.discard() },
 		CancelFirst: func() { a.cancel(errReplaced) },
 	})
 }
 
+// recordQuiet reports to the admission controller that the server of an attempt is quiet. The limit is below the time that
+// requests which may not be sent again are given, so those do not count.
+func (x *exchange) recordQuiet(a *attempt) {
+	if x.sends.mayRunAgain(x.route.MaxAttempts) {
+		x.g.opts.Admission.RecordQuiet(a.ticket)
+	}
+}
+
 // quietLimits returns the times after which an attempt is quiet: before the first part of its response, and after it. They
 // are 0 if no substitute may be made.
 func (x *exchange) quietLimits() (first, pause time.Duration) {
@@ -58,7 +66,15 @@
 
 // substitute makes an attempt at another server, and at a further one if that did not run the request. It returns the
 // attempt with its first part, or false if there is no permit for it or if it failed.
-func (x *exchange) substitute(ctx context.Context, at position) (*attempt, bool) {
+func (x *exchange) substitute(ctx context.Context, at position) (a *attempt, ok bool) {
+	// The HTTP server recovers panics only in the goroutine of the request.
+	defer func() {
+		if value := recover(); value != nil {
+			x.g.opts.Log.Error("panic in a substitute", zap.String("request", x.metadata.ID), zap.Any("panic", value),
+				zap.Stack("stack"))
+			a, ok = nil, false
+		}
+	}()
 	for {
 		a := x.admitSubstitute(ctx, at)
 		if a == nil {
@@ -75,6 +91,9 @@
 			return nil, false
 		}
 		a.finish(result)
+		if a.failureResponse != nil {
+			x.failureResponse.Store(a.failureResponse)
+		}
 		a.log("substitute failed", zap.Stringer("result", result), logfield.Error(a.err))
 		if result.mayHaveRun() {
 			return nil, false
@@ -83,8 +102,12 @@
 }
 
 // admitSubstitute prepares a substitute if the number of attempts, the retry budget and the admission permit one. Otherwise
-// it returns nil.
+// it returns nil, and also while another substitute waits for its admission.
 func (x *exchange) admitSubstitute(ctx context.Context, at position) *attempt {
+	if !x.admitting.TryLock() {
+		return nil
+	}
+	defer x.admitting.Unlock()
 	if !x.sends.mayRunAgain(x.route.MaxAttempts) || !x.g.opts.RetryBudget.Available(time.Now(), x.service.Name) {
 		return nil
 	}
@@ -102,7 +125,7 @@
 // readAhead sends a substitute and reads its first part. It returns 0 if there is one.
 func (x *exchange) readAhead(a *attempt) sendResult {
 	limit, _ := x.quietLimits()
-	quiet := time.AfterFunc(limit, func() { x.g.opts.Admission.RecordQuiet(a.ticket) })
+	quiet := time.AfterFunc(max(limit, minQuiet), func() { x.recordQuiet(a) })
 	defer quiet.Stop()
 	if result := a.open(); result != 0 {
 		return result
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -92,12 +92,13 @@
 // fail writes the final response after a failed send that is not retried.
 func (x *exchange) fail(result sendResult) {
 	mayHaveRun := x.mayHaveRun()
+	failure := x.failureResponse.Load()
 	switch {
 	case x.stream.started:
 		x.abort(cutServerFailed)
-	case x.failureResponse != nil:
-		if x.failureResponse.write(x) {
-			x.recordAnswered(x.failureResponse.status)
+	case failure != nil:
+		if failure.write(x) {
+			x.recordAnswered(failure.status)
 		}
 	case !mayHaveRun && result == sendNotExecuted:
 		x.refuse(refusalFull, retryAfterShortage)
--- a/internal/transport/gateway/silence_test.go
+++ b/internal/transport/gateway/silence_test.go
@@ -128,3 +128,20 @@
 	g.Expect(resp.status).To(Equal(http.StatusOK))
 	g.Expect(h.totalRuns("no-budget")).To(Equal(1))
 }
+
+// Guards against a 502 in place of the failure that a substitute's server has returned, after the first server has broken
+// off.
+func TestFailureOfASubstituteIsForwarded(t *testing.T) {
+	g := NewWithT(t)
+	h := newScriptedHarness(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
+		select {
+		case <-time.After(2 * time.Second):
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(http.StatusInternalServerError) })
+	resp := h.do(h.request(http.MethodGet, "/lookup/x", "a1", ""))
+	g.Expect(resp.err).NotTo(HaveOccurred())
+	g.Expect(resp.status).To(Equal(http.StatusInternalServerError))
+	g.Expect(resp.header.Get("Instance-Signature")).NotTo(BeEmpty())
+}
