daemon/gateway: Respond to requests that arrive on accepted connections during the end of a stop

http.Server.Shutdown closes a connection on which a request arrives: it reads the header and returns without a response. In the last 200 ms of a stop, while other requests were in progress, requests on connections that had been accepted or kept were read and dropped in this way. Now only the listeners are closed at first. Requests on open connections are refused with 503 as in the seconds before, for 100 ms at least, and Shutdown follows when all requests have ended, to let the last responses be written.

Before, with Shutdown in the place of closeListeners, TestRequestOnAnAcceptedConnectionGetsAResponse failed with "unexpected EOF".

--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -17,15 +17,17 @@
 	acceptFraction = 0.3
 	// closeMargin is the end of the grace period that is reserved for ending requests and closing connections.
 	closeMargin = 400 * time.Millisecond
-	// Parts of closeMargin: lastCompletions is for requests that complete by themselves after the listeners are closed,
-	// finalResponses for the responses to all others, and unregisterTime for removing the router's entry.
-	lastCompletions = 100 * time.Millisecond
-	finalResponses  = 150 * time.Millisecond
-	unregisterTime  = 100 * time.Millisecond
+	// Parts of closeMargin: lastCompletions is for requests that complete by themselves, and for those on connections that
+	// were accepted last, after the listeners are closed. finalResponses is for the responses to all others,
+	// connectionsClosed for closing connections, and unregisterTime for removing the router's entry.
+	lastCompletions   = 100 * time.Millisecond
+	finalResponses    = 100 * time.Millisecond
+	connectionsClosed = 50 * time.Millisecond
+	unregisterTime    = 100 * time.Millisecond
 	// drainPollPeriod is the time between checks for requests in progress.
 	drainPollPeriod = 50 * time.Millisecond
-	// forwardPollPeriod is the time between checks for forwarded connections while the listeners are shut down.
-	forwardPollPeriod = 5 * time.Millisecond
+	// endPollPeriod is the time between these checks after the requests in progress have been ended.
+	endPollPeriod = 2 * time.Millisecond
 )
 
 // drain stops serving. Requests that can end within the grace period are completed. The others get a response that tells
@@ -51,19 +53,37 @@
 		}
 		time.Sleep(drainPollPeriod)
 	}
-	n.shutdown(servers, lastCompletions)
-	if unfinished := n.activeRequests(); unfinished > 0 {
-		n.log.Info("ending requests", zap.Int("active", unfinished))
-		n.admission.StopSends()
-		n.endRequests(gateway.ErrStopping)
-		n.offload.inspector.EndForwarding()
-		n.shutdown(servers, finalResponses)
+	n.closeListeners(servers)
+	time.Sleep(lastCompletions)
+	if active := n.activeRequests(); active > 0 {
+		n.log.Info("ending requests", zap.Int("active", active))
+		n.endActiveRequests(finalResponses)
 	}
+	n.shutdown(servers, connectionsClosed)
 	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.activeRequests()))
 }
 
-// shutdown closes the listeners and the idle connections, and waits until no connection is in use, at most for the given
-// time.
+// closeListeners closes the listeners and leaves the connections open. http.Server.Shutdown would close those on which a
+// request arrives, without a response.
+func (n *Node) closeListeners(servers []*server) {
+	for _, s := range servers {
+		if err := s.listener.Close(); err != nil {
+			n.log.Info("listener not closed", zap.String("listener", s.name), logfield.Error(err))
+		}
+	}
+}
+
+// endActiveRequests ends the requests in progress and waits until they have ended, at most for the given time.
+func (n *Node) endActiveRequests(timeout time.Duration) {
+	n.admission.StopSends()
+	n.endRequests(gateway.ErrStopping)
+	n.offload.inspector.EndForwarding()
+	for endAt := time.Now().Add(timeout); n.activeRequests() > 0 && time.Now().Before(endAt); {
+		time.Sleep(endPollPeriod)
+	}
+}
+
+// shutdown closes the connections once their responses have been written, at most in the given time.
 func (n *Node) shutdown(servers []*server, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -76,9 +96,6 @@
 		})
 	}
 	shutdowns.Wait()
-	for ctx.Err() == nil && n.offload.inspector.Forwarded() > 0 {
-		time.Sleep(forwardPollPeriod)
-	}
 }
 
 // activeRequests returns the number of requests in progress, those that were passed on to other routers included.
--- a/internal/daemon/gateway/drain_test.go
+++ b/internal/daemon/gateway/drain_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
@@ -76,3 +80,31 @@
 	g.Eventually(statuses, "100ms").Should(Receive(Equal(http.StatusBadGateway)))
 	g.Eventually(f.engines[0].Cancelled, "1s").Should(Equal(1), "the server is told")
 }
+
+// Guards against a request that arrives on an accepted connection after the listeners were closed, and is read and gets no
+// response.
+func TestRequestOnAnAcceptedConnectionGetsAResponse(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	n, err := New(f.startRouter("r-a").settings, zap.NewNop())
+	g.Expect(err).NotTo(HaveOccurred())
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	servers := []*server{n.newServer(callersListener, listener, n.gateway)}
+	accepted := make(chan http.ConnState, 10)
+	servers[0].http.ConnState = func(_ net.Conn, s http.ConnState) { accepted <- s }
+	done := make(chan error, 1)
+	go func() { done <- servers[0].run() }()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(accepted, "1s").Should(Receive(Equal(http.StateNew)))
+	n.closeListeners(servers)
+	g.Eventually(done, "1s").Should(Receive(BeNil()), "a closed listener is no error")
+	_, err = io.WriteString(conn, "POST /callout/x HTTP/1.1\r\nHost: shed.example\r\nContent-Length: 0\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	n.shutdown(servers, time.Second)
+	g.Eventually(accepted, "1s").Should(Receive(Equal(http.StateClosed)))
+}
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -38,7 +38,7 @@
 
 func (s *server) run() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Wrap(err, s.name)
