fencing, order, claim: Keep fencing numbers rising after a restore of the store

After the store came back from an older copy, engines that check fencing refused every order until the store's revision had passed the one that they had seen, and an order of an owner that had been paused before the restore was accepted after that of the present owner, with the same number.

The number was the bare revision, which a restored store gives out again. It now has an epoch in its upper bits. The epoch lies in the store with the cluster that it belongs to; a router that sees another cluster raises it above the stored one and above the one that it remembers, and a refused order makes the router read it again. A write during which the cluster changed gets no number: its order is not sent, its call is ended as not run.

--- a/internal/coordination/claim/begin.go
+++ b/internal/coordination/claim/begin.go
@@ -54,11 +54,15 @@
 	if b.m.restores.holding() {
 		return b.beginHeld(ctx)
 	}
+	epoch, err := b.m.fencing.Current(ctx)
+	if err != nil {
+		return nil, nil, &StoreError{Err: err}
+	}
 	claim, result, err := b.run(ctx)
 	if claim == nil || claim.unconfirmed {
 		return claim, result, err
 	}
-	return b.checkRestored(ctx, claim)
+	return b.checkRestored(ctx, claim, epoch)
 }
 
 // beginOperation is the state of one call of Begin.
--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -15,6 +15,8 @@
 	key      string
 	holder   holderID
 	revision kv.Revision
+	// fencingNumber is 0 for an unconfirmed claim.
+	fencingNumber int64
 	// unconfirmed reports that the store did not confirm the claim.
 	unconfirmed bool
 	// localCall is the router's in-memory record of the call, or nil.
@@ -22,14 +24,8 @@
 	ended     atomic.Bool
 }
 
-// FencingNumber returns the store revision of the claim, which is sent to the backend server as the fencing number. It
-// is 0 for an unconfirmed claim.
-func (c *Claim) FencingNumber() int64 {
-	if c.unconfirmed {
-		return 0
-	}
-	return int64(c.revision)
-}
+// FencingNumber returns the number of the claim that is sent to the backend server. It is 0 for an unconfirmed claim.
+func (c *Claim) FencingNumber() int64 { return c.fencingNumber }
 
 // Unconfirmed reports whether the call runs without a claim that the store confirmed, which only happens with
 // Call.RunOnStoreOutage.
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
@@ -57,6 +58,9 @@
 	// Cluster returns the identity of the store's data as of its latest response, or an empty text before the first. A
 	// store that was restored from a copy has another one. By default restores are not noticed.
 	Cluster func() string
+	// Fencing makes the fencing numbers from the revisions of the claims. Nil means the revisions themselves, which a
+	// restore of the store gives out again.
+	Fencing *fencing.Numbers
 	// Budget returns the number of store writes per second that this router may make.
 	Budget func() int
 	// Clock returns the current time, for budgets and expiry. The default is time.Now.
@@ -76,6 +80,7 @@
 	writeTokens *tokenBucket
 	localCalls  *localCallTable
 	restores    *restoreGuard
+	fencing     *fencing.Numbers
 	seq         atomic.Uint64
 	// unresponsiveUntil is when claims are written again after the store did not respond, in nanoseconds since 1970.
 	unresponsiveUntil atomic.Int64
@@ -109,6 +114,7 @@
 		log:         opts.Logger.Named("claim"),
 		writeTokens: newTokenBucket(opts.Budget, opts.Clock),
 		localCalls:  newLocalCallTable(),
+		fencing:     opts.Fencing,
 
 		maxReconcilingBytes: maxReconcileBodyBytes,
 		backgroundCtx:       ctx,
--- a/internal/coordination/claim/restore.go
+++ b/internal/coordination/claim/restore.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
 
@@ -305,9 +306,13 @@
 }
 
 // checkRestored ends a claim that was written while the store was found to be restored: an earlier claim of the call may
-// be lost.
-func (b *beginOperation) checkRestored(ctx context.Context, claim *Claim) (*Claim, *Result, error) {
-	if !b.m.restores.holding() {
+// be lost, and the claim's revision may be that of another one. Otherwise it gives the claim its fencing number.
+func (b *beginOperation) checkRestored(
+	ctx context.Context, claim *Claim, epoch fencing.Epoch,
+) (*Claim, *Result, error) {
+	number, err := epoch.Number(claim.revision)
+	if err == nil && !b.m.restores.holding() {
+		claim.fencingNumber = number
 		b.m.restores.remember(b.key, b.call.openRecord(b.holder))
 		return claim, nil, nil
 	}
--- a/internal/coordination/order/controller.go
+++ b/internal/coordination/order/controller.go
@@ -81,6 +81,7 @@
 	if set == nil {
 		return
 	}
+	c.learnEpoch(ctx)
 	c.untrackEngines(set)
 	semaphore := make(chan struct{}, maxParallelEngines)
 	var running sync.WaitGroup
@@ -99,6 +100,18 @@
 	running.Wait()
 }
 
+// learnEpoch reads the epoch of the fencing numbers at the start and after a restore of the store, also at routers that
+// own no engine: the more routers remember it, the surer it is raised when the store comes back from a still older copy.
+func (c *Controller) learnEpoch(ctx context.Context) {
+	if c.storeBackingOff(time.Now()) {
+		return
+	}
+	if _, err := c.opts.Fencing.Current(ctx); err != nil {
+		c.startStoreBackoff()
+		c.opts.Logger.Info("order: fencing epoch not read, will retry", zap.Error(err))
+	}
+}
+
 // Stats returns the counters.
 func (c *Controller) Stats() Stats {
 	c.mu.Lock()
--- a/internal/coordination/order/fake_test.go
+++ b/internal/coordination/order/fake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"sync"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
@@ -26,6 +28,8 @@
 	// faults holds the faults of the next writes, by key.
 	faults map[string][]writeFault
 	calls  int
+	// restores counts how often the store came back from a copy.
+	restores int
 }
 
 func newFakeStore() *fakeStore {
@@ -73,6 +77,33 @@
 	return s.revision, nil
 }
 
+// storeCopy is the data of a fakeStore at some time.
+type storeCopy struct {
+	entries  map[string]kv.Entry
+	revision kv.Revision
+}
+
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{entries: maps.Clone(s.entries), revision: s.revision}
+}
+
+// restore replaces the data by a copy, so that revisions are given out again.
+func (s *fakeStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.revision = maps.Clone(c.entries), c.revision
+	s.restores++
+}
+
+// cluster identifies the data.
+func (s *fakeStore) cluster() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("cluster-%d", s.restores)
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/order/options.go
+++ b/internal/coordination/order/options.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
@@ -33,6 +34,9 @@
 	// Self and Incarnation make the ids of order records unique.
 	Self        ident.RouterID
 	Incarnation ident.Incarnation
+	// Fencing makes the fencing numbers from the revisions of the order records. Nil means the revisions themselves, which
+	// a restore of the store gives out again.
+	Fencing *fencing.Numbers
 
 	// Interval is the time between two passes over the engines. Default 1 s.
 	Interval time.Duration
--- a/internal/coordination/order/ports.go
+++ b/internal/coordination/order/ports.go
@@ -30,7 +30,7 @@
 	Target
 	// Adapter is set for LoadAdapter, Role for ChangeRole.
 	Adapter, Role string
-	// Fence is the fencing number, the revision of the order's record.
+	// Fence is the fencing number.
 	Fence int64
 }
 
--- a/internal/coordination/order/reconcile.go
+++ b/internal/coordination/order/reconcile.go
@@ -79,6 +79,10 @@
 // issue writes the order's record and sends the order.
 func (c *Controller) issue(ctx context.Context, e *trackedEngine, generation ident.Generation) error {
 	key := keyPrefix + string(e.id)
+	epoch, err := c.opts.Fencing.Current(ctx)
+	if err != nil {
+		return err
+	}
 	last, revision, err := readRecord(ctx, c.opts.Store, key)
 	if err != nil {
 		return err
@@ -93,7 +97,7 @@
 	e.tokenID = id
 	start := time.Now()
 	r := record{ID: id, Generation: generation, Target: e.target}
-	fence, err := writeRecord(ctx, c.opts.Store, key, revision, r)
+	fence, err := writeFenced(ctx, c.opts.Store, epoch, key, revision, r)
 	if err != nil {
 		c.releaseToken(ctx, e)
 		return err
@@ -103,7 +107,7 @@
 		c.releaseToken(ctx, e)
 		return nil
 	}
-	return c.send(ctx, e, int64(fence))
+	return c.send(ctx, e, fence)
 }
 
 // send sends the order. If the answer is lost, the order stays unconfirmed until the engine's state shows its effect.
@@ -115,6 +119,7 @@
 		zap.Int64("fence", fence))
 	err := c.opts.Engines.Order(ctx, e.server, Command{Kind: LoadModel, Target: e.target, Fence: fence})
 	if errors.Is(err, ErrStale) {
+		c.opts.Fencing.Refresh()
 		c.releaseToken(ctx, e)
 	}
 	if err != nil {
--- a/internal/coordination/order/record.go
+++ b/internal/coordination/order/record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
@@ -41,7 +42,19 @@
 	return r, entry.Revision, nil
 }
 
-// writeRecord replaces the order record and returns its revision, the fencing number. If the outcome of the write is
+// writeFenced replaces the order record and returns the fencing number of its revision. It returns fencing.ErrRestored if
+// the store was restored during the write. Its other errors are those of writeRecord.
+func writeFenced(
+	ctx context.Context, store kv.Store, epoch fencing.Epoch, key string, expect kv.Revision, r record,
+) (int64, error) {
+	revision, err := writeRecord(ctx, store, key, expect, r)
+	if err != nil {
+		return 0, err
+	}
+	return epoch.Number(revision)
+}
+
+// writeRecord replaces the order record and returns its revision. If the outcome of the write is
 // uncertain, the record is read back. If that shows another record, writeRecord returns kv.ErrUncertain: the write may
 // still take effect, but the caller must not send its order, and the next compare-and-swap decides between the two
 // records.
--- a/internal/daemon/compose_callers.go
+++ b/internal/daemon/compose_callers.go
@@ -27,6 +27,7 @@
 		Incarnation: d.incarnation,
 		Budget:      quota.WritesPerSecond,
 		Cluster:     d.store.ClusterID,
+		Fencing:     d.fencing,
 		Logger:      d.log,
 	})
 	d.executor = execute.New(execute.Options{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/claim"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/dispatch"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/order"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/publish"
@@ -45,6 +46,7 @@
 
 	events          *timeline.Ring
 	store           *etcdkv.Client
+	fencing         *fencing.Numbers
 	vmList          *vmlist.Client
 	network         *peerlink.Network
 	snapshot        snapshot.Holder
@@ -185,6 +187,7 @@
 		Events:      d.events,
 		Serving:     d.serving,
 	})
+	d.fencing = fencing.New(d.store, d.store.ClusterID)
 	d.orderController = order.New(order.Options{
 		Store:       d.store,
 		Engines:     d.backends,
@@ -192,6 +195,7 @@
 		Owns:        d.ownsBackend,
 		Self:        ident.RouterID(d.settings.ID),
 		Incarnation: d.incarnation,
+		Fencing:     d.fencing,
 		Logger:      d.log,
 	})
 }
