publish: Keep an acknowledged publish when the store comes back from an older copy

After a restore `get` gave the operator the older configuration of the copy, and a publish on it took back what had been acknowledged and was in force. A publish on the generation in force was refused as a conflict with an older one. A publish that ran during the restore left a head without its chunks, or the generation of another configuration. A write in doubt was repeated on a revision that had been given out twice, over another publish. Routers that had seen a head which the store then lost stopped serving and refused publishes for ever.

All of this compared revisions and generations as if the store never went back. The head now names the cluster that it was published in. A head whose write crossed a restore is written again on top, with all chunks; a write in doubt is not repeated in another cluster and is reported as uncertain. The garbage collector stops. Routers watch from the restored store's revisions, drop a head that was read across a restore, and forget a generation that only the lost head had: no router has it in force, so it was not acknowledged. `status` tells that the configuration is to be published again, and the log has a line with both generations.

--- a/internal/coordination/publish/collect.go
+++ b/internal/coordination/publish/collect.go
@@ -16,8 +16,9 @@
 
 // CollectGarbage deletes the chunks that neither the head's version nor its past versions reference, and returns their
 // number. It is safe at any time and on several routers at once. Once an hour is enough, because each publish leaves
-// about one unreferenced chunk. Errors: kv errors, ErrCorrupt; chunks deleted before the error stay deleted.
+// about one unreferenced chunk. Errors: kv errors, ErrCorrupt, ErrStoreRestored; chunks deleted before the error stay deleted.
 func (p *Publisher) CollectGarbage(ctx context.Context) (int, error) {
+	cluster := p.cluster()
 	listed, err := p.listChunks(ctx)
 	if err != nil {
 		return 0, err
@@ -33,7 +34,7 @@
 	if err := p.fencePublishers(ctx, h, revision); err != nil {
 		return 0, err
 	}
-	return p.deleteChunks(ctx, garbage)
+	return p.deleteChunks(ctx, garbage, cluster)
 }
 
 // listedChunk is a chunk's key with its revision at the time of listing.
@@ -85,10 +86,14 @@
 	return err
 }
 
-// deleteChunks deletes the chunks that still have their listed revision and returns their number.
-func (p *Publisher) deleteChunks(ctx context.Context, garbage []listedChunk) (int, error) {
+// deleteChunks deletes the chunks that still have their listed revision and returns their number. After a restore a chunk
+// that was written again may have its listed revision.
+func (p *Publisher) deleteChunks(ctx context.Context, garbage []listedChunk, cluster string) (int, error) {
 	deleted := 0
 	for _, c := range garbage {
+		if p.cluster() != cluster {
+			return deleted, ErrStoreRestored
+		}
 		err := p.reader.store.Delete(ctx, c.key, c.revision)
 		if errors.Is(err, kv.ErrConflict) {
 			// A publisher wrote the chunk again.
--- a/internal/coordination/publish/fleet_test.go
+++ b/internal/coordination/publish/fleet_test.go
@@ -66,7 +66,8 @@
 	r.holder = &snapshot.Holder{}
 	r.syncer = NewSyncer(SyncOptions{
 		Store: routerStore{r.fleet.store, r}, Holder: r.holder, Peers: r,
-		Watch: func() bool { return r.watcher },
+		Watch:   func() bool { return r.watcher },
+		Cluster: f.store.Cluster,
 		OnSnapshot: func(s *snapshot.Snapshot) {
 			r.generationFell = r.generationFell || s.Generation() <= last
 			last = s.Generation()
@@ -285,6 +286,7 @@
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	p.UseSnapshot(r.holder)
+	p.DetectRestores(r.fleet.store.Cluster, r.syncer)
 	return p
 }
 
--- a/internal/coordination/publish/head.go
+++ b/internal/coordination/publish/head.go
@@ -37,6 +37,8 @@
 	// Collected gets a new random value in each garbage collection, so that publishers that read the head before it
 	// start again.
 	Collected string `json:"collected,omitempty"`
+	// Cluster is the identity of the store's data when the current version was published, or empty if it was not known.
+	Cluster string `json:"cluster,omitempty"`
 }
 
 // decodeHead decodes a head. It returns ErrCorrupt for malformed or incomplete data.
@@ -51,8 +53,8 @@
 	return h, nil
 }
 
-// next returns the head that makes v the current version and appends the previous one to Past.
-func (h head) next(v version) head {
+// next returns the head that makes v, published in a cluster, the current version and appends the previous one to Past.
+func (h head) next(v version, cluster string) head {
 	past := append([]version(nil), h.Past...)
 	if h.Generation > 0 {
 		past = append(past, h.version)
@@ -60,7 +62,7 @@
 	if len(past) > maxPast {
 		past = past[len(past)-maxPast:]
 	}
-	return head{version: v, Past: past, Collected: h.Collected}
+	return head{version: v, Past: past, Collected: h.Collected, Cluster: cluster}
 }
 
 // includes reports whether the publish is the head's version or one of its past versions.
--- a/internal/coordination/publish/publisher.go
+++ b/internal/coordination/publish/publisher.go
@@ -32,11 +32,19 @@
 type Publisher struct {
 	reader storeReader
 	quorum func() bool
+	// cluster and fleet are those of DetectRestores.
+	cluster func() string
+	fleet   FleetState
 }
 
 // NewPublisher returns a Publisher. quorum reports whether the router is in contact with a majority of the listed VMs.
 func NewPublisher(store kv.Store, quorum func() bool) *Publisher {
-	return &Publisher{reader: storeReader{store: store}, quorum: quorum}
+	return &Publisher{
+		reader:  storeReader{store: store},
+		quorum:  quorum,
+		cluster: func() string { return "" },
+		fleet:   unknownFleet{},
+	}
 }
 
 // UseSnapshot gives the publisher access to the snapshot in force. The publisher then does not read chunks that the
@@ -45,7 +53,7 @@
 func (p *Publisher) UseSnapshot(holder *snapshot.Holder) { p.reader.local = holder }
 
 // Head returns the configuration in the store, or generation 0 and an empty set when there is none.
-// Errors: kv errors, ErrCorrupt.
+// Errors: kv errors, ErrCorrupt, *LostError.
 func (p *Publisher) Head(ctx context.Context) (ident.Generation, *object.Set, error) {
 	var lastErr error
 	delays := newDelays()
@@ -54,6 +62,9 @@
 		if err != nil {
 			return 0, nil, err
 		}
+		if lost := p.lostGeneration(h); lost > 0 {
+			return 0, nil, &LostError{Generation: lost, Stored: h.Generation}
+		}
 		set, err := p.reader.readSet(ctx, h.Chunks)
 		if err == nil {
 			return h.Generation, set, nil
@@ -95,6 +106,11 @@
 	set       *object.Set
 	chunks    []chunk
 	publishID string
+	// rewrite reports that the head may have been written during a restore, so that its chunks may be missing and its
+	// generation may have been given out before. It is written again on top.
+	rewrite bool
+	// written is the generation of that head.
+	written ident.Generation
 }
 
 // attemptOutcome says whether an attempt ends its publish.
@@ -131,36 +147,59 @@
 func (j *publishJob) attempt(ctx context.Context) (ident.Generation, attemptOutcome, error) {
 	h, revision, err := j.reader.readHead(ctx)
 	if err != nil {
-		return 0, attemptDone, err
-	}
-	if h.Generation < j.base {
-		// The read was stale, or the store lost content. The conflict of the last attempt is reported.
-		return 0, attemptRetry, &ConflictError{Generation: h.Generation, Approximate: true}
-	}
-	if h.Generation > 0 && slices.Equal(h.Chunks, chunkHashes(j.chunks)) {
-		return h.Generation, attemptDone, nil
+		return 0, attemptDone, j.rewriteError(err)
 	}
-	if h.Generation > j.base {
-		return 0, attemptDone, j.conflict(ctx, h)
+	// The writes below are made in this cluster, unless it differs after the last one.
+	cluster := j.cluster()
+	if !j.continues(h) {
+		if gen, result, err, ended := j.checkBase(ctx, h); ended {
+			return gen, result, j.rewriteError(err)
+		}
 	}
 	if err := j.writeChunks(ctx, h, revision); err != nil {
 		if errors.Is(err, ErrContended) {
-			return 0, attemptRetry, err
+			return 0, attemptRetry, j.rewriteError(err)
 		}
-		return 0, attemptDone, err
+		return 0, attemptDone, j.rewriteError(err)
 	}
 	if !j.quorum() {
-		return 0, attemptDone, ErrNoQuorum
+		return 0, attemptDone, j.rewriteError(ErrNoQuorum)
+	}
+	gen, result, err := j.swapHead(ctx, h, revision, cluster)
+	if result == attemptDone && err == nil && j.cluster() != cluster {
+		j.rewrite, j.written = true, gen
+		return 0, attemptRetry, j.rewriteError(ErrContended)
 	}
-	return j.swapHead(ctx, h, revision)
+	return gen, result, err
+}
+
+// checkBase checks that the job may replace the head. ended reports that the attempt ends with the other results.
+func (j *publishJob) checkBase(ctx context.Context, h head) (_ ident.Generation, _ attemptOutcome, err error, ended bool) {
+	if lost := j.lostGeneration(h); lost > 0 {
+		// The read may also be stale; then the head's write fails.
+		if lost != j.base || j.inForce() != lost {
+			return 0, attemptRetry, j.lostConflict(lost), true
+		}
+		return 0, attemptDone, nil, false
+	}
+	switch {
+	case h.Generation < j.base:
+		// The read was stale, or the store lost content. The conflict of the last attempt is reported.
+		return 0, attemptRetry, &ConflictError{Generation: h.Generation, Approximate: true}, true
+	case h.Generation > 0 && slices.Equal(h.Chunks, chunkHashes(j.chunks)):
+		return h.Generation, attemptDone, nil, true
+	case h.Generation > j.base:
+		return 0, attemptDone, j.conflict(ctx, h), true
+	}
+	return 0, attemptDone, nil, false
 }
 
 // swapHead replaces the head that has the revision.
 func (j *publishJob) swapHead(
-	ctx context.Context, h head, revision kv.Revision,
+	ctx context.Context, h head, revision kv.Revision, cluster string,
 ) (ident.Generation, attemptOutcome, error) {
-	gen := j.nextGeneration(h)
-	next := h.next(version{Generation: gen, PublishID: j.publishID, Chunks: chunkHashes(j.chunks)})
+	gen := j.nextGeneration(h, cluster)
+	next := h.next(version{Generation: gen, PublishID: j.publishID, Chunks: chunkHashes(j.chunks)}, cluster)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return 0, attemptDone, errors.Wrap(err, "publish: encode head")
@@ -170,28 +209,18 @@
 	case err == nil:
 		return gen, attemptDone, nil
 	case errors.Is(err, kv.ErrConflict):
-		return 0, attemptRetry, ErrContended
+		return 0, attemptRetry, j.rewriteError(ErrContended)
 	case errors.Is(err, kv.ErrUncertain):
-		return j.resolve(ctx, h, revision, gen, value)
-	}
-	return 0, attemptDone, err
-}
-
-// nextGeneration returns a generation above the head's and above the one in force at this router, so that routers
-// accept it even when the store lost its content.
-func (j *publishJob) nextGeneration(h head) ident.Generation {
-	gen := h.Generation
-	if local := j.reader.local; local != nil && local.Load() != nil {
-		gen = max(gen, local.Load().Generation())
+		return j.resolve(ctx, h, revision, gen, value, cluster)
 	}
-	return gen + 1
+	return 0, attemptDone, j.rewriteError(err)
 }
 
 // resolve finds out whether a compare-and-swap of the head took effect whose response was lost. While the head keeps
 // its old revision, that write may still take effect. Repeating it is safe, because only one of the two writes can
 // succeed and both have the same content.
 func (j *publishJob) resolve(
-	ctx context.Context, old head, revision kv.Revision, gen ident.Generation, value []byte,
+	ctx context.Context, old head, revision kv.Revision, gen ident.Generation, value []byte, cluster string,
 ) (ident.Generation, attemptOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
@@ -201,6 +230,9 @@
 		switch {
 		case err == nil && h.includes(j.publishID):
 			return gen, attemptDone, nil
+		case j.cluster() != cluster:
+			// Revisions were given out again, so that the write must not be repeated: it could replace another head.
+			return 0, attemptDone, &UncertainError{Generation: gen, PublishID: j.publishID, Cause: ErrStoreRestored}
 		case err == nil && current > revision && h.pastReaches(old.Generation):
 			// Another write replaced the head. Revisions only grow, so the lost write can no longer succeed.
 			return 0, attemptRetry, ErrContended
--- a/internal/coordination/publish/serving_test.go
+++ b/internal/coordination/publish/serving_test.go
@@ -71,12 +71,12 @@
 	s := NewSyncer(SyncOptions{Holder: &holder, Peers: peers, Clock: func() time.Time { return now }})
 	s.ready = true
 	s.advance(emptySnapshot(t, 1))
-	s.recordHead(head{version: version{Generation: 1}}, 1, now)
+	s.recordHead(head{version: version{Generation: 1}}, 1, "", now)
 	if !s.Serving() {
 		t.Fatal("does not serve with a configuration that the store confirmed")
 	}
 	now = now.Add(12 * time.Second)
-	s.recordHead(head{version: version{Generation: 2}}, 2, now)
+	s.recordHead(head{version: version{Generation: 2}}, 2, "", now)
 	if s.Serving() {
 		t.Error("serves with a configuration that the store has replaced")
 	}
--- a/internal/coordination/publish/sync_store.go
+++ b/internal/coordination/publish/sync_store.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/snapshot"
@@ -53,8 +55,9 @@
 	s.mu.Unlock()
 	// The event may have been delayed, so it only confirms the head as of the start of the watch.
 	startTime := s.opts.Clock()
+	cluster := s.opts.Cluster()
 	entry, err := s.opts.Store.Watch(limited, HeadKey, after)
-	if err != nil {
+	if err != nil || cluster != s.opts.Cluster() {
 		_ = s.confirmHead(ctx)
 		return
 	}
@@ -63,33 +66,50 @@
 		s.opts.Logger.Error("sync: head is corrupt", zap.Error(err))
 		return
 	}
-	s.recordHead(h, entry.Revision, startTime)
+	s.recordHead(h, entry.Revision, cluster, startTime)
 }
 
 // confirmHead reads and records the head.
 func (s *Syncer) confirmHead(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, headReadTimeout)
 	defer cancel()
+	_, err := s.readHead(ctx)
+	return err
+}
+
+// readHead reads and records the head. It returns ErrStoreRestored if the store came back from an older copy during the
+// read: the head may then be one that the store no longer has.
+func (s *Syncer) readHead(ctx context.Context) (head, error) {
 	startTime := s.opts.Clock()
+	before := s.opts.Cluster()
 	h, revision, err := s.reader.readHead(ctx)
 	if err != nil {
-		return err
+		return head{}, err
 	}
-	s.recordHead(h, revision, startTime)
-	return nil
+	cluster := s.opts.Cluster()
+	if before != "" && before != cluster {
+		return head{}, ErrStoreRestored
+	}
+	s.recordHead(h, revision, cluster, startTime)
+	return h, nil
 }
 
-// recordHead records a head that was returned by a call started at startTime. A head below the generation in force is a
+// recordHead records a head that was returned by a call started at startTime, by the store as the cluster. A head below the generation in force is a
 // stale read and confirms nothing.
-func (s *Syncer) recordHead(h head, revision kv.Revision, startTime time.Time) {
+func (s *Syncer) recordHead(h head, revision kv.Revision, cluster string, startTime time.Time) {
 	majorityContact := s.hasMajorityContact()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision = max(s.revision, revision)
+	s.recordRevision(revision, cluster)
 	if h.Generation < s.generation() {
 		s.counts.StaleReads++
+		s.recordLoss(h)
 		return
 	}
+	s.restored = false
+	if h.Generation > 0 {
+		s.headCluster = s.cluster
+	}
 	// The order matters: addGeneration must see the previous time of confirmation, because a head above the generation
 	// in force does not confirm the configuration in force.
 	if h.Generation > s.generation() {
@@ -100,14 +120,60 @@
 	}
 }
 
+// recordRevision records the revision from which the head is watched. The caller holds mu.
+func (s *Syncer) recordRevision(revision kv.Revision, cluster string) {
+	if cluster != s.cluster {
+		s.dropLostHeads()
+		s.cluster, s.revision = cluster, revision
+		return
+	}
+	s.revision = max(s.revision, revision)
+}
+
+// dropLostHeads forgets the missing generations that only the store had, which came back without them. They were not
+// acknowledged, because no router had them in force. The caller holds mu.
+func (s *Syncer) dropLostHeads() {
+	announced := ident.Generation(0)
+	for _, gen := range s.sources {
+		announced = max(announced, gen)
+	}
+	s.missing = slices.DeleteFunc(s.missing, func(m missingGeneration) bool { return m.generation > announced })
+}
+
+// recordLoss records a head below the generation in force. If it was not written in the store's present cluster, the store
+// came back from an older copy. The caller holds mu.
+func (s *Syncer) recordLoss(h head) {
+	if s.cluster == "" || h.Cluster == s.cluster {
+		return
+	}
+	if !s.restored {
+		s.opts.Logger.Warn("sync: restored store lacks the configuration in force",
+			zap.Uint64("generation", uint64(s.generation())), zap.Uint64("stored", uint64(h.Generation)))
+	}
+	s.stored, s.restored = h.Generation, true
+}
+
+// HeadCluster implements FleetState.
+func (s *Syncer) HeadCluster() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headCluster
+}
+
+// LostGeneration returns the generation in the store, and true if the store came back from an older copy and lacks the
+// generation in force.
+func (s *Syncer) LostGeneration() (ident.Generation, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stored, s.restored
+}
+
 // pullStore brings the store's configuration into force. It returns an error when its generation is not higher.
 func (s *Syncer) pullStore(ctx context.Context) error {
-	startTime := s.opts.Clock()
-	h, revision, err := s.reader.readHead(ctx)
+	h, err := s.readHead(ctx)
 	if err != nil {
 		return err
 	}
-	s.recordHead(h, revision, startTime)
 	if h.Generation <= s.generation() {
 		return errors.Errorf("sync: store has generation %d", h.Generation)
 	}
--- a/internal/coordination/publish/syncer.go
+++ b/internal/coordination/publish/syncer.go
@@ -54,6 +54,9 @@
 	Peers  Peers
 	// Watch reports whether this router currently watches the store. Nil means always.
 	Watch func() bool
+	// Cluster returns the identity of the store's data as of its latest response, or an empty text before the first. A
+	// store that was restored from a copy has another one. By default restores are not noticed.
+	Cluster func() string
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
 	// OnSnapshot is called with each new snapshot, in order. It may be nil and must not block for long.
@@ -80,8 +83,14 @@
 	sources map[ident.RouterID]ident.Generation
 	// confirmed is the start time of the last read of the store that confirmed the snapshot in force.
 	confirmed time.Time
-	// revision is the highest revision of the head seen.
+	// revision is the highest revision of the head seen in the cluster. Revisions start again lower after a restore.
 	revision kv.Revision
+	cluster  string
+	// headCluster is the cluster whose head last had the generation in force or a higher one.
+	headCluster string
+	// stored is the generation in the store if that was restored and lacks the one in force here; restored says so.
+	stored   ident.Generation
+	restored bool
 	counts   SyncCounts
 }
 
@@ -109,6 +118,9 @@
 	if opts.Watch == nil {
 		opts.Watch = func() bool { return true }
 	}
+	if opts.Cluster == nil {
+		opts.Cluster = func() string { return "" }
+	}
 	if opts.Clock == nil {
 		opts.Clock = time.Now
 	}
@@ -214,6 +226,16 @@
 	return 0
 }
 
+// KnownGeneration returns the highest generation that is in force here or was announced by another router or the store.
+func (s *Syncer) KnownGeneration() ident.Generation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.missing); n > 0 {
+		return max(s.generation(), s.missing[n-1].generation)
+	}
+	return s.generation()
+}
+
 // behind reports whether a higher generation is known than the one in force.
 func (s *Syncer) behind() bool {
 	s.mu.Lock()
--- a/internal/coordination/publish/write_chunks.go
+++ b/internal/coordination/publish/write_chunks.go
@@ -12,6 +12,9 @@
 // replaced: the head references it already, or its revision is above the head's.
 func (j *publishJob) writeChunks(ctx context.Context, h head, revision kv.Revision) error {
 	referenced := h.referencedChunks()
+	if j.rewrite {
+		referenced = nil // the head may have been written without them
+	}
 	for _, c := range j.chunks {
 		if referenced[c.hash] {
 			continue
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -17,8 +17,8 @@
 	d *Daemon
 }
 
-// Config implements admin.API. If the store cannot be read, it returns the configuration in force at this router
-// and true.
+// Config implements admin.API. If the store cannot be read, or came back from a copy without the newest configuration, it
+// returns the configuration in force at this router and true.
 func (b adminBackend) Config(ctx context.Context) (ident.Generation, *object.Set, bool, error) {
 	generation, set, err := b.d.publisher.Head(ctx)
 	if err == nil {
@@ -122,6 +122,9 @@
 	if !d.majority() {
 		add("%s was not answered by a majority of the listed VMs recently; publishing is refused", s.Self)
 	}
+	if stored, lost := d.syncer.LostGeneration(); lost {
+		add("the store was restored and has generation %d, not %d: publish the configuration again", stored, s.Generation)
+	}
 	for _, m := range s.Members {
 		switch {
 		case m.State == membership.Suspect.String() || m.State == membership.Dead.String():
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,9 +172,11 @@
 		Holder:     &d.snapshot,
 		Peers:      publishPeers{d},
 		Watch:      d.watchesStore,
+		Cluster:    d.store.ClusterID,
 		OnSnapshot: d.onSnapshot,
 		Logger:     d.log,
 	})
+	d.publisher.DetectRestores(d.store.ClusterID, d.syncer)
 }
 
 func (d *Daemon) composeDispatch() {
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -1,11 +1,17 @@
 package daemon
 
 import (
+	"context"
 	"errors"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/publish"
+	"gooseberrytide.example/gooseberrytide/internal/state/object"
+	"gooseberrytide.example/gooseberrytide/internal/transport/etcdkv"
 )
 
 var _ = Describe("a store restored from an older copy", func() {
@@ -47,4 +53,54 @@
 			}
 		}).WithTimeout(3 * time.Second).WithPolling(100 * time.Millisecond).Should(Succeed())
 	})
+
+	// Guards against an operator who edits the configuration of the copy and so takes back a publish that was
+	// acknowledged, and against a store that keeps the older one although the operator publishes again.
+	It("lets operators publish on the configuration in force", func() {
+		f := newTestFleet(2)
+		f.publish()
+		f.awaitServing()
+		backend := adminBackend{d: f.daemons[0]}
+		first, base, _, err := backend.Config(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		older := f.store.Copy()
+		newer := base.Clone()
+		newer.Teams["pumps"] = &object.Team{Name: "pumps", APIKeyHashes: []string{sha256Hex("key-of-pumps")}}
+		second, err := backend.Apply(context.Background(), first, newer)
+		Expect(err).NotTo(HaveOccurred())
+		f.store.Restore(older)
+
+		generation, set, fromSnapshot, err := backend.Config(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fromSnapshot).To(BeTrue()) // or the operator's tool takes an unchanged configuration for published
+		Expect(generation).To(Equal(second))
+		Expect(set.Teams).To(HaveKey("pumps"))
+		var conflict *publish.ConflictError
+		_, err = backend.Apply(context.Background(), first, base)
+		Expect(errors.As(err, &conflict)).To(BeTrue(), "%v", err)
+		Expect(conflict.Lost).To(BeTrue())
+		f.eventually("status tells it", func() error {
+			for _, problem := range f.daemons[0].adminStatus().Problems {
+				if strings.HasPrefix(problem, "the store was restored") {
+					return nil
+				}
+			}
+			return errors.New("no problem is shown")
+		})
+
+		third, err := backend.Apply(context.Background(), generation, set)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(third).To(BeNumerically(">", second))
+		fresh := publish.NewPublisher(etcdkv.New(etcdkv.Options{URL: f.storeURL}), func() bool { return true })
+		stored, set, err := fresh.Head(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored).To(Equal(third))
+		Expect(set.Teams).To(HaveKey("pumps"))
+		f.eventually("status is clear again", func() error {
+			if _, lost := f.daemons[0].syncer.LostGeneration(); lost {
+				return errors.New("still shown")
+			}
+			return nil
+		})
+	})
 })
--- a/internal/protocol/admin/types.go
+++ b/internal/protocol/admin/types.go
@@ -26,7 +26,8 @@
 	Generation ident.Generation `json:"generation"`
 	// Objects are in the format of configuration files, in canonical order.
 	Objects []json.RawMessage `json:"objects"`
-	// FromSnapshot reports that the store was down, so this is the configuration in force at the router.
+	// FromSnapshot reports that this is the configuration in force at the router, because the store was down or came back
+	// from an older copy.
 	FromSnapshot bool `json:"from_snapshot,omitempty"`
 }
 
--- a/internal/state/kv/fake.go
+++ b/internal/state/kv/fake.go
@@ -64,6 +64,8 @@
 	chooseFault func(Op, string) Fault
 	lateWrites  []func()
 	counts      Counts
+	// restores counts the calls of Restore.
+	restores int
 }
 
 var _ Store = (*Fake)(nil)
