etcdkv: Drop responses from before a restore that arrive after it

A response of the former cluster that arrived late, on another connection, set the client's cluster ID back. Each change counts as a restore: the routers began another hold of 30 s for keyed calls, and a read returned data that the store no longer had.

A call now has a number, and a response changes the cluster ID only if its call began after the present ID was learned. Otherwise a read fails as unavailable and a write is uncertain, because it may have been made before or after the copy.

--- a/internal/transport/etcdkv/client.go
+++ b/internal/transport/etcdkv/client.go
@@ -42,12 +42,11 @@
 
 // Client is a kv.Store that uses the JSON gateway of etcd. It is safe for concurrent use.
 type Client struct {
-	// clusterID is the cluster that the latest response named.
-	clusterID atomic.Pointer[string]
-	base      string
-	timeout   time.Duration
-	http      *http.Client
-	counts    counters
+	cluster clusterTracker
+	base    string
+	timeout time.Duration
+	http    *http.Client
+	counts  counters
 }
 
 var _ kv.Store = (*Client)(nil)
@@ -144,12 +143,7 @@
 }
 
 // ClusterID returns the identity of the store's data as of the latest response, or an empty text before the first.
-func (c *Client) ClusterID() string {
-	if id := c.clusterID.Load(); id != nil {
-		return *id
-	}
-	return ""
-}
+func (c *Client) ClusterID() string { return c.cluster.current() }
 
 // statusError converts an error response of the gateway. Unless the error proves that the call had no effect, the call
 // counts as sent.
@@ -169,6 +163,7 @@
 func (c *Client) call(ctx context.Context, path string, request any, response callResponse) *callError {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	number := c.cluster.begin()
 	body, callErr := c.open(ctx, path, request)
 	if callErr != nil {
 		c.counts.failed.Add(1)
@@ -183,8 +178,9 @@
 		c.counts.failed.Add(1)
 		return &callError{maybeSent: true, cause: err}
 	}
-	if id := response.clusterID(); id != "" {
-		c.clusterID.Store(&id)
+	if !c.cluster.record(number, response.clusterID()) {
+		c.counts.failed.Add(1)
+		return &callError{maybeSent: true, cause: errors.New("response of the cluster before a restore")}
 	}
 	return nil
 }
