publish: Finish a publish that crossed a restore when the store is away or the caller gone

A head that was written during a restore may lack its chunks; until it is written again no router can read it, and routers that know of it stop serving. The first failed call ended the attempt, and the second write counted as done when the first one was found in the head.

The head is now written again for up to a minute, also when the caller is gone, and a write is found by its generation and publish ID.

--- a/internal/coordination/publish/head.go
+++ b/internal/coordination/publish/head.go
@@ -65,14 +65,10 @@
 	return head{version: v, Past: past, Collected: h.Collected, Cluster: cluster}
 }
 
-// includes reports whether the publish is the head's version or one of its past versions.
-func (h head) includes(publishID string) bool {
-	for _, v := range h.versions() {
-		if v.PublishID == publishID {
-			return true
-		}
-	}
-	return false
+// includes reports whether the publish with the generation is the head's version or one of its past versions.
+func (h head) includes(gen ident.Generation, publishID string) bool {
+	v, ok := h.find(gen)
+	return ok && v.PublishID == publishID
 }
 
 // pastReaches reports whether the head's versions go back to the generation. If they do, the absence of a publish id
--- a/internal/coordination/publish/publisher.go
+++ b/internal/coordination/publish/publisher.go
@@ -130,6 +130,9 @@
 	lastErr := error(ErrContended)
 	for range maxAttempts {
 		gen, result, err := j.attempt(ctx)
+		if j.rewrite {
+			return j.rewriteHead(ctx)
+		}
 		if result == attemptDone {
 			return gen, err
 		}
@@ -147,34 +150,38 @@
 func (j *publishJob) attempt(ctx context.Context) (ident.Generation, attemptOutcome, error) {
 	h, revision, err := j.reader.readHead(ctx)
 	if err != nil {
-		return 0, attemptDone, j.rewriteError(err)
+		return 0, attemptDone, err
 	}
 	// The writes below are made in this cluster, unless it differs after the last one.
 	cluster := j.cluster()
-	if !j.continues(h) {
+	if !j.rewrite {
 		if gen, result, err, ended := j.checkBase(ctx, h); ended {
-			return gen, result, j.rewriteError(err)
+			return gen, result, err
 		}
+	} else if h.PublishID != j.publishID {
+		return 0, attemptDone, errReplaced
 	}
 	if err := j.writeChunks(ctx, h, revision); err != nil {
 		if errors.Is(err, ErrContended) {
-			return 0, attemptRetry, j.rewriteError(err)
+			return 0, attemptRetry, err
 		}
-		return 0, attemptDone, j.rewriteError(err)
+		return 0, attemptDone, err
 	}
 	if !j.quorum() {
-		return 0, attemptDone, j.rewriteError(ErrNoQuorum)
+		return 0, attemptDone, ErrNoQuorum
 	}
 	gen, result, err := j.swapHead(ctx, h, revision, cluster)
 	if result == attemptDone && err == nil && j.cluster() != cluster {
 		j.rewrite, j.written = true, gen
-		return 0, attemptRetry, j.rewriteError(ErrContended)
+		return 0, attemptRetry, ErrContended
 	}
 	return gen, result, err
 }
 
 // checkBase checks that the job may replace the head. ended reports that the attempt ends with the other results.
-func (j *publishJob) checkBase(ctx context.Context, h head) (_ ident.Generation, _ attemptOutcome, err error, ended bool) {
+func (j *publishJob) checkBase(
+	ctx context.Context, h head,
+) (_ ident.Generation, _ attemptOutcome, err error, ended bool) {
 	if lost := j.lostGeneration(h); lost > 0 {
 		// The read may also be stale; then the head's write fails.
 		if lost != j.base || j.inForce() != lost {
@@ -209,11 +216,11 @@
 	case err == nil:
 		return gen, attemptDone, nil
 	case errors.Is(err, kv.ErrConflict):
-		return 0, attemptRetry, j.rewriteError(ErrContended)
+		return 0, attemptRetry, ErrContended
 	case errors.Is(err, kv.ErrUncertain):
 		return j.resolve(ctx, h, revision, gen, value, cluster)
 	}
-	return 0, attemptDone, j.rewriteError(err)
+	return 0, attemptDone, err
 }
 
 // resolve finds out whether a compare-and-swap of the head took effect whose response was lost. While the head keeps
@@ -228,9 +235,9 @@
 	for {
 		h, current, err := j.reader.readHead(ctx)
 		switch {
-		case err == nil && h.includes(j.publishID):
+		case err == nil && h.includes(gen, j.publishID):
 			return gen, attemptDone, nil
-		case j.cluster() != cluster:
+		case err == nil && j.cluster() != cluster:
 			// Revisions were given out again, so that the write must not be repeated: it could replace another head.
 			return 0, attemptDone, &UncertainError{Generation: gen, PublishID: j.publishID, Cause: ErrStoreRestored}
 		case err == nil && current > revision && h.pastReaches(old.Generation):
--- a/internal/coordination/publish/restore.go
+++ b/internal/coordination/publish/restore.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,6 +15,10 @@
 // this many generations that no reachable router knows, and none of them is given out again.
 const restoreGap = 1000
 
+// rewriteTimeout bounds the attempts to write a head again that was written during a restore. It covers the outage that a
+// restore usually comes with.
+const rewriteTimeout = time.Minute
+
 // FleetState is what a router knows of the configuration apart from the store. Syncer implements it.
 type FleetState interface {
 	// KnownGeneration returns the highest generation that is in force here or was announced.
@@ -74,15 +80,25 @@
 	return conflict
 }
 
-// continues reports whether the head is this publish, which has to be written again.
-func (j *publishJob) continues(h head) bool { return j.rewrite && h.PublishID == j.publishID }
-
-// rewriteError returns the error of an attempt. While the head has to be written again, the publish may be in force.
-func (j *publishJob) rewriteError(err error) error {
-	if !j.rewrite || err == nil {
-		return err
+// errReplaced reports that another publish replaced the head that had to be written again.
+var errReplaced = errors.New("publish: replaced by another publish")
+
+// rewriteHead writes a head again that was written during a restore. It goes on when the caller is gone, because no router
+// can read a head whose chunks are missing. It returns *UncertainError if it fails.
+func (j *publishJob) rewriteHead(ctx context.Context) (ident.Generation, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rewriteTimeout)
+	defer cancel()
+	delays := newDelays()
+	for {
+		gen, result, err := j.attempt(ctx)
+		if result == attemptDone && err == nil {
+			return gen, nil
+		}
+		if errors.Is(err, errReplaced) || !waitRetry(ctx, delays) {
+			cause := errors.WithMessage(ErrStoreRestored, err.Error())
+			return 0, &UncertainError{Generation: j.written, PublishID: j.publishID, Cause: cause}
+		}
 	}
-	return &UncertainError{Generation: j.written, PublishID: j.publishID, Cause: errors.WithMessage(ErrStoreRestored, err.Error())}
 }
 
 // nextGeneration returns a generation above the head's and above all that this router knows, so that routers accept it
--- a/internal/coordination/publish/restore_test.go
+++ b/internal/coordination/publish/restore_test.go
@@ -131,16 +131,38 @@
 // Guards against a head without its chunks, because the store was restored between the writes of the chunks and that of
 // the head, whose revision the copy has.
 func TestPublishDuringARestoreWritesItsChunksAgain(t *testing.T) {
-	for name, fault := range map[string]kv.FaultKind{"answered": kv.FaultNone, "response lost": kv.FaultLostApplied} {
+	for name, test := range map[string]struct {
+		fault kv.FaultKind
+		away  time.Duration
+		// again is the fault of the first write of the head after the restore.
+		again kv.FaultKind
+	}{
+		"answered":                {},
+		"response lost":           {fault: kv.FaultLostApplied},
+		"store away after it":     {away: 20 * time.Second},
+		"second response lost":    {again: kv.FaultLostApplied},
+		"second write lost":       {again: kv.FaultLostDropped},
+		"away, and response lost": {fault: kv.FaultLostApplied, away: 5 * time.Second},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := kv.NewFake()
 				p := restorablePublisher(store)
 				first := mustPublish(t, p, 0, vmSet("a"))
 				older := store.Copy()
+				var awayUntil time.Time
 				store.Inject(func(op kv.Op, key string) kv.Fault {
 					if op == kv.OpCompareAndSwap && key == HeadKey && store.Cluster() == "cluster-0" {
 						store.Restore(older)
+						awayUntil = time.Now().Add(test.away)
+						return kv.Fault{Kind: test.fault}
+					}
+					if time.Now().Before(awayUntil) {
+						return kv.Fault{Kind: kv.FaultOutage}
+					}
+					if op == kv.OpCompareAndSwap && key == HeadKey {
+						fault := test.again
+						test.again = kv.FaultNone
 						return kv.Fault{Kind: fault}
 					}
 					return kv.Fault{}
