publish, kv, etcdkv: Replace a head only if it is the one that was read

A publish that had read its head before a restore replaced another publish after it, without an error, when the other head had got the same revision. So did the garbage collector. Past versions in the new head then named chunks that the store had lost.

The condition named only the revision, which a restored store gives out again. The transaction now also compares the value; heads have a random publish ID, so an equal value is the same head. Clients of stores offer it as kv.ExactSwapper, which the conformance test covers for the fake and the etcd client.

--- a/internal/coordination/publish/collect.go
+++ b/internal/coordination/publish/collect.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return errors.Wrap(err, "publish: encode head")
 	}
-	_, err = p.reader.store.CompareAndSwap(ctx, HeadKey, revision, value)
+	_, err = p.reader.swapHead(ctx, h, revision, value)
 	return err
 }
 
--- a/internal/coordination/publish/head.go
+++ b/internal/coordination/publish/head.go
@@ -39,6 +39,8 @@
 	Collected string `json:"collected,omitempty"`
 	// Cluster is the identity of the store's data when the current version was published, or empty if it was not known.
 	Cluster string `json:"cluster,omitempty"`
+	// raw is the value that the head was decoded from.
+	raw []byte
 }
 
 // decodeHead decodes a head. It returns ErrCorrupt for malformed or incomplete data.
@@ -50,6 +52,7 @@
 	if h.Generation == 0 || h.PublishID == "" {
 		return head{}, errors.Wrap(ErrCorrupt, "head: no generation or publish id")
 	}
+	h.raw = data
 	return h, nil
 }
 
--- a/internal/coordination/publish/property_test.go
+++ b/internal/coordination/publish/property_test.go
@@ -38,6 +38,7 @@
 	// plan holds the faults of the next store calls; an entry may also run an action before the call.
 	plan         []plannedCall
 	inAction     bool
+	newPublisher func() *Publisher
 	publishCount int
 	publishes    []publishCall
 	// gen and set are the generation that each operator read or published last, and the set that it read last.
@@ -101,7 +102,7 @@
 	return next.fault
 }
 
-func (s *simulation) publisher() *Publisher { return NewPublisher(s.store, always) }
+func (s *simulation) publisher() *Publisher { return s.newPublisher() }
 
 // readHead reads the head for an operator, as a tool does before a change.
 func (s *simulation) readHead(operator int) {
@@ -207,6 +208,7 @@
 				t: t, store: kv.NewFake(),
 				gen: make(map[int]ident.Generation), set: make(map[int]*object.Set),
 			}
+			s.newPublisher = func() *Publisher { return NewPublisher(s.store, always) }
 			s.store.Inject(s.inject)
 			for range rapid.IntRange(1, 20).Draw(t, "steps") {
 				operator := rapid.IntRange(0, 2).Draw(t, "operator")
--- a/internal/coordination/publish/publisher.go
+++ b/internal/coordination/publish/publisher.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return 0, attemptDone, errors.Wrap(err, "publish: encode head")
 	}
-	_, err = j.reader.store.CompareAndSwap(ctx, HeadKey, revision, value)
+	_, err = j.reader.swapHead(ctx, h, revision, value)
 	switch {
 	case err == nil:
 		return gen, attemptDone, nil
@@ -244,7 +244,7 @@
 			// Another write replaced the head. Revisions only grow, so the lost write can no longer succeed.
 			return 0, attemptRetry, ErrContended
 		case err == nil:
-			_, err = j.reader.store.CompareAndSwap(ctx, HeadKey, revision, value)
+			_, err = j.reader.swapHead(ctx, old, revision, value)
 			if err == nil {
 				return gen, attemptDone, nil
 			}
--- a/internal/coordination/publish/reader.go
+++ b/internal/coordination/publish/reader.go
@@ -29,6 +29,11 @@
 	return h, entry.Revision, err
 }
 
+// swapHead replaces the head that was read at the revision. After a restore of the store another head may have it.
+func (r storeReader) swapHead(ctx context.Context, old head, revision kv.Revision, value []byte) (kv.Revision, error) {
+	return kv.SwapExact(ctx, r.store, kv.Entry{Key: HeadKey, Value: old.raw, Revision: revision}, value)
+}
+
 // readSet reads the chunks with the hashes and returns the set of their objects. Errors: kv errors, ErrCorrupt.
 func (r storeReader) readSet(ctx context.Context, hashes []string) (*object.Set, error) {
 	local := r.localChunks()
--- a/internal/coordination/publish/restore_test.go
+++ b/internal/coordination/publish/restore_test.go
@@ -207,6 +207,33 @@
 	})
 }
 
+// Guards against a publish that replaces another one after a restore, because that one's head has the revision of the head
+// that was read before.
+func TestPublishDoesNotReplaceAnotherHeadOfTheSameRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewFake()
+		first := mustPublish(t, restorablePublisher(store), 0, vmSet("a"))
+		older := store.Copy()
+		second := mustPublish(t, restorablePublisher(store), first, vmSet("b"))
+		other := ident.Generation(0)
+		store.Inject(func(op kv.Op, key string) kv.Fault {
+			if op == kv.OpCompareAndSwap && key == HeadKey && store.Cluster() == "cluster-0" {
+				store.Restore(older)
+				other = mustPublish(t, restorablePublisher(store), first, vmSet("c"))
+			}
+			return kv.Fault{}
+		})
+		gen, err := restorablePublisher(store).Publish(t.Context(), second, vmSet("d"))
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			t.Errorf("published generation %d over %d: %v", gen, other, err)
+		}
+		if head, set := mustHead(t, NewPublisher(store, always)); head != other || set.VMs["c"] == nil {
+			t.Errorf("the head is generation %d, want %d", head, other)
+		}
+	})
+}
+
 // Guards against routers that learn of a publish after a restore only by the end of their watch, because they watch from a
 // revision that the restored store has not reached.
 func TestWatchesFollowARestoredStore(t *testing.T) {
--- a/internal/state/kv/fake.go
+++ b/internal/state/kv/fake.go
@@ -68,7 +68,10 @@
 	restores int
 }
 
-var _ Store = (*Fake)(nil)
+var (
+	_ Store        = (*Fake)(nil)
+	_ ExactSwapper = (*Fake)(nil)
+)
 
 // NewFake returns an empty store without faults.
 func NewFake() *Fake {
--- a/internal/state/kv/fake_calls.go
+++ b/internal/state/kv/fake_calls.go
@@ -1,6 +1,7 @@
 package kv
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -50,25 +51,34 @@
 		return 0, ErrTooLarge
 	}
 	value = append([]byte{}, value...)
-	return f.write(ctx, OpCompareAndSwap, key, expect, value)
+	return f.write(ctx, OpCompareAndSwap, Entry{Key: key, Revision: expect}, value)
+}
+
+// SwapExact implements ExactSwapper.
+func (f *Fake) SwapExact(ctx context.Context, old Entry, value []byte) (Revision, error) {
+	if len(value) > MaxValueBytes {
+		return 0, ErrTooLarge
+	}
+	return f.write(ctx, OpCompareAndSwap, copyEntry(old), append([]byte{}, value...))
 }
 
 // Delete implements Store.
 func (f *Fake) Delete(ctx context.Context, key string, expect Revision) error {
-	_, err := f.write(ctx, OpDelete, key, expect, nil)
+	_, err := f.write(ctx, OpDelete, Entry{Key: key, Revision: expect}, nil)
 	return err
 }
 
-// write performs a write, or a deletion if value is nil, with the fault that is injected into the call.
-func (f *Fake) write(ctx context.Context, op Op, key string, expect Revision, value []byte) (Revision, error) {
+// write performs a write, or a deletion if value is nil, with the fault that is injected into the call. A nil value of old
+// matches any.
+func (f *Fake) write(ctx context.Context, op Op, old Entry, value []byte) (Revision, error) {
 	start := time.Now()
-	fault, err := f.startCall(ctx, op, key)
+	fault, err := f.startCall(ctx, op, old.Key)
 	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrThrottled) {
 		return 0, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	apply := func() (Revision, error) { return f.apply(key, expect, value) }
+	apply := func() (Revision, error) { return f.apply(old, value) }
 	if err != nil {
 		// The context ended during the delay, but the write is already in flight and takes effect later.
 		f.applyLater(max(fault.Delay-time.Since(start), 1), apply)
@@ -101,10 +111,14 @@
 	})
 }
 
-// apply performs a write if the key has the expected revision. The caller holds the lock.
-func (f *Fake) apply(key string, expect Revision, value []byte) (Revision, error) {
+// apply performs a write if the key has the expected revision and value. The caller holds the lock.
+func (f *Fake) apply(old Entry, value []byte) (Revision, error) {
+	key := old.Key
 	entry, exists := f.entryAt(key, 0)
-	if exists && entry.Revision != expect || !exists && expect != 0 {
+	if exists && entry.Revision != old.Revision || !exists && old.Revision != 0 {
+		return 0, ErrConflict
+	}
+	if old.Value != nil && !bytes.Equal(entry.Value, old.Value) {
 		return 0, ErrConflict
 	}
 	f.revision++
--- a/internal/state/kv/kvtest/kvtest.go
+++ b/internal/state/kv/kvtest/kvtest.go
@@ -15,6 +15,9 @@
 // CheckStore tests an empty store: compare-and-swap, paging, deletion and watches.
 func CheckStore(t *testing.T, store kv.Store) {
 	t.Run("compare and swap", func(t *testing.T) { checkCompareAndSwap(t, store) })
+	if exact, ok := store.(kv.ExactSwapper); ok {
+		t.Run("exact swap", func(t *testing.T) { checkExactSwap(t, store, exact) })
+	}
 	t.Run("list", func(t *testing.T) { checkList(t, store) })
 	t.Run("watch", func(t *testing.T) { checkWatch(t, store) })
 }
@@ -42,6 +45,24 @@
 	g.Expect(err).To(gomega.MatchError(kv.ErrTooLarge))
 }
 
+func checkExactSwap(t *testing.T, store kv.Store, exact kv.ExactSwapper) {
+	g, ctx := gomega.NewWithT(t), t.Context()
+	revision, err := store.CompareAndSwap(ctx, "x/1", 0, []byte("one"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	entry := kv.Entry{Key: "x/1", Value: []byte("another"), Revision: revision}
+	_, err = exact.SwapExact(ctx, entry, []byte("two"))
+	g.Expect(err).To(gomega.MatchError(kv.ErrConflict), "another value at the same revision")
+	entry.Value = []byte("one")
+	second, err := exact.SwapExact(ctx, entry, []byte("two"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(store.Get(ctx, "x/1")).To(gomega.Equal(kv.Entry{Key: "x/1", Value: []byte("two"), Revision: second}))
+	_, err = exact.SwapExact(ctx, entry, []byte("three"))
+	g.Expect(err).To(gomega.MatchError(kv.ErrConflict), "the same value at another revision")
+	_, err = exact.SwapExact(ctx, kv.Entry{Key: "x/1", Value: []byte("two"), Revision: second},
+		make([]byte, kv.MaxValueBytes+1))
+	g.Expect(err).To(gomega.MatchError(kv.ErrTooLarge))
+}
+
 func checkList(t *testing.T, store kv.Store) {
 	g, ctx := gomega.NewWithT(t), t.Context()
 	for _, key := range []string{"a/3", "a/1", "b/1", "a/2"} {
--- a/internal/transport/etcdkv/calls.go
+++ b/internal/transport/etcdkv/calls.go
@@ -97,19 +97,35 @@
 		return 0, kv.ErrTooLarge
 	}
 	c.counts.writes.Add(1)
-	return c.txn(ctx, key, expect, requestOp{Put: &putRequest{Key: []byte(key), Value: value}})
+	condition := revisionIs(key, expect)
+	return c.txn(ctx, requestOp{Put: &putRequest{Key: []byte(key), Value: value}}, condition)
+}
+
+// SwapExact implements kv.ExactSwapper.
+func (c *Client) SwapExact(ctx context.Context, old kv.Entry, value []byte) (kv.Revision, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
+	}
+	c.counts.writes.Add(1)
+	sameValue := compare{Key: []byte(old.Key), Target: targetValue, Result: resultEqual, Value: old.Value}
+	return c.txn(ctx, requestOp{Put: &putRequest{Key: []byte(old.Key), Value: value}},
+		revisionIs(old.Key, old.Revision), sameValue)
 }
 
 // Delete implements kv.Store.
 func (c *Client) Delete(ctx context.Context, key string, expect kv.Revision) error {
 	c.counts.deletes.Add(1)
-	_, err := c.txn(ctx, key, expect, requestOp{Delete: &deleteRequest{Key: []byte(key)}})
+	_, err := c.txn(ctx, requestOp{Delete: &deleteRequest{Key: []byte(key)}}, revisionIs(key, expect))
 	return err
 }
 
-func (c *Client) txn(ctx context.Context, key string, expect kv.Revision, op requestOp) (kv.Revision, error) {
-	condition := compare{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: int64(expect)}
-	request := txnRequest{Compare: []compare{condition}, Success: []requestOp{op}}
+func revisionIs(key string, expect kv.Revision) compare {
+	revision := int64(expect)
+	return compare{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: &revision}
+}
+
+func (c *Client) txn(ctx context.Context, op requestOp, conditions ...compare) (kv.Revision, error) {
+	request := txnRequest{Compare: conditions, Success: []requestOp{op}}
 	var response txnResponse
 	if callErr := c.call(ctx, pathTxn, request, &response); callErr != nil {
 		return 0, c.writeError(callErr)
--- a/internal/transport/etcdkv/client.go
+++ b/internal/transport/etcdkv/client.go
@@ -49,7 +49,10 @@
 	counts  counters
 }
 
-var _ kv.Store = (*Client)(nil)
+var (
+	_ kv.Store        = (*Client)(nil)
+	_ kv.ExactSwapper = (*Client)(nil)
+)
 
 type counters struct {
 	gets, lists, writes, deletes, watches, failed, uncertain atomic.Int64
--- a/internal/transport/etcdkv/wire.go
+++ b/internal/transport/etcdkv/wire.go
@@ -37,15 +37,18 @@
 
 const (
 	targetMod   = "MOD"
+	targetValue = "VALUE"
 	resultEqual = "EQUAL"
 )
 
-// compare is a condition of a transaction. It always contains the revision, because revision 0 means an absent key.
+// compare is a condition of a transaction on either the revision or the value. A nil revision is omitted; revision 0 means
+// an absent key.
 type compare struct {
 	Key         []byte `json:"key"`
 	Target      string `json:"target"`
 	Result      string `json:"result"`
-	ModRevision int64  `json:"mod_revision,string"`
+	ModRevision *int64 `json:"mod_revision,omitempty,string"`
+	Value       []byte `json:"value,omitempty"`
 }
 
 type putRequest struct {
--- a/test/standin/kvstore/calls.go
+++ b/test/standin/kvstore/calls.go
@@ -45,11 +45,17 @@
 	return s.data.txn(request)
 }
 
+// Targets of comparisons.
+const (
+	targetRevision = "MOD"
+	targetValue    = "VALUE"
+)
+
 // validateTxn returns the error message for a transaction that the store does not accept, or "".
 func validateTxn(request txnRequest) string {
 	for _, c := range request.Compare {
-		if c.Target != "MOD" {
-			return "only comparisons of mod_revision are supported"
+		if c.Target != targetRevision && c.Target != targetValue {
+			return "only comparisons of mod_revision and value are supported"
 		}
 	}
 	for _, op := range append(request.Success, request.Failure...) {
--- a/test/standin/kvstore/data.go
+++ b/test/standin/kvstore/data.go
@@ -1,6 +1,7 @@
 package kvstore
 
 import (
+	"bytes"
 	"slices"
 	"sort"
 	"strconv"
@@ -146,6 +147,9 @@
 
 func (d *versionedData) compareHolds(c compare) bool {
 	current, _ := d.lookup(string(c.Key), 0)
+	if c.Target == targetValue {
+		return bytes.Equal(current.Value, c.Value) == (c.Result == "" || c.Result == "EQUAL")
+	}
 	switch c.Result {
 	case "", "EQUAL":
 		return current.ModRevision == c.ModRevision
--- a/test/standin/kvstore/wire.go
+++ b/test/standin/kvstore/wire.go
@@ -40,6 +40,7 @@
 	Target      string `json:"target"`
 	Result      string `json:"result"`
 	ModRevision int64  `json:"mod_revision,omitempty,string"`
+	Value       []byte `json:"value,omitempty"`
 }
 
 type putRequest struct {
