order: Keep the weight store's limits across a restore of the store

After the store came back from an older copy, engines loaded up to twice as many models at once and per minute as the weight store allows, because the record of loads was lost.

A router that sees another cluster adds its running loads to the record again and sends no orders for a minute, the period of the rate limit, so that every other owner has had the time to.

--- a/internal/coordination/fencing/fencing.go
+++ b/internal/coordination/fencing/fencing.go
@@ -55,6 +55,9 @@
 	record  epochRecord
 }
 
+// Cluster returns the identity of the store's data, or an empty text if it is not known.
+func (e Epoch) Cluster() string { return e.record.Cluster }
+
 // Number returns the fencing number of a write that began after the epoch was obtained, from the revision that the store
 // returned. It returns ErrRestored if the store was restored since.
 func (e Epoch) Number(revision kv.Revision) (int64, error) {
--- a/internal/coordination/order/controller.go
+++ b/internal/coordination/order/controller.go
@@ -39,6 +39,10 @@
 	limiter *limiter
 	engines map[ident.BackendID]*trackedEngine
 	seq     atomic.Uint64
+	// cluster identifies the store's data whose token record has the loads of this router. holdUntil is when orders may be
+	// sent again after a restore, whose copy may lack the starts of the last ratePeriod. Only Step changes them.
+	cluster   string
+	holdUntil time.Time
 
 	mu sync.Mutex
 	// storeBackoffUntil is when the store may be called again after a failure or a reached load limit.
@@ -100,16 +104,38 @@
 	running.Wait()
 }
 
-// learnEpoch reads the epoch of the fencing numbers at the start and after a restore of the store, also at routers that
+// learnEpoch handles a restore of the store, and reads the epoch of the fencing numbers at the start and after a restore of the store, also at routers that
 // own no engine: the more routers remember it, the surer it is raised when the store comes back from a still older copy.
 func (c *Controller) learnEpoch(ctx context.Context) {
 	if c.storeBackingOff(time.Now()) {
 		return
 	}
-	if _, err := c.opts.Fencing.Current(ctx); err != nil {
+	epoch, err := c.opts.Fencing.Current(ctx)
+	if err == nil && c.cluster != "" && c.cluster != epoch.Cluster() {
+		c.holdUntil = time.Now().Add(ratePeriod)
+		err = c.writeLoadsAgain(ctx)
+	}
+	if err != nil {
 		c.startStoreBackoff()
-		c.opts.Logger.Info("order: fencing epoch not read, will retry", zap.Error(err))
+		c.opts.Logger.Info("order: fencing epoch or loads not recorded, will retry", zap.Error(err))
+		return
+	}
+	c.cluster = epoch.Cluster()
+}
+
+// writeLoadsAgain adds the loads of this router's engines to the token record of a restored store, which may lack them.
+func (c *Controller) writeLoadsAgain(ctx context.Context) error {
+	var running []loadEntry
+	for id, e := range c.engines {
+		if e.tokenID != "" {
+			running = append(running, loadEntry{ID: e.tokenID, Engine: id, StartMS: e.tokenSince.UnixMilli()})
+		}
+	}
+	c.opts.Logger.Warn("order: store restored from an older copy, no orders for a minute", zap.Int("loads", len(running)))
+	if len(running) == 0 {
+		return nil
 	}
+	return c.limiter.addAgain(ctx, running)
 }
 
 // Stats returns the counters.
--- a/internal/coordination/order/limit.go
+++ b/internal/coordination/order/limit.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
@@ -52,6 +53,19 @@
 	}, id)
 }
 
+// addAgain adds the entries that the record lacks, beyond the limits: their loads have started.
+func (l *limiter) addAgain(ctx context.Context, running []loadEntry) error {
+	return l.update(ctx, func(list []loadEntry, _ time.Time) ([]loadEntry, error) {
+		for _, wanted := range running {
+			sameID := func(e loadEntry) bool { return e.ID == wanted.ID }
+			if !slices.ContainsFunc(list, sameID) {
+				list = append(list, wanted)
+			}
+		}
+		return list, nil
+	}, running[len(running)-1].ID)
+}
+
 // release marks a load as done.
 func (l *limiter) release(ctx context.Context, id string) error {
 	return l.update(ctx, func(list []loadEntry, _ time.Time) ([]loadEntry, error) {
--- a/internal/coordination/order/reconcile.go
+++ b/internal/coordination/order/reconcile.go
@@ -29,6 +29,8 @@
 	unconfirmed int
 	// tokenID is the id of the last order that holds an entry of the token record, or empty.
 	tokenID string
+	// tokenSince is when the order was recorded.
+	tokenSince time.Time
 }
 
 // reconcile compares an engine's state with its target and sends an order if they differ.
@@ -53,6 +55,7 @@
 		e.nextRead = now.Add(c.opts.ReadBackInterval)
 		c.confirm(ctx, e)
 	case now.Sub(e.targetSince) < c.opts.StableFor || now.Before(e.nextOrder) || c.storeBackingOff(now):
+	case now.Before(c.holdUntil):
 	default:
 		c.recordFailure(e, c.issue(ctx, e, generation))
 	}
@@ -94,8 +97,8 @@
 	if err := c.limiter.acquire(ctx, e.id, id); err != nil {
 		return err
 	}
-	e.tokenID = id
 	start := time.Now()
+	e.tokenID, e.tokenSince = id, start
 	r := record{ID: id, Generation: generation, Target: e.target}
 	fence, err := writeFenced(ctx, c.opts.Store, epoch, key, revision, r)
 	if err != nil {
