publish: Test a router that starts after a restore of the store

It takes the newer configuration from the routers that have it before it serves. One that hears nobody serves with the copy's configuration until it hears of the newer one. The test passed at once; the design states the case. The error of a head that cannot be written again says that the store has another one, which also holds when the restore lost it.

--- a/internal/coordination/publish/restore.go
+++ b/internal/coordination/publish/restore.go
@@ -80,8 +80,8 @@
 	return conflict
 }
 
-// errReplaced reports that another publish replaced the head that had to be written again.
-var errReplaced = errors.New("publish: replaced by another publish")
+// errReplaced reports that the store does not have the head that had to be written again: it was lost or replaced.
+var errReplaced = errors.New("publish: the store has another head")
 
 // rewriteHead writes a head again that was written during a restore. It goes on when the caller is gone, because no router
 // can read a head whose chunks are missing. It returns *UncertainError if it fails.
--- a/internal/coordination/publish/restore_test.go
+++ b/internal/coordination/publish/restore_test.go
@@ -323,3 +323,41 @@
 		}
 	})
 }
+
+// Guards against a router that starts after a restore and serves with the copy's configuration, although others have a
+// newer one. A router that hears nobody knows nothing newer and serves with it, until it hears of the newer one.
+func TestRouterStartedAfterARestoreTakesTheNewerConfiguration(t *testing.T) {
+	withFleet(t, 4, func(t *testing.T, f *fleet) {
+		late := f.routers[3]
+		for _, r := range f.routers[:3] {
+			r.start(t.Context())
+		}
+		time.Sleep(time.Minute)
+		first, err := Apply(t.Context(), f.routers[0].publisher(), f.routers[0].currentSyncer(), 0, vmSet("a"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		older := f.store.Copy()
+		second, err := Apply(t.Context(), f.routers[0].publisher(), f.routers[0].currentSyncer(), first, vmSet("a", "b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Restore(older)
+		late.start(t.Context())
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			if s := late.currentSyncer(); s.Serving() && s.generation() != second {
+				t.Fatalf("serves with generation %d", s.generation())
+			}
+		}
+		f.expectState(t, late, second, true)
+		f.isolate(late, true)
+		late.shutdown()
+		late.start(t.Context())
+		time.Sleep(10 * time.Second)
+		f.expectState(t, late, first, true)
+		f.isolate(late, false)
+		time.Sleep(inForceWithin)
+		f.expectState(t, late, second, true)
+	})
+}
