--- a/internal/coordination/publish/head.go
+++ b/internal/coordination/publish/head.go
@@ -37,6 +37,10 @@
 	// Collected gets a new random value in each garbage collection, so that publishers that read the head before it
 	// start again.
 	Collected string `json:"collected,omitempty"`
+	// Cluster is the identity of the store's data when the current version was published, or empty if it was not known.
+	Cluster string `json:"cluster,omitempty"`
+	// raw is the value that the head was decoded from.
+	raw []byte
 }
 
 // decodeHead decodes a head. It returns ErrCorrupt for malformed or incomplete data.
@@ -48,11 +52,12 @@
 	if h.Generation == 0 || h.PublishID == "" {
 		return head{}, errors.Wrap(ErrCorrupt, "head: no generation or publish id")
 	}
+	h.raw = data
 	return h, nil
 }
 
-// next returns the head that makes v the current version and appends the previous one to Past.
-func (h head) next(v version) head {
+// next returns the head that makes v, published in a cluster, the current version and appends the previous one to Past.
+func (h head) next(v version, cluster string) head {
 	past := append([]version(nil), h.Past...)
 	if h.Generation > 0 {
 		past = append(past, h.version)
@@ -60,17 +65,13 @@
 	if len(past) > maxPast {
 		past = past[len(past)-maxPast:]
 	}
-	return head{version: v, Past: past, Collected: h.Collected}
+	return head{version: v, Past: past, Collected: h.Collected, Cluster: cluster}
 }
 
-// includes reports whether the publish is the head's version or one of its past versions.
-func (h head) includes(publishID string) bool {
-	for _, v := range h.versions() {
-		if v.PublishID == publishID {
-			return true
-		}
-	}
-	return false
+// includes reports whether the publish with the generation is the head's version or one of its past versions.
+func (h head) includes(gen ident.Generation, publishID string) bool {
+	v, ok := h.find(gen)
+	return ok && v.PublishID == publishID
 }
 
 // pastReaches reports whether the head's versions go back to the generation. If they do, the absence of a publish id
