gossip: Count a router that relays list as lost only after missed lists

A router with requests states an interval of 400 ms to the routers that it reports to directly. These change with the calls. One that is no longer among them kept that interval, so that it counted the sender as lost after 1.3 s, although it heard of it from relays only: lists come every 0.8 s or more and tell of a report that is up to 0.4 s old. Routers that differ in whom they know assign the owners of loads differently, and reserve places at different owners.

A sign of life that came from a relay now counts for the interval of relayed routers, until the next report of the router itself. A lost router still leaves the list within 3 s, and one that reports directly within 1.3 s.

TestSightingsExtendAStatedInterval failed before: RemoveLost returned ["busy"] for a router that each list named.

--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -22,6 +22,8 @@
 	*Report
 	// Heard is the time of the router's last sign of life: a report, or a sighting by a relay.
 	Heard time.Time
+	// sighted is set if that was a sighting. The interval that the report states then does not apply.
+	sighted bool
 }
 
 // entry is the state of another router.
@@ -48,6 +50,9 @@
 		return false
 	}
 	interval := min(max(time.Duration(p.IntervalMS)*time.Millisecond, MaxPeriod), RelayedInterval)
+	if p.sighted {
+		interval = RelayedInterval
+	}
 	return age > time.Duration(lostIntervals*float64(interval))
 }
 
--- a/internal/coordination/gossip/presence.go
+++ b/internal/coordination/gossip/presence.go
@@ -126,7 +126,7 @@
 
 // observe records a sighting that is newer than the last sign of life.
 func (e *entry) observe(heard time.Time, s *Sighting) {
-	e.Heard = heard
+	e.Heard, e.sighted = heard, true
 	e.lost = false
 	rate := float32(s.Rate)
 	if e.Busy == s.Busy && e.Rate == rate && e.ConfigVersion >= s.ConfigVersion {
--- a/internal/coordination/gossip/presence_test.go
+++ b/internal/coordination/gossip/presence_test.go
@@ -59,6 +59,27 @@
 	g.Expect(p.RemoveLost(now.Add(10*time.Second))).To(ConsistOf("idle", "busy", "relay"), "lost for a second time")
 }
 
+// Guards against live routers that count as lost at those that they no longer report to: their reports to active routers
+// state a short interval, and lists of relays come less often.
+func TestSightingsExtendAStatedInterval(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	busy := Report{Router: "busy", Incarnation: 5, Seq: 1, Ready: true, IntervalMS: int(MaxPeriod.Milliseconds())}
+	p := announced(g, now, busy, Report{Router: "relay", Incarnation: 1, Seq: 1})
+	for range 5 {
+		now = now.Add(RelayPeriod)
+		busy.Seq++
+		relay(announced(g, now.Add(-MaxPeriod), busy), p, now)
+		beforeNextList := now.Add(RelayPeriod + RelayPeriod/2)
+		g.Expect(p.RemoveLost(beforeNextList)).To(BeEmpty())
+		g.Expect(liveNames(p, beforeNextList)).To(ContainElement("busy"))
+	}
+	g.Expect(liveNames(p, now.Add(3*time.Second))).To(BeEmpty())
+	busy.Seq++
+	g.Expect(p.Update(now, &busy)).To(BeTrue())
+	g.Expect(liveNames(p, now.Add(minSilence+time.Millisecond))).NotTo(ContainElement("busy"), "it reports directly again")
+}
+
 // Guards against a lost router that stays in the directory because relays pass the same sign of life on again and again.
 func TestSightingsDoNotRenewThemselves(t *testing.T) {
 	g := NewWithT(t)
