gateway: Repeat the end of a load to its owner

An owner counted a load for 1.5 s when the message on its end was lost: loads are sent again each 400 ms, but only those that a router still has. The same held after a change of owners, for the owner that did not get the message and becomes the owner again. A request to a plain service takes some 20 ms, so that a few lost messages out of a hundred count for more than the requests do.

The loads sent again now include, for as long as an owner may count them, those that have ended.

TestLostReleaseIsRepeated failed before: 800 ms after the lost message the owner counted 1 running request instead of 0.

--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
@@ -28,6 +29,9 @@
 	// because datagrams may be lost.
 	assignmentPeriod = 100 * time.Millisecond
 	resendPeriod     = 400 * time.Millisecond
+	// endResendTime is how long the end of a load is among the loads sent again. An owner counts a load about as long
+	// after its last report.
+	endResendTime = 1500 * time.Millisecond
 	// ownersIdlePeriod is how often the owners are assigned while this router neither has requests nor owns loads.
 	ownersIdlePeriod = 400 * time.Millisecond
 )
@@ -41,6 +45,7 @@
 	n.registry.MustRegister(outcomes)
 	return &loadOwners{
 		node: n, pendingRequests: reservation.NewPendingRequests(), reserved: make(chan struct{}, 1), outcomes: outcomes,
+		ended: make(map[string]time.Time),
 	}
 }
 
@@ -58,6 +63,9 @@
 	denied, unanswered atomic.Int64
 	// lastAssignment and lastResend are used by the flushing goroutine only.
 	lastAssignment, lastResend time.Time
+	// ended holds the servers on which this router had a load lately, and the time at which it ended. Only the flushing
+	// goroutine uses it.
+	ended map[string]time.Time
 }
 
 // ownerTable is an assignment of servers to owners. It is immutable.
@@ -149,8 +157,10 @@
 	changed := o.node.admission.TakeChanged()
 	table := o.table.Load()
 	if table == nil {
+		clear(o.ended)
 		return
 	}
+	o.recordEnded(now, changed)
 	if resendAll {
 		o.lastResend = now
 	}
@@ -160,9 +170,7 @@
 		}
 	}
 	if resendAll {
-		for server, l := range o.node.admission.OwnLoads() {
-			changed = append(changed, reservation.ServerLoad{Server: server, Load: l})
-		}
+		changed = append(changed, o.loadsToResend(now)...)
 	}
 	byOwner := make(map[string][]reservation.ServerLoad)
 	for _, l := range changed {
@@ -176,6 +184,35 @@
 	}
 }
 
+// recordEnded records which of the changed loads have ended.
+func (o *loadOwners) recordEnded(now time.Time, changed []reservation.ServerLoad) {
+	for _, l := range changed {
+		if l.Load == (engineload.Load{}) {
+			o.ended[l.Server] = now
+		} else {
+			delete(o.ended, l.Server)
+		}
+	}
+}
+
+// loadsToResend returns this router's loads, with the servers on which it had one lately.
+func (o *loadOwners) loadsToResend(now time.Time) []reservation.ServerLoad {
+	own := o.node.admission.OwnLoads()
+	list := make([]reservation.ServerLoad, 0, len(own)+len(o.ended))
+	for server, l := range own {
+		list = append(list, reservation.ServerLoad{Server: server, Load: l})
+	}
+	for server, at := range o.ended {
+		switch _, loaded := own[server]; {
+		case now.Sub(at) > endResendTime:
+			delete(o.ended, server)
+		case !loaded:
+			list = append(list, reservation.ServerLoad{Server: server})
+		}
+	}
+	return list
+}
+
 // updateOwners assigns the owners again if routers or servers have changed. It reports whether it did. A small fleet
 // has no owners.
 func (o *loadOwners) updateOwners() bool {
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,8 +19,11 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
+	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
@@ -179,3 +185,54 @@
 		g.Expect(counts.byStatus).To(Equal(map[int]int{http.StatusOK: int(rate * duration.Seconds())}))
 	})
 }
+
+// Guards against a load that an owner counts for a second and more because the message on its end was lost.
+func TestLostReleaseIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		servers := startPlainServers(5)
+		defer servers.close()
+		var lost atomic.Int32
+		f := newPreparedReportFleet(g, 40, func(ctx context.Context, n *Node) {
+			transmit := n.transmit
+			n.transmit = func(to netip.AddrPort, data []byte) {
+				if endsLoad(data) && lost.CompareAndSwap(0, 1) {
+					return
+				}
+				transmit(to, data)
+			}
+			servers.serve(ctx, n)
+		})
+		defer f.killAll()
+		time.Sleep(settleTime)
+		counts := callCounts{byStatus: make(map[int]int)}
+		counts.call(f.nodes["r-030"], 1)
+		g.Expect(counts.byStatus).To(HaveKey(http.StatusOK))
+		time.Sleep(2 * flushPeriod)
+		g.Expect(lost.Load()).To(BeEquivalentTo(1))
+		g.Expect(f.runningAtOwners()).To(Equal(1))
+		time.Sleep(2 * resendPeriod)
+		g.Expect(f.runningAtOwners()).To(BeZero())
+	})
+}
+
+// endsLoad reports whether a datagram tells an owner that a router has no load left on a server.
+func endsLoad(data []byte) bool {
+	message, err := datagrams.Decode(data)
+	loads, ok := message.(reservation.Loads)
+	return err == nil && ok && slices.ContainsFunc(loads.Parts, func(l reservation.ServerLoad) bool {
+		return l.Load == engineload.Load{}
+	})
+}
+
+// runningAtOwners returns the number of requests that the owners of loads count.
+func (f *reportFleet) runningAtOwners() int {
+	running := 0
+	for _, n := range f.nodes {
+		totals, _ := n.owners.totals()
+		for _, l := range totals {
+			running += l.Load.Running
+		}
+	}
+	return running
+}
