gateway: Tell clients the end of a server's pause when the retry budget is used up

A server that turns a request away may ask for a pause. When the retry budget was used up, the client was told to return after 0.3 s and met the same server within its pause. The time now is the end of that pause, spread like that of a refusal in which all servers have asked for one.

TestRetryTimeIsTheEndOfThePauseWithoutRetryBudget failed before: Retry-After was 0.3, for a pause of 1.5 s.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -131,6 +131,14 @@
 	return c.core.MaySend(time.Now(), t)
 }
 
+// RetryAfterPause returns the time after which a client may retry whose request a server has turned away with the wish for
+// a pause. It returns false if the server has not asked for one or the pause is over.
+func (c *Controller) RetryAfterPause(server string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.RetryAfterPause(time.Now(), server)
+}
+
 // SkipSuspended shortens the pauses of servers by a time for which the VM was suspended.
 func (c *Controller) SkipSuspended(d time.Duration) {
 	c.mu.Lock()
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -89,6 +89,16 @@
 	return true
 }
 
+// RetryAfterPause returns the time after which a client may retry whose request a server has turned away with the wish for
+// a pause. It returns false if the server has not asked for one or the pause is over.
+func (c *Core) RetryAfterPause(now time.Time, server string) (time.Duration, bool) {
+	h := c.health[server]
+	if h == nil || !now.Before(h.reopensAt) {
+		return 0, false
+	}
+	return c.jitter.above(h.reopensAt.Sub(now)), true
+}
+
 // jitter randomizes the retry times of refused clients, so that they do not all retry at once.
 type jitter struct {
 	state uint64
--- a/internal/transport/gateway/announce_test.go
+++ b/internal/transport/gateway/announce_test.go
@@ -65,6 +65,28 @@
 	g.Expect(h.do(h.request(http.MethodPost, "/callout/x", "later", "")).status).To(Equal(http.StatusOK))
 }
 
+// Guards against a client that is told to return within the pause of the server that turned its request away, because the
+// retry budget was used up.
+func TestRetryTimeIsTheEndOfThePauseWithoutRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, 3)
+	h.gateway.opts.RetryBudget.SetBounds(0, 0)
+	for _, e := range h.engines {
+		e.SetRetryAfter("1.5")
+	}
+	resp := h.do(h.request(http.MethodPost, "/callout/x", "a", ""))
+	g.Expect(resp.status).To(Equal(http.StatusServiceUnavailable))
+	seconds, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seconds).To(BeNumerically(">=", 1.4))
+	g.Expect(seconds).To(BeNumerically("<", 2.5))
+	arrivals := 0
+	for _, e := range h.engines {
+		arrivals += e.Arrivals()
+	}
+	g.Expect(arrivals).To(Equal(1))
+}
+
 // Guards against a server that is out of use for good, or gets requests at once, because it asked for a senseless pause.
 func TestSenselessPauses(t *testing.T) {
 	for text, most := range map[string]time.Duration{
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -97,7 +97,7 @@
 			x.recordAnswered(x.failureResponse.status)
 		}
 	case x.possibleRuns == 0 && result == sendNotExecuted:
-		x.refuse(refusalFull, retryAfterShortage)
+		x.refuse(refusalFull, x.retryAfterFull())
 	case x.possibleRuns == 0 && (result == sendUnreachable || result == sendWithdrawn):
 		x.refuse(string(admission.ReasonNoServer), retryAfterShortage)
 	case result == sendSilent:
@@ -107,6 +107,14 @@
 	}
 }
 
+// retryAfterFull returns the time after which the client of a request that the last server has turned away may retry.
+func (x *exchange) retryAfterFull() time.Duration {
+	if pause, ok := x.g.opts.Admission.RetryAfterPause(x.server); ok {
+		return pause
+	}
+	return retryAfterShortage
+}
+
 // handleContextEnd ends a request whose client has disconnected or whose deadline has passed.
 func (x *exchange) handleContextEnd(ctx context.Context) {
 	switch {
