--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
@@ -28,6 +29,9 @@
 	// because datagrams may be lost.
 	assignmentPeriod = 100 * time.Millisecond
 	resendPeriod     = 400 * time.Millisecond
+	// endResendTime is how long the end of a load is among the loads sent again. An owner counts a load about as long
+	// after its last report.
+	endResendTime = 1500 * time.Millisecond
 	// ownersIdlePeriod is how often the owners are assigned while this router neither has requests nor owns loads.
 	ownersIdlePeriod = 400 * time.Millisecond
 )
@@ -39,7 +43,10 @@
 		Help: "Places asked of the routers that own the loads of servers, by outcome: granted, full, unanswered.",
 	}, []string{"outcome"})
 	n.registry.MustRegister(outcomes)
-	return &loadOwners{node: n, pendingRequests: reservation.NewPendingRequests(), outcomes: outcomes}
+	return &loadOwners{
+		node: n, pendingRequests: reservation.NewPendingRequests(), reserved: make(chan struct{}, 1), outcomes: outcomes,
+		ended: make(map[string]time.Time),
+	}
 }
 
 // loadOwners implements admission.Owners. It assigns the load of each server to an owning router, and exchanges loads
@@ -48,12 +55,17 @@
 	node            *Node
 	pendingRequests *reservation.PendingRequests
 	table           atomic.Pointer[ownerTable]
+	// reserved is signalled by each reservation, so that run learns of this router's loads at once.
+	reserved chan struct{}
 	// outcomes counts the reservation requests by outcome.
 	outcomes *prometheus.CounterVec
 	// denied and unanswered count the reservation requests without a grant, for the log.
 	denied, unanswered atomic.Int64
 	// lastAssignment and lastResend are used by the flushing goroutine only.
 	lastAssignment, lastResend time.Time
+	// ended holds the servers on which this router had a load lately, and the time at which it ended. Only the flushing
+	// goroutine uses it.
+	ended map[string]time.Time
 }
 
 // ownerTable is an assignment of servers to owners. It is immutable.
@@ -71,6 +83,10 @@
 
 // Reserve implements admission.Owners.
 func (o *loadOwners) Reserve(ctx context.Context, r reservation.Request) (reservation.Answer, bool) {
+	select {
+	case o.reserved <- struct{}{}:
+	default:
+	}
 	table := o.table.Load()
 	if table == nil {
 		return reservation.Answer{}, false
@@ -102,23 +118,32 @@
 	o.outcomes.WithLabelValues(label).Inc()
 }
 
-// run flushes until ctx ends: every flushPeriod while this router has requests or owns loads, and otherwise every
-// ownersIdlePeriod.
+// run flushes until ctx ends: every flushPeriod while this router has requests, loads or owned loads, and otherwise every
+// ownersIdlePeriod. A reservation ends an idle period, because the owner counts the load until it hears of its end.
 func (o *loadOwners) run(ctx context.Context) {
-	period := flushPeriod
-	for periodic.Sleep(ctx, period) {
+	for periodic.Sleep(ctx, flushPeriod) {
 		o.flush(time.Now())
-		period = flushPeriod
 		if o.idle() {
-			period = ownersIdlePeriod
+			o.awaitReservation(ctx, ownersIdlePeriod-flushPeriod)
 		}
 	}
 }
 
-// idle reports whether this router neither has requests nor owns loads.
+// awaitReservation waits until this router asks for a reservation, for at most d.
+func (o *loadOwners) awaitReservation(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-o.reserved:
+	case <-ctx.Done():
+	}
+}
+
+// idle reports whether this router neither has requests nor owns loads, and has told the owners of the end of its loads.
 func (o *loadOwners) idle() bool {
 	table := o.table.Load()
-	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0)
+	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0) && o.node.admission.LoadsSettled()
 }
 
 // flush sends capacity notices to routers and changed loads to their owners. It updates the owners and resends all
@@ -129,10 +154,13 @@
 		o.lastAssignment = now
 		resendAll = o.updateOwners() || resendAll
 	}
+	changed := o.node.admission.TakeChanged()
 	table := o.table.Load()
 	if table == nil {
+		clear(o.ended)
 		return
 	}
+	o.recordEnded(now, changed)
 	if resendAll {
 		o.lastResend = now
 	}
@@ -141,11 +169,8 @@
 			o.node.send(notification.Notice, address)
 		}
 	}
-	changed := o.node.admission.TakeChanged()
 	if resendAll {
-		for server, l := range o.node.admission.OwnLoads() {
-			changed = append(changed, reservation.ServerLoad{Server: server, Load: l})
-		}
+		changed = append(changed, o.loadsToResend(now)...)
 	}
 	byOwner := make(map[string][]reservation.ServerLoad)
 	for _, l := range changed {
@@ -159,6 +184,35 @@
 	}
 }
 
+// recordEnded records which of the changed loads have ended.
+func (o *loadOwners) recordEnded(now time.Time, changed []reservation.ServerLoad) {
+	for _, l := range changed {
+		if l.Load == (engineload.Load{}) {
+			o.ended[l.Server] = now
+		} else {
+			delete(o.ended, l.Server)
+		}
+	}
+}
+
+// loadsToResend returns this router's loads, with the servers on which it had one lately.
+func (o *loadOwners) loadsToResend(now time.Time) []reservation.ServerLoad {
+	own := o.node.admission.OwnLoads()
+	list := make([]reservation.ServerLoad, 0, len(own)+len(o.ended))
+	for server, l := range own {
+		list = append(list, reservation.ServerLoad{Server: server, Load: l})
+	}
+	for server, at := range o.ended {
+		switch _, loaded := own[server]; {
+		case now.Sub(at) > endResendTime:
+			delete(o.ended, server)
+		case !loaded:
+			list = append(list, reservation.ServerLoad{Server: server})
+		}
+	}
+	return list
+}
+
 // updateOwners assigns the owners again if routers or servers have changed. It reports whether it did. A small fleet
 // has no owners.
 func (o *loadOwners) updateOwners() bool {
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -101,7 +101,7 @@
 			x.recordAnswered(failure.status)
 		}
 	case !mayHaveRun && result == sendNotExecuted:
-		x.refuse(refusalFull, retryAfterShortage)
+		x.refuse(refusalFull, x.retryAfterFull())
 	case !mayHaveRun && (result == sendUnreachable || result == sendWithdrawn):
 		x.refuse(string(admission.ReasonNoServer), retryAfterShortage)
 	default:
@@ -109,6 +109,14 @@
 	}
 }
 
+// retryAfterFull returns the time after which the client of a request that the last server has turned away may retry.
+func (x *exchange) retryAfterFull() time.Duration {
+	if pause, ok := x.g.opts.Admission.RetryAfterPause(x.current.decision.Server.ID); ok {
+		return pause
+	}
+	return retryAfterShortage
+}
+
 // ErrStopping is the cancellation cause of the requests that are still in progress when the router stops.
 var ErrStopping = errors.New("router stops")
 
