offload, sockopt: Accept the waiting connections before the callers' port is closed

What callers saw: a closed connection in place of a response or a refusal, for a whole request that they had sent. When a router pauses its port, the system resets the connections that were made and not accepted yet, and a pause begins just when the processor is late and connections wait. They are now accepted before the port is closed, and served or refused.

--- a/internal/transport/offload/port.go
+++ b/internal/transport/offload/port.go
@@ -23,6 +23,8 @@
 	// reopened is closed when the port is opened again or closed for good.
 	reopened chan struct{}
 	closed   bool
+	// pending holds the connections that had been made before the port was closed and were not accepted.
+	pending []net.Conn
 }
 
 var _ net.Listener = (*portListener)(nil)
@@ -35,9 +37,12 @@
 	return &portListener{listen: listen, address: l.Addr(), current: l}, nil
 }
 
-// Accept implements net.Listener. It waits while the port is closed.
+// Accept implements net.Listener. While the port is closed, it returns the pending connections and then waits.
 func (p *portListener) Accept() (net.Conn, error) {
 	for {
+		if conn := p.takePending(); conn != nil {
+			return conn, nil
+		}
 		l, reopened, err := p.state()
 		if err != nil {
 			return nil, err
@@ -53,6 +58,19 @@
 	}
 }
 
+// takePending removes and returns the pending connection that has waited longest, or nil if there is none.
+func (p *portListener) takePending() net.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pending) == 0 {
+		return nil
+	}
+	conn := p.pending[0]
+	p.pending[0] = nil
+	p.pending = p.pending[1:]
+	return conn
+}
+
 func (p *portListener) state() (*sockopt.PlainListener, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,13 +86,15 @@
 	return p.current == l
 }
 
-// Pause closes the port for d, unless it is closed already. It reports whether it did.
+// Pause closes the port for d, unless it is closed already. It reports whether it did. The system would reset connections
+// that wait to be accepted, with the requests that their clients have sent; so they are accepted before.
 func (p *portListener) Pause(d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.current == nil {
 		return false
 	}
+	p.pending = append(p.pending, p.current.AcceptPending()...)
 	_ = p.current.Close()
 	p.current, p.reopened = nil, make(chan struct{})
 	time.AfterFunc(d, p.reopen)
@@ -110,6 +130,10 @@
 		return nil
 	}
 	p.closed = true
+	for _, conn := range p.pending {
+		_ = conn.Close()
+	}
+	p.pending = nil
 	if p.current == nil {
 		close(p.reopened)
 		return nil
