--- a/internal/coordination/order/reconcile.go
+++ b/internal/coordination/order/reconcile.go
@@ -29,6 +29,8 @@
 	unconfirmed int
 	// tokenID is the id of the last order that holds an entry of the token record, or empty.
 	tokenID string
+	// tokenSince is when the order was recorded.
+	tokenSince time.Time
 }
 
 // reconcile compares an engine's state with its target and sends an order if they differ.
@@ -53,6 +55,7 @@
 		e.nextRead = now.Add(c.opts.ReadBackInterval)
 		c.confirm(ctx, e)
 	case now.Sub(e.targetSince) < c.opts.StableFor || now.Before(e.nextOrder) || c.storeBackingOff(now):
+	case now.Before(c.holdUntil):
 	default:
 		c.recordFailure(e, c.issue(ctx, e, generation))
 	}
@@ -79,6 +82,10 @@
 // issue writes the order's record and sends the order.
 func (c *Controller) issue(ctx context.Context, e *trackedEngine, generation ident.Generation) error {
 	key := keyPrefix + string(e.id)
+	epoch, err := c.opts.Fencing.Current(ctx)
+	if err != nil {
+		return err
+	}
 	last, revision, err := readRecord(ctx, c.opts.Store, key)
 	if err != nil {
 		return err
@@ -90,10 +97,10 @@
 	if err := c.limiter.acquire(ctx, e.id, id); err != nil {
 		return err
 	}
-	e.tokenID = id
 	start := time.Now()
+	e.tokenID, e.tokenSince = id, start
 	r := record{ID: id, Generation: generation, Target: e.target}
-	fence, err := writeRecord(ctx, c.opts.Store, key, revision, r)
+	fence, err := writeFenced(ctx, c.opts.Store, epoch, key, revision, r)
 	if err != nil {
 		c.releaseToken(ctx, e)
 		return err
@@ -103,7 +110,7 @@
 		c.releaseToken(ctx, e)
 		return nil
 	}
-	return c.send(ctx, e, int64(fence))
+	return c.send(ctx, e, fence)
 }
 
 // send sends the order. If the answer is lost, the order stays unconfirmed until the engine's state shows its effect.
@@ -115,6 +122,7 @@
 		zap.Int64("fence", fence))
 	err := c.opts.Engines.Order(ctx, e.server, Command{Kind: LoadModel, Target: e.target, Fence: fence})
 	if errors.Is(err, ErrStale) {
+		c.opts.Fencing.Refresh()
 		c.releaseToken(ctx, e)
 	}
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/claim"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/dispatch"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/membership"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/order"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/publish"
@@ -45,6 +46,7 @@
 
 	events          *timeline.Ring
 	store           *etcdkv.Client
+	fencing         *fencing.Numbers
 	vmList          *vmlist.Client
 	network         *peerlink.Network
 	snapshot        snapshot.Holder
@@ -170,9 +172,11 @@
 		Holder:     &d.snapshot,
 		Peers:      publishPeers{d},
 		Watch:      d.watchesStore,
+		Cluster:    d.store.ClusterID,
 		OnSnapshot: d.onSnapshot,
 		Logger:     d.log,
 	})
+	d.publisher.DetectRestores(d.store.ClusterID, d.syncer)
 }
 
 func (d *Daemon) composeDispatch() {
@@ -185,6 +189,7 @@
 		Events:      d.events,
 		Serving:     d.serving,
 	})
+	d.fencing = fencing.New(d.store, d.store.ClusterID)
 	d.orderController = order.New(order.Options{
 		Store:       d.store,
 		Engines:     d.backends,
@@ -192,6 +197,7 @@
 		Owns:        d.ownsBackend,
 		Self:        ident.RouterID(d.settings.ID),
 		Incarnation: d.incarnation,
+		Fencing:     d.fencing,
 		Logger:      d.log,
 	})
 }
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -92,15 +92,16 @@
 // fail writes the final response after a failed send that is not retried.
 func (x *exchange) fail(result sendResult) {
 	mayHaveRun := x.mayHaveRun()
+	failure := x.failureResponse.Load()
 	switch {
 	case x.stream.started:
 		x.abort(cutServerFailed)
-	case x.failureResponse != nil:
-		if x.failureResponse.write(x) {
-			x.recordAnswered(x.failureResponse.status)
+	case failure != nil:
+		if failure.write(x) {
+			x.recordAnswered(failure.status)
 		}
 	case !mayHaveRun && result == sendNotExecuted:
-		x.refuse(refusalFull, retryAfterShortage)
+		x.refuse(refusalFull, x.retryAfterFull())
 	case !mayHaveRun && (result == sendUnreachable || result == sendWithdrawn):
 		x.refuse(string(admission.ReasonNoServer), retryAfterShortage)
 	default:
@@ -108,6 +109,14 @@
 	}
 }
 
+// retryAfterFull returns the time after which the client of a request that the last server has turned away may retry.
+func (x *exchange) retryAfterFull() time.Duration {
+	if pause, ok := x.g.opts.Admission.RetryAfterPause(x.current.decision.Server.ID); ok {
+		return pause
+	}
+	return retryAfterShortage
+}
+
 // ErrStopping is the cancellation cause of the requests that are still in progress when the router stops.
 var ErrStopping = errors.New("router stops")
 
