offload: Count a served connection before it is served

Since requests that arrive after the shutdown are refused, a served connection was counted only after the HTTP server had taken it. The connection is counted first again; a refusal after the shutdown is not counted as one for lack of processor time.

--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -149,7 +149,7 @@
 	switch decision.Action {
 	case Serve:
 		if !i.serve(conn, head) {
-			i.refuse(conn, r, buf, bodyBytes)
+			i.respond(conn, r, buf, bodyBytes, i.opts.Policy.Refuse)
 		}
 	case Forward:
 		i.forwarded.Add(1)
@@ -181,12 +181,9 @@
 // serve leaves a connection to this router's HTTP server, which reads head first. It returns false if the server has been
 // shut down.
 func (i *Inspector) serve(conn net.Conn, head []byte) bool {
-	sockopt.Apply(conn)
-	if !i.served.put(&prefixedConn{Conn: conn, prefix: slices.Clone(head)}) {
-		return false
-	}
 	i.opts.Policy.Record(Serve)
-	return true
+	sockopt.Apply(conn)
+	return i.served.put(&prefixedConn{Conn: conn, prefix: slices.Clone(head)})
 }
 
 // headerEnd ends the header of a request.
