gateway: Log denied reservations of plain services too

The counts of denied and unanswered reservations were dropped unless requests to model engines waited or were refused, so that the log of a router that refused plain calls only did not tell that the owners denied its reservations.

--- a/internal/daemon/gateway/sharelog.go
+++ b/internal/daemon/gateway/sharelog.go
@@ -13,11 +13,12 @@
 // shareLogPeriod is the time between two log lines about the teams' shares.
 const shareLogPeriod = time.Second
 
-// logShares logs the shares as this router knows them, if requests to model engines wait or were refused.
+// logShares logs the shares as this router knows them, if requests to model engines wait or were refused, or if owners
+// denied or did not answer reservations.
 func (n *Node) logShares() {
 	r := n.admission.TakeShareReport()
 	denied, unanswered := n.owners.denied.Swap(0), n.owners.unanswered.Swap(0)
-	if len(r.Teams) == 0 {
+	if len(r.Teams) == 0 && denied == 0 && unanswered == 0 {
 		return
 	}
 	n.log.Named("shares").Info("shares",
