test/soak: Report whole requests that end without an answer, and answers that end early

Callers saw accepted requests end with a closed connection, and the soak did not report it: it compared complete answers only, and of the others only requests that may run once and that a graceful shutdown cut off. None of its faults let an engine fall silent and go on; each lost data.

engine-stalls holds the data of all connections of an engine back for 0.5 to 2.5 s and then delivers it, as if its process were suspended; engine-connection-stalls does so for the one connection that answered last. checkEndings reports a request whose last byte was written and that got no answer, an answer that ended early, and a 502 or 504 for a request that may be repeated, unless one of the reasons in the doc comment holds. It takes the place of checkGracefulStop, which looked at one route only and at routers without a recent disruption of the store. One case of that check is left out: an answer that an engine with a fault broke off during a shutdown.

--- a/test/soak/announcements.go
+++ b/test/soak/announcements.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
@@ -74,11 +75,24 @@
 	e.cuts = append(e.cuts, time.Now())
 }
 
-// interruptedBetween reports whether the process was ended or suspended between two times.
-func (r *router) interruptedBetween(from, to time.Time) bool {
+// anyInterruption reports whether a signal that ends, suspends or resumes the process meets a condition.
+func (r *router) anyInterruption(condition func(interruption) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.interruptions, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	return slices.ContainsFunc(r.interruptions, condition)
+}
+
+// interruptedBetween reports whether the process was ended or suspended between two times.
+func (r *router) interruptedBetween(from, to time.Time) bool {
+	return r.anyInterruption(func(i interruption) bool { return i.at.After(from) && i.at.Before(to) })
+}
+
+// killedOrPausedBetween reports whether the process was killed, suspended or resumed between two times. A graceful
+// shutdown does not count.
+func (r *router) killedOrPausedBetween(from, to time.Time) bool {
+	return r.anyInterruption(func(i interruption) bool {
+		return i.signal != syscall.SIGTERM && i.at.After(from) && i.at.Before(to)
+	})
 }
 
 // attemptOf returns the attempt of a request that an engine received.
@@ -94,7 +108,7 @@
 // an engine which said that it leaves, and that reached that engine all the same.
 func (d *deployment) checkLeaving(list []sentRequest) {
 	for _, s := range list {
-		if s.leaving == (incarnation{}) || s.failed {
+		if s.leaving == (incarnation{}) || s.err != nil {
 			continue
 		}
 		for _, e := range d.engines {
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -24,12 +24,10 @@
 		if runs > 1 && (s.path == unsafeRoute || s.path == streamRoute) {
 			d.report.addViolation("%s %s: ran %d times", s.id, s.path, runs)
 		}
-		if s.status == http.StatusServiceUnavailable && runs > 0 && s.path != resumableRoute && s.path != safeRoute &&
-			s.path != summaryRoute {
+		if s.status == http.StatusServiceUnavailable && runs > 0 && !s.repeatable() {
 			d.report.addViolation("%s %s: refused, but ran", s.id, s.path)
 		}
 		d.checkKey(s, runs)
-		d.checkGracefulStop(s, runs)
 	}
 }
 
@@ -43,23 +41,6 @@
 	}
 }
 
-// checkGracefulStop reports an unsafe request that a graceful shutdown cut off in the first 5/6 of the grace time.
-func (d *deployment) checkGracefulStop(s sentRequest, runs int) {
-	if !s.failed || runs == 0 || !s.undisturbed {
-		return
-	}
-	s.router.mu.Lock()
-	stoppingSince, disruptedUntil := s.router.stoppingSince, s.router.disruptedUntil
-	s.router.mu.Unlock()
-	if stoppingSince.IsZero() || disruptedUntil.After(s.start) {
-		return
-	}
-	if s.start.Before(stoppingSince) && s.end.After(stoppingSince) &&
-		s.end.Sub(stoppingSince) < graceSeconds*time.Second*5/6 && s.path == unsafeRoute {
-		d.report.addViolation("%s %s: cut off %v after SIGTERM", s.id, s.path, s.end.Sub(stoppingSince))
-	}
-}
-
 // watchVersions polls the routes that exist in only one version of the configuration. It reports a router process that
 // serves such a route after it served the route of a newer version.
 func (d *deployment) watchVersions(ctx context.Context) {
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,15 +17,19 @@
 
 // sentRequest is a request that a client sent, and its outcome.
 type sentRequest struct {
-	id          string
-	path        string
-	key         string
-	router      *router
-	start       time.Time
-	end         time.Time
-	status      int
-	failed      bool
-	undisturbed bool
+	id     string
+	path   string
+	key    string
+	router *router
+	start  time.Time
+	end    time.Time
+	status int
+	// written is when the last byte of the request had been written; zero if it was not.
+	written time.Time
+	// err is why there was no complete answer; nil if there was one.
+	err error
+	// abandoned is set if the client ended the request before its deadline.
+	abandoned bool
 	// leaving identifies the engine incarnation whose answer said that it leaves. It is zero if the answer did not.
 	leaving incarnation
 }
@@ -73,40 +78,67 @@
 // send sends one request and checks a complete, successful answer.
 func (d *deployment) send(ctx context.Context, transport http.RoundTripper, r *router, path, key string) sentRequest {
 	s := sentRequest{id: fmt.Sprintf("a%d", lastAttempt.Add(1)), path: path, key: key, router: r, start: time.Now()}
-	s.undisturbed = r.undisturbed(s.start)
 	d.attempts.Store(s.id, attempt{router: r, start: s.start})
-	ctx, cancel := context.WithTimeout(ctx, routeTimeout+2*time.Second)
+	var written atomic.Pointer[time.Time]
+	limited, cancel := context.WithTimeout(recordWritten(ctx, &written), routeTimeout+2*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.frontAddress+path+"x",
-		strings.NewReader("body of "+s.id))
+	d.exchange(limited, transport, &s)
+	if at := written.Load(); at != nil {
+		s.written = *at
+	}
+	s.abandoned = s.err != nil && ctx.Err() != nil
+	return s
+}
+
+// recordWritten stores in at when the last byte of the request of a context has been written.
+func recordWritten(ctx context.Context, at *atomic.Pointer[time.Time]) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			now := time.Now()
+			at.Store(&now)
+		}
+	}})
+}
+
+// exchange sends a request, reads the answer and records the outcome.
+func (d *deployment) exchange(ctx context.Context, transport http.RoundTripper, s *sentRequest) {
+	stream := s.path == resumableRoute || s.path == streamRoute || s.path == summaryRoute
+	req, err := newRequest(ctx, *s, stream)
 	if err != nil {
 		d.report.addViolation("request: %v", err)
-		return s
+		return
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		s.end, s.err = time.Now(), err
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.leaving = leavingOf(resp.Header)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	s.end, s.status, s.err = time.Now(), resp.StatusCode, err
+	if err == nil && s.status == http.StatusOK {
+		d.checkAnswer(*s, resp.Header, string(body), stream)
+	}
+}
+
+func newRequest(ctx context.Context, s sentRequest, stream bool) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.router.frontAddress+s.path+"x",
+		strings.NewReader("body of "+s.id))
+	if err != nil {
+		return nil, err
 	}
 	req.Host = clientHost
 	req.GetBody = nil // keeps the transport from sending the request again
 	req.Header.Set("Attempt-Id", s.id)
-	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Authorization", "Bearer "+s.key)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(routeTimeout.Milliseconds()))
-	stream := path == resumableRoute || path == streamRoute || path == summaryRoute
 	if stream {
 		req.Header.Set("Model", "m")
 		req.Header.Set("Token-Usage", "400,40")
 		req.Header.Set("Prefix-Hash", fmt.Sprintf("%x:300,%x:100", lastAttempt.Load()%7, lastAttempt.Load()+1000))
 	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		s.end, s.failed = time.Now(), true
-		return s
-	}
-	defer func() { _ = resp.Body.Close() }()
-	s.leaving = leavingOf(resp.Header)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	s.end, s.status, s.failed = time.Now(), resp.StatusCode, err != nil
-	if err == nil && s.status == http.StatusOK {
-		d.checkAnswer(s, resp.Header, string(body), stream)
-	}
-	return s
+	return req, nil
 }
 
 // maxAnswerBytes is how much of an answer is read. Engines in trouble send bodies without end.
--- a/test/soak/config.go
+++ b/test/soak/config.go
@@ -46,6 +46,12 @@
 
 var defaultSettings = settings{timeout: routeTimeout, idleTimeout: idleTimeout, tokensPerSecond: tokensPerSecond}
 
+// timeoutChange is a write of a configuration and the time limit of its routes.
+type timeoutChange struct {
+	at      time.Time
+	timeout time.Duration
+}
+
 // addKey adds an API key to the next configuration that is written, and returns it.
 func (d *deployment) addKey() string {
 	d.mu.Lock()
@@ -64,6 +70,7 @@
 	defer d.mu.Unlock()
 	change(&d.settings)
 	d.version++
+	d.timeouts = append(d.timeouts, timeoutChange{time.Now(), d.settings.timeout})
 	d.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],
 "limits":{"maxBodyBytes":100000,"idleTimeoutMs":%d,"tokensPerS":%g},"tenants":[%s]}`,
 		d.version, strings.Join(d.routes(), ","), services(), d.settings.idleTimeout.Milliseconds(),
@@ -123,6 +130,20 @@
 // versionRoute returns the path of the route that exists only in one version of the configuration.
 func versionRoute(version int) string { return fmt.Sprintf("/version-%d/", version) }
 
+// shortestTimeout returns the shortest time limit of the routes that a router may have in force between two times.
+func (d *deployment) shortestTimeout(from, to time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	shortest := routeTimeout // the deadline of the clients
+	for i, c := range d.timeouts {
+		replaced := i+1 < len(d.timeouts) && d.timeouts[i+1].at.Add(maxConfigAge).Before(from)
+		if !replaced && c.at.Before(to) {
+			shortest = min(shortest, c.timeout)
+		}
+	}
+	return shortest
+}
+
 // configFault returns a fault that changes the settings and undoes the change when it ends.
 func configFault(change, undo func(*settings)) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, _ int, duration time.Duration) {
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -58,8 +58,9 @@
 	mu      sync.Mutex
 	version int
 	keys    map[string]time.Time // time of removal by API key; zero while the key is valid
-	// settings are those of the last configuration.
+	// settings are those of the last configuration. timeouts are the time limits of all configurations.
 	settings settings
+	timeouts []timeoutChange
 }
 
 // engine is a stand-in engine behind a proxy.
@@ -71,6 +72,8 @@
 	born int64
 	// cuts are the times at which faults began or ended that keep answers from the routers.
 	cuts []time.Time
+	// breaks are the faults in which the engine breaks off its answers or sends wrong ones.
+	breaks []span
 	// drainingSince is when the engine was written to the store as draining; zero while it is ready.
 	drainingSince time.Time
 }
@@ -90,11 +93,15 @@
 	// disruptedUntil is the end of the last disruption of the process or of its connection to the store. While a
 	// disruption lasts it lies one hour after its start.
 	disruptedUntil time.Time
-	// stoppingSince is when SIGTERM was sent to the current process; zero before.
-	stoppingSince time.Time
-	started       time.Time
-	// interruptions are the times of signals that end or suspend the process.
-	interruptions []time.Time
+	started        time.Time
+	// interruptions are the signals that end, suspend or resume the process.
+	interruptions []interruption
+}
+
+// interruption is a signal that was sent to a process.
+type interruption struct {
+	at     time.Time
+	signal syscall.Signal
 }
 
 func newDeployment(dir, binary string, seed uint64, routers, engines int) (*deployment, error) {
@@ -192,7 +199,7 @@
 	}()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cmd, r.done, r.started, r.stoppingSince = cmd, done, time.Now(), time.Time{}
+	r.cmd, r.done, r.started = cmd, done, time.Now()
 	return nil
 }
 
@@ -202,11 +209,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s != syscall.SIGHUP {
-		r.interruptions = append(r.interruptions, time.Now())
+		r.interruptions = append(r.interruptions, interruption{time.Now(), s})
 	}
-	if s == syscall.SIGTERM {
-		r.stoppingSince = time.Now()
-	} else if s != syscall.SIGHUP {
+	if s != syscall.SIGTERM && s != syscall.SIGHUP {
 		r.disruptedUntil = time.Now().Add(time.Hour)
 	}
 	_ = r.cmd.Process.Signal(s) // the process may have ended
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -47,8 +47,13 @@
 	{"engine-answers-lost", engineProxy(proxyDropAnswers)},
 	{"engine-unreachable", engineProxy(proxyRefuse)},
 	{"engine-resets", func(_ context.Context, d *deployment, pick int, _ time.Duration) {
-		d.engine(pick).proxy.closeAll()
+		e := d.engine(pick)
+		end := d.beginBreak(e)
+		e.proxy.closeAll()
+		end()
 	}},
+	{"engine-stalls", stall((*proxy).hold)},
+	{"engine-connection-stalls", stall((*proxy).holdActive)},
 	{"engine-full", engineMode(platformengine.Full)},
 	{"engine-fails", engineMode(platformengine.Fail)},
 	{"engine-breaks-off", engineMode(platformengine.Truncate)},
@@ -181,18 +186,23 @@
 func engineProxy(mode proxyMode) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
 		e := d.engine(pick)
+		end := d.beginBreak(e)
 		d.recordCut(e)
 		e.proxy.setMode(mode)
 		periodic.Sleep(ctx, duration)
 		e.proxy.setMode(proxyForward)
 		e.proxy.closeAll()
 		d.recordCut(e)
+		end()
 	}
 }
 
 func engineMode(mode platformengine.Mode) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
 		e := d.engine(pick)
+		if mode != platformengine.Full {
+			defer d.beginBreak(e)()
+		}
 		e.SetMode(mode)
 		periodic.Sleep(ctx, duration)
 		e.SetMode(platformengine.Serve)
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -121,6 +121,7 @@
 	wg.Wait()
 	time.Sleep(time.Second) // a refused request must not run later either
 	d.checkRequests(log.list)
+	d.checkEndings(log.list)
 	d.checkLeaving(log.list)
 	d.checkPauses()
 	r := d.report
@@ -167,7 +168,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[d.rand.IntN(len(faults))]
 		pick := d.rand.IntN(60)
-		faultDuration := time.Duration(300+d.rand.IntN(3000)) * time.Millisecond
+		faultDuration := minFaultDuration + time.Duration(d.rand.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		names = append(names, f.name)
 		wg.Add(1)
 		go func() {
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,7 +32,18 @@
 
 	mu    sync.Mutex
 	mode  proxyMode
-	conns map[net.Conn]bool
+	links map[*link]bool
+	// held is closed when the data of all connections goes on; nil while it does.
+	held chan struct{}
+}
+
+// link is a connection to the proxy and its connection to the target.
+type link struct {
+	client, server net.Conn
+	// lastAnswer is when data arrived from the target, in nanoseconds since the Unix epoch.
+	lastAnswer atomic.Int64
+	// held is closed when the data of this connection goes on; nil while it does.
+	held chan struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -39,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, target: target, links: map[*link]bool{}}
 	go p.acceptLoop()
 	return p, nil
 }
@@ -62,8 +74,9 @@
 func (p *proxy) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
-		_ = c.Close()
+	for l := range p.links {
+		_ = l.client.Close()
+		_ = l.server.Close()
 	}
 }
 
@@ -82,25 +95,71 @@
 			_ = client.Close()
 			continue
 		}
-		p.track(client, server)
-		go p.copy(client, server, false)
-		go p.copy(server, client, true)
+		l := p.track(client, server)
+		go p.copy(l, client, server, false)
+		go p.copy(l, server, client, true)
 	}
 }
 
-func (p *proxy) track(conns ...net.Conn) {
+func (p *proxy) track(client, server net.Conn) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
+	l := &link{client: client, server: server}
+	p.links[l] = true
+	return l
+}
+
+// hold stops the data and the ends of all connections, also of new ones, until release is called. Nothing is lost.
+func (p *proxy) hold() (release func()) { return p.holdWith(&p.held) }
+
+// holdActive does the same for the connection on which data arrived from the target last.
+func (p *proxy) holdActive() (release func()) {
+	active := &link{}
+	p.mu.Lock()
+	for l := range p.links {
+		if l.lastAnswer.Load() > active.lastAnswer.Load() {
+			active = l
+		}
+	}
+	p.mu.Unlock()
+	return p.holdWith(&active.held)
+}
+
+func (p *proxy) holdWith(held *chan struct{}) (release func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	released := make(chan struct{})
+	*held = released
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		*held = nil
+		close(released)
+	}
+}
+
+// waitWhileHeld returns once the data of a connection may go on.
+func (p *proxy) waitWhileHeld(l *link) {
+	for {
+		p.mu.Lock()
+		all, one := p.held, l.held
+		p.mu.Unlock()
+		switch {
+		case all != nil:
+			<-all
+		case one != nil:
+			<-one
+		default:
+			return
+		}
 	}
 }
 
 // copy forwards data in one direction until one side ends, and then closes both connections.
-func (p *proxy) copy(from, to net.Conn, answers bool) {
+func (p *proxy) copy(l *link, from, to net.Conn, answers bool) {
 	defer func() {
 		p.mu.Lock()
-		delete(p.conns, from)
+		delete(p.links, l)
 		p.mu.Unlock()
 		_ = from.Close()
 		_ = to.Close()
@@ -108,6 +167,10 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		if answers && n > 0 {
+			l.lastAnswer.Store(time.Now().UnixNano())
+		}
+		p.waitWhileHeld(l)
 		mode := p.currentMode()
 		switch {
 		case mode == proxySlow:
