--- a/test/soak/endings.go
+++ b/test/soak/endings.go
@@ -25,8 +25,6 @@
 // span is the time of a fault.
 type span struct{ from, to time.Time }
 
-func (s span) overlaps(from, to time.Time) bool { return s.from.Before(to) && s.to.After(from) }
-
 // beginBreak records the beginning of a fault in which an engine breaks off its answers or sends wrong ones. The returned
 // function records its end.
 func (d *deployment) beginBreak(e *engine) (end func()) {
@@ -45,7 +43,7 @@
 func (d *deployment) brokeBetween(e *engine, from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.ContainsFunc(e.breaks, func(s span) bool { return s.overlaps(from, to) })
+	return slices.ContainsFunc(e.breaks, func(s span) bool { return s.from.Before(to) && s.to.After(from) })
 }
 
 // checkEndings reports whole requests that ended without an answer, answers that ended early, and failures that were
@@ -58,13 +56,11 @@
 		switch {
 		case s.abandoned || s.written.IsZero() || s.router.killedOrPausedBetween(s.start, s.end) || s.endedByShutdown():
 		case s.err != nil && s.status == 0 && !s.crossedClose(engines):
-			d.report.addViolation("%s %s: %s gave no answer, %v after it was sent: %v", s.id, s.path, s.router.name, took, s.err)
+			d.report.addViolation("%s %s: no answer from %s after %v: %v", s.id, s.path, s.router.name, took, s.err)
 		case s.err != nil && s.status != 0 && !d.excused(s, engines):
-			d.report.addViolation("%s %s: %s broke off the answer %v after it was sent: %v",
-				s.id, s.path, s.router.name, took, s.err)
+			d.report.addViolation("%s %s: %s broke off the answer after %v: %v", s.id, s.path, s.router.name, took, s.err)
 		case s.isFailure() && !d.excused(s, d.engines):
-			d.report.addViolation("%s %s: %s answered %d after %v, and no engine broke off", s.id, s.path, s.router.name,
-				s.status, took)
+			d.report.addViolation("%s %s: needless %d from %s after %v", s.id, s.path, s.status, s.router.name, took)
 		}
 	}
 }
@@ -88,14 +84,10 @@
 // excused reports whether an answer may end early, or a request may fail: its deadline was reached, or one of the engines
 // broke off meanwhile.
 func (d *deployment) excused(s sentRequest, engines []*engine) bool {
-	return d.reachedDeadline(s) ||
+	return s.end.Sub(s.start) >= d.shortestTimeout(s.start, s.end)-deadlineMargin ||
 		slices.ContainsFunc(engines, func(e *engine) bool { return d.brokeBetween(e, s.start, s.end) })
 }
 
-func (d *deployment) reachedDeadline(s sentRequest) bool {
-	return s.end.Sub(s.start) >= d.shortestTimeout(s.start, s.end)-deadlineMargin
-}
-
 // crossedClose reports whether the router closed the connection while the request was on its way, and did not pass the
 // request on.
 func (s sentRequest) crossedClose(engines []*engine) bool {
--- a/test/soak/endings_test.go
+++ b/test/soak/endings_test.go
@@ -65,14 +65,14 @@
 			s.end = at(300)
 		}, "broke off the answer"},
 		{"the client leaves", func(_ *deployment, s *sentRequest) { s.abandoned = true }, ""},
-		{"there is no answer", func(_ *deployment, s *sentRequest) { s.status = 0 }, "gave no answer"},
+		{"there is no answer", func(_ *deployment, s *sentRequest) { s.status = 0 }, "no answer from"},
 		{"the engine broke off before the answer began", func(d *deployment, s *sentRequest) {
 			s.status, d.engines[0].breaks = 0, []span{{at(1500), at(1700)}}
-		}, "gave no answer"},
-		{"a received request ends early", func(_ *deployment, s *sentRequest) { s.status, s.end = 0, at(100) }, "gave no answer"},
+		}, "no answer from"},
+		{"a received request ends early", func(_ *deployment, s *sentRequest) { s.status, s.end = 0, at(100) }, "no answer from"},
 		{"a request crosses the close", func(_ *deployment, s *sentRequest) { s.id, s.status, s.end = "a2", 0, at(100) }, ""},
 		{"the request was not written", func(_ *deployment, s *sentRequest) { s.status, s.written = 0, time.Time{} }, ""},
-		{"a silent engine leads to a failure", answered(http.StatusGatewayTimeout), "answered 504"},
+		{"a silent engine leads to a failure", answered(http.StatusGatewayTimeout), "needless 504"},
 		{"a request that may run once fails", func(_ *deployment, s *sentRequest) {
 			s.err, s.status, s.path = nil, http.StatusGatewayTimeout, unsafeRoute
 		}, ""},
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -18,7 +18,7 @@
 	run  func(ctx context.Context, d *deployment, pick int, duration time.Duration)
 }
 
-// faults lists all faults. Each one restores what it disrupts before it returns.
+// faults lists all faults but the stalls. Each one restores what it disrupts before it returns.
 var faults = []fault{
 	{"kill", killRouter},
 	{"pause", pauseRouter},
@@ -52,8 +52,6 @@
 		e.proxy.closeAll()
 		end()
 	}},
-	{"engine-stalls", stall((*proxy).hold)},
-	{"engine-connection-stalls", stall((*proxy).holdActive)},
 	{"engine-full", engineMode(platformengine.Full)},
 	{"engine-fails", engineMode(platformengine.Fail)},
 	{"engine-breaks-off", engineMode(platformengine.Truncate)},
@@ -79,7 +77,8 @@
 
 // selectFaults returns the faults whose names begin with one of the prefixes, which are separated by commas.
 func selectFaults(prefixes string) []fault {
-	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+	all := slices.Concat(faults, slices.Repeat(stalls, stallWeight))
+	return slices.DeleteFunc(all, func(f fault) bool {
 		return !slices.ContainsFunc(strings.Split(prefixes, ","), func(p string) bool { return strings.HasPrefix(f.name, p) })
 	})
 }
