--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -81,6 +82,11 @@
 	registry *prometheus.Registry
 	routers  atomic.Pointer[map[string]discovery.Router]
 	draining atomic.Bool
+	// hangup receives SIGHUP. If it is nil, the settings are reloaded only periodically.
+	hangup <-chan os.Signal
+	// serving is the parent of all requests' contexts. endRequests ends it.
+	serving     context.Context
+	endRequests context.CancelCauseFunc
 	// restored is signalled when the store has come back from an older copy.
 	restored chan struct{}
 	// lastCachedParts holds the cached prompt parts of the last report. Only the reporting goroutine uses it.
@@ -128,6 +134,7 @@
 		restored:      make(chan struct{}, 1),
 		suspension:    newSuspension(),
 	}
+	n.serving, n.endRequests = context.WithCancelCause(context.Background())
 	core := admission.New(admission.Options{
 		Domain:      settings.FailureDomain,
 		ShareWindow: settings.Bounds.ShareWindow,
@@ -280,7 +287,7 @@
 	cancel()
 	select {
 	case <-registered:
-	case <-time.After(closeMargin / 2):
+	case <-time.After(unregisterTime):
 	}
 	return nil
 }
