--- a/test/soak/config.go
+++ b/test/soak/config.go
@@ -25,17 +25,16 @@
 	tokensPerSecond        = 300_000
 	reducedTokensPerSecond = 2_000
 	raisedTokensPerSecond  = 3_000_000
-	idleTimeout            = 15 * time.Second
-	shortIdleTimeout       = 5 * time.Second
+	// idleTimeout is the time limit of connections without a request, shortIdleTimeout a reduced one.
+	idleTimeout, shortIdleTimeout = 15 * time.Second, 5 * time.Second
 	// seriesPause is the time between two changes of a series.
 	seriesPause = 150 * time.Millisecond
 )
 
 // settings are the parts of the configuration that faults change.
 type settings struct {
-	timeout         time.Duration
-	idleTimeout     time.Duration
-	tokensPerSecond float64
+	timeout, idleTimeout time.Duration
+	tokensPerSecond      float64
 	// moved is set while routes lead to other services than at first.
 	moved bool
 	// singleWeight is the share, in percent, of the resumable route that goes to the single engine.
--- a/test/soak/endings.go
+++ b/test/soak/endings.go
@@ -55,7 +55,7 @@
 		took := s.end.Sub(s.start).Round(time.Millisecond)
 		switch {
 		case s.abandoned || s.written.IsZero() || s.router.killedOrPausedBetween(s.start, s.end) || s.endedByShutdown():
-		case s.err != nil && s.status == 0 && !s.crossedClose(engines):
+		case s.err != nil && s.status == 0 && (len(engines) > 0 || s.end.Sub(s.written) > maxCrossingTime):
 			d.report.addViolation("%s %s: no answer from %s after %v: %v", s.id, s.path, s.router.name, took, s.err)
 		case s.err != nil && s.status != 0 && !d.excused(s, engines):
 			d.report.addViolation("%s %s: %s broke off the answer after %v: %v", s.id, s.path, s.router.name, took, s.err)
@@ -88,12 +88,6 @@
 		slices.ContainsFunc(engines, func(e *engine) bool { return d.brokeBetween(e, s.start, s.end) })
 }
 
-// crossedClose reports whether the router closed the connection while the request was on its way, and did not pass the
-// request on.
-func (s sentRequest) crossedClose(engines []*engine) bool {
-	return len(engines) == 0 && s.end.Sub(s.written) <= maxCrossingTime
-}
-
 // repeatable reports whether the request may run more than once.
 func (s sentRequest) repeatable() bool {
 	return s.path == safeRoute || s.path == resumableRoute || s.path == summaryRoute
--- a/test/soak/endings_test.go
+++ b/test/soak/endings_test.go
@@ -50,8 +50,7 @@
 		{"a stream is cut after the engine recovered", broke(-900, -100), "broke off the answer"},
 		{"a stream is cut at the deadline", func(_ *deployment, s *sentRequest) { s.end = at(4000) }, ""},
 		{"a stream is cut at a reduced timeout", func(d *deployment, s *sentRequest) {
-			d.timeouts = append(d.timeouts, timeoutChange{at(-500), shortTimeout})
-			s.end = at(3000)
+			d.timeouts, s.end = append(d.timeouts, timeoutChange{at(-500), shortTimeout}), at(3000)
 		}, ""},
 		{"a stream is cut long after a timeout was reduced", func(d *deployment, s *sentRequest) {
 			d.timeouts = append(d.timeouts, timeoutChange{at(-20_000), shortTimeout}, timeoutChange{at(-19_000), routeTimeout})
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -142,16 +142,15 @@
 func (p *proxy) waitWhileHeld(l *link) {
 	for {
 		p.mu.Lock()
-		all, one := p.held, l.held
+		held := p.held
+		if held == nil {
+			held = l.held
+		}
 		p.mu.Unlock()
-		switch {
-		case all != nil:
-			<-all
-		case one != nil:
-			<-one
-		default:
+		if held == nil {
 			return
 		}
+		<-held
 	}
 }
 
