test/standin/freeports: Try all ports before a deployment fails to start

Another soak of 24 routers had begun three seconds before. It had taken the 144 ports from 23134 on, and the next port of the first one was 23133: the 50 attempts met only ports of the other fleet. Attempts are limited by the number of ports now, and the error names the cause of the last one.

--- a/test/standin/freeports/freeports.go
+++ b/test/standin/freeports/freeports.go
@@ -20,12 +20,12 @@
 const (
 	// peerPorts is the number of consecutive ports that a router uses for traffic between routers.
 	peerPorts = 3
-	// maxAttempts limits the attempts to find free ports.
-	maxAttempts = 50
 	// Ports are chosen from firstPort on and below endPort. The system takes the local ports of outgoing connections from
 	// a higher range, so that no connection takes a port between its choice and the start of the router.
 	firstPort = 15000
 	endPort   = 32000
+	// maxAttempts limits the attempts to find free ports. Another fleet may hold hundreds of consecutive ports.
+	maxAttempts = endPort - firstPort
 )
 
 // ForRouter returns free ports for a router. It keeps a listener open on each port until all are found, so that no
@@ -63,16 +63,20 @@
 // consecutive listens on n consecutive ports and returns the first. It returns no port twice, so that ports which are free
 // until their router starts are not given to another one.
 func consecutive(listen func(port int) error, n int) (int, error) {
+	var err error
 	for range maxAttempts {
 		offset := nextPort.Add(int64(n)) - int64(n)
 		first := firstPort + int(offset%int64(endPort-firstPort-n))
 		free := 0
-		for free < n && listen(first+free) == nil {
+		for free < n {
+			if err = listen(first + free); err != nil {
+				break
+			}
 			free++
 		}
 		if free == n {
 			return first, nil
 		}
 	}
-	return 0, errors.Errorf("no %d consecutive ports are free", n)
+	return 0, errors.Wrapf(err, "no %d consecutive ports are free", n)
 }
--- a/test/standin/freeports/freeports_test.go
+++ b/test/standin/freeports/freeports_test.go
@@ -1,6 +1,8 @@
 package freeports
 
 import (
+	"fmt"
+	"net"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -23,3 +25,20 @@
 		}
 	}
 }
+
+// Guards against a deployment that does not start because its next ports are those of another fleet on this machine, which
+// takes six consecutive ports for each of its routers.
+func TestPortsOfAnotherFleetAreSkipped(t *testing.T) {
+	g := NewWithT(t)
+	const otherFleetPorts = 24 * 6
+	next := firstPort + int(nextPort.Load()%(endPort-firstPort))
+	for port := next; port < next+otherFleetPorts; port++ {
+		if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+		}
+	}
+	ports, err := ForRouter()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect([]int{ports.Front, ports.Readiness, ports.Directory, ports.Peer}).To(HaveEach(
+		Not(And(BeNumerically(">=", next), BeNumerically("<", next+otherFleetPorts)))))
+}
