--- a/internal/state/kv/fake.go
+++ b/internal/state/kv/fake.go
@@ -64,9 +64,14 @@
 	chooseFault func(Op, string) Fault
 	lateWrites  []func()
 	counts      Counts
+	// restores counts the calls of Restore.
+	restores int
 }
 
-var _ Store = (*Fake)(nil)
+var (
+	_ Store        = (*Fake)(nil)
+	_ ExactSwapper = (*Fake)(nil)
+)
 
 // NewFake returns an empty store without faults.
 func NewFake() *Fake {
