--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -18,7 +18,7 @@
 	run  func(ctx context.Context, d *deployment, pick int, duration time.Duration)
 }
 
-// faults lists all faults. Each one restores what it disrupts before it returns.
+// faults lists all faults but the stalls. Each one restores what it disrupts before it returns.
 var faults = []fault{
 	{"kill", killRouter},
 	{"pause", pauseRouter},
@@ -47,7 +47,10 @@
 	{"engine-answers-lost", engineProxy(proxyDropAnswers)},
 	{"engine-unreachable", engineProxy(proxyRefuse)},
 	{"engine-resets", func(_ context.Context, d *deployment, pick int, _ time.Duration) {
-		d.engine(pick).proxy.closeAll()
+		e := d.engine(pick)
+		end := d.beginBreak(e)
+		e.proxy.closeAll()
+		end()
 	}},
 	{"engine-full", engineMode(platformengine.Full)},
 	{"engine-fails", engineMode(platformengine.Fail)},
@@ -62,11 +65,22 @@
 	{"engine-leaves", drainEngine},
 	{"config", func(_ context.Context, d *deployment, _ int, _ time.Duration) { d.writeConfig() }},
 	{"remove-key", removeKey},
+	{"config-timeout", changeTimeout},
+	{"config-routes", moveRoutes},
+	{"config-weights", changeWeights},
+	{"config-team", addTeam},
+	{"config-rate-down", reduceRate},
+	{"config-rate-up", raiseRate},
+	{"config-idle-timeout", changeIdleTimeout},
+	{"config-series", changeInSeries},
 }
 
-// selectFaults returns the faults whose names begin with prefix.
-func selectFaults(prefix string) []fault {
-	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !strings.HasPrefix(f.name, prefix) })
+// selectFaults returns the faults whose names begin with one of the prefixes, which are separated by commas.
+func selectFaults(prefixes string) []fault {
+	all := slices.Concat(faults, slices.Repeat(stalls, stallWeight))
+	return slices.DeleteFunc(all, func(f fault) bool {
+		return !slices.ContainsFunc(strings.Split(prefixes, ","), func(p string) bool { return strings.HasPrefix(f.name, p) })
+	})
 }
 
 func (d *deployment) router(pick int) *router { return d.routers[pick%len(d.routers)] }
@@ -171,18 +185,23 @@
 func engineProxy(mode proxyMode) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
 		e := d.engine(pick)
+		end := d.beginBreak(e)
 		d.recordCut(e)
 		e.proxy.setMode(mode)
 		periodic.Sleep(ctx, duration)
 		e.proxy.setMode(proxyForward)
 		e.proxy.closeAll()
 		d.recordCut(e)
+		end()
 	}
 }
 
 func engineMode(mode platformengine.Mode) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
 		e := d.engine(pick)
+		if mode != platformengine.Full {
+			defer d.beginBreak(e)()
+		}
 		e.SetMode(mode)
 		periodic.Sleep(ctx, duration)
 		e.SetMode(platformengine.Serve)
@@ -202,24 +221,3 @@
 	d.writeEngineEntry(e, "ready")
 	d.mu.Unlock()
 }
-
-// removeKey removes an API key that is valid and adds a new one.
-func removeKey(_ context.Context, d *deployment, _ int, _ time.Duration) {
-	d.mu.Lock()
-	for key, removed := range d.keys {
-		if removed.IsZero() && len(d.keys) > 1 {
-			d.keys[key] = time.Now()
-			break
-		}
-	}
-	d.mu.Unlock()
-	d.addKey()
-	d.writeConfig()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for key, removed := range d.keys {
-		if !removed.IsZero() && time.Since(removed) < time.Second {
-			d.keys[key] = time.Now() // revokeTime counts from the store's answer
-		}
-	}
-}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -24,7 +24,7 @@
 	seconds          int
 	routers, engines int
 	clients          int
-	// fault is the beginning of the names of the faults that are injected.
+	// fault holds the beginnings of the names of the faults that are injected, separated by commas.
 	fault string
 }
 
@@ -44,9 +44,9 @@
 			&cli.UintFlag{Name: "seeds", Value: 1, Usage: "number of seeds"},
 			&cli.IntFlag{Name: "seconds", Value: 15, Usage: "time for which faults are started, per seed"},
 			&cli.IntFlag{Name: "routers", Value: 3},
-			&cli.IntFlag{Name: "engines", Value: 6},
+			&cli.IntFlag{Name: "engines", Value: 9},
 			&cli.IntFlag{Name: "clients", Value: 12},
-			&cli.StringFlag{Name: "fault", Usage: "inject only faults whose names begin so"},
+			&cli.StringFlag{Name: "fault", Usage: "inject only faults whose names begin so; separated by commas"},
 		},
 		Action:   run,
 		Commands: []*cli.Command{restoreCommand()},
@@ -121,6 +121,7 @@
 	wg.Wait()
 	time.Sleep(time.Second) // a refused request must not run later either
 	d.checkRequests(log.list)
+	d.checkEndings(log.list)
 	d.checkLeaving(log.list)
 	d.checkPauses()
 	r := d.report
@@ -167,7 +168,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[d.rand.IntN(len(faults))]
 		pick := d.rand.IntN(60)
-		faultDuration := time.Duration(300+d.rand.IntN(3000)) * time.Millisecond
+		faultDuration := minFaultDuration + time.Duration(d.rand.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		names = append(names, f.name)
 		wg.Add(1)
 		go func() {
