--- a/internal/daemon/gateway/offload_test.go
+++ b/internal/daemon/gateway/offload_test.go
@@ -91,6 +91,9 @@
 	g.Eventually(small.done, "5s").Should(Receive(BeNil()))
 }
 
+// stopTimeout is the grace period of the test's routers, with time for a busy machine.
+const stopTimeout = 10 * time.Second
+
 // Guards against a request that is passed on to a router that drains or has stopped, and is lost.
 func TestStoppedRouterTakesNoPassedRequests(t *testing.T) {
 	g := NewWithT(t)
@@ -98,10 +101,11 @@
 	small, large := f.startOverloaded()
 	large.stop()
 	stopped := false
+	deadline := time.Now().Add(stopTimeout)
 	for i := 0; !stopped; i++ {
 		status, body := small.call("/digest/x", fmt.Sprintf("stop-%d", i), "farm-key")
 		g.Expect(status).To(Or(Equal(http.StatusOK), Equal(http.StatusServiceUnavailable)), body)
-		g.Expect(i).To(BeNumerically("<", 2000), "the large router still runs")
+		g.Expect(time.Now()).To(BeTemporally("<", deadline), "the large router still runs")
 		select {
 		case err := <-large.done:
 			g.Expect(err).NotTo(HaveOccurred())
