--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -127,8 +127,8 @@
 	return c.core.Announce(time.Now(), t, a)
 }
 
-// StopSends forbids all further sends. Without it, the end of requests in progress would grant waiting requests that
-// cannot be completed any more.
+// StopSends forbids all further sends. It is called before the requests in progress are ended at a stop: the capacity
+// that they free would otherwise be granted to waiting requests, which cannot be completed any more.
 func (c *Controller) StopSends() { c.sendsStopped.Store(true) }
 
 // MaySend reports whether a granted request may still be sent to its server.
@@ -141,8 +141,8 @@
 	return c.core.MaySend(time.Now(), t)
 }
 
-// RetryAfterPause returns the time after which a client may retry whose request a server has turned away with the wish for
-// a pause. It returns false if the server has not asked for one or the pause is over.
+// RetryAfterPause returns the time after which a client may retry a request that a server refused while asking for a
+// pause. It returns false if the server has not asked for one or the pause is over.
 func (c *Controller) RetryAfterPause(server string) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -168,8 +168,8 @@
 	return true
 }
 
-// RecordEvent records an event of a granted request. The first one shows that its prefill is done, and any one that a
-// server which was quiet has gone on.
+// RecordEvent records an event of a granted request. The first one shows that its prefill is done. Any event shows that
+// a server which was quiet has resumed.
 func (c *Core) RecordEvent(now time.Time, t *Ticket) {
 	if t.state != ticketGranted {
 		return
@@ -199,7 +199,7 @@
 	h.recordQuiet(now)
 }
 
-// recordResumed records that the server of a request that was quiet has gone on.
+// recordResumed records that a quiet server of a request has resumed.
 func (c *Core) recordResumed(now time.Time, t *Ticket) {
 	if t.quiet {
 		t.quiet = false
@@ -207,7 +207,7 @@
 	}
 }
 
-// endProbe lets another request test the server if this one has tested it so far.
+// endProbe lets another request probe the server if this one is its probe.
 func (c *Core) endProbe(h *health, t *Ticket) {
 	if t.probe {
 		h.probing, t.probe = false, false
--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -31,7 +31,7 @@
 	// the server.
 	suspect bool
 	probing bool
-	// silent is set if the server was ejected because it sent nothing for too long, until it goes on.
+	// silent is set if the last ejection was for sending nothing for too long and the server has not resumed since.
 	silent bool
 	// reopensAt is when the pause ends that the server itself has asked for. Nothing is sent before, not even a probe.
 	reopensAt time.Time
@@ -82,8 +82,8 @@
 	}
 }
 
-// recordQuiet updates the health when a request has had nothing from the server for too long. All requests at a silent
-// server count as one cause to eject it.
+// recordQuiet updates the health when the server has sent nothing to a request for too long. Requests that become quiet
+// while the server is ejected do not extend the ejection.
 func (h *health) recordQuiet(now time.Time) {
 	h.failures++
 	h.errorRate += errorSmoothing * (1 - h.errorRate)
@@ -94,7 +94,7 @@
 	h.silent = true
 }
 
-// recordResumed updates the health when a server that was quiet has gone on.
+// recordResumed updates the health when a quiet server has resumed. An ejection for the silence ends at once.
 func (h *health) recordResumed(now time.Time) {
 	h.failures = 0
 	if !h.silent {
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -89,8 +89,8 @@
 	return true
 }
 
-// RetryAfterPause returns the time after which a client may retry whose request a server has turned away with the wish for
-// a pause. It returns false if the server has not asked for one or the pause is over.
+// RetryAfterPause returns the time after which a client may retry a request that a server refused while asking for a
+// pause. It returns false if the server has not asked for one or the pause is over.
 func (c *Core) RetryAfterPause(now time.Time, server string) (time.Duration, bool) {
 	h := c.health[server]
 	if h == nil || !now.Before(h.reopensAt) {
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -106,7 +106,7 @@
 	server         *backends.Server
 	load           engineload.Load
 	firstEventSeen bool
-	// quiet is set once the server has sent nothing for too long.
+	// quiet is set while the server has sent nothing for too long. Its next event clears it.
 	quiet bool
 	// tokensAhead is the number of prompt tokens that the engine had to prefill before those of the request.
 	tokensAhead int
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -58,8 +58,8 @@
 	// Cluster returns the identity of the store's data as of its latest response, or an empty text before the first. A
 	// store that was restored from a copy has another one. By default restores are not noticed.
 	Cluster func() string
-	// Fencing makes the fencing numbers from the revisions of the claims. Nil means the revisions themselves, which a
-	// restore of the store gives out again.
+	// Fencing makes the fencing numbers from the revisions of the claims. Nil means the revisions themselves, which the
+	// store assigns again after a restore.
 	Fencing *fencing.Numbers
 	// Budget returns the number of store writes per second that this router may make.
 	Budget func() int
--- a/internal/coordination/engineload/table.go
+++ b/internal/coordination/engineload/table.go
@@ -131,7 +131,7 @@
 	return servers
 }
 
-// Settled reports whether this router puts no load on any server and has taken all changes.
+// Settled reports whether this router puts no load on any server and that TakeChanged has returned all changes.
 func (t *Table) Settled() bool { return len(t.own) == 0 && len(t.changed) == 0 }
 
 // SetTotal records the total load of a server that its owner reported.
--- a/internal/coordination/fencing/fencing.go
+++ b/internal/coordination/fencing/fencing.go
@@ -13,15 +13,15 @@
 const (
 	// Key is the key of the epoch.
 	Key = "fencing-epoch"
-	// revisionBits is the number of bits of a fencing number that hold the revision. The numbers of 8192 epochs stay below
-	// 2^53, which receivers that decode JSON numbers as floating point still tell apart.
+	// revisionBits is the number of bits of a fencing number that hold the revision. The numbers of 8192 epochs stay
+	// below 2^53, so that receivers which decode JSON numbers as floating point can still tell them apart.
 	revisionBits = 40
 	// maxWriteAttempts bounds the attempts to write the epoch, which fail while other routers write it.
 	maxWriteAttempts = 4
 )
 
-// ErrRestored reports that the store came back from an older copy during a write, so that its revision makes no fencing
-// number.
+// ErrRestored reports that the store was restored from an older copy during a write, so that no fencing number can be
+// made from the revision.
 var ErrRestored = errors.New("fencing: the store was restored during the write")
 
 // epochRecord is the value of Key.
@@ -34,7 +34,8 @@
 // revisions.
 type Numbers struct {
 	store kv.Store
-	// cluster returns the identity of the store's data as of its latest response, or an empty text if it is not known.
+	// cluster returns the identity of the store's data as of its latest response, or an empty string if it is not
+	// known.
 	cluster func() string
 
 	mu sync.Mutex
@@ -55,11 +56,11 @@
 	record  epochRecord
 }
 
-// Cluster returns the identity of the store's data, or an empty text if it is not known.
+// Cluster returns the identity of the store's data, or an empty string if it is not known.
 func (e Epoch) Cluster() string { return e.record.Cluster }
 
-// Number returns the fencing number of a write that began after the epoch was obtained, from the revision that the store
-// returned. It returns ErrRestored if the store was restored since.
+// Number returns the fencing number of a write that began after the epoch was obtained, from the revision that the
+// store returned. It returns ErrRestored if the store was restored since.
 func (e Epoch) Number(revision kv.Revision) (int64, error) {
 	if e.numbers != nil && e.numbers.cluster() != e.record.Cluster {
 		return 0, ErrRestored
@@ -67,8 +68,9 @@
 	return e.record.Epoch<<revisionBits | int64(revision), nil
 }
 
-// Current returns the epoch of the store's present cluster. It calls the store when the cluster has changed, and at first.
-// Errors: kv errors, or an error for an epoch that cannot be decoded.
+// Current returns the epoch of the store's present cluster. The first call reads it from the store, and so does the
+// next call after the cluster has changed or after Refresh. Errors: kv errors, or an error for an epoch that cannot be
+// decoded.
 func (n *Numbers) Current(ctx context.Context) (Epoch, error) {
 	if n == nil {
 		return Epoch{}, nil
@@ -99,14 +101,15 @@
 	n.ready = false
 }
 
+// cached returns the known epoch, and true if it belongs to the store's present cluster and need not be read again.
 func (n *Numbers) cached() (epochRecord, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.known, n.ready && n.known.Cluster == n.cluster()
 }
 
-// advance reads the epoch, and writes it if it belongs to another cluster or is not above that of an earlier cluster that
-// this router remembers.
+// advance reads the epoch, and writes it if it belongs to another cluster or is not above that of an earlier cluster
+// that this router remembers.
 func (n *Numbers) advance(ctx context.Context) (epochRecord, error) {
 	stored, revision, err := n.read(ctx)
 	if err != nil {
--- a/internal/coordination/hedge/hedge.go
+++ b/internal/coordination/hedge/hedge.go
@@ -12,7 +12,8 @@
 const (
 	// Waiting means that the first attempt has been quiet for no longer than its limit.
 	Waiting State = iota
-	// Delivering means that a part of the first attempt's response is being delivered. The attempt is not quiet meanwhile.
+	// Delivering means that a part of the first attempt's response is being delivered. The attempt is not quiet
+	// meanwhile.
 	Delivering
 	// Hedged means that the first attempt is quiet and that substitutes are in progress.
 	Hedged
@@ -29,15 +30,15 @@
 type Options[A, P any] struct {
 	// Context bounds the substitutes.
 	Context context.Context
-	// FirstLimit is the time after which an attempt without any part of the response is quiet, PauseLimit the time after
-	// which it is quiet after a part. No substitute is made if FirstLimit is 0.
+	// FirstLimit is the time after which an attempt without any part of the response is quiet, PauseLimit the time
+	// after which it is quiet after a part. No substitute is made if FirstLimit is 0.
 	FirstLimit, PauseLimit time.Duration
-	// Unread reports whether bytes of the first attempt's response have arrived that it has not read yet.
+	// Unread reports whether bytes of the first attempt's response have arrived and have not been read yet.
 	Unread func() bool
 	// OnQuiet is called each time that the first attempt has exceeded its limit, before a substitute is made.
 	OnQuiet func()
-	// Substitute makes an attempt that continues at a position. It returns once the attempt has its first part, or false
-	// if there is no such attempt. It returns soon after its context has ended.
+	// Substitute makes an attempt that continues at a position. It returns once the attempt has its first part, or
+	// false if there is no such attempt. It returns soon after its context has ended.
 	Substitute func(ctx context.Context, position P) (A, bool)
 	// Discard ends a substitute that does not deliver, because the first attempt has delivered in the meantime.
 	Discard func(A)
@@ -55,12 +56,13 @@
 	stopping bool
 	position P
 	limit    time.Duration
-	// due is when timer fires. A timer that fires earlier was restarted in the meantime.
+	// due is when timer is to fire. If onTimer runs earlier, the timer was restarted while it fired.
 	due   time.Time
 	timer *time.Timer
 	// substitutes are those in progress.
 	substitutes map[*substitution]struct{}
-	// settled is closed when a substitute delivers or the last one in progress has failed. It is nil if there is none.
+	// settled is closed when an attempt delivers or the last substitute in progress has failed. It is nil while no
+	// substitute is in progress.
 	settled chan struct{}
 	// substitute is the attempt that delivers in state Replaced.
 	substitute A
@@ -87,8 +89,9 @@
 	return h.state
 }
 
-// Deliver records that the first attempt has a part, after which the response continues at the given position. Substitutes
-// in progress are cancelled. It returns false if a substitute delivers already; the part must then be dropped.
+// Deliver records that the first attempt has a part, after which the response continues at the given position.
+// Substitutes in progress are cancelled. It returns false if a substitute delivers already; the part must then be
+// dropped.
 func (h *Hedge[A, P]) Deliver(position P) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -113,8 +116,8 @@
 	}
 }
 
-// Stop ends the hedge after the first attempt has ended. If substitutes are in progress, Stop waits until one of them has
-// its first part or all have failed. It returns the substitute that delivers, if there is one.
+// Stop ends the hedge after the first attempt has ended. If substitutes are in progress, Stop waits until one of them
+// has its first part or all have failed. It returns the substitute that delivers, if there is one.
 func (h *Hedge[A, P]) Stop() (A, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -181,7 +184,8 @@
 	cancel context.CancelFunc
 }
 
-// begin changes to state Hedged if the first attempt is quiet. It returns the position at which the substitute continues.
+// begin changes to state Hedged if the first attempt is quiet. It returns the position at which the substitute
+// continues.
 func (h *Hedge[A, P]) begin() (*substitution, P, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -204,8 +208,8 @@
 	return s, h.position, true
 }
 
-// mayBegin reports whether a substitute may be made in the current state. After the first attempt has ended, only one that
-// joins others in progress may. The hedge must be locked.
+// mayBegin reports whether a substitute may be made in the current state. After the first attempt has ended, only one
+// that joins others in progress may. The hedge must be locked.
 func (h *Hedge[A, P]) mayBegin() bool {
 	return h.state == Hedged || h.state == Waiting && !h.stopping
 }
--- a/internal/coordination/order/controller.go
+++ b/internal/coordination/order/controller.go
@@ -39,8 +39,9 @@
 	limiter *limiter
 	engines map[ident.BackendID]*trackedEngine
 	seq     atomic.Uint64
-	// cluster identifies the store's data whose token record has the loads of this router. holdUntil is when orders may be
-	// sent again after a restore, whose copy may lack the starts of the last ratePeriod. Only Step changes them.
+	// cluster is the identity of the store's data, as of the last time that its token record had the loads of this
+	// router. holdUntil is when orders may be sent again after a restore: the restored token record may lack the loads
+	// that were started in the last ratePeriod. Only Step changes these two fields.
 	cluster   string
 	holdUntil time.Time
 
@@ -104,8 +105,9 @@
 	running.Wait()
 }
 
-// learnEpoch handles a restore of the store, and reads the epoch of the fencing numbers at the start and after a restore of the store, also at routers that
-// own no engine: the more routers remember it, the surer it is raised when the store comes back from a still older copy.
+// learnEpoch reads the epoch of the fencing numbers at the start and after a restore of the store. After a restore it
+// also holds orders back and writes the loads of this router again. Routers that own no engine read the epoch too: when
+// the store is restored from a copy that lacks the epoch, only a router that remembers it can raise it.
 func (c *Controller) learnEpoch(ctx context.Context) {
 	if c.storeBackingOff(time.Now()) {
 		return
--- a/internal/coordination/order/limit.go
+++ b/internal/coordination/order/limit.go
@@ -53,7 +53,7 @@
 	}, id)
 }
 
-// addAgain adds the entries that the record lacks, beyond the limits: their loads have started.
+// addAgain adds the entries that the record lacks. It ignores the limits, because the loads have started already.
 func (l *limiter) addAgain(ctx context.Context, running []loadEntry) error {
 	return l.update(ctx, func(list []loadEntry, _ time.Time) ([]loadEntry, error) {
 		for _, wanted := range running {
--- a/internal/coordination/order/options.go
+++ b/internal/coordination/order/options.go
@@ -34,8 +34,8 @@
 	// Self and Incarnation make the ids of order records unique.
 	Self        ident.RouterID
 	Incarnation ident.Incarnation
-	// Fencing makes the fencing numbers from the revisions of the order records. Nil means the revisions themselves, which
-	// a restore of the store gives out again.
+	// Fencing makes the fencing numbers from the revisions of the order records. Nil means the revisions themselves,
+	// which the store assigns again after a restore.
 	Fencing *fencing.Numbers
 
 	// Interval is the time between two passes over the engines. Default 1 s.
--- a/internal/coordination/order/reconcile.go
+++ b/internal/coordination/order/reconcile.go
@@ -29,7 +29,7 @@
 	unconfirmed int
 	// tokenID is the id of the last order that holds an entry of the token record, or empty.
 	tokenID string
-	// tokenSince is when the order was recorded.
+	// tokenSince is when the entry was added.
 	tokenSince time.Time
 }
 
--- a/internal/coordination/order/record.go
+++ b/internal/coordination/order/record.go
@@ -42,8 +42,8 @@
 	return r, entry.Revision, nil
 }
 
-// writeFenced replaces the order record and returns the fencing number of its revision. It returns fencing.ErrRestored if
-// the store was restored during the write. Its other errors are those of writeRecord.
+// writeFenced replaces the order record and returns the fencing number of its revision. It returns fencing.ErrRestored
+// if the store was restored during the write. Its other errors are those of writeRecord.
 func writeFenced(
 	ctx context.Context, store kv.Store, epoch fencing.Epoch, key string, expect kv.Revision, r record,
 ) (int64, error) {
--- a/internal/coordination/publish/collect.go
+++ b/internal/coordination/publish/collect.go
@@ -16,7 +16,8 @@
 
 // CollectGarbage deletes the chunks that neither the head's version nor its past versions reference, and returns their
 // number. It is safe at any time and on several routers at once. Once an hour is enough, because each publish leaves
-// about one unreferenced chunk. Errors: kv errors, ErrCorrupt, ErrStoreRestored; chunks deleted before the error stay deleted.
+// about one unreferenced chunk. Errors: kv errors, ErrCorrupt, ErrStoreRestored; chunks deleted before the error stay
+// deleted.
 func (p *Publisher) CollectGarbage(ctx context.Context) (int, error) {
 	cluster := p.cluster()
 	listed, err := p.listChunks(ctx)
@@ -86,8 +87,9 @@
 	return err
 }
 
-// deleteChunks deletes the chunks that still have their listed revision and returns their number. After a restore a chunk
-// that was written again may have its listed revision.
+// deleteChunks deletes the chunks that still have their listed revision and returns their number. It stops when the
+// store no longer is the cluster that they were listed in: a chunk that was written again may have the listed revision
+// there.
 func (p *Publisher) deleteChunks(ctx context.Context, garbage []listedChunk, cluster string) (int, error) {
 	deleted := 0
 	for _, c := range garbage {
--- a/internal/coordination/publish/errors.go
+++ b/internal/coordination/publish/errors.go
@@ -19,7 +19,7 @@
 	ErrContended = errors.New("publish: store too contended")
 	// ErrCorrupt reports content in the store that does not match its hash or cannot be decoded.
 	ErrCorrupt = errors.New("publish: corrupt content in the store")
-	// ErrStoreRestored reports that the store came back from an older copy during a publish or a garbage collection.
+	// ErrStoreRestored reports that the store was restored from an older copy during a publish or a garbage collection.
 	ErrStoreRestored = errors.New("publish: the store was restored from an older copy meanwhile")
 )
 
@@ -72,7 +72,7 @@
 // Unwrap returns the cause.
 func (e *UncertainError) Unwrap() error { return e.Cause }
 
-// LostError reports that the store came back from an older copy, which lacks a generation that routers have.
+// LostError reports that the store was restored from an older copy, which lacks a generation that routers have.
 type LostError struct {
 	// Generation is the highest known generation, Stored the one in the store.
 	Generation, Stored ident.Generation
--- a/internal/coordination/publish/publisher.go
+++ b/internal/coordination/publish/publisher.go
@@ -106,10 +106,10 @@
 	set       *object.Set
 	chunks    []chunk
 	publishID string
-	// rewrite reports that the head may have been written during a restore, so that its chunks may be missing and its
-	// generation may have been given out before. It is written again on top.
+	// rewrite reports that the job's head may have been written during a restore, so that its chunks may be missing and
+	// its generation may have been used before. The chunks and a head with a higher generation are then written again.
 	rewrite bool
-	// written is the generation of that head.
+	// written is the generation of the head that is written again.
 	written ident.Generation
 }
 
@@ -178,7 +178,8 @@
 	return gen, result, err
 }
 
-// checkBase checks that the job may replace the head. ended reports that the attempt ends with the other results.
+// checkBase checks whether the job may replace the head. If it may not, ended is true and the other results are those
+// of the attempt.
 func (j *publishJob) checkBase(
 	ctx context.Context, h head,
 ) (_ ident.Generation, _ attemptOutcome, err error, ended bool) {
@@ -238,7 +239,8 @@
 		case err == nil && h.includes(gen, j.publishID):
 			return gen, attemptDone, nil
 		case err == nil && j.cluster() != cluster:
-			// Revisions were given out again, so that the write must not be repeated: it could replace another head.
+			// The store may have assigned the same revisions again, so that the write must not be repeated: it could
+			// replace another head.
 			return 0, attemptDone, &UncertainError{Generation: gen, PublishID: j.publishID, Cause: ErrStoreRestored}
 		case err == nil && current > revision && h.pastReaches(old.Generation):
 			// Another write replaced the head. Revisions only grow, so the lost write can no longer succeed.
--- a/internal/coordination/publish/reader.go
+++ b/internal/coordination/publish/reader.go
@@ -29,7 +29,8 @@
 	return h, entry.Revision, err
 }
 
-// swapHead replaces the head that was read at the revision. After a restore of the store another head may have it.
+// swapHead replaces the head that was read at the revision. It also compares the value, because another head may have
+// the same revision after a restore of the store.
 func (r storeReader) swapHead(ctx context.Context, old head, revision kv.Revision, value []byte) (kv.Revision, error) {
 	return kv.SwapExact(ctx, r.store, kv.Entry{Key: HeadKey, Value: old.raw, Revision: revision}, value)
 }
--- a/internal/coordination/publish/restore.go
+++ b/internal/coordination/publish/restore.go
@@ -11,39 +11,39 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
 
-// restoreGap is added to the generation of the first publish after a restore of the store. The store may have lost up to
-// this many generations that no reachable router knows, and none of them is given out again.
+// restoreGap is added to the generation of the first publish after a restore of the store. The store may have lost up
+// to this many generations that no reachable router knows, and none of them must be used again.
 const restoreGap = 1000
 
-// rewriteTimeout bounds the attempts to write a head again that was written during a restore. It covers the outage that a
-// restore usually comes with.
+// rewriteTimeout bounds the attempts to write a head again that was written during a restore. It covers the outage that
+// a restore usually comes with.
 const rewriteTimeout = time.Minute
 
 // FleetState is what a router knows of the configuration apart from the store. Syncer implements it.
 type FleetState interface {
 	// KnownGeneration returns the highest generation that is in force here or was announced.
 	KnownGeneration() ident.Generation
-	// HeadCluster returns the identity of the store's data when the store last had the configuration in force or a newer
-	// one, or an empty text.
+	// HeadCluster returns the identity of the store's data when the store last had the configuration in force or a
+	// newer one, or an empty string if that is not known.
 	HeadCluster() string
 }
 
-// unknownFleet is the FleetState of a publisher outside of a router.
+// unknownFleet is the FleetState of a Publisher without DetectRestores.
 type unknownFleet struct{}
 
 func (unknownFleet) KnownGeneration() ident.Generation { return 0 }
 
 func (unknownFleet) HeadCluster() string { return "" }
 
-// DetectRestores lets the publisher notice that the store came back from an older copy. cluster returns the identity of the
-// store's data as of its latest response. It must be called before the first publish.
+// DetectRestores lets the publisher detect that the store was restored from an older copy. cluster returns the identity
+// of the store's data as of its latest response. It must be called before the first publish.
 func (p *Publisher) DetectRestores(cluster func() string, fleet FleetState) {
 	p.cluster, p.fleet = cluster, fleet
 }
 
-// lostGeneration returns the highest known generation if the store came back from an older copy that lacks it, or else 0. A
-// head that was written in the present cluster is merely an old read. A store without a head may also have been emptied on
-// purpose.
+// lostGeneration returns the highest known generation if the store was restored from an older copy that lacks it, or
+// else 0. A head that was written in the present cluster is only a stale read. A store without a head may also have
+// been emptied on purpose.
 func (p *Publisher) lostGeneration(h head) ident.Generation {
 	written, cluster := h.Cluster, p.cluster()
 	if h.Generation == 0 {
@@ -83,8 +83,8 @@
 // errReplaced reports that the store does not have the head that had to be written again: it was lost or replaced.
 var errReplaced = errors.New("publish: the store has another head")
 
-// rewriteHead writes a head again that was written during a restore. It goes on when the caller is gone, because no router
-// can read a head whose chunks are missing. It returns *UncertainError if it fails.
+// rewriteHead writes a head again that was written during a restore. It continues after ctx has been cancelled, because
+// no router can read a head whose chunks are missing. It returns *UncertainError if it fails.
 func (j *publishJob) rewriteHead(ctx context.Context) (ident.Generation, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rewriteTimeout)
 	defer cancel()
--- a/internal/coordination/publish/sync_store.go
+++ b/internal/coordination/publish/sync_store.go
@@ -77,8 +77,8 @@
 	return err
 }
 
-// readHead reads and records the head. It returns ErrStoreRestored if the store came back from an older copy during the
-// read: the head may then be one that the store no longer has.
+// readHead reads and records the head. It returns ErrStoreRestored if the store was restored from an older copy during
+// the read: the store may no longer have the head.
 func (s *Syncer) readHead(ctx context.Context) (head, error) {
 	startTime := s.opts.Clock()
 	before := s.opts.Cluster()
@@ -94,8 +94,8 @@
 	return h, nil
 }
 
-// recordHead records a head that was returned by a call started at startTime, by the store as the cluster. A head below the generation in force is a
-// stale read and confirms nothing.
+// recordHead records a head that the store, as the given cluster, returned to a call that began at startTime. A head
+// below the generation in force is a stale read and confirms nothing.
 func (s *Syncer) recordHead(h head, revision kv.Revision, cluster string, startTime time.Time) {
 	majorityContact := s.hasMajorityContact()
 	s.mu.Lock()
@@ -130,8 +130,8 @@
 	s.revision = max(s.revision, revision)
 }
 
-// dropLostHeads forgets the missing generations that only the store had, which came back without them. They were not
-// acknowledged, because no router had them in force. The caller holds mu.
+// dropLostHeads forgets the missing generations that were known from the store only, after a restore that may have lost
+// them. They were not acknowledged, because no router had them in force. The caller holds mu.
 func (s *Syncer) dropLostHeads() {
 	announced := ident.Generation(0)
 	for _, gen := range s.sources {
@@ -140,8 +140,8 @@
 	s.missing = slices.DeleteFunc(s.missing, func(m missingGeneration) bool { return m.generation > announced })
 }
 
-// recordLoss records a head below the generation in force. If it was not written in the store's present cluster, the store
-// came back from an older copy. The caller holds mu.
+// recordLoss records a head below the generation in force. If it was not written in the store's present cluster, the
+// store was restored from an older copy. The caller holds mu.
 func (s *Syncer) recordLoss(h head) {
 	if s.cluster == "" || h.Cluster == s.cluster {
 		return
@@ -160,8 +160,8 @@
 	return s.headCluster
 }
 
-// LostGeneration returns the generation in the store, and true if the store came back from an older copy and lacks the
-// generation in force.
+// LostGeneration returns the generation in the store, and true if the store was restored from an older copy and lacks
+// the generation in force.
 func (s *Syncer) LostGeneration() (ident.Generation, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/publish/syncer.go
+++ b/internal/coordination/publish/syncer.go
@@ -85,7 +85,8 @@
 	confirmed time.Time
 	// revision is the highest revision of the head seen in the cluster. Revisions start again lower after a restore.
 	revision kv.Revision
-	cluster  string
+	// cluster is the identity of the store's data as of the last read of the head.
+	cluster string
 	// headCluster is the cluster whose head last had the generation in force or a higher one.
 	headCluster string
 	// stored is the generation in the store if that was restored and lacks the one in force here; restored says so.
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -66,6 +66,7 @@
 	return w.available(w.advance(now, service))
 }
 
+// available reports whether the counts allow a further retry. The caller holds mu.
 func (w *WindowBudget) available(c *windowCounts) bool {
 	return float64(sum(c.retries)+1) <= w.ratio*float64(sum(c.requests))+w.slack
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -17,8 +17,8 @@
 	d *Daemon
 }
 
-// Config implements admin.API. If the store cannot be read, or came back from a copy without the newest configuration, it
-// returns the configuration in force at this router and true.
+// Config implements admin.API. If the store cannot be read, or was restored from a copy without the newest
+// configuration, it returns the configuration in force at this router and true.
 func (b adminBackend) Config(ctx context.Context) (ident.Generation, *object.Set, bool, error) {
 	generation, set, err := b.d.publisher.Head(ctx)
 	if err == nil {
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -17,9 +17,10 @@
 	acceptFraction = 0.3
 	// closeMargin is the end of the grace period that is reserved for ending requests and closing connections.
 	closeMargin = 400 * time.Millisecond
-	// Parts of closeMargin: lastCompletions is for requests that complete by themselves, and for those on connections that
-	// were accepted last, after the listeners are closed. finalResponses is for the responses to all others,
-	// connectionsClosed for closing connections, and unregisterTime for removing the router's entry.
+	// The following times are parts of closeMargin. lastCompletions is the time after the listeners are closed in which
+	// requests may still complete, also those on connections that were accepted last. finalResponses is the time for
+	// the responses to all others, connectionsClosed that for closing connections, and unregisterTime that for removing
+	// the router's entry.
 	lastCompletions   = 100 * time.Millisecond
 	finalResponses    = 100 * time.Millisecond
 	connectionsClosed = 50 * time.Millisecond
@@ -30,8 +31,8 @@
 	endPollPeriod = 2 * time.Millisecond
 )
 
-// drain stops serving. Requests that can end within the grace period are completed. The others get a response that tells
-// whether they may have run, and streams are cut.
+// drain stops serving. Requests that can end within the grace period are completed. The others get a response which
+// says whether they may have run; responses that have begun are cut.
 func (n *Node) drain(servers []*server) {
 	startedAt := time.Now()
 	grace := n.bounds.Load().Grace
@@ -63,8 +64,8 @@
 	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.activeRequests()))
 }
 
-// closeListeners closes the listeners and leaves the connections open. http.Server.Shutdown would close those on which a
-// request arrives, without a response.
+// closeListeners closes the listeners and leaves the connections open. http.Server.Shutdown would close those on which
+// a request arrives, without a response.
 func (n *Node) closeListeners(servers []*server) {
 	for _, s := range servers {
 		if err := s.listener.Close(); err != nil {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -87,7 +87,7 @@
 	// serving is the parent of all requests' contexts. endRequests ends it.
 	serving     context.Context
 	endRequests context.CancelCauseFunc
-	// restored is signalled when the store has come back from an older copy.
+	// restored is signalled when the store was restored from an older copy.
 	restored chan struct{}
 	// lastCachedParts holds the cached prompt parts of the last report. Only the reporting goroutine uses it.
 	lastCachedParts []admission.CachedPart
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -29,8 +29,8 @@
 	// because datagrams may be lost.
 	assignmentPeriod = 100 * time.Millisecond
 	resendPeriod     = 400 * time.Millisecond
-	// endResendTime is how long the end of a load is among the loads sent again. An owner counts a load about as long
-	// after its last report.
+	// endResendTime is how long the end of a load is sent again with the loads. It is about the time for which an owner
+	// counts a load after its last report.
 	endResendTime = 1500 * time.Millisecond
 	// ownersIdlePeriod is how often the owners are assigned while this router neither has requests nor owns loads.
 	ownersIdlePeriod = 400 * time.Millisecond
@@ -44,8 +44,11 @@
 	}, []string{"outcome"})
 	n.registry.MustRegister(outcomes)
 	return &loadOwners{
-		node: n, pendingRequests: reservation.NewPendingRequests(), reserved: make(chan struct{}, 1), outcomes: outcomes,
-		ended: make(map[string]time.Time),
+		node:            n,
+		pendingRequests: reservation.NewPendingRequests(),
+		reserved:        make(chan struct{}, 1),
+		outcomes:        outcomes,
+		ended:           make(map[string]time.Time),
 	}
 }
 
@@ -55,7 +58,7 @@
 	node            *Node
 	pendingRequests *reservation.PendingRequests
 	table           atomic.Pointer[ownerTable]
-	// reserved is signalled by each reservation, so that run learns of this router's loads at once.
+	// reserved is signalled by each reservation, so that an idle run flushes this router's loads soon.
 	reserved chan struct{}
 	// outcomes counts the reservation requests by outcome.
 	outcomes *prometheus.CounterVec
@@ -63,8 +66,8 @@
 	denied, unanswered atomic.Int64
 	// lastAssignment and lastResend are used by the flushing goroutine only.
 	lastAssignment, lastResend time.Time
-	// ended holds the servers on which this router had a load lately, and the time at which it ended. Only the flushing
-	// goroutine uses it.
+	// ended holds the servers on which this router's load has ended within endResendTime, with the time of the end.
+	// Only the flushing goroutine uses it.
 	ended map[string]time.Time
 }
 
@@ -118,8 +121,9 @@
 	o.outcomes.WithLabelValues(label).Inc()
 }
 
-// run flushes until ctx ends: every flushPeriod while this router has requests, loads or owned loads, and otherwise every
-// ownersIdlePeriod. A reservation ends an idle period, because the owner counts the load until it hears of its end.
+// run flushes until ctx ends: every flushPeriod while this router has requests, loads or owned loads, and otherwise
+// every ownersIdlePeriod. A reservation ends an idle period, because the owner counts the load until it hears of its
+// end.
 func (o *loadOwners) run(ctx context.Context) {
 	for periodic.Sleep(ctx, flushPeriod) {
 		o.flush(time.Now())
@@ -140,7 +144,8 @@
 	}
 }
 
-// idle reports whether this router neither has requests nor owns loads, and has told the owners of the end of its loads.
+// idle reports whether this router neither has requests nor owns loads, and has told the owners of the end of its
+// loads.
 func (o *loadOwners) idle() bool {
 	table := o.table.Load()
 	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0) && o.node.admission.LoadsSettled()
@@ -195,7 +200,8 @@
 	}
 }
 
-// loadsToResend returns this router's loads, with the servers on which it had one lately.
+// loadsToResend returns this router's loads, and empty loads for the servers on which they have ended within
+// endResendTime.
 func (o *loadOwners) loadsToResend(now time.Time) []reservation.ServerLoad {
 	own := o.node.admission.OwnLoads()
 	list := make([]reservation.ServerLoad, 0, len(own)+len(o.ended))
--- a/internal/protocol/admin/types.go
+++ b/internal/protocol/admin/types.go
@@ -26,8 +26,8 @@
 	Generation ident.Generation `json:"generation"`
 	// Objects are in the format of configuration files, in canonical order.
 	Objects []json.RawMessage `json:"objects"`
-	// FromSnapshot reports that this is the configuration in force at the router, because the store was down or came back
-	// from an older copy.
+	// FromSnapshot reports that this is the configuration in force at the router, because the store was down or was
+	// restored from an older copy.
 	FromSnapshot bool `json:"from_snapshot,omitempty"`
 }
 
--- a/internal/state/kv/fake_calls.go
+++ b/internal/state/kv/fake_calls.go
@@ -68,8 +68,8 @@
 	return err
 }
 
-// write performs a write, or a deletion if value is nil, with the fault that is injected into the call. A nil value of old
-// matches any.
+// write performs a write, or a deletion if value is nil, with the fault that is injected into the call. If the value of
+// old is nil, only the revision is compared.
 func (f *Fake) write(ctx context.Context, op Op, old Entry, value []byte) (Revision, error) {
 	start := time.Now()
 	fault, err := f.startCall(ctx, op, old.Key)
--- a/internal/state/kv/fake_restore.go
+++ b/internal/state/kv/fake_restore.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// StoreCopy is a state of a Fake.
+// StoreCopy is a copy of a Fake's state.
 type StoreCopy struct {
 	revision Revision
 	versions map[string][]Entry
@@ -19,7 +19,7 @@
 	return StoreCopy{revision: f.revision, versions: cloneVersions(f.versions)}
 }
 
-// Restore replaces the state by an older copy: revisions are given out again, and Cluster changes.
+// Restore replaces the state by an older copy: the same revisions are assigned again, and Cluster changes.
 func (f *Fake) Restore(c StoreCopy) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -35,6 +35,7 @@
 	return fmt.Sprintf("cluster-%d", f.restores)
 }
 
+// cloneVersions returns a copy that shares no lists with versions.
 func cloneVersions(versions map[string][]Entry) map[string][]Entry {
 	cloned := maps.Clone(versions)
 	for key, list := range cloned {
--- a/internal/state/kv/swap.go
+++ b/internal/state/kv/swap.go
@@ -2,8 +2,8 @@
 
 import "context"
 
-// ExactSwapper is a Store whose writes can also require the value of a key. After a restore of the store from an older copy
-// another value may have the same revision.
+// ExactSwapper is a Store whose writes can also require the value of a key. After a restore of the store from an older
+// copy another value may have the same revision.
 type ExactSwapper interface {
 	// SwapExact writes value if the key has the revision and the value of old, whose revision is not 0. Its results are
 	// those of Store.CompareAndSwap.
--- a/internal/transport/etcdkv/calls.go
+++ b/internal/transport/etcdkv/calls.go
@@ -119,11 +119,13 @@
 	return err
 }
 
+// revisionIs returns the condition that a key has a revision.
 func revisionIs(key string, expect kv.Revision) compare {
 	revision := int64(expect)
 	return compare{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: &revision}
 }
 
+// txn performs a write if all conditions hold, and returns its revision.
 func (c *Client) txn(ctx context.Context, op requestOp, conditions ...compare) (kv.Revision, error) {
 	request := txnRequest{Compare: conditions, Success: []requestOp{op}}
 	var response txnResponse
--- a/internal/transport/etcdkv/cluster.go
+++ b/internal/transport/etcdkv/cluster.go
@@ -19,8 +19,8 @@
 	return c.began
 }
 
-// record records the cluster ID of the response to a call. It returns false if the response must not be used, because the
-// call began before another ID was learned.
+// record records the cluster ID of the response to a call. It returns false if the response must not be used, because
+// the call began before another ID was learned.
 func (c *clusterTracker) record(call uint64, id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -34,7 +34,7 @@
 	return true
 }
 
-// current returns the latest ID, or an empty text before the first.
+// current returns the latest ID, or an empty string before the first.
 func (c *clusterTracker) current() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/etcdkv/wire.go
+++ b/internal/transport/etcdkv/wire.go
@@ -41,8 +41,8 @@
 	resultEqual = "EQUAL"
 )
 
-// compare is a condition of a transaction on either the revision or the value. A nil revision is omitted; revision 0 means
-// an absent key.
+// compare is a condition of a transaction on either the revision or the value. A nil revision is omitted; revision 0
+// means an absent key.
 type compare struct {
 	Key         []byte `json:"key"`
 	Target      string `json:"target"`
--- a/internal/transport/gateway/announce.go
+++ b/internal/transport/gateway/announce.go
@@ -12,8 +12,8 @@
 const maxServerPause = 5 * time.Minute
 
 // recordAnnouncement records what a response to the request says about its server: that it leaves, or that it wants a
-// pause. A leaving takes the server out of use for good, so it counts only if the server signed the response or says that
-// it did not run the request. A response of another server at the address does not count.
+// pause. An announcement that the server leaves takes it out of use for good, so it counts only if the server signed
+// the response or says that it did not run the request. A response of another server at the address does not count.
 func (a *attempt) recordAnnouncement() {
 	x := a.x
 	metadata := a.metadata
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -17,8 +17,8 @@
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
-// maxBufferedBytes is the size up to which a response body is read completely before it is forwarded. The buffers of all
-// requests that a small router has in progress must fit its memory.
+// maxBufferedBytes is the size up to which a response body is read completely before it is forwarded. The buffers of
+// all requests that a small router has in progress must fit its memory.
 const maxBufferedBytes = 64 << 10
 
 // errReplaced is the cancellation cause of an attempt after a substitute has delivered.
@@ -45,7 +45,7 @@
 	metadata relay.Response
 	// events is set if the response is an event stream.
 	events *eventstream.Reader
-	// ahead is a part that has been read and not been delivered.
+	// ahead is a part that readAhead has read and that has not been delivered yet.
 	ahead *part
 	// failureResponse is a response with a status of 500 or above.
 	failureResponse *bufferedResponse
@@ -219,8 +219,8 @@
 	return part{event: event}, 0
 }
 
-// readBody reads a response completely, up to maxBufferedBytes. A server's failure is kept in failureResponse, so that the
-// request can be sent to another server.
+// readBody reads a response completely, up to maxBufferedBytes. A server's failure is kept in failureResponse, so that
+// the request can be sent to another server.
 func (a *attempt) readBody() (part, sendResult) {
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(a.resp, maxBufferedBytes))
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -69,7 +69,8 @@
 	x.w.WriteHeader(http.StatusOK)
 }
 
-// clientDisconnected ends an exchange after a write to the client has failed. The HTTP server then closes the connection.
+// clientDisconnected ends an exchange after a write to the client has failed. The HTTP server then closes the
+// connection.
 func (x *exchange) clientDisconnected(err error) sendResult {
 	x.lastErr = err
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -51,9 +51,11 @@
 	deadline time.Time
 
 	sends sends
-	// admitting is locked while a substitute waits for its admission. Its send is recorded before the next one is admitted.
+	// admitting is locked while a substitute waits for its admission. Its send is recorded before the next one is
+	// admitted.
 	admitting sync.Mutex
-	// current is the last attempt, without the substitutes that have not delivered. It is nil before the first one.
+	// current is the last attempt. A substitute becomes the current attempt only when it delivers. It is nil before the
+	// first one.
 	current *attempt
 	// timeToFirst is the time from the arrival to the first event or the response, in nanoseconds.
 	timeToFirst atomic.Int64
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -94,14 +94,14 @@
 const discardBodyTimeout = time.Second
 
 // discardBody sends the response and reads the rest of the request's body. The HTTP server does this only if the client
-// keeps the connection. Otherwise it closes the connection with unread bytes, which resets it, and the client might lose
-// the response.
+// keeps the connection. Otherwise it closes the connection with unread bytes, which resets it, and the client might
+// lose the response.
 func discardBody(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
 	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(discardBodyTimeout)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // an error means that the client has left or is too slow
+	_, _ = io.Copy(io.Discard, r.Body) // an error means that the client has disconnected or is too slow
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// firstEventFactor is the time without a first event, as a multiple of the route's objective, after which a substitute
-	// is made at another server.
+	// firstEventFactor is the time without a first event, as a multiple of the route's objective, after which a
+	// substitute is made at another server.
 	firstEventFactor = 3
-	// pauseFactor is the pause between events, as a multiple of the route's maximum pause, after which a substitute is made.
+	// pauseFactor is the pause between events, as a multiple of the route's maximum pause, after which a substitute is
+	// made.
 	pauseFactor = 2.5
 	// minQuiet is the lower bound of both times. It prevents a busy server from being treated as unresponsive.
 	minQuiet = 1500 * time.Millisecond
@@ -24,7 +25,7 @@
 	attemptTimeShare = 0.5
 )
 
-// newHedge returns the hedge of an attempt. It makes no substitutes for a request that may run only once.
+// newHedge returns the hedge of an attempt. The hedge makes no substitutes for a request that may run only once.
 func (x *exchange) newHedge(ctx context.Context, a *attempt) *hedge.Hedge[*attempt, position] {
 	first, pause := x.quietLimits()
 	if a.ahead != nil {
@@ -42,16 +43,17 @@
 	})
 }
 
-// recordQuiet reports to the admission controller that the server of an attempt is quiet. The limit is below the time that
-// requests which may not be sent again are given, so those do not count.
+// recordQuiet reports to the admission controller that the server of an attempt is quiet. It reports nothing for a
+// request that may not be sent again, because its server has until the deadline, which is longer than the limit, to
+// respond.
 func (x *exchange) recordQuiet(a *attempt) {
 	if x.sends.mayRunAgain(x.route.MaxAttempts) {
 		x.g.opts.Admission.RecordQuiet(a.ticket)
 	}
 }
 
-// quietLimits returns the times after which an attempt is quiet: before the first part of its response, and after it. They
-// are 0 if no substitute may be made.
+// quietLimits returns the times after which an attempt is quiet: before the first part of its response, and after it.
+// They are 0 if no substitute may be made.
 func (x *exchange) quietLimits() (first, pause time.Duration) {
 	if !x.route.Idempotent() {
 		return 0, 0
@@ -64,8 +66,8 @@
 	return first, max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minQuiet)
 }
 
-// substitute makes an attempt at another server, and at a further one if that did not run the request. It returns the
-// attempt with its first part, or false if there is no permit for it or if it failed.
+// substitute makes an attempt at another server, and at further ones as long as none of them has run the request. It
+// returns the attempt with its first part, or false if there is no permit for it or if it failed.
 func (x *exchange) substitute(ctx context.Context, at position) (a *attempt, ok bool) {
 	// The HTTP server recovers panics only in the goroutine of the request.
 	defer func() {
@@ -101,8 +103,8 @@
 	}
 }
 
-// admitSubstitute prepares a substitute if the number of attempts, the retry budget and the admission permit one. Otherwise
-// it returns nil, and also while another substitute waits for its admission.
+// admitSubstitute prepares a substitute if the number of attempts, the retry budget and the admission controller permit
+// one. Otherwise it returns nil. It also returns nil while another substitute waits for its admission.
 func (x *exchange) admitSubstitute(ctx context.Context, at position) *attempt {
 	if !x.admitting.TryLock() {
 		return nil
--- a/internal/transport/gateway/offload.go
+++ b/internal/transport/gateway/offload.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// FailForwarded responds to a request that was forwarded to a router which closed the connection without a response. The
-// request may have run.
+// FailForwarded responds to a request that was forwarded to a router which closed the connection without a response.
+// The request may have run.
 func (g *Gateway) FailForwarded(w http.ResponseWriter, r *http.Request) {
 	g.newExchange(w, r).failWithStatus(http.StatusBadGateway, "no response of the router")
 }
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -79,6 +79,7 @@
 // handleNotAdmitted ends a request for which the admission controller chose no server.
 func (x *exchange) handleNotAdmitted(decision admission.Decision) {
 	if x.current == nil {
+		// The attempt has no server. It holds the waiting time for the log.
 		x.current = &attempt{admissionWait: time.Since(x.arrival)}
 	}
 	if x.mayHaveRun() || x.stream.started {
@@ -109,7 +110,7 @@
 	}
 }
 
-// retryAfterFull returns the time after which the client of a request that the last server has turned away may retry.
+// retryAfterFull returns the time after which a client may retry a request that the last server did not run.
 func (x *exchange) retryAfterFull() time.Duration {
 	if pause, ok := x.g.opts.Admission.RetryAfterPause(x.current.decision.Server.ID); ok {
 		return pause
--- a/internal/transport/gateway/response.go
+++ b/internal/transport/gateway/response.go
@@ -67,6 +67,7 @@
 // recordAnswered records in metrics and log that a server's response was sent to the client.
 func (x *exchange) recordAnswered(status int) {
 	x.g.opts.Metrics.Answers.WithLabelValues(statusClass(status), "server").Inc()
-	x.g.opts.Metrics.TimeToFirst.WithLabelValues(x.route.Kind.String()).Observe(time.Duration(x.timeToFirst.Load()).Seconds())
+	timeToFirst := time.Duration(x.timeToFirst.Load())
+	x.g.opts.Metrics.TimeToFirst.WithLabelValues(x.route.Kind.String()).Observe(timeToFirst.Seconds())
 	x.log("answered", zap.Int("status", status))
 }
--- a/internal/transport/gateway/result.go
+++ b/internal/transport/gateway/result.go
@@ -20,14 +20,15 @@
 	sendIncomplete
 	// sendWithdrawn means that the server announced, before anything was sent, that it leaves or wants a pause.
 	sendWithdrawn
-	// sendSilent means that the server was quiet and that a substitute has delivered first.
+	// sendSilent means that the server was quiet and that a substitute has delivered in its place.
 	sendSilent
-	// sendDiscarded means that the attempt was a substitute and that the first attempt has delivered first.
+	// sendDiscarded means that the attempt was a substitute and that another attempt has delivered in its place.
 	sendDiscarded
 )
 
 var sendResultNames = [...]string{
-	"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "withdrawn", "silent", "discarded",
+	"", "answered", "cut", "unreachable", "not-executed", "error", "broken", "incomplete", "withdrawn", "silent",
+	"discarded",
 }
 
 // String returns the result's name for logs and metrics.
--- a/internal/transport/gateway/retry.go
+++ b/internal/transport/gateway/retry.go
@@ -13,13 +13,19 @@
 type retryDenial string
 
 const (
-	denialSends    retryDenial = "sends"
-	denialRoute    retryDenial = "not-idempotent"
+	// denialSends means that maxSends is reached.
+	denialSends retryDenial = "sends"
+	// denialRoute means that the request may have run and that the route's requests may run only once.
+	denialRoute retryDenial = "not-idempotent"
+	// denialAttempts means that the request may have run as often as the route allows.
 	denialAttempts retryDenial = "max-attempts"
-	denialBudget   retryDenial = "retry-budget"
+	// denialBudget means that the retry budget of the service is used up.
+	denialBudget retryDenial = "retry-budget"
+	// denialNoServer means that the admission controller chose no further server.
 	denialNoServer retryDenial = "no-server"
 )
 
+// denyRetry returns why the request may not be sent again. If it may be, it charges the retry as mayRetry describes.
 func (x *exchange) denyRetry(result sendResult) retryDenial {
 	count, possibleRuns := x.sends.total()
 	switch {
--- a/internal/transport/gateway/sends.go
+++ b/internal/transport/gateway/sends.go
@@ -11,7 +11,8 @@
 	count int
 	// possibleRuns counts the sends after which the request may have run, those in progress included.
 	possibleRuns int
-	servers      []string
+	// servers are the IDs of the servers, in the order of the sends.
+	servers []string
 }
 
 // begin records a send to a server.
--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -22,7 +22,7 @@
 
 var buffers = sync.Pool{New: func() any { return new(buffer) }}
 
-// forwardResult is how the forwarding of a connection ended.
+// forwardResult tells how the forwarding of a connection ended.
 type forwardResult int
 
 const (
@@ -35,8 +35,8 @@
 )
 
 // forward passes a connection on to another router, beginning with the bytes that were read from it, until one side
-// closes it. The client's connection is closed only if the result is forwardEnded. buf contains head. It returns how many
-// bytes were read from the client meanwhile.
+// closes it. The client's connection is closed only if the result is forwardEnded. buf contains head. It returns how
+// many bytes were read from the client meanwhile.
 func (i *Inspector) forward(client net.Conn, target string, head []byte, buf *buffer) (forwardResult, int64) {
 	router, err := i.opts.Dial(context.Background(), "tcp4", target)
 	if err != nil {
@@ -84,7 +84,7 @@
 	return c
 }
 
-// stop ends the copying and reports whether the client has left.
+// stop ends the copying and reports whether the client has left. It leaves the client's read deadline in the past.
 func (c *requestCopy) stop(client net.Conn) (clientLeft bool) {
 	if client.SetReadDeadline(time.Now()) != nil {
 		return true
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -178,8 +178,8 @@
 // readers holds readers of headers.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 
-// serve leaves a connection to this router's HTTP server, which reads head first. It returns false if the server has been
-// shut down.
+// serve passes a connection to this router's HTTP server, which reads head first. It returns false if the server has
+// been shut down.
 func (i *Inspector) serve(conn net.Conn, head []byte) bool {
 	i.opts.Policy.Record(Serve)
 	sockopt.Apply(conn)
--- a/internal/transport/offload/port.go
+++ b/internal/transport/offload/port.go
@@ -86,8 +86,8 @@
 	return p.current == l
 }
 
-// Pause closes the port for d, unless it is closed already. It reports whether it did. The system would reset connections
-// that wait to be accepted, with the requests that their clients have sent; so they are accepted before.
+// Pause closes the port for d, unless it is closed already. It reports whether it did. The system would reset
+// connections that wait to be accepted, with the requests that their clients have sent; so they are accepted first.
 func (p *portListener) Pause(d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/transport/offload/respond.go
+++ b/internal/transport/offload/respond.go
@@ -10,7 +10,7 @@
 // bodyTimeout bounds the time to read the rest of a request's body after the response.
 const bodyTimeout = time.Second
 
-// refuse sends the policy's refusal. read is how much of the body was read.
+// refuse sends the policy's refusal. read is the number of bytes of the body that have been read.
 func (i *Inspector) refuse(conn net.Conn, r *http.Request, buf *buffer, read int64) {
 	i.opts.Policy.Record(Refuse)
 	i.respond(conn, r, buf, read, i.opts.Policy.Refuse)
--- a/internal/transport/sockopt/pending_linux.go
+++ b/internal/transport/sockopt/pending_linux.go
@@ -35,7 +35,8 @@
 	return conns
 }
 
-// connOf returns the connection with a descriptor, which is closed: a net.Conn has a duplicate of its own.
+// connOf returns the connection of a descriptor, or nil. It closes the descriptor, because the net.Conn uses a
+// duplicate.
 func connOf(fd int) net.Conn {
 	file := os.NewFile(uintptr(fd), "")
 	defer func() { _ = file.Close() }()
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -45,8 +45,8 @@
 	return err == nil && open
 }
 
-// HasUnread reports whether data has arrived on a connection, or its peer has closed it, that has not been read. It does
-// not block, even while another goroutine waits to read.
+// HasUnread reports whether data has arrived on a connection, or its peer has closed it, that has not been read. It
+// does not block, even while another goroutine waits to read.
 func HasUnread(conn net.Conn) bool {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
--- a/internal/transport/upstream/monitor.go
+++ b/internal/transport/upstream/monitor.go
@@ -12,8 +12,8 @@
 	conn atomic.Pointer[conn]
 }
 
-// Unread reports whether bytes have arrived on the connection, or the server has closed it, and the reader has not noticed
-// yet. It is false before the request is sent.
+// Unread reports whether bytes have arrived on the connection, or the server has closed it, and the reader has not
+// noticed yet. It is false before the request is sent.
 func (m *Monitor) Unread() bool {
 	c := m.conn.Load()
 	return c != nil && sockopt.HasUnread(c.Conn)
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -68,7 +68,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Monitor, if it is set, is told the connection.
+	// Monitor, if it is set, observes the connection from the time at which the request is sent.
 	Monitor *Monitor
 	// MaySend reports, once a connection is open, whether the request may still be sent. Opening one takes up to a second.
 	// If it is nil, the request is sent.
