--- a/internal/coordination/admission/quiet_test.go
+++ b/internal/coordination/admission/quiet_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Load pattern: a server falls silent while it has many requests. Guards against further requests to it while it is silent,
-// and against a server that stays out of use after it has gone on.
+// Load pattern: a server stops sending while it has many requests. Guards against further requests to it while it is
+// silent, and against a server that stays out of use after it has resumed.
 func TestQuietServerGetsNoFurtherRequests(t *testing.T) {
 	g := NewWithT(t)
 	a := newAnnounceTest(2)
@@ -53,8 +53,8 @@
 	g.Expect(a.granted).To(HaveLen(3))
 }
 
-// Guards against a service without servers after all of them have been silent: a server that has gone on and completed its
-// responses takes requests again.
+// Guards against a service without servers after all of them have been silent: a server that has resumed and completed
+// its responses takes requests again.
 func TestServerThatGoesOnIsUsedAgain(t *testing.T) {
 	g := NewWithT(t)
 	a := newAnnounceTest(1)
--- a/internal/coordination/claim/restore_test.go
+++ b/internal/coordination/claim/restore_test.go
@@ -138,7 +138,7 @@
 	})
 }
 
-// Guards against calls after a restore that have a fencing number which was given out before it.
+// Guards against calls after a restore that get a fencing number which was already assigned before it.
 func TestFencingNumbersOfClaimsRiseAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newRestorableStore()
@@ -212,7 +212,7 @@
 		}
 		store.mu.Lock()
 		defer store.mu.Unlock()
-		if store.reads != 2 { // the cluster and the epoch of fencing numbers, each once
+		if store.reads != 2 { // one read of the cluster and one of the epoch
 			t.Fatalf("%d reads", store.reads)
 		}
 	})
--- a/internal/coordination/fencing/fencing_test.go
+++ b/internal/coordination/fencing/fencing_test.go
@@ -9,7 +9,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 )
 
-// testStore is a fake store that answers as one cluster after another.
+// testStore is a fake store whose cluster can be changed.
 type testStore struct {
 	*kv.Fake
 	restores atomic.Int64
@@ -30,7 +30,7 @@
 	return number
 }
 
-// Guards against numbers that fall after a restore, at a router that ran before it and at one that starts after it, and
+// Guards against lower numbers after a restore, at a router that ran before it and at one that starts after it, and
 // against an epoch for each router instead of one for each restore.
 func TestNumbersRiseWithEachRestore(t *testing.T) {
 	store := &testStore{Fake: kv.NewFake()}
@@ -63,7 +63,7 @@
 	}
 }
 
-// Guards against reads of the epoch for each number.
+// Guards against a read of the epoch for each number, which doubles the load of the store.
 func TestEpochIsReadOnce(t *testing.T) {
 	store := &testStore{Fake: kv.NewFake()}
 	n := New(store, store.cluster)
--- a/internal/coordination/gossip/presence_test.go
+++ b/internal/coordination/gossip/presence_test.go
@@ -59,8 +59,8 @@
 	g.Expect(p.RemoveLost(now.Add(10*time.Second))).To(ConsistOf("idle", "busy", "relay"), "lost for a second time")
 }
 
-// Guards against live routers that count as lost at those that they no longer report to: their reports to active routers
-// state a short interval, and lists of relays come less often.
+// Guards against live routers that are counted as lost by routers that they no longer report to: the last report stated
+// a short interval, but the lists of relays, which replace the reports, come less often.
 func TestSightingsExtendAStatedInterval(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
--- a/internal/coordination/hedge/hedge_test.go
+++ b/internal/coordination/hedge/hedge_test.go
@@ -16,7 +16,7 @@
 	pauseLimit = 2 * time.Second
 )
 
-// substitutes makes substitutes that end as the test says, and counts what happens to them.
+// substitutes makes substitutes with the results that a test sets, and counts the calls.
 type substitutes struct {
 	mu sync.Mutex
 	// latency is the time until a substitute has its first part or fails. ok is set if it has a part.
@@ -66,7 +66,7 @@
 	})
 }
 
-// sleep advances the virtual time and waits for what it causes.
+// sleep advances the virtual time and waits until all goroutines of the test are blocked.
 func sleep(d time.Duration) {
 	time.Sleep(d)
 	synctest.Wait()
@@ -90,7 +90,7 @@
 	})
 }
 
-// Guards against an attempt that is given up before another one has taken its place: a substitute that fails costs nothing.
+// Guards against an attempt that is cancelled before another one delivers: a failed substitute has no effect.
 func TestFailedSubstituteChangesNothing(t *testing.T) {
 	s := &substitutes{latency: 10 * time.Millisecond}
 	run(t, s, func(g Gomega, h *Hedge[string, int]) {
@@ -105,8 +105,8 @@
 	})
 }
 
-// Guards against two attempts that deliver, and against a part that is delivered twice: the substitute continues at the last
-// delivered part, and parts of the first attempt are dropped from then on.
+// Guards against two attempts that deliver, and against a part that is delivered twice: the substitute continues at the
+// last delivered part, and parts of the first attempt are dropped from then on.
 func TestSubstituteDelivers(t *testing.T) {
 	s := &substitutes{latency: 50 * time.Millisecond, ok: true}
 	run(t, s, func(g Gomega, h *Hedge[string, int]) {
@@ -165,7 +165,7 @@
 	})
 }
 
-// Guards against a failure although a substitute is in progress when the first attempt breaks off.
+// Guards against a request that fails because its first attempt fails while a substitute is in progress.
 func TestStopWaitsForTheSubstitute(t *testing.T) {
 	for _, ok := range []bool{true, false} {
 		s := &substitutes{latency: firstLimit - time.Millisecond, ok: ok}
@@ -179,8 +179,8 @@
 	}
 }
 
-// Guards against a request that waits until its deadline for a substitute whose server sends nothing, also after the first
-// attempt has ended.
+// Guards against a request that waits until its deadline for a substitute whose server sends nothing, also after the
+// first attempt has ended.
 func TestSilentSubstituteIsJoinedByAnother(t *testing.T) {
 	for _, firstEnds := range []bool{false, true} {
 		s := &substitutes{latency: time.Hour}
@@ -224,8 +224,8 @@
 	})
 }
 
-// Guards against a substitute for an attempt whose part has arrived but was not read yet, as after a pause of the process,
-// and for one whose part is being written to a slow client.
+// Guards against a substitute for an attempt whose part has arrived but was not read yet, as after a pause of the
+// process, and for one whose part is being written to a slow client.
 func TestArrivedPartsAreNotQuiet(t *testing.T) {
 	s := &substitutes{ok: true}
 	s.unread.Store(true)
--- a/internal/coordination/order/fake_test.go
+++ b/internal/coordination/order/fake_test.go
@@ -28,7 +28,7 @@
 	// faults holds the faults of the next writes, by key.
 	faults map[string][]writeFault
 	calls  int
-	// restores counts how often the store came back from a copy.
+	// restores counts how often the store was restored from a copy.
 	restores int
 }
 
@@ -89,7 +89,7 @@
 	return storeCopy{entries: maps.Clone(s.entries), revision: s.revision}
 }
 
-// restore replaces the data by a copy, so that revisions are given out again.
+// restore replaces the data by a copy, so that the same revisions are assigned again.
 func (s *fakeStore) restore(c storeCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/order/restore_test.go
+++ b/internal/coordination/order/restore_test.go
@@ -33,8 +33,8 @@
 	})
 }
 
-// Guards against a fencing number that is given out twice, before and after a restore of the store: the order of an owner
-// that was paused before the restore would be accepted after that of the present owner.
+// Guards against a fencing number that is assigned twice, before and after a restore of the store: the order of an
+// owner that was paused before the restore would be accepted after that of the present owner.
 func TestOrderOfOwnerPausedBeforeARestoreIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, engines := newFakeStore(), newFakeEngines(true, "e0")
@@ -61,7 +61,7 @@
 }
 
 // Guards against an order whose record was written to the store before its restore, but whose number was made with the
-// epoch after it, and against an order that is not repeated for that.
+// epoch after it, and against such an order not being repeated.
 func TestOrderWrittenDuringARestoreIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, engines := newFakeStore(), newFakeEngines(true, "e0")
@@ -79,8 +79,8 @@
 	})
 }
 
-// Guards against a router that goes on with a lower epoch than one that another router has raised, and whose orders are
-// then refused for ever.
+// Guards against a router that continues with a lower epoch than one that another router has raised, and whose orders
+// are then always refused.
 func TestRefusedOrderIsRepeatedWithTheHigherEpoch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, engines := newFakeStore(), newFakeEngines(true, "e0")
@@ -118,8 +118,8 @@
 	return revision, err
 }
 
-// Guards against more loads at once, and more starts in a minute, than the weight store allows, because the store lost the
-// record of them when it came back from an older copy.
+// Guards against more loads at once, and more starts in a minute, than the weight store allows, because the store lost
+// the record of them when it came back from an older copy.
 func TestLoadLimitsHoldAcrossARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var names []string
--- a/internal/coordination/publish/restore_property_test.go
+++ b/internal/coordination/publish/restore_property_test.go
@@ -15,8 +15,8 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
 
-// restoreSimulation is a simulation whose store comes back from an older copy between or during calls. Its publishers know
-// nothing but the store.
+// restoreSimulation is a simulation whose store comes back from an older copy between or during calls. Its publishers
+// know nothing but the store.
 type restoreSimulation struct {
 	simulation
 	copies []kv.StoreCopy
@@ -26,8 +26,8 @@
 	unfinished bool
 }
 
-// collectHeads fails the test when a generation was written with two contents. A head that was written again, because its
-// write crossed the restore, does not count.
+// collectHeads fails the test when a generation was written with two contents. A head that was written again, because
+// its write crossed the restore, does not count.
 func (s *restoreSimulation) collectHeads() {
 	if s.unfinished {
 		return
@@ -47,8 +47,8 @@
 	}
 }
 
-// restore brings back an earlier copy of the store, once. Late writes take effect before it: a write that reaches the
-// restored store is one that the restore precedes.
+// restore restores the store from an earlier copy, once. Late writes of the simulation take effect before the
+// restore: no write that was sent before the restore reaches the restored store.
 func (s *restoreSimulation) restore() {
 	if len(s.copies) == 0 || s.store.Cluster() != "cluster-0" {
 		return
--- a/internal/coordination/publish/restore_test.go
+++ b/internal/coordination/publish/restore_test.go
@@ -29,7 +29,7 @@
 	return gen
 }
 
-// Guards against a publish on the configuration of an older copy of the store, which takes back an acknowledged one that
+// Guards against a publish on the configuration of an older copy of the store, which reverts an acknowledged one that
 // the routers still have in force, and against a fleet that can't publish until the store's generations have caught up.
 func TestRestoredStoreDoesNotRevertAPublish(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, f *fleet) {
@@ -59,8 +59,8 @@
 	})
 }
 
-// Guards against two configurations with the same generation: a router whose generation the store has lost would not take
-// the other one.
+// Guards against two configurations with the same generation: a router whose generation the store has lost would not
+// take the other one.
 func TestRestoredStoreDoesNotGiveOutAGenerationTwice(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, f *fleet) {
 		f.startAll(t.Context())
@@ -95,8 +95,8 @@
 	})
 }
 
-// Guards against routers that stop serving and refuse publishes for ever, because they saw a head that the store lost before
-// any router had its chunks.
+// Guards against routers that permanently stop serving and refuse publishes, because they saw a head that the store
+// lost before any router had its chunks.
 func TestLostHeadThatNoRouterHasIsForgotten(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, f *fleet) {
 		f.startAll(t.Context())
@@ -180,7 +180,7 @@
 }
 
 // Guards against a write in doubt that is repeated after a restore and replaces another publish, whose head has the
-// revision that was given out twice.
+// revision that was assigned twice.
 func TestWriteInDoubtDoesNotReplaceAPublishAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kv.NewFake()
@@ -207,8 +207,8 @@
 	})
 }
 
-// Guards against a publish that replaces another one after a restore, because that one's head has the revision of the head
-// that was read before.
+// Guards against a publish that replaces another one after a restore, because that one's head has the revision of the
+// head that was read before.
 func TestPublishDoesNotReplaceAnotherHeadOfTheSameRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kv.NewFake()
@@ -234,8 +234,8 @@
 	})
 }
 
-// Guards against routers that learn of a publish after a restore only by the end of their watch, because they watch from a
-// revision that the restored store has not reached.
+// Guards against routers that learn of a publish after a restore only by the end of their watch, because they watch
+// from a revision that the restored store has not reached.
 func TestWatchesFollowARestoredStore(t *testing.T) {
 	withFleet(t, 1, func(t *testing.T, f *fleet) {
 		f.startAll(t.Context())
@@ -260,8 +260,8 @@
 	})
 }
 
-// Guards against a collector that deletes a chunk in use, because it listed the chunk before a restore at the revision at
-// which the chunk was written again.
+// Guards against a collector that deletes a chunk in use, because it listed the chunk before a restore at the revision
+// at which the chunk was written again.
 func TestCollectGarbageDuringARestoreKeepsChunks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kv.NewFake()
@@ -308,8 +308,8 @@
 	return entry, err
 }
 
-// Guards against a head that was read before a restore and counts as one of the store after it: no router can get it, and
-// those that know of it stop serving.
+// Guards against a head that was read before a restore and counts as one of the store after it: no router can get it,
+// and those that know of it stop serving.
 func TestHeadReadAcrossARestoreIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &crossedStore{Fake: kv.NewFake()}
--- a/internal/daemon/gateway/changes_test.go
+++ b/internal/daemon/gateway/changes_test.go
@@ -16,8 +16,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// changedConfigs are configurations that differ from configText in one kind of change each. In each pair, the first text is
-// replaced by the second one.
+// changedConfigs are configurations that differ from configText in one kind of change each. In each pair, the first
+// text is replaced by the second one.
 var changedConfigs = []struct{ kind, old, changed string }{
 	{"a shorter timeout", `"timeoutMs":5000`, `"timeoutMs":3000`},
 	{"a shorter objective", `"objectiveMs":800`, `"objectiveMs":400`},
--- a/internal/daemon/gateway/drain_test.go
+++ b/internal/daemon/gateway/drain_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against a graceful stop that closes the connections of requests whose server has not responded, so that their
-// clients learn nothing.
+// clients get no response.
 func TestGracefulStopAnswersUnfinishedRequests(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFleet(t, 2)
@@ -61,7 +61,7 @@
 	g.Expect(n.cutResponses()).To(Equal(map[string]float64{"stopping": 1}))
 }
 
-// Guards against a graceful stop that closes the connections of requests which were passed on and have no response.
+// Guards against a graceful stop that closes the connections of requests that were forwarded and have no response.
 func TestGracefulStopAnswersUnfinishedPassedRequests(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFleet(t, 2)
@@ -81,8 +81,8 @@
 	g.Eventually(f.engines[0].Cancelled, "1s").Should(Equal(1), "the server is told")
 }
 
-// Guards against a request that arrives on an accepted connection after the listeners were closed, and is read and gets no
-// response.
+// Guards against a request that arrives on an accepted connection after the listeners were closed, and is read and gets
+// no response.
 func TestRequestOnAnAcceptedConnectionGetsAResponse(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFleet(t, 2)
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -158,8 +158,8 @@
 }
 
 // Guards against ended requests that the owners of loads still count: the requests of hundreds of routers that each get
-// one now and then filled the servers of a plain service, which used a fifth of their slots, and a fourth of the requests
-// was refused.
+// one now and then filled the servers of a plain service, which used a fifth of their slots, and a fourth of the
+// requests was refused.
 func TestEndedRequestsOfIdleRoutersFreeTheServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -54,7 +54,7 @@
 		}).WithTimeout(3 * time.Second).WithPolling(100 * time.Millisecond).Should(Succeed())
 	})
 
-	// Guards against an operator who edits the configuration of the copy and so takes back a publish that was
+	// Guards against an operator who edits the configuration of the copy and so reverts a publish that was
 	// acknowledged, and against a store that keeps the older one although the operator publishes again.
 	It("lets operators publish on the configuration in force", func() {
 		f := newTestFleet(2)
@@ -72,7 +72,7 @@
 
 		generation, set, fromSnapshot, err := backend.Config(context.Background())
 		Expect(err).NotTo(HaveOccurred())
-		Expect(fromSnapshot).To(BeTrue()) // or the operator's tool takes an unchanged configuration for published
+		Expect(fromSnapshot).To(BeTrue()) // otherwise the operator's tool regards an unchanged configuration as published
 		Expect(generation).To(Equal(second))
 		Expect(set.Teams).To(HaveKey("pumps"))
 		var conflict *publish.ConflictError
--- a/internal/transport/etcdkv/cluster_test.go
+++ b/internal/transport/etcdkv/cluster_test.go
@@ -26,8 +26,8 @@
 	return resp, err
 }
 
-// Guards against a response from before a restore that arrives late and brings back the former cluster, or data that the
-// store no longer has: each change of the cluster counts as a restore.
+// Guards against a response from before a restore that arrives late: it would return data that the store no longer has,
+// and its cluster would count as another restore.
 func TestLateResponseFromBeforeARestoreIsDropped(t *testing.T) {
 	for name, lateCall := range map[string]func(*testing.T, *Client) (error, error){
 		"read": func(t *testing.T, c *Client) (got, want error) {
--- a/internal/transport/gateway/announce_test.go
+++ b/internal/transport/gateway/announce_test.go
@@ -65,8 +65,8 @@
 	g.Expect(h.do(h.request(http.MethodPost, "/callout/x", "later", "")).status).To(Equal(http.StatusOK))
 }
 
-// Guards against a client that is told to return within the pause of the server that turned its request away, because the
-// retry budget was used up.
+// Guards against a client that is told to retry within the pause of the server that refused its request. The request is
+// not sent to another server because the retry budget is used up.
 func TestRetryTimeIsTheEndOfThePauseWithoutRetryBudget(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t, 3)
--- a/internal/transport/gateway/frozen_test.go
+++ b/internal/transport/gateway/frozen_test.go
@@ -20,8 +20,8 @@
 // engineAddressVariable holds the address of the engine for the gateway that runs in a process of its own.
 const engineAddressVariable = "GATEWAY_TEST_ENGINE"
 
-// TestGatewayProcess is the gateway's process of TestEventsThatArriveWhileTheRouterIsFrozen. It serves until its standard
-// input is closed.
+// TestGatewayProcess is the gateway's process of TestEventsThatArriveWhileTheRouterIsFrozen. It serves until its
+// standard input is closed.
 func TestGatewayProcess(t *testing.T) {
 	address := os.Getenv(engineAddressVariable)
 	if address == "" {
--- a/internal/transport/gateway/lateend_test.go
+++ b/internal/transport/gateway/lateend_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a stream whose end does not reach the client because the server sent it longer after the last event than
-// a write to the client may take.
+// Guards against a stream whose end does not reach the client because the server sent it longer after the last event
+// than a write to the client may take.
 func TestLateEndOfAStreamReachesTheClient(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t, 1)
--- a/internal/transport/gateway/permit_test.go
+++ b/internal/transport/gateway/permit_test.go
@@ -17,7 +17,7 @@
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
 
-// delayedOwners leaves reservations unanswered, after the first one only from a time on.
+// delayedOwners answers no reservation. The first one returns at once, each later one not before a given time.
 type delayedOwners struct {
 	calls atomic.Int32
 	from  time.Time
@@ -34,7 +34,8 @@
 	return reservation.Answer{}, false
 }
 
-// Guards against more runs than the route allows because a further substitute is made while one still waits to be admitted.
+// Guards against more runs than the route allows because a further substitute is made while one still waits to be
+// admitted.
 func TestWaitingSubstitutesKeepToTheNumberOfAttempts(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -52,8 +53,8 @@
 	g.Expect(h.totalRuns("a1")).To(BeNumerically("<=", h.routing.Load().Route(testHost, "/digest/x").MaxAttempts))
 }
 
-// Guards against requests that are refused because their server takes more than half of the time of others, which may not
-// be sent again.
+// Guards against refused requests: a server that takes more than half of the time that a request has must not be
+// ejected if its requests may not be sent again.
 func TestSlowServerStaysInUse(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
--- a/internal/transport/gateway/silence_test.go
+++ b/internal/transport/gateway/silence_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// Guards against two servers that go on with one stream, and against load that stays counted at the slower one.
+// Guards against two servers that continue one stream, and against load that stays counted at the slower one.
 func TestSubstituteTakesOver(t *testing.T) {
 	g := NewWithT(t)
 	h := newSilentHarness(t, 2, platformengine.Serve)
@@ -102,7 +102,7 @@
 	}).Should(BeZero())
 }
 
-// Guards against a substitute that goes on after the first server has responded.
+// Guards against a substitute that is not cancelled after the first server has responded.
 func TestSubstituteIsCancelled(t *testing.T) {
 	g := NewWithT(t)
 	h := newSilentHarness(t, 2, platformengine.Hang)
@@ -129,8 +129,8 @@
 	g.Expect(h.totalRuns("no-budget")).To(Equal(1))
 }
 
-// Guards against a 502 in place of the failure that a substitute's server has returned, after the first server has broken
-// off.
+// Guards against a 502 in place of the failure that a substitute's server has returned, after the first server's
+// response has ended early.
 func TestFailureOfASubstituteIsForwarded(t *testing.T) {
 	g := NewWithT(t)
 	h := newScriptedHarness(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
--- a/internal/transport/gateway/substitute_test.go
+++ b/internal/transport/gateway/substitute_test.go
@@ -89,8 +89,8 @@
 	g.Expect(time.Since(begin)).To(BeNumerically("<", limit))
 }
 
-// Guards against a request that waits until its deadline for a substitute whose server sends nothing, although a further
-// server would respond and the route allows another attempt.
+// Guards against a request that waits until its deadline for a substitute whose server sends nothing, although a
+// further server would respond and the route allows another attempt.
 func TestSilentSubstituteIsReplaced(t *testing.T) {
 	for name, first := range map[string]script{"before the first event": hangScript, "within the stream": stopScript} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/transport/gateway/unreadbody_test.go
+++ b/internal/transport/gateway/unreadbody_test.go
@@ -12,8 +12,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a refusal that the client loses because the connection is closed, and therefore reset, while the client
-// still sends the body.
+// Guards against a refusal that the client loses because the connection is closed, and therefore reset, while the
+// client still sends the body.
 func TestRefusalReachesAClientThatStillSends(t *testing.T) {
 	for _, connection := range []string{"keep-alive", "close"} {
 		t.Run(connection, func(t *testing.T) {
--- a/internal/transport/offload/backlog_test.go
+++ b/internal/transport/offload/backlog_test.go
@@ -11,8 +11,8 @@
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
-// Guards against clients without a response because a pause closes the port while their connections, with whole requests,
-// wait to be accepted.
+// Guards against clients without a response because a pause closes the port while their connections, with whole
+// requests, wait to be accepted.
 func TestPauseDoesNotResetWaitingConnections(t *testing.T) {
 	g := NewWithT(t)
 	address := "127.0.0.1:0"
--- a/internal/transport/upstream/ended_context_test.go
+++ b/internal/transport/upstream/ended_context_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a request that is written to a reused connection, and may run, although its context has ended before: a
-// substitute that was cancelled while its reservation was confirmed.
+// Guards against a request that is written to a reused connection, and may run, although its context has ended before:
+// a substitute that was cancelled while its reservation was confirmed.
 func TestRequestIsNotSentAfterItsContextHasEnded(t *testing.T) {
 	g := NewWithT(t)
 	var arrivals atomic.Int32
--- a/internal/transport/upstream/monitor_test.go
+++ b/internal/transport/upstream/monitor_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a response that counts as missing although it has arrived, while the goroutine that reads it does not run,
-// and against a check that waits for that goroutine.
+// Guards against a response that counts as missing although it has arrived, while the goroutine that reads it does not
+// run, and against a check that waits for that goroutine.
 func TestMonitorSeesUnreadBytes(t *testing.T) {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -16,10 +16,10 @@
 //
 // A request is whole once its last byte was written. Its connection may end without an answer only if the router was
 // killed or suspended meanwhile, if the router closed the connection within 200 ms and no engine received the request,
-// or if it was sent at most 3 s after SIGTERM and ended in the last sixth of the grace time. An answer may end early for
-// the same reasons, if the deadline of the client or the route was reached, and if an engine that received the request
-// had a fault in which it breaks off its answers or sends wrong ones. An engine that is silent and goes on, a full
-// engine, a disruption of the store, SIGHUP and changes of the configuration are no reasons.
+// or if it was sent at most 3 s after SIGTERM and ended in the last sixth of the grace time. An answer may end early
+// for the same reasons, if the deadline of the client or the route was reached, and if an engine that received the
+// request had a fault in which it breaks off its answers or sends wrong ones. An engine that is silent and goes on, a
+// full engine, a disruption of the store, SIGHUP and changes of the configuration are no reasons.
 //
 // Clients use a kept connection until it fails, whatever the router announces. Faults follow each other and overlap.
 // The same seed gives the same sequence of faults, but the timing of the processes differs between runs, so that
--- a/test/soak/endings.go
+++ b/test/soak/endings.go
@@ -11,22 +11,23 @@
 	// maxCrossingTime is the time after the last byte of a request within which the router may close the connection
 	// without an answer, if it did not pass the request on.
 	maxCrossingTime = 200 * time.Millisecond
-	// maxConfigAge is the longest time for which a router uses a configuration that was replaced, while its connection to
-	// the store is disrupted.
+	// maxConfigAge is the longest time for which a router uses a configuration that was replaced, while its connection
+	// to the store is disrupted.
 	maxConfigAge = 10 * time.Second
 	// deadlineMargin is how much earlier than its deadline a request may end for that reason.
 	deadlineMargin = 50 * time.Millisecond
-	// lastAcceptTime is the time after SIGTERM in which a request may be sent that the end of the grace time cuts off.
+	// lastAcceptTime is the time after SIGTERM until which the router accepts requests that may still be in progress at
+	// the end of the grace time.
 	lastAcceptTime = 3 * time.Second
 	// breakSlack is the time after the end of a fault in which answers may still end because of it.
 	breakSlack = 300 * time.Millisecond
 )
 
-// span is the time of a fault.
+// span is the time from the beginning to the end of a fault.
 type span struct{ from, to time.Time }
 
-// beginBreak records the beginning of a fault in which an engine breaks off its answers or sends wrong ones. The returned
-// function records its end.
+// beginBreak records the beginning of a fault in which an engine breaks off its answers or sends wrong ones. The
+// returned function records its end.
 func (d *deployment) beginBreak(e *engine) (end func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -81,8 +82,8 @@
 	return s.err == nil && s.repeatable() && (s.status == http.StatusBadGateway || s.status == http.StatusGatewayTimeout)
 }
 
-// excused reports whether an answer may end early, or a request may fail: its deadline was reached, or one of the engines
-// broke off meanwhile.
+// excused reports whether an answer may end early, or a request may fail: its deadline was reached, or one of the
+// engines had a fault in which it breaks off its answers.
 func (d *deployment) excused(s sentRequest, engines []*engine) bool {
 	return s.end.Sub(s.start) >= d.shortestTimeout(s.start, s.end)-deadlineMargin ||
 		slices.ContainsFunc(engines, func(e *engine) bool { return d.brokeBetween(e, s.start, s.end) })
@@ -93,12 +94,12 @@
 	return s.path == safeRoute || s.path == resumableRoute || s.path == summaryRoute
 }
 
-// endedByShutdown reports whether the request ended in the last sixth of the grace time of a graceful shutdown or later,
-// and was sent early enough for that.
+// endedByShutdown reports whether the request ended in the last sixth of the grace time of a graceful shutdown or
+// later, and was sent early enough for that.
 func (s sentRequest) endedByShutdown() bool {
-	const lastSixth = graceSeconds * time.Second * 5 / 6
+	const lastSixthStart = graceSeconds * time.Second * 5 / 6
 	return s.router.anyInterruption(func(i interruption) bool {
 		return i.signal == syscall.SIGTERM && s.written.Before(i.at.Add(lastAcceptTime)) &&
-			s.end.After(i.at.Add(lastSixth)) && s.start.Before(i.at.Add(graceSeconds*time.Second))
+			s.end.After(i.at.Add(lastSixthStart)) && s.start.Before(i.at.Add(graceSeconds*time.Second))
 	})
 }
--- a/test/soak/endings_test.go
+++ b/test/soak/endings_test.go
@@ -38,7 +38,7 @@
 	return func(_ *deployment, s *sentRequest) { s.err, s.status = nil, status }
 }
 
-// A check that excused too much would pass over a router that gives up a live answer.
+// Guards against a check that excuses too much and so misses a router that cuts an answer without an allowed reason.
 func TestEndingsWithoutAnAllowedReasonAreReported(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -33,16 +33,16 @@
 	mu    sync.Mutex
 	mode  proxyMode
 	links map[*link]bool
-	// held is closed when the data of all connections goes on; nil while it does.
+	// held is closed when the data of all connections is passed on again. It is nil while nothing is held.
 	held chan struct{}
 }
 
 // link is a connection to the proxy and its connection to the target.
 type link struct {
 	client, server net.Conn
-	// lastAnswer is when data arrived from the target, in nanoseconds since the Unix epoch.
+	// lastAnswer is when data last arrived from the target, in nanoseconds since the Unix epoch.
 	lastAnswer atomic.Int64
-	// held is closed when the data of this connection goes on; nil while it does.
+	// held is closed when the data of this connection is passed on again. It is nil while nothing is held.
 	held chan struct{}
 }
 
@@ -138,7 +138,7 @@
 	}
 }
 
-// waitWhileHeld returns once the data of a connection may go on.
+// waitWhileHeld returns once the data of a connection may be passed on.
 func (p *proxy) waitWhileHeld(l *link) {
 	for {
 		p.mu.Lock()
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -47,7 +47,7 @@
 
 const arrivalTime, quietTime = 5 * time.Second, 100 * time.Millisecond
 
-// A stall that lost data would excuse a router that cuts the answer.
+// Guards against a stall that loses data: a router could then not avoid cutting the answer.
 func TestHeldDataIsDeliveredAfterTheStall(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := echoProxy(t)
@@ -65,7 +65,8 @@
 	g.Eventually(opened, arrivalTime).Should(gomega.Receive(gomega.Equal("opened")))
 }
 
-// A stall of all connections would not show whether the router blames the engine for one silent connection.
+// Guards against a stall of all connections of an engine in place of one: it would not test whether the router takes an
+// engine out of use because of one silent connection.
 func TestOnlyTheActiveConnectionIsHeld(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := echoProxy(t)
--- a/test/soak/stalls.go
+++ b/test/soak/stalls.go
@@ -11,12 +11,12 @@
 const (
 	minFaultDuration, maxFaultDuration = 300 * time.Millisecond, 3300 * time.Millisecond
 	minStall, maxStall                 = 500 * time.Millisecond, 2500 * time.Millisecond
-	// stallWeight is how many times as often as another fault each stall is drawn. Most stalls do no harm, since another
-	// engine takes over.
+	// stallWeight is how many times as often as another fault each stall is drawn. Most stalls do no harm, since
+	// another engine takes over.
 	stallWeight = 4
 )
 
-// stalls are the faults in which an engine is silent and goes on.
+// stalls are the faults in which an engine sends nothing for a while and then resumes.
 var stalls = []fault{
 	{"engine-stalls", stall((*proxy).hold)},
 	{"engine-connection-stalls", stall((*proxy).holdActive)},
@@ -27,8 +27,8 @@
 	return minStall + (d-minFaultDuration)*(maxStall-minStall)/(maxFaultDuration-minFaultDuration)
 }
 
-// stalledEngine returns the engine for a stall. The single engine, whose requests have no other server, takes the place of
-// the engines that share its lock in inject.
+// stalledEngine returns the engine for a stall. In place of the engines that share its lock in inject, it is the single
+// engine, because its requests have no other server.
 func (d *deployment) stalledEngine(pick int) *engine {
 	single := slices.Index(engineServices, singleService)
 	if single < len(d.engines) && pick%len(d.routers) == single%len(d.routers) {
@@ -37,8 +37,8 @@
 	return d.engine(pick)
 }
 
-// stall holds data of an engine's connections back for a while and then delivers it, as if the process of the engine were
-// suspended.
+// stall holds data of an engine's connections back for a while and then delivers it, as if the process of the engine
+// were suspended.
 func stall(hold func(*proxy) (release func())) func(context.Context, *deployment, int, time.Duration) {
 	return func(ctx context.Context, d *deployment, pick int, duration time.Duration) {
 		e := d.stalledEngine(pick)
--- a/test/standin/freeports/freeports_test.go
+++ b/test/standin/freeports/freeports_test.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// Guards against a deployment that does not start because its next ports are those of another fleet on this machine, which
-// takes six consecutive ports for each of its routers.
+// Guards against a deployment that does not start because its next ports are those of another fleet on this machine,
+// which takes six consecutive ports for each of its routers.
 func TestPortsOfAnotherFleetAreSkipped(t *testing.T) {
 	g := NewWithT(t)
 	const otherFleetPorts = 24 * 6
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -42,7 +42,7 @@
 	// EndlessRest sends a complete response and then bytes without end.
 	EndlessRest
 	// Silent sends nothing for the time Silence, after the first event of a stream or before another response, and then
-	// goes on.
+	// resumes.
 	Silent
 )
 
@@ -60,7 +60,7 @@
 	runs          map[string]int
 	recentHeaders []http.Header
 	bodies        map[string][]byte
-	// leaving makes all responses say that the engine leaves. If retryAfter is set, requests are turned away with it.
+	// leaving makes all responses say that the engine leaves. If retryAfter is set, requests are refused with it.
 	leaving    bool
 	retryAfter string
 	// exchanges records the requests if recording is set.
