gateway, order: Do not forward a part of a long failure, and hold orders after a restore that a step has not seen

Found by a reading of the change:

The client gets 502 now. - An order could be sent within the minute after a restore if the store was restored while a step was in progress. By reading; no test shows it. - A panic in a substitute left its load counted.

--- a/internal/coordination/order/reconcile.go
+++ b/internal/coordination/order/reconcile.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/fencing"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 )
@@ -86,6 +87,9 @@
 	if err != nil {
 		return err
 	}
+	if epoch.Cluster() != c.cluster {
+		return fencing.ErrRestored // the next Step holds the orders back
+	}
 	last, revision, err := readRecord(ctx, c.opts.Store, key)
 	if err != nil {
 		return err
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -234,7 +234,7 @@
 		return part{body: body}, 0
 	}
 	a.err = errors.Errorf("server returned status %d", status)
-	if impliesNotExecuted(status) || a.position.started {
+	if impliesNotExecuted(status) || a.position.started || !body.complete {
 		return part{}, sendBroken
 	}
 	a.failureResponse = body
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -74,11 +74,14 @@
 		if value := recover(); value != nil {
 			x.g.opts.Log.Error("panic in a substitute", zap.String("request", x.metadata.ID), zap.Any("panic", value),
 				zap.Stack("stack"))
+			if a != nil {
+				a.discard()
+			}
 			a, ok = nil, false
 		}
 	}()
 	for {
-		a := x.admitSubstitute(ctx, at)
+		a = x.admitSubstitute(ctx, at)
 		if a == nil {
 			return nil, false
 		}
--- a/internal/transport/gateway/silence_test.go
+++ b/internal/transport/gateway/silence_test.go
@@ -145,3 +145,16 @@
 	g.Expect(resp.status).To(Equal(http.StatusInternalServerError))
 	g.Expect(resp.header.Get("Instance-Signature")).NotTo(BeEmpty())
 }
+
+// Guards against a part of a server's failure that looks like the whole response.
+func TestLongFailureIsNotForwardedInPart(t *testing.T) {
+	g := NewWithT(t)
+	h := newScriptedHarness(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, 2*maxBufferedBytes))
+	})
+	resp := h.do(h.request(http.MethodPost, "/callout/x", "a1", "call"))
+	g.Expect(resp.err).NotTo(HaveOccurred())
+	g.Expect(resp.status).To(Equal(http.StatusBadGateway))
+	g.Expect(resp.body).To(BeEmpty())
+}
