order: Write all loads again after a restore, also after a lost response

- If the response to the write was lost and the copy had the last of the loads, the write counted as successful although the others were missing (TestLoadsAreWrittenAgainAfterALostResponse: no error).
- A load of the copy counted against the limit until it expired, although its engine had another one since (TestLoadOfTheCopyEndsWhenItsEngineHasAnother: load limit reached).

--- a/internal/coordination/order/limit.go
+++ b/internal/coordination/order/limit.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
@@ -53,17 +52,31 @@
 	}, id)
 }
 
-// addAgain adds the entries that the record lacks. It ignores the limits, because the loads have started already.
+// addAgain adds the entries that the record lacks, and marks other entries of their engines as done. It ignores the limits,
+// because the loads have started already. It can be repeated after an error.
 func (l *limiter) addAgain(ctx context.Context, running []loadEntry) error {
 	return l.update(ctx, func(list []loadEntry, _ time.Time) ([]loadEntry, error) {
 		for _, wanted := range running {
-			sameID := func(e loadEntry) bool { return e.ID == wanted.ID }
-			if !slices.ContainsFunc(list, sameID) {
-				list = append(list, wanted)
-			}
+			list = addRunning(list, wanted)
 		}
 		return list, nil
-	}, running[len(running)-1].ID)
+	}, "")
+}
+
+// addRunning adds an entry if the list lacks it, and marks other entries of its engine as done.
+func addRunning(list []loadEntry, wanted loadEntry) []loadEntry {
+	known := false
+	for i := range list {
+		if list[i].ID == wanted.ID {
+			known = true
+		} else if list[i].Engine == wanted.Engine {
+			list[i].Done = true
+		}
+	}
+	if known {
+		return list
+	}
+	return append(list, wanted)
 }
 
 // release marks a load as done.
