serverlimit, gateway: Read the limits that backend servers name, and log and count their changes

Nothing decoded the header, so neither logs nor metrics could tell whether a router knew of a limit. A response is now decoded in platform, a registry keeps what each server has said, and each start, change and end is a log line of the request that showed it. Values that are not one decimal number are ignored, counted and logged.

The limits decide nothing yet.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 )
 
 const (
@@ -21,22 +22,35 @@
 	Leaving bool
 	// Pause is the time for which the server wants no requests from this router. 0 means none.
 	Pause time.Duration
+	// Limit is what the response says about the rate of requests that the server takes, or nil if it says nothing valid.
+	Limit *serverlimit.Statement
 }
 
-// Announce records what a response says about the server that the request was sent to. It reports whether the server is
-// newly known to leave.
-func (c *Core) Announce(now time.Time, t *Ticket, a Announcement) bool {
+// News is what an announcement has changed.
+type News struct {
+	// Leaving is set if the server is newly known to leave.
+	Leaving bool
+	// Limit is the change of the server's limit.
+	Limit serverlimit.Change
+}
+
+// Announce records what a response says about the server that the request was sent to.
+func (c *Core) Announce(now time.Time, t *Ticket, a Announcement) News {
 	if t.server == nil {
-		return false
+		return News{}
 	}
 	if current := c.servers.Get(t.server.ID); current != nil && !current.SameStart(t.server) {
-		return false
+		return News{}
 	}
 	if a.Pause > 0 {
 		h := c.healthOf(t.server.ID)
 		h.reopensAt = later(h.reopensAt, now.Add(a.Pause))
 	}
-	return a.Leaving && c.drains.Receive(now, t.server)
+	news := News{Leaving: a.Leaving && c.drains.Receive(now, t.server)}
+	if a.Limit != nil {
+		news.Limit = c.limits.Receive(t.server, *a.Limit)
+	}
+	return news
 }
 
 // MaySend reports whether a granted request may still be sent: its server may have announced since that it leaves or
@@ -46,8 +60,9 @@
 }
 
 // SkipSuspended shortens the pauses of servers by a time for which the VM was suspended, which the clock of the other
-// methods does not count.
+// methods does not count. What servers have said about limits is as much older.
 func (c *Core) SkipSuspended(d time.Duration) {
+	c.limits.Skip(d)
 	for _, h := range c.health {
 		if !h.reopensAt.IsZero() {
 			h.reopensAt = h.reopensAt.Add(-d)
--- a/internal/coordination/admission/announce_test.go
+++ b/internal/coordination/admission/announce_test.go
@@ -93,8 +93,8 @@
 	a.submit(8)
 	g.Expect(a.granted).To(HaveLen(8))
 	leaving := a.granted[0].server
-	g.Expect(a.core.Announce(a.now, a.granted[0], Announcement{Leaving: true})).To(BeTrue())
-	g.Expect(a.core.Announce(a.now, a.granted[0], Announcement{Leaving: true})).To(BeFalse(), "it is known")
+	g.Expect(a.core.Announce(a.now, a.granted[0], Announcement{Leaving: true}).Leaving).To(BeTrue())
+	g.Expect(a.core.Announce(a.now, a.granted[0], Announcement{Leaving: true}).Leaving).To(BeFalse(), "it is known")
 	for _, ticket := range a.granted {
 		g.Expect(a.core.MaySend(a.now, ticket)).To(Equal(ticket.server.ID != leaving.ID))
 	}
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -30,6 +30,8 @@
 	queued chan struct{}
 	// sendsStopped makes MaySend return false.
 	sendsStopped atomic.Bool
+	// limited is the number of servers with a limit, or with one that has ended recently.
+	limited atomic.Int64
 }
 
 // NewController returns a controller for a core. If owners is nil, grants need no confirmation.
@@ -119,14 +121,19 @@
 	return nil, Decision{}, context.Cause(ctx)
 }
 
-// Announce records what a response says about the server that a granted request was sent to. It reports whether the
-// server is newly known to leave.
-func (c *Controller) Announce(t *Ticket, a Announcement) bool {
+// Announce records what a response says about the server that a granted request was sent to.
+func (c *Controller) Announce(t *Ticket, a Announcement) News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.core.Announce(time.Now(), t, a)
+	news := c.core.Announce(time.Now(), t, a)
+	c.limited.Store(int64(c.core.limits.Len()))
+	return news
 }
 
+// AnyLimits reports whether a server has a limit of requests a second, or had one recently. While none has, responses
+// without a limit need not be announced.
+func (c *Controller) AnyLimits() bool { return c.limited.Load() > 0 }
+
 // StopSends forbids all further sends. It is called before the requests in progress are ended at a stop: the capacity
 // that they free would otherwise be granted to waiting requests, which cannot be completed any more.
 func (c *Controller) StopSends() { c.sendsStopped.Store(true) }
@@ -218,6 +225,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.SetServers(time.Now(), set)
+	c.limited.Store(int64(c.core.limits.Len()))
 }
 
 // SetPeerLoads replaces the loads that another router puts on all servers.
@@ -296,6 +304,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.Advance(time.Now())
+	c.limited.Store(int64(c.core.limits.Len()))
 }
 
 // Reserve answers another router's reservation request for a server whose load this router owns.
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -8,6 +8,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -32,6 +33,7 @@
 	opts           Options
 	servers        *backends.Set
 	drains         *serverdrain.Registry
+	limits         *serverlimit.Registry
 	loads          *engineload.Table
 	accounts       *fairshare.Accounts
 	prefixes       *prefixIndex
@@ -55,6 +57,7 @@
 		opts:           opts,
 		servers:        backends.NewSet(nil),
 		drains:         serverdrain.New(),
+		limits:         serverlimit.New(),
 		loads:          engineload.New(),
 		accounts:       fairshare.New(opts.ShareWindow / meanAgesPerWindow),
 		prefixes:       newPrefixIndex(),
@@ -79,6 +82,7 @@
 	}
 	c.servers = set
 	c.drains.SetServers(now, set)
+	c.limits.SetServers(set)
 	for _, s := range c.speeds {
 		s.retain(func(id string) bool { return set.Get(id) != nil })
 	}
@@ -241,6 +245,7 @@
 // Advance applies what is due by the given time: refusals, and grants to servers whose pause is over.
 func (c *Core) Advance(now time.Time) {
 	c.loads.Expire(now)
+	c.limits.Expire(now)
 	for _, q := range c.queues {
 		c.dispatch(now, q)
 	}
--- /dev/null
+++ b/internal/coordination/serverlimit/message.go
@@ -0,0 +1,70 @@
+package serverlimit
+
+import (
+	"math"
+	"time"
+)
+
+// maxMessageDelay is the time by which an end in a message is dated back. A message between routers takes some
+// milliseconds, at a router that lacks CPU time tens of them.
+const maxMessageDelay = 100 * time.Millisecond
+
+// Entry is what a router knows of a server's limit, in messages between routers.
+type Entry struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	// StartedAt is the server's start time in milliseconds since the Unix epoch.
+	StartedAt int64
+	// Rate is the limit last named, in requests per second. Ended is set if the server no longer names it.
+	Rate  float64
+	Ended bool
+	// SentAgeMS and ReceivedAgeMS are the times since the request of the latest response was sent, and since its response
+	// arrived, in milliseconds.
+	SentAgeMS, ReceivedAgeMS int64
+}
+
+// Entries returns what is known of the given servers' limits, ended ones included.
+func (r *Registry) Entries(now time.Time, servers []string) []Entry {
+	var entries []Entry
+	for _, id := range servers {
+		if e, ok := r.Entry(now, id); ok {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// Entry returns what is known of a server's limit. It returns false if the server has named none.
+func (r *Registry) Entry(now time.Time, id string) (Entry, bool) {
+	l := r.limits[id]
+	if l == nil {
+		return Entry{}, false
+	}
+	return Entry{
+		Server: id, StartedAt: l.server.StartedAt, Rate: l.rate, Ended: !l.latest.Limited,
+		SentAgeMS: now.Sub(l.latest.SentAt).Milliseconds(), ReceivedAgeMS: now.Sub(l.latest.ReceivedAt).Milliseconds(),
+	}, true
+}
+
+// Merge records what another router knows of a server's limit. Entries of unknown incarnations, and those with values
+// that no router sends, are ignored.
+func (r *Registry) Merge(now time.Time, e Entry) Change {
+	server := r.servers.Get(e.Server)
+	if server == nil || server.StartedAt != e.StartedAt || !e.valid() {
+		return Unchanged
+	}
+	s := Statement{Limited: !e.Ended, Rate: e.Rate, SentAt: ago(now, e.SentAgeMS), ReceivedAt: ago(now, e.ReceivedAgeMS)}
+	if e.Ended {
+		s.SentAt = s.SentAt.Add(-maxMessageDelay)
+	}
+	return r.Receive(server, s)
+}
+
+// maxAgeMS bounds the ages in messages, in milliseconds. The difference with any time of day fits.
+const maxAgeMS = int64(24 * time.Hour / time.Millisecond)
+
+func (e Entry) valid() bool {
+	return e.Rate >= 0 && !math.IsInf(e.Rate, 0) && e.ReceivedAgeMS >= 0 && e.SentAgeMS >= e.ReceivedAgeMS && e.SentAgeMS <= maxAgeMS
+}
+
+func ago(now time.Time, ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -58,6 +58,11 @@
 	// is the text of a pause that is not a positive number of seconds.
 	Pause        time.Duration
 	InvalidPause string
+	// Limited is set if the server names a limit of the requests that it takes from all routers together. Limit is that
+	// limit in requests per second. InvalidLimit is the text of a limit that is not a number, or negative.
+	Limited      bool
+	Limit        float64
+	InvalidLimit string
 	// WrongServer is set if another server now has the address.
 	WrongServer bool
 }
--- a/internal/transport/gateway/announce.go
+++ b/internal/transport/gateway/announce.go
@@ -6,33 +6,71 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 )
 
 // maxServerPause bounds the pause that a server asks for, so that a wrong value does not take it out of use for good.
 const maxServerPause = 5 * time.Minute
 
-// recordAnnouncement records what a response to the request says about its server: that it leaves, or that it wants a
-// pause. An announcement that the server leaves takes it out of use for good, so it counts only if the server signed
-// the response or says that it did not run the request. A response of another server at the address does not count.
+// recordAnnouncement records what a response to the request says about its server: that it leaves, that it wants a pause,
+// or how many requests a second it takes. Announcements other than a pause count only if the server signed the response
+// or says that it did not run the request. A response of another server at the address does not count.
 func (a *attempt) recordAnnouncement() {
 	x := a.x
 	metadata := a.metadata
 	if metadata.WrongServer {
 		return
 	}
-	leaving := metadata.Leaving && (metadata.Signed || metadata.NotExecuted)
-	pause := a.serverPause()
-	if !leaving && pause == 0 {
+	announcement := admission.Announcement{
+		Leaving: metadata.Leaving && (metadata.Signed || metadata.NotExecuted),
+		Pause:   a.serverPause(),
+		Limit:   a.limitStatement(),
+	}
+	if announcement == (admission.Announcement{}) {
 		return
 	}
-	if x.g.opts.Admission.Announce(a.ticket, admission.Announcement{Leaving: leaving, Pause: pause}) {
+	news := x.g.opts.Admission.Announce(a.ticket, announcement)
+	if news.Leaving {
 		x.g.opts.Metrics.LeavingServers.Inc()
 		a.log("backend server leaves")
 		x.g.opts.OnServerLeaving(a.decision.Server)
 	}
-	if pause > 0 {
+	if announcement.Pause > 0 {
 		x.g.opts.Metrics.ServerPauses.Inc()
-		a.log("backend server pauses", zap.Duration("pause", pause))
+		a.log("backend server pauses", zap.Duration("pause", announcement.Pause))
+	}
+	if news.Limit != serverlimit.Unchanged {
+		x.g.opts.Metrics.ServerLimits.WithLabelValues(news.Limit.String()).Inc()
+		a.log("backend server limit "+news.Limit.String(), zap.Float64("limit", metadata.Limit))
+	}
+}
+
+// limitStatement returns what the response says about the rate of requests that its server takes. It returns nil if it
+// says nothing that counts: an invalid value neither sets a limit nor ends one, and only a server that has run the request
+// can end its limit.
+func (a *attempt) limitStatement() *serverlimit.Statement {
+	x, metadata := a.x, a.metadata
+	switch {
+	case metadata.InvalidLimit != "":
+		a.recordInvalidLimit()
+		return nil
+	case metadata.Limited && !metadata.Signed && !metadata.NotExecuted:
+		return nil
+	case !metadata.Limited && (!metadata.Signed || !x.g.opts.Admission.AnyLimits()):
+		return nil
+	}
+	return &serverlimit.Statement{
+		Limited: metadata.Limited, Rate: metadata.Limit, SentAt: a.sentAt, ReceivedAt: time.Now(),
+	}
+}
+
+// recordInvalidLimit counts and logs a limit that is not valid.
+func (a *attempt) recordInvalidLimit() {
+	x, server := a.x, a.decision.Server.ID
+	x.g.opts.Metrics.InvalidLimits.Inc()
+	if x.g.invalidLimits.shouldLog(time.Now(), server) {
+		x.g.opts.Log.Warn("backend server names a limit that is not valid", zap.String("server", server),
+			zap.String("request", x.metadata.ID), zap.String("limit", a.metadata.InvalidLimit))
 	}
 }
 
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -40,6 +40,8 @@
 	admissionWait time.Duration
 	ctx           context.Context
 	cancel        context.CancelCauseFunc
+	// sentAt is when the request was last about to be sent.
+	sentAt time.Time
 	// monitor tells whether bytes have arrived that were not read. It is safe for concurrent use.
 	monitor upstream.Monitor
 
@@ -144,7 +146,10 @@
 		}),
 		Body:    x.body,
 		Monitor: &a.monitor,
-		MaySend: func() bool { return x.g.opts.Admission.MaySend(a.ticket) && a.mayStillSend() },
+		MaySend: func() bool {
+			a.sentAt = time.Now()
+			return x.g.opts.Admission.MaySend(a.ticket) && a.mayStillSend()
+		},
 		Matches: func(resp *http.Response) bool {
 			metadata := platform.DecodeResponse(resp.StatusCode, resp.Header)
 			return metadata.ID == id || metadata.ID == "" && metadata.NotExecuted
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -55,6 +55,8 @@
 	invalidServers logInterval
 	// invalidPauses limits the log lines about pauses that are not valid.
 	invalidPauses logInterval
+	// invalidLimits limits the log lines about limits of servers that are not valid.
+	invalidLimits logInterval
 	// stopping makes the gateway refuse new requests.
 	stopping atomic.Bool
 }
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -18,6 +18,10 @@
 	// pause.
 	LeavingServers prometheus.Counter
 	ServerPauses   prometheus.Counter
+	// ServerLimits counts the changes of limits that servers name, by change. InvalidLimits counts responses that name one
+	// that is not valid.
+	ServerLimits  *prometheus.CounterVec
+	InvalidLimits prometheus.Counter
 	// TimeToFirst is the time to the first event, or to the response, in seconds, by kind of route.
 	TimeToFirst *prometheus.HistogramVec
 }
@@ -51,11 +55,19 @@
 		ServerPauses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gooseberrytide_server_pauses_total", Help: "Answers of backend servers that asked for a pause.",
 		}),
+		ServerLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrytide_server_limit_changes_total",
+			Help: "Changes of the limits of requests a second that backend servers name, by change.",
+		}, []string{"change"}),
+		InvalidLimits: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrytide_invalid_limits_total",
+			Help: "Answers of backend servers that name a limit which is not valid.",
+		}),
 		TimeToFirst: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "gooseberrytide_first_seconds", Help: "Time to the first event or the answer.", Buckets: timeToFirstBuckets,
 		}, []string{"kind"}),
 	}
 	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.CutResponses, m.InvalidResponses, m.LeavingServers, m.ServerPauses,
-		m.TimeToFirst)
+		m.ServerLimits, m.InvalidLimits, m.TimeToFirst)
 	return m
 }
