--- a/internal/coordination/serverlimit/message.go
+++ b/internal/coordination/serverlimit/message.go
@@ -18,6 +18,8 @@
 	// Rate is the limit last named, in requests per second. Ended is set if the server no longer names it.
 	Rate  float64
 	Ended bool
+	// SinceAgeMS is the time since the limit started, or ended, in milliseconds.
+	SinceAgeMS int64
 	// SentAgeMS and ReceivedAgeMS are the times since the request of the latest response was sent, and since its response
 	// arrived, in milliseconds.
 	SentAgeMS, ReceivedAgeMS int64
@@ -42,7 +44,8 @@
 	}
 	return Entry{
 		Server: id, StartedAt: l.server.StartedAt, Rate: l.rate, Ended: !l.latest.Limited,
-		SentAgeMS: now.Sub(l.latest.SentAt).Milliseconds(), ReceivedAgeMS: now.Sub(l.latest.ReceivedAt).Milliseconds(),
+		SinceAgeMS: now.Sub(l.since).Milliseconds(),
+		SentAgeMS:  now.Sub(l.latest.SentAt).Milliseconds(), ReceivedAgeMS: now.Sub(l.latest.ReceivedAt).Milliseconds(),
 	}, true
 }
 
@@ -57,14 +60,19 @@
 	if e.Ended {
 		s.SentAt = s.SentAt.Add(-maxMessageDelay)
 	}
-	return r.Receive(server, s)
+	change := r.Receive(server, s)
+	if change == Started || change == Ended {
+		r.limits[e.Server].since = ago(now, e.SinceAgeMS)
+	}
+	return change
 }
 
 // maxAgeMS bounds the ages in messages, in milliseconds. The difference with any time of day fits.
 const maxAgeMS = int64(24 * time.Hour / time.Millisecond)
 
 func (e Entry) valid() bool {
-	return e.Rate >= 0 && !math.IsInf(e.Rate, 0) && e.ReceivedAgeMS >= 0 && e.SentAgeMS >= e.ReceivedAgeMS && e.SentAgeMS <= maxAgeMS
+	return e.Rate >= 0 && !math.IsInf(e.Rate, 0) && e.SinceAgeMS >= 0 && e.ReceivedAgeMS >= 0 &&
+		e.SentAgeMS >= e.ReceivedAgeMS && max(e.SentAgeMS, e.SinceAgeMS) <= maxAgeMS
 }
 
 func ago(now time.Time, ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
--- a/internal/coordination/serverlimit/registry.go
+++ b/internal/coordination/serverlimit/registry.go
@@ -80,7 +80,7 @@
 	latest Statement
 	// rate is the limit last named, in requests per second.
 	rate float64
-	// since is when the server first named a limit without an end since.
+	// since is when the response arrived that started the limit, or that ended it.
 	since time.Time
 }
 
@@ -131,10 +131,7 @@
 	}
 	if s.sameLimit(before) {
 		l.latest.SentAt = later(before.SentAt, s.SentAt)
-		if s.Limited {
-			// The time of an end stays, because the steps after it depend on it.
-			l.latest.ReceivedAt = later(before.ReceivedAt, s.ReceivedAt)
-		}
+		l.latest.ReceivedAt = later(before.ReceivedAt, s.ReceivedAt)
 		return Unchanged
 	}
 	if s.SentAt.Before(before.ReceivedAt) && s.lessRestrictiveThan(before) {
@@ -143,6 +140,7 @@
 	l.latest = s
 	switch {
 	case !s.Limited:
+		l.since = s.ReceivedAt
 		return Ended
 	case !before.Limited:
 		l.rate, l.since = s.Rate, s.ReceivedAt
@@ -172,7 +170,7 @@
 
 // recoveryStep returns the number of whole steps since the end of a limit.
 func (l *limit) recoveryStep(now time.Time) int {
-	return int(max(now.Sub(l.latest.ReceivedAt), 0) / recoveryStep)
+	return int(max(now.Sub(l.since), 0) / recoveryStep)
 }
 
 // Named returns the limit that a server names, in requests per second. It returns false if it names none.
@@ -187,7 +185,7 @@
 // Expire drops the limits that have ended long ago.
 func (r *Registry) Expire(now time.Time) {
 	for id, l := range r.limits {
-		if !l.latest.Limited && now.Sub(l.latest.ReceivedAt) > endRetention {
+		if !l.latest.Limited && now.Sub(l.since) > endRetention {
 			delete(r.limits, id)
 		}
 	}
