--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -66,6 +66,8 @@
 	// leaving makes all responses say that the engine leaves. If retryAfter is set, requests are refused with it.
 	leaving    bool
 	retryAfter string
+	// limit is the limit of requests a second that responses name, or empty.
+	limit string
 	// exchanges records the requests if recording is set.
 	recording bool
 	exchanges []Exchange
@@ -149,6 +151,22 @@
 	e.retryAfter = text
 }
 
+// SetLimit makes the engine name a limit of requests a second in its responses. An empty text ends that.
+func (e *Engine) SetLimit(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = text
+}
+
+// nameLimit adds the limit to the header of a response.
+func (e *Engine) nameLimit(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit != "" {
+		h.Set("Server-Limit", e.limit)
+	}
+}
+
 // Exchange is one request that an engine received.
 type Exchange struct {
 	Attempt string
@@ -178,7 +196,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.incarnation++
-	e.leaving, e.retryAfter = false, ""
+	e.leaving, e.retryAfter, e.limit = false, "", ""
 	return e.incarnation
 }
 
@@ -249,6 +267,7 @@
 		return
 	}
 	if mode == Full || retryAfter != "" {
+		e.nameLimit(w.Header())
 		w.Header().Set("Not-Executed", "1")
 		if retryAfter != "" {
 			w.Header().Set("Retry-After", retryAfter)
@@ -288,6 +307,7 @@
 		attemptID = "another"
 	}
 	w.Header().Set("Attempt-Id", attemptID)
+	e.nameLimit(w.Header())
 	if mode != Unsigned {
 		w.Header().Set("Instance-Signature", "sig-"+e.ID)
 	}
