ratelimit, admission, daemon/gateway: Send to a server with a limit only with a permit of the router that owns it

The router that owns a server's load now grants a permit for each request to a server with a limit, by GCRA. In large fleets the reservation asks for both, in small ones, which reserve no capacity, only requests to servers with a limit ask. A request without an answer does not go to such a server, the permit is checked again just before the send and lapses after 0.5 s, unused permits are given back, a new owner starts with an empty allowance, and an owner grants the share of the routers that it hears from.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -53,10 +53,21 @@
 	return news
 }
 
-// MaySend reports whether a granted request may still be sent: its server may have announced since that it leaves or
-// wants a pause.
-func (c *Core) MaySend(now time.Time, t *Ticket) bool {
-	return t.state == ticketGranted && !c.drains.Draining(t.server) && !now.Before(c.healthOf(t.server.ID).reopensAt)
+// MaySend reports whether a granted request may be sent now: its server may have announced since that it leaves or wants
+// a pause, or may have named a limit, or the permit may have lapsed. clock is the time on a clock that includes suspension.
+func (c *Core) MaySend(now time.Time, clock time.Duration, t *Ticket) bool {
+	if t.state != ticketGranted || c.drains.Draining(t.server) || now.Before(c.healthOf(t.server.ID).reopensAt) {
+		return false
+	}
+	if _, limited := c.limits.Rate(now, t.server.ID); limited && !t.permit.valid(clock) {
+		if t.permit.held() {
+			c.permitCounts.Lapsed++
+			t.permit = permit{} // its owner no longer counts it as unused
+		}
+		return false
+	}
+	t.sent = true
+	return true
 }
 
 // SkipSuspended shortens the pauses of servers by a time for which the VM was suspended, which the clock of the other
@@ -84,8 +95,9 @@
 
 // opening is when a service that takes no requests at present takes some again.
 type opening struct {
-	// paused is set if servers have asked for a pause, so that the time is known.
-	paused bool
+	// paused is set if servers have asked for a pause, so that the time is known, limited if servers have a limit and no
+	// permit may be asked for now.
+	paused, limited bool
 	// at is when the first server takes requests again, forRequest when the first one does that the request may go to. It
 	// is zero if there is none.
 	at, forRequest time.Time
@@ -95,12 +107,19 @@
 func (c *Core) nextOpening(now time.Time, req *Request) opening {
 	var next opening
 	for _, server := range c.servers.ByService(req.Service.Name) {
-		h := c.health[server.ID]
-		if h == nil || c.drains.Draining(server) {
+		h, mayRequest := c.health[server.ID], c.mayRequestPermit(now, server.ID)
+		if h == nil && mayRequest || c.drains.Draining(server) {
 			continue
 		}
-		next.paused = next.paused || now.Before(h.reopensAt)
-		opens := later(h.pausedUntil, h.reopensAt)
+		var opens time.Time
+		if h != nil {
+			next.paused = next.paused || now.Before(h.reopensAt)
+			opens = later(h.pausedUntil, h.reopensAt)
+		}
+		if !mayRequest {
+			next.limited = true
+			opens = later(opens, later(c.permitStates[server.ID].heldBack, now.Add(permitRequestTime)))
+		}
 		next.at = earliest(next.at, opens)
 		if !req.excludes(server.ID) {
 			next.forRequest = earliest(next.forRequest, opens)
--- a/internal/coordination/admission/announce_test.go
+++ b/internal/coordination/admission/announce_test.go
@@ -96,7 +96,7 @@
 	g.Expect(a.core.Announce(a.now, a.granted[0], Announcement{Leaving: true}).Leaving).To(BeTrue())
 	g.Expect(a.core.Announce(a.now, a.granted[0], Announcement{Leaving: true}).Leaving).To(BeFalse(), "it is known")
 	for _, ticket := range a.granted {
-		g.Expect(a.core.MaySend(a.now, ticket)).To(Equal(ticket.server.ID != leaving.ID))
+		g.Expect(a.core.MaySend(a.now, 0, ticket)).To(Equal(ticket.server.ID != leaving.ID))
 	}
 	a.core.SetServers(a.now, backends.NewSet(a.servers)) // the store still lists it as ready
 	a.granted = nil
@@ -215,6 +215,6 @@
 		a.submit(1)
 	}
 	ticket := a.granted[len(a.granted)-1]
-	g.Expect(a.core.confirm(a.now, ticket, answer)).To(BeFalse())
+	g.Expect(a.core.confirm(a.now, 0, ticket, answer, reservation.Answered)).To(BeFalse())
 	g.Expect(ticket.server.ID).To(Equal("i-1"), "it is placed elsewhere, though this router has not heard of the leaving")
 }
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -8,17 +8,19 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 // Owners sends reservation requests to the routers that own the loads of servers.
 type Owners interface {
-	// Reserve asks the owner of a server to reserve capacity for a request. It returns false if this router owns the
-	// server's load itself, if the server has no owner, or if no answer came.
-	Reserve(ctx context.Context, r reservation.Request) (reservation.Answer, bool)
+	// Reserve asks the owner of a server to reserve capacity for a request, and for a permit if the server has a limit of
+	// requests a second. limit is what is known of that limit, or nil.
+	Reserve(ctx context.Context, r reservation.Request, limit *serverlimit.Entry) (reservation.Answer, reservation.Outcome)
 }
 
 // Controller wraps a Core for concurrent use and lets callers wait for decisions.
@@ -60,22 +62,25 @@
 	}
 }
 
-// confirm asks the owner of the granted server to confirm the grant. It returns false if the server is full; the
-// request then waits for the next decision.
+// confirm asks the owner of the granted server to confirm the grant. It returns false if the server is full, or if it has a
+// limit and there is no permit; the request then waits for the next decision.
 func (c *Controller) confirm(ctx context.Context, t *Ticket) bool {
-	if c.owners == nil {
+	if c.owners == nil && !c.AnyLimits() {
 		return true
 	}
 	c.mu.Lock()
-	request := c.core.reservationRequest(t)
+	request, limit := c.core.reservationRequest(time.Now(), t)
 	c.mu.Unlock()
-	answer, ok := c.owners.Reserve(ctx, request)
-	if !ok {
+	answer, outcome := reservation.Answer{}, reservation.Local
+	if c.owners != nil {
+		answer, outcome = c.owners.Reserve(ctx, request, limit)
+	}
+	if outcome != reservation.Answered && limit == nil {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	confirmed := c.core.confirm(time.Now(), t, answer)
+	confirmed := c.core.confirm(time.Now(), freshness.BootTime(), t, answer, outcome)
 	c.signalQueued()
 	return confirmed
 }
@@ -126,14 +131,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	news := c.core.Announce(time.Now(), t, a)
-	c.limited.Store(int64(c.core.limits.Len()))
+	c.countLimits()
 	return news
 }
 
-// AnyLimits reports whether a server has a limit of requests a second, or had one recently. While none has, responses
-// without a limit need not be announced.
-func (c *Controller) AnyLimits() bool { return c.limited.Load() > 0 }
-
 // StopSends forbids all further sends. It is called before the requests in progress are ended at a stop: the capacity
 // that they free would otherwise be granted to waiting requests, which cannot be completed any more.
 func (c *Controller) StopSends() { c.sendsStopped.Store(true) }
@@ -145,7 +146,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.core.MaySend(time.Now(), t)
+	return c.core.MaySend(time.Now(), freshness.BootTime(), t)
 }
 
 // RetryAfterPause returns the time after which a client may retry a request that a server refused while asking for a
@@ -225,7 +226,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.SetServers(time.Now(), set)
-	c.limited.Store(int64(c.core.limits.Len()))
+	c.countLimits()
 }
 
 // SetPeerLoads replaces the loads that another router puts on all servers.
@@ -304,7 +305,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.Advance(time.Now())
-	c.limited.Store(int64(c.core.limits.Len()))
+	c.countLimits()
 }
 
 // Reserve answers another router's reservation request for a server whose load this router owns.
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -6,6 +6,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/ratelimit"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
@@ -30,10 +31,19 @@
 
 // Core holds the waiting and running requests of one router. It is not safe for concurrent use.
 type Core struct {
-	opts           Options
-	servers        *backends.Set
-	drains         *serverdrain.Registry
-	limits         *serverlimit.Registry
+	opts    Options
+	servers *backends.Set
+	drains  *serverdrain.Registry
+	limits  *serverlimit.Registry
+	// allocator grants the permits of the servers that this router owns, permitStates is what it knows about those of all
+	// servers with a limit.
+	allocator    *ratelimit.Allocator
+	permitStates map[string]*permitState
+	permitCounts PermitCounts
+	// returns are the unused permits of other routers.
+	returns []PermitReturn
+	// routers is the number of live routers, this one included.
+	routers        int
 	loads          *engineload.Table
 	accounts       *fairshare.Accounts
 	prefixes       *prefixIndex
@@ -58,6 +68,9 @@
 		servers:        backends.NewSet(nil),
 		drains:         serverdrain.New(),
 		limits:         serverlimit.New(),
+		allocator:      ratelimit.NewAllocator(),
+		permitStates:   make(map[string]*permitState),
+		routers:        1,
 		loads:          engineload.New(),
 		accounts:       fairshare.New(opts.ShareWindow / meanAgesPerWindow),
 		prefixes:       newPrefixIndex(),
@@ -77,6 +90,8 @@
 	for id, before := range c.servers.All() {
 		if after := set.Get(id); after == nil || !after.SameIncarnation(before) {
 			delete(c.health, id)
+			delete(c.permitStates, id)
+			c.allocator.Reset(id)
 			c.prefixes.removeServer(id)
 		}
 	}
@@ -224,6 +239,8 @@
 		return
 	}
 	t.state = ticketDone
+	c.endPermitRequest(t)
+	c.returnPermit(now, t)
 	c.loads.Remove(t.server.ID, t.load)
 	h := c.healthOf(t.server.ID)
 	c.endProbe(h, t)
--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -55,7 +55,7 @@
 
 // takesRequests reports whether a server takes requests at present, regardless of its load.
 func (c *Core) takesRequests(now time.Time, server *backends.Server) bool {
-	return !c.drains.Draining(server) && c.health[server.ID].available(now)
+	return !c.drains.Draining(server) && c.health[server.ID].available(now) && c.mayRequestPermit(now, server.ID)
 }
 
 // grantOne grants the first placeable request in fair order: by team, and within a team by kind. If no server takes the
@@ -106,6 +106,7 @@
 	if h.suspect {
 		t.probe, h.probing = true, true
 	}
+	c.beginPermitRequest(now, t)
 	t.load = loadOf(&t.Request, p.cachedTokens)
 	t.limits = p.limits
 	if t.Service.Engine != nil {
--- a/internal/coordination/admission/load_patterns_test.go
+++ b/internal/coordination/admission/load_patterns_test.go
@@ -192,7 +192,7 @@
 	g.Expect(decisions).To(HaveLen(1))
 	now = now.Add(900 * time.Millisecond)
 	full := engineload.Load{Running: 1000}
-	g.Expect(core.confirm(now, tk, reservation.Answer{Total: full})).To(BeFalse())
+	g.Expect(core.confirm(now, 0, tk, reservation.Answer{Total: full}, reservation.Answered)).To(BeFalse())
 	g.Expect(decisions).To(HaveLen(2))
 	g.Expect(decisions[1].Reason).To(Equal(ReasonLate))
 	g.Expect(core.OwnLoads()).To(BeEmpty())
@@ -224,7 +224,7 @@
 	g.Expect(granted).To(Equal(map[string]int{"a": 1}))
 	free := map[string]string{"e00": "e01", "e01": "e00"}[first.server.ID]
 	setTotal(free, 0)
-	g.Expect(core.confirm(now, first, reservation.Answer{Total: engineload.Load{Running: 1000}})).To(BeFalse())
+	g.Expect(core.confirm(now, 0, first, reservation.Answer{Total: engineload.Load{Running: 1000}}, reservation.Answered)).To(BeFalse())
 	g.Expect(granted).To(Equal(map[string]int{"a": 2}), "other requests wait for the next scan")
 	core.Advance(now.Add(minScanInterval))
 	g.Expect(granted).To(Equal(map[string]int{"a": 2, "b": 1}))
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -22,6 +22,10 @@
 	// granted is the recent rate of granted service; grantedByFlow is that of each flow.
 	granted       grantRate
 	grantedByFlow map[flow]*grantRate
+	// permits is the recent rate of permits of servers with a limit. lastReturn is the latest time at which a client that
+	// was refused because of limits may return.
+	permits    grantRate
+	lastReturn time.Time
 }
 
 // teamQueue holds the waiting requests of one team by kind.
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -77,15 +77,18 @@
 }
 
 // refuseWithoutServer refuses a request because no server takes requests. It reports false if the request waits because
-// a server that asked for a pause takes requests again soon enough.
+// a server that asked for a pause, or has a limit, takes requests again soon enough.
 func (c *Core) refuseWithoutServer(now time.Time, q *queue, t *Ticket) bool {
 	next := c.nextOpening(now, &t.Request)
 	switch {
-	case !next.paused:
+	case !next.paused && !next.limited:
 		q.remove(t)
 		c.refuse(t, ReasonNoServer, c.jitter.around(lateRetryAfter))
 	case !next.forRequest.IsZero() && next.forRequest.Before(t.refuseAt):
 		return false
+	case next.limited:
+		q.remove(t)
+		c.refuse(t, ReasonLimited, c.returnAfter(now, q, t.Service.Name, next.at.Sub(now)))
 	default:
 		q.remove(t)
 		c.refuse(t, ReasonPaused, c.jitter.above(next.at.Sub(now)))
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -6,46 +6,70 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 )
 
-// reservationRequest returns the reservation request to the owner of a granted request's server.
-func (c *Core) reservationRequest(t *Ticket) reservation.Request {
-	return reservation.Request{
+// reservationRequest returns the reservation request to the owner of a granted request's server, and what is known of the
+// server's limit. That is nil if the request needs no permit.
+func (c *Core) reservationRequest(now time.Time, t *Ticket) (reservation.Request, *serverlimit.Entry) {
+	request := reservation.Request{
 		Server: t.server.ID,
 		Load:   t.load,
 		Own:    c.loads.Own()[t.server.ID],
 		Limits: t.limits,
 		Served: c.shares.served[t.Team],
 	}
+	if entry, limited := c.LimitEntry(now, t.server.ID); limited {
+		return request, &entry
+	}
+	return request, nil
 }
 
-// confirm applies the owner's answer to a grant. It returns false if the server is full: the request then returns to
-// its position in the queue by arrival, and the total load in the answer is used to choose another server.
-func (c *Core) confirm(now time.Time, t *Ticket, answer reservation.Answer) bool {
+// confirm applies the owner's answer to a grant. It returns false if the server is full, or if it has a limit and there is
+// no permit: the request then returns to its position in the queue by arrival, and the total load in the answer is used to
+// choose another server. clock is the time on a clock that includes suspension.
+func (c *Core) confirm(now time.Time, clock time.Duration, t *Ticket, answer reservation.Answer, o reservation.Outcome) bool {
 	if t.state != ticketGranted {
 		return true
 	}
-	if answer.Granted {
-		c.loads.SetTotal(now, t.server.ID, answer.Total)
-		t.tokensAhead = max(answer.Total.PendingTokens-t.load.PendingTokens, 0)
+	c.endPermitRequest(t)
+	if _, limited := c.limits.Rate(now, t.server.ID); limited || answer.Limited {
+		// An answer that denies the request for another reason holds no news about permits.
+		denied := o == reservation.Answered && !answer.Granted && answer.RetryIn == 0
+		if !denied && !c.acquirePermit(now, clock, t, answer, o) {
+			c.revokeGrant(now, t)
+			c.retryGrant(now, c.queue(t.Service.Name), t)
+			return false
+		}
+	}
+	if o != reservation.Answered || answer.Granted {
+		if o == reservation.Answered && !answer.PermitOnly {
+			c.loads.SetTotal(now, t.server.ID, answer.Total)
+			t.tokensAhead = max(answer.Total.PendingTokens-t.load.PendingTokens, 0)
+		}
 		t.sentAt = now
 		return true
 	}
 	if answer.Draining {
 		t.Exclude = append(slices.Clone(t.Exclude), t.server.ID)
 	}
+	server := t.server.ID
+	c.revokeGrant(now, t)
+	c.loads.SetTotal(now, server, answer.Total)
+	c.retryGrant(now, c.queue(t.Service.Name), t)
+	return false
+}
+
+// revokeGrant puts a granted request back into the queue.
+func (c *Core) revokeGrant(now time.Time, t *Ticket) {
 	c.loads.Remove(t.server.ID, t.load)
-	c.loads.SetTotal(now, t.server.ID, answer.Total)
 	c.charge(now, t.Team, -t.cost)
 	if t.probe {
 		c.healthOf(t.server.ID).probing = false
 		t.probe = false
 	}
 	t.server, t.load, t.state = nil, engineload.Load{}, ticketWaiting
-	q := c.queue(t.Service.Name)
-	q.add(t)
-	c.retryGrant(now, q, t)
-	return false
+	c.queue(t.Service.Name).add(t)
 }
 
 // retryGrant looks for another server for a request that the owner of the first one denied. Scanning all waiting
@@ -68,12 +92,19 @@
 	}
 	total := c.loads.Total(r.Server)
 	answer := reservation.Answer{ID: r.ID, Total: total}
-	if r.Limits.Fit(total, r.Load) {
-		c.loads.Reserve(now, r.Router, r.Server, r.Load, r.Own)
-		answer.Granted, answer.Total = true, c.loads.Total(r.Server)
-	} else {
+	_, answer.Limited = c.limits.Rate(now, r.Server)
+	if !r.Limits.Fit(total, r.Load) {
 		c.waiters.Add(now, r)
+		return answer
+	}
+	if answer.Limited {
+		var permitted bool
+		if permitted, answer.RetryIn = c.takePermit(now, r.Server); !permitted {
+			return answer
+		}
 	}
+	c.loads.Reserve(now, r.Router, r.Server, r.Load, r.Own)
+	answer.Granted, answer.Total = true, c.loads.Total(r.Server)
 	return answer
 }
 
@@ -105,6 +136,7 @@
 func (c *Core) Adopt(now time.Time, servers []string) {
 	for _, id := range servers {
 		c.loads.Adopt(now, id)
+		c.allocator.Reset(id)
 	}
 }
 
--- a/internal/coordination/admission/simulation_test.go
+++ b/internal/coordination/admission/simulation_test.go
@@ -112,12 +112,12 @@
 		granted()
 		return
 	}
-	request := core.reservationRequest(t)
+	request, _ := core.reservationRequest(sim.now, t)
 	request.Router = fmt.Sprint(slices.Index(sim.cores, core))
 	sim.after(messageDelay, func() {
 		answer := owner.Reserve(sim.now, request)
 		sim.after(messageDelay, func() {
-			if core.confirm(sim.now, t, answer) {
+			if core.confirm(sim.now, 0, t, answer, reservation.Answered) {
 				granted()
 				return
 			}
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -55,6 +55,8 @@
 	ReasonNoServer Reason = "no-server"
 	// ReasonPaused means that all backend servers have asked for a pause.
 	ReasonPaused Reason = "servers-paused"
+	// ReasonLimited means that the backend servers take fewer requests a second than there are.
+	ReasonLimited Reason = "servers-limited"
 	// ReasonDeadline means that the client or the route has given up.
 	ReasonDeadline Reason = "deadline"
 )
@@ -119,6 +121,11 @@
 	sentAt   time.Time
 	// probe marks a request that tests a server that failed before.
 	probe bool
+	// requestsPermit is set while a permit is asked for, because the server has a limit. permit is the permit, sent is set
+	// once the request may have been sent.
+	requestsPermit bool
+	permit         permit
+	sent           bool
 }
 
 type ticketState uint8
--- a/internal/coordination/pending/calls.go
+++ b/internal/coordination/pending/calls.go
@@ -55,14 +55,18 @@
 	}
 }
 
-// Resolve delivers an answer to the request that waits for it. A late answer is dropped.
-func (p *Calls[A]) Resolve(id uint64, answer A) {
+// Resolve delivers an answer to the request that waits for it. A late answer is dropped. It reports whether a request
+// waited.
+func (p *Calls[A]) Resolve(id uint64, answer A) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if answers := p.waiting[id]; answers != nil {
-		answers <- answer
-		delete(p.waiting, id)
+	answers := p.waiting[id]
+	if answers == nil {
+		return false
 	}
+	answers <- answer
+	delete(p.waiting, id)
+	return true
 }
 
 func (p *Calls[A]) register(router string) (uint64, <-chan A, bool) {
--- a/internal/coordination/reservation/doc.go
+++ b/internal/coordination/reservation/doc.go
@@ -10,6 +10,9 @@
 // a wait at the server. A router that gets no answer decides by its own knowledge, so that a lost owner blocks no
 // requests.
 //
+// A server that has named a limit of requests a second gets a request only with a permit of its owner, which package
+// ratelimit grants. A permit that is granted wrongly exceeds the limit, so a router without an answer does not send.
+//
 // The loads in messages are absolute, so that the next message corrects the effect of lost, repeated and reordered
 // ones.
 package reservation
--- a/internal/coordination/reservation/message.go
+++ b/internal/coordination/reservation/message.go
@@ -1,6 +1,8 @@
 package reservation
 
 import (
+	"time"
+
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 )
@@ -30,6 +32,14 @@
 	Total engineload.Load
 	// Draining is set if the server leaves. The owner then sends a Denial.
 	Draining bool `cbor:"-"`
+	// Limited is set if the server has a limit of requests a second, so that a granted answer holds a permit of Owner. If
+	// the permit was denied, RetryIn is the time after which the router may ask again. The owner then sends a
+	// PermitAnswer.
+	Limited bool          `cbor:"-"`
+	Owner   string        `cbor:"-"`
+	RetryIn time.Duration `cbor:"-"`
+	// PermitOnly is set if only a permit was asked for and no capacity. Total is then not known.
+	PermitOnly bool `cbor:"-"`
 }
 
 // Denial answers a Request for a server that leaves.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -166,6 +166,7 @@
 		Metrics:         gateway.NewMetrics(n.registry),
 		Log:             log.Named("gateway"),
 		OnServerLeaving: n.onServerLeaving,
+		OnServerLimit:   n.owners.limits.onServerLimit,
 		MaxBodyBytes:    int64(bodyMemoryFraction * float64(settings.MemoryBytes)),
 	})
 	n.store = platform.NewStore(settings.StoreAddress, storeTransport(), func(kind string) {
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -17,6 +17,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
@@ -45,13 +46,15 @@
 		Help: "Places asked of the routers that own the loads of servers, by outcome: granted, full, unanswered.",
 	}, []string{"outcome"})
 	n.registry.MustRegister(outcomes)
-	return &loadOwners{
+	o := &loadOwners{
 		node:            n,
 		pendingRequests: pending.NewCalls[reservation.Answer](),
 		reserved:        make(chan struct{}, 1),
 		outcomes:        outcomes,
 		ended:           make(map[string]time.Time),
 	}
+	o.limits = newLimitExchange(n, o)
+	return o
 }
 
 // loadOwners implements admission.Owners. It assigns the load of each server to an owning router, and exchanges loads
@@ -68,6 +71,8 @@
 	denied, unanswered atomic.Int64
 	// lastAssignment and lastResend are used by the flushing goroutine only.
 	lastAssignment, lastResend time.Time
+	// limits exchanges what servers say about their limits of requests a second.
+	limits *limitExchange
 	// ended holds the servers on which this router's load has ended within endResendTime, with the time of the end.
 	// Only the flushing goroutine uses it.
 	ended map[string]time.Time
@@ -75,6 +80,11 @@
 
 // ownerTable is an assignment of servers to owners. It is immutable.
 type ownerTable struct {
+	// direct is set in a small fleet, in which the routers report their loads to all others. The owners then only grant the
+	// permits for servers with a limit of requests a second.
+	direct bool
+	// self is the name of this router.
+	self       string
 	servers    *backends.Set
 	candidates []reservation.Candidate
 	// owner maps a server to the router that owns its load.
@@ -86,27 +96,67 @@
 
 var _ admission.Owners = (*loadOwners)(nil)
 
+// loadTable returns the assignment, or nil in a fleet without owners of loads.
+func (o *loadOwners) loadTable() *ownerTable {
+	if table := o.table.Load(); table != nil && !table.direct {
+		return table
+	}
+	return nil
+}
+
 // Reserve implements admission.Owners.
-func (o *loadOwners) Reserve(ctx context.Context, r reservation.Request) (reservation.Answer, bool) {
+func (o *loadOwners) Reserve(
+	ctx context.Context, r reservation.Request, limit *serverlimit.Entry,
+) (reservation.Answer, reservation.Outcome) {
 	select {
 	case o.reserved <- struct{}{}:
 	default:
 	}
 	table := o.table.Load()
-	if table == nil {
-		return reservation.Answer{}, false
-	}
-	owner := table.owner[r.Server]
-	address, ok := table.addresses[owner]
-	if !ok {
-		return reservation.Answer{}, false
+	owner, address, ok := table.ownerOf(r.Server)
+	switch {
+	case ok && owner == o.node.settings.Router, limit == nil && (!ok || table.direct):
+		return reservation.Answer{}, reservation.Local
+	case !ok:
+		return reservation.Answer{}, reservation.Unanswered
 	}
 	answer, ok := o.pendingRequests.Call(ctx, owner, func(id uint64) {
+		if table.direct {
+			o.node.send(reservation.PermitRequest{ID: id, Router: o.node.settings.Router, Limit: *limit}, address)
+			return
+		}
 		r.ID, r.Router = id, o.node.settings.Router
 		o.node.send(r, address)
 	})
 	o.countOutcome(answer, ok)
-	return answer, ok
+	if !ok {
+		return reservation.Answer{}, reservation.Unanswered
+	}
+	if limit != nil && !answer.Limited {
+		o.node.send(reservation.LimitNotice{Router: o.node.settings.Router, Limits: []serverlimit.Entry{*limit}}, address)
+	}
+	answer.Owner, answer.PermitOnly = owner, table.direct
+	return answer, reservation.Answered
+}
+
+// ownerOf returns the owner of a server and its address, which is not valid for this router. It returns false if the
+// server has no owner whose address is known.
+func (t *ownerTable) ownerOf(server string) (owner string, address netip.AddrPort, ok bool) {
+	if t == nil {
+		return "", netip.AddrPort{}, false
+	}
+	owner = t.owner[server]
+	if owner == t.self {
+		return owner, netip.AddrPort{}, owner != ""
+	}
+	address, ok = t.addresses[owner]
+	return owner, address, ok
+}
+
+// owns reports whether this router owns a server.
+func (o *loadOwners) owns(server string) bool {
+	owner, _, ok := o.table.Load().ownerOf(server)
+	return ok && owner == o.node.settings.Router
 }
 
 // countOutcome counts the outcome of a reservation request for the metric and the log.
@@ -149,8 +199,9 @@
 // idle reports whether this router neither has requests nor owns loads, and has told the owners of the end of its
 // loads.
 func (o *loadOwners) idle() bool {
-	table := o.table.Load()
-	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0) && o.node.admission.LoadsSettled()
+	table := o.loadTable()
+	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0) && o.node.admission.LoadsSettled() &&
+		!o.node.admission.AnyLimits()
 }
 
 // flush sends capacity notices to routers and changed loads to their owners. It updates the owners and resends all
@@ -161,8 +212,9 @@
 		o.lastAssignment = now
 		resendAll = o.updateOwners() || resendAll
 	}
+	o.limits.flush(now)
 	changed := o.node.admission.TakeChanged()
-	table := o.table.Load()
+	table := o.loadTable()
 	if table == nil {
 		clear(o.ended)
 		return
@@ -221,16 +273,12 @@
 	return list
 }
 
-// updateOwners assigns the owners again if routers or servers have changed. It reports whether it did. A small fleet
-// has no owners.
+// updateOwners assigns the owners again if routers or servers have changed. It reports whether it did.
 func (o *loadOwners) updateOwners() bool {
 	candidates := o.candidates()
 	servers := o.node.servers.Load()
 	previous := o.table.Load()
-	if len(candidates) <= maxDirectFleet {
-		o.table.Store(nil)
-		return false
-	}
+	o.limits.updateShare(time.Now())
 	if previous != nil && previous.servers == servers && slices.Equal(previous.candidates, candidates) {
 		return false
 	}
@@ -247,18 +295,24 @@
 	return true
 }
 
-// candidates returns the routers that may own loads: those that are ready.
+// candidates returns the routers that may be owners: those that are ready, or all live ones if none is. During a long
+// outage of the store no router is ready, and each one would be the owner of all servers.
 func (o *loadOwners) candidates() []reservation.Candidate {
 	n := o.node
+	own := reservation.Candidate{
+		Router: n.settings.Router, Domain: n.settings.FailureDomain,
+		Cores: float64(float32(n.settings.Cores)), // the precision that other routers receive in reports
+	}
+	live := n.peers.Live(time.Now())
+	anyReady := n.ready() || slices.ContainsFunc(live, func(p gossip.Peer) bool { return p.Ready })
 	var list []reservation.Candidate
-	if n.ready() {
-		list = append(list, reservation.Candidate{
-			Router: n.settings.Router, Domain: n.settings.FailureDomain,
-			Cores: float64(float32(n.settings.Cores)), // the precision that other routers receive in reports
-		})
+	if n.ready() || !anyReady {
+		list = append(list, own)
 	}
-	for _, p := range n.readyPeers() {
-		list = append(list, reservation.Candidate{Router: p.Router, Domain: p.Domain, Cores: float64(p.Cores)})
+	for _, p := range live {
+		if p.Ready || !anyReady {
+			list = append(list, reservation.Candidate{Router: p.Router, Domain: p.Domain, Cores: float64(p.Cores)})
+		}
 	}
 	return list
 }
@@ -269,7 +323,7 @@
 		domains[id] = server.FailureDomain
 	}
 	table := &ownerTable{
-		servers: servers, candidates: candidates,
+		direct: len(candidates) <= maxDirectFleet, self: o.node.settings.Router, servers: servers, candidates: candidates,
 		owner: reservation.Owners(domains, candidates), addresses: make(map[string]netip.AddrPort),
 	}
 	registered := o.node.routers.Load()
@@ -292,7 +346,7 @@
 
 // totals returns the total loads of the servers that this router owns. It returns false in a fleet without owners.
 func (o *loadOwners) totals() ([]reservation.ServerLoad, bool) {
-	table := o.table.Load()
+	table := o.loadTable()
 	if table == nil {
 		return nil, false
 	}
@@ -301,7 +355,7 @@
 
 // handleTotals records the total loads that another router reports, for those servers that it owns.
 func (o *loadOwners) handleTotals(router string, totals []reservation.ServerLoad) {
-	table := o.table.Load()
+	table := o.loadTable()
 	if table == nil {
 		return
 	}
@@ -345,6 +399,14 @@
 		n.handleDraining(m.Router, []serverdrain.Incarnation{m.Server})
 	case reservation.Answer:
 		n.owners.pendingRequests.Resolve(m.ID, m)
+	case reservation.PermitRequest:
+		n.send(n.owners.limits.answerPermit(m), from)
+	case reservation.PermitAnswer:
+		n.owners.limits.handleAnswer(m, from)
+	case reservation.PermitReturn:
+		n.admission.ReceiveReturn(m)
+	case reservation.LimitNotice:
+		n.owners.limits.merge(m.Router, m.Limits)
 	case reservation.CapacityNotice:
 		n.admission.HandleCapacityNotice(m)
 	case reservation.Loads:
--- a/internal/daemon/gateway/serverdrain.go
+++ b/internal/daemon/gateway/serverdrain.go
@@ -15,7 +15,7 @@
 // load is told directly, since it may get no reports of this router.
 func (n *Node) onServerLeaving(server *backends.Server) {
 	n.closeIdleConnections()
-	table := n.owners.table.Load()
+	table := n.owners.loadTable()
 	if table == nil {
 		return
 	}
@@ -37,10 +37,15 @@
 // answerReservation returns the answer to another router's reservation request.
 func (n *Node) answerReservation(r reservation.Request) any {
 	answer := n.admission.Reserve(r)
-	if server := n.servers.Load().Get(r.Server); answer.Draining && server != nil {
+	server := n.servers.Load().Get(r.Server)
+	switch {
+	case answer.Draining && server != nil:
 		return reservation.Denial{ID: r.ID, Router: n.settings.Router, Server: serverdrain.IncarnationOf(server)}
+	case answer.Limited:
+		return n.admission.LimitAnswer(r.Server, answer)
+	default:
+		return answer
 	}
-	return answer
 }
 
 // idleConnectionPeriod is how often idle connections are checked.
--- a/internal/protocol/datagrams/datagrams.go
+++ b/internal/protocol/datagrams/datagrams.go
@@ -27,11 +27,16 @@
 	kindTrialRequest
 	kindTrialAnswer
 	kindTrialEnd
+	kindPermitRequest
+	kindPermitAnswer
+	kindPermitReturn
+	kindLimitNotice
 )
 
 // Encode returns the datagram for a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads,
 // reservation.CapacityNotice, reservation.Denial, reservation.DrainNotice, gossip.Presence, poison.Evidence,
-// poison.TrialRequest, poison.TrialAnswer or poison.TrialEnd. Other types are an error.
+// poison.TrialRequest, poison.TrialAnswer, poison.TrialEnd, reservation.PermitRequest, reservation.PermitAnswer,
+// reservation.PermitReturn or reservation.LimitNotice. Other types are an error.
 func Encode(message any) ([]byte, error) {
 	k, err := kindOf(message)
 	if err != nil {
@@ -75,6 +80,14 @@
 		return kindTrialAnswer, nil
 	case poison.TrialEnd:
 		return kindTrialEnd, nil
+	case reservation.PermitRequest:
+		return kindPermitRequest, nil
+	case reservation.PermitAnswer:
+		return kindPermitAnswer, nil
+	case reservation.PermitReturn:
+		return kindPermitReturn, nil
+	case reservation.LimitNotice:
+		return kindLimitNotice, nil
 	default:
 		return 0, errors.Errorf("datagrams: unsupported message type %T", message)
 	}
@@ -111,6 +124,14 @@
 		return decode[poison.TrialAnswer](body)
 	case kindTrialEnd:
 		return decode[poison.TrialEnd](body)
+	case kindPermitRequest:
+		return decode[reservation.PermitRequest](body)
+	case kindPermitAnswer:
+		return decode[reservation.PermitAnswer](body)
+	case kindPermitReturn:
+		return decode[reservation.PermitReturn](body)
+	case kindLimitNotice:
+		return decode[reservation.LimitNotice](body)
 	default:
 		return nil, errors.Errorf("datagrams: unknown message kind %d", data[0])
 	}
--- a/internal/protocol/datagrams/datagrams_test.go
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -10,6 +10,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 )
 
 // Guards against messages that another router cannot decode or decodes to something else, and against encoding
@@ -17,6 +18,7 @@
 func TestMessagesRoundTrip(t *testing.T) {
 	g := NewWithT(t)
 	load := engineload.Load{Running: 1, PendingTokens: 2, ContextTokens: 3}
+	limit := serverlimit.Entry{Server: "e", StartedAt: 5, Rate: 4.8, SinceAgeMS: 900, SentAgeMS: 30, ReceivedAgeMS: 10}
 	messages := []any{
 		&gossip.Report{Router: "r", Incarnation: 1, Seq: 2, Totals: []reservation.ServerLoad{{Server: "e", Load: load}},
 			Draining: []serverdrain.Incarnation{{Server: "e", StartedAt: 5}}},
@@ -34,6 +36,10 @@
 		poison.TrialRequest{ID: 7, Router: "r", Team: "t", Part: 3},
 		poison.TrialAnswer{ID: 7, Granted: true},
 		poison.TrialEnd{Router: "r", Part: 3},
+		reservation.PermitRequest{ID: 7, Router: "r", Limit: limit},
+		reservation.PermitAnswer{ID: 7, Granted: true, RetryMS: 200, Total: load, Limit: limit},
+		reservation.PermitReturn{Server: "e", StartedAt: 5, Count: 2},
+		reservation.LimitNotice{Router: "r", Limits: []serverlimit.Entry{limit, {Server: "f", Ended: true}}},
 		reservation.Loads{Router: "r", Parts: []reservation.ServerLoad{{Server: "e", Load: load}}},
 	}
 	for _, m := range messages {
--- a/internal/transport/gateway/announce.go
+++ b/internal/transport/gateway/announce.go
@@ -42,6 +42,7 @@
 	if news.Limit != serverlimit.Unchanged {
 		x.g.opts.Metrics.ServerLimits.WithLabelValues(news.Limit.String()).Inc()
 		a.log("backend server limit "+news.Limit.String(), zap.Float64("limit", metadata.Limit))
+		x.g.opts.OnServerLimit(a.decision.Server)
 	}
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -36,6 +36,8 @@
 	SchedulingDelay func() time.Duration
 	// OnServerLeaving is called when a response says for the first time that its server leaves.
 	OnServerLeaving func(*backends.Server)
+	// OnServerLimit is called when a response changes the limit of requests a second of its server.
+	OnServerLimit func(*backends.Server)
 	// MaxBodyBytes limits the total size of the request bodies in memory.
 	MaxBodyBytes int64
 }
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -122,6 +122,7 @@
 		Admission:       h.admission, Pool: pool, RetryBudget: h.budget,
 		Metrics: NewMetrics(h.registry), Log: zap.New(core), MaxBodyBytes: 8 << 20,
 		OnServerLeaving: func(s *backends.Server) { h.leaving.Store(&s.ID) },
+		OnServerLimit:   func(*backends.Server) {},
 	})
 	h.server = httptest.NewServer(h.gateway)
 	t.Cleanup(h.server.CloseClientConnections)
--- a/internal/transport/gateway/permit_test.go
+++ b/internal/transport/gateway/permit_test.go
@@ -12,6 +12,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
@@ -24,14 +25,14 @@
 }
 
 // Reserve implements admission.Owners.
-func (o *delayedOwners) Reserve(ctx context.Context, _ reservation.Request) (reservation.Answer, bool) {
+func (o *delayedOwners) Reserve(ctx context.Context, _ reservation.Request, _ *serverlimit.Entry) (reservation.Answer, reservation.Outcome) {
 	if o.calls.Add(1) > 1 {
 		select {
 		case <-time.After(time.Until(o.from)):
 		case <-ctx.Done():
 		}
 	}
-	return reservation.Answer{}, false
+	return reservation.Answer{}, reservation.Unanswered
 }
 
 // Guards against more runs than the route allows because a further substitute is made while one still waits to be
