serverlimit, ratelimit, daemon/gateway: Tell routers with few requests of the end of a limit, and use a raised one at once

A router that had heard of a limit and then got few requests was not told of its end; the owner answered it without a word on limits, which the router took for an owner that does not know yet, and it sent nothing to the server. After a rise of a limit the first permit followed one interval of the old rate later, up to two seconds.

--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -92,7 +92,8 @@
 	}
 	total := c.loads.Total(r.Server)
 	answer := reservation.Answer{ID: r.ID, Total: total}
-	_, answer.Limited = c.limits.Rate(now, r.Server)
+	// A router that has not heard of the end of a limit learns it from the answer.
+	answer.Limited = c.limits.Known(r.Server)
 	if !r.Limits.Fit(total, r.Load) {
 		c.waiters.Add(now, r)
 		return answer
--- a/internal/coordination/ratelimit/allocator.go
+++ b/internal/coordination/ratelimit/allocator.go
@@ -54,6 +54,8 @@
 		b = &bucket{next: now.Add(Tolerance + interval)}
 		a.buckets[server] = b
 	}
+	// Under a constant rate the next permit is never later. After a rise it would follow one interval of the old rate.
+	b.next = earlier(b.next, now.Add(Tolerance+interval))
 	if free := b.next.Add(-Tolerance); free.After(now) {
 		return false, b.promise(now, free, interval)
 	}
@@ -124,6 +126,13 @@
 	return u.rate * math.Exp(-max(now.Sub(u.at), 0).Seconds()/usageWindow.Seconds())
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/coordination/ratelimit/allocator_test.go
+++ b/internal/coordination/ratelimit/allocator_test.go
@@ -127,6 +127,19 @@
 	g.Expect(a.Used(now, "unknown")).To(BeZero())
 }
 
+// Guards against a raised limit that is used only after an interval of the lower one.
+func TestRaisedRateIsUsedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAllocator()
+	_, _ = a.Take(start, server, 0.5)
+	now := start.Add(2 * time.Second)
+	granted, _ := a.Take(now, server, 0.5)
+	g.Expect(granted).To(BeTrue())
+	granted, retryIn := a.Take(now, server, 10)
+	g.Expect(granted).To(BeFalse())
+	g.Expect(retryIn).To(BeNumerically("<=", 100*time.Millisecond))
+}
+
 // Guards against many routers that ask at the same moment for one permit.
 func TestDeniedRoutersAskAtDifferentTimes(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/coordination/serverlimit/registry.go
+++ b/internal/coordination/serverlimit/registry.go
@@ -19,7 +19,7 @@
 	// minRecoveryRate is the rate, in requests per second, that the steps start from for a server with a lower limit.
 	minRecoveryRate = 2.0
 	// endRetention is how long an ended limit is kept to be compared with late statements.
-	endRetention = time.Minute
+	endRetention = 10 * time.Minute
 )
 
 // Statement is what one response says about the rate of requests that its server takes.
@@ -200,6 +200,9 @@
 	}
 }
 
+// Known reports whether a server has a limit, or had one that is not forgotten.
+func (r *Registry) Known(id string) bool { return r.limits[id] != nil }
+
 // Len returns the number of servers with a limit, or with one that has ended recently.
 func (r *Registry) Len() int { return len(r.limits) }
 
--- a/internal/daemon/gateway/limits.go
+++ b/internal/daemon/gateway/limits.go
@@ -19,6 +19,8 @@
 	// limitResendPeriod is how often the owner of a server sends the server's limit to the other routers again, for those
 	// that have started or missed a message.
 	limitResendPeriod = time.Second
+	// informedTime is how long a router that knows of a limit is told of its changes although it gets few requests.
+	informedTime = time.Minute
 	// endedResendTime is how long the end of a limit is sent again.
 	endedResendTime = 3 * time.Second
 	// uncertainTime is how long a router that is no longer heard from may still send requests. After it the router has
@@ -39,10 +41,12 @@
 	mu sync.Mutex
 	// changed holds the servers owned by this router whose limits have changed since the last flush.
 	changed map[string]struct{}
+	// informed holds the routers that this router has told of a limit in an answer, or was told of one by, with the time.
+	informed map[netip.AddrPort]time.Time
 }
 
 func newLimitExchange(n *Node, owners *loadOwners) *limitExchange {
-	e := &limitExchange{node: n, owners: owners, changed: make(map[string]struct{})}
+	e := &limitExchange{node: n, owners: owners, changed: make(map[string]struct{}), informed: make(map[netip.AddrPort]time.Time)}
 	e.registerMetrics(n.registry)
 	return e
 }
@@ -126,7 +130,9 @@
 		}
 	}
 	if len(entries) > 0 {
-		e.send(entries, e.audience(now)...)
+		audience := e.audience(now)
+		e.recordInformed(audience...)
+		e.send(entries, audience...)
 	}
 }
 
@@ -137,8 +143,30 @@
 	}
 }
 
+// recordInformed records that other routers know of a limit.
+func (e *limitExchange) recordInformed(routers ...netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, address := range routers {
+		e.informed[address] = time.Now()
+	}
+}
+
+// isInformed reports whether a router knows of a limit from this router.
+func (e *limitExchange) isInformed(now time.Time, address netip.AddrPort) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at, ok := e.informed[address]
+	if ok && now.Sub(at) > informedTime {
+		delete(e.informed, address)
+		return false
+	}
+	return ok
+}
+
 // audience returns the addresses of the routers that need to know limits. In a large fleet these are the routers that
-// place requests on servers or will next; the others learn a limit from the first answer of the owner.
+// place requests on servers or will next, and those that know of a limit; the others learn it from the first answer of the
+// owner.
 func (e *limitExchange) audience(now time.Time) []netip.AddrPort {
 	registered := e.node.routers.Load()
 	if registered == nil {
@@ -154,13 +182,19 @@
 	var list []netip.AddrPort
 	for id, r := range *registered {
 		address, err := netip.ParseAddrPort(r.PeerAddress)
-		if id != e.node.settings.Router && err == nil && (needed == nil || needed[id]) {
+		if id != e.node.settings.Router && err == nil && (needed == nil || needed[id] || e.isInformed(now, address)) {
 			list = append(list, address)
 		}
 	}
 	return list
 }
 
+// handleNotice handles what another router says about limits.
+func (e *limitExchange) handleNotice(m reservation.LimitNotice, from netip.AddrPort) {
+	e.recordInformed(from)
+	e.merge(m.Router, m.Limits)
+}
+
 // merge records what another router knows of limits. The owner of a server passes changes on.
 func (e *limitExchange) merge(router string, entries []serverlimit.Entry) {
 	for _, c := range e.node.admission.MergeLimits(entries) {
@@ -184,7 +218,8 @@
 const notOwnerRetry = 100 * time.Millisecond
 
 // answerPermit answers another router's request for a permit. Only the owner grants one.
-func (e *limitExchange) answerPermit(r reservation.PermitRequest) reservation.PermitAnswer {
+func (e *limitExchange) answerPermit(r reservation.PermitRequest, from netip.AddrPort) reservation.PermitAnswer {
+	e.recordInformed(from)
 	if !e.owners.owns(r.Limit.Server) {
 		e.merge(r.Router, []serverlimit.Entry{r.Limit})
 		return reservation.PermitAnswer{ID: r.ID, RetryMS: notOwnerRetry.Milliseconds(), Limit: r.Limit}
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -391,7 +391,7 @@
 		n.relays.Heard(now, m.Relay)
 		n.peers.Observe(now, &m)
 	case reservation.Request:
-		n.send(n.answerReservation(m), from)
+		n.send(n.answerReservation(m, from), from)
 	case reservation.Denial:
 		n.handleDraining(m.Router, []serverdrain.Incarnation{m.Server})
 		n.owners.pendingRequests.Resolve(m.ID, reservation.Answer{ID: m.ID, Draining: true})
@@ -400,13 +400,13 @@
 	case reservation.Answer:
 		n.owners.pendingRequests.Resolve(m.ID, m)
 	case reservation.PermitRequest:
-		n.send(n.owners.limits.answerPermit(m), from)
+		n.send(n.owners.limits.answerPermit(m, from), from)
 	case reservation.PermitAnswer:
 		n.owners.limits.handleAnswer(m, from)
 	case reservation.PermitReturn:
 		n.admission.ReceiveReturn(m)
 	case reservation.LimitNotice:
-		n.owners.limits.merge(m.Router, m.Limits)
+		n.owners.limits.handleNotice(m, from)
 	case reservation.CapacityNotice:
 		n.admission.HandleCapacityNotice(m)
 	case reservation.Loads:
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -82,6 +82,7 @@
 	set       *backends.Set
 	listeners map[string]*pipeListener
 	servers   []*http.Server
+	engines   []*platformengine.Engine
 }
 
 func startPlainServers(count int) *plainServers {
@@ -99,6 +100,7 @@
 		go func() { _ = server.Serve(listener) }()
 		p.listeners[address] = listener
 		p.servers = append(p.servers, server)
+		p.engines = append(p.engines, engine)
 		list = append(list, &backends.Server{
 			ID: id, Service: plainService, Address: address, FailureDomain: "a", Slots: plainSlots,
 		})
--- a/internal/daemon/gateway/serverdrain.go
+++ b/internal/daemon/gateway/serverdrain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,13 +36,14 @@
 }
 
 // answerReservation returns the answer to another router's reservation request.
-func (n *Node) answerReservation(r reservation.Request) any {
+func (n *Node) answerReservation(r reservation.Request, from netip.AddrPort) any {
 	answer := n.admission.Reserve(r)
 	server := n.servers.Load().Get(r.Server)
 	switch {
 	case answer.Draining && server != nil:
 		return reservation.Denial{ID: r.ID, Router: n.settings.Router, Server: serverdrain.IncarnationOf(server)}
 	case answer.Limited:
+		n.owners.limits.recordInformed(from)
 		return n.admission.LimitAnswer(r.Server, answer)
 	default:
 		return answer
