admission: Leave the permits of limited engines to large prompts

A limit counts requests, so a short prompt on a limited engine takes the place of a long one, which then fills an engine without a limit. Using a permit now costs a request below twice the mean size up to 0.4 s in the choice among engines with free capacity. A free permit is not left unused for it.

Tests of permits that lapse, are returned, are not answered, and of refusals at once.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -157,6 +157,9 @@
 	}
 	t.refuseAt = c.refusalTime(&t.Request)
 	q := c.queue(req.Service.Name)
+	if !t.Repeat {
+		q.recordArrival(t.cost)
+	}
 	c.refreshShares(now)
 	if wait, ok := c.waitsTooLong(now, q, t); ok {
 		c.refuse(t, ReasonBacklog, c.jitter.around(wait))
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -27,6 +27,9 @@
 	domainPenalty = 2 * time.Millisecond
 	// isolationCost is the cost, for an isolated request, of each other request on the server. It exceeds all other costs.
 	isolationCost = 10 * time.Second
+	// maxPermitCost is the cost, for a small request, of using a permit of a server with a limit of requests a second. The
+	// places of such a server are scarce in requests and not in tokens, so they are for the large ones.
+	maxPermitCost = 400 * time.Millisecond
 	// maxTieBreak bounds the pseudo-random cost that is added for a server of a plain service, so that routers with the
 	// same outdated loads do not all choose the same server. It is below the cost of one request at a server with six
 	// slots.
@@ -44,6 +47,8 @@
 	load         engineload.Load
 	cachedTokens int
 	cost         time.Duration
+	// permitCost is the part of cost that stands for the use of a permit.
+	permitCost time.Duration
 	// limits are the load limits of the server for the request.
 	limits reservation.Limits
 	// firstEvent is the predicted time from the send to the first event.
@@ -85,7 +90,8 @@
 	if best.server == nil {
 		return nil, false
 	}
-	if bestFree.server == nil || bestFree.cost > best.cost+maxExtraCost+extraCostPerWait*now.Sub(req.Arrival) {
+	// A permit that is free is not left unused: its cost only decides between servers with free capacity.
+	if bestFree.server == nil || bestFree.cost-bestFree.permitCost > best.cost+maxExtraCost+extraCostPerWait*now.Sub(req.Arrival) {
 		return nil, true
 	}
 	return &bestFree, true
@@ -131,9 +137,27 @@
 	if uncached := preferred.sharedTokens - p.cachedTokens; uncached > 0 {
 		p.cost += time.Duration(preferred.weight(server) * float64(prefillTime(uncached, slowdown)))
 	}
+	p.permitCost = c.permitCost(now, req, server)
+	p.cost += p.permitCost
 	return p
 }
 
+// permitCost returns the cost of using a permit of a server for a request. It is 0 for a server without a limit, and for a
+// request of twice the mean size or more.
+func (c *Core) permitCost(now time.Time, req *Request, server *backends.Server) time.Duration {
+	if c.limits.Len() == 0 {
+		return 0
+	}
+	if _, limited := c.limits.Rate(now, server.ID); !limited {
+		return 0
+	}
+	mean := c.queue(req.Service.Name).meanCost
+	if mean == 0 {
+		return 0
+	}
+	return time.Duration(max(0, 1-tokenCost(req)/(2*mean)) * float64(maxPermitCost))
+}
+
 // tieBreak returns a number from 0 to 1, derived from the request and the server by hashing.
 func tieBreak(request, server string) float64 {
 	return float64(rendezvousRank(xxhash.Sum64String(request), server)>>11) / (1 << 53)
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -26,6 +26,8 @@
 	// was refused because of limits may return.
 	permits    grantRate
 	lastReturn time.Time
+	// meanCost is a moving average of the cost of new requests, in tokens.
+	meanCost float64
 }
 
 // teamQueue holds the waiting requests of one team by kind.
@@ -112,6 +114,18 @@
 // forEngines reports whether the requests are for model engines.
 func (q *queue) forEngines() bool { return q.service != nil && q.service.Engine != nil }
 
+// meanCostSmoothing is the weight of a new request in the moving average of costs.
+const meanCostSmoothing = 0.02
+
+// recordArrival adds a new request to the moving average of costs.
+func (q *queue) recordArrival(cost float64) {
+	if q.meanCost == 0 {
+		q.meanCost = cost
+		return
+	}
+	q.meanCost += meanCostSmoothing * (cost - q.meanCost)
+}
+
 func (q *queue) add(t *Ticket) {
 	q.service = t.Service
 	team := q.teams[t.Team]
