--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -116,11 +116,12 @@
 	c.loads.Add(p.server.ID, t.load)
 	c.charge(now, t.Team, t.cost)
 	c.countDecision(&t.Request, decisionCount{granted: 1})
-	t.decide(Decision{Server: p.server, Load: p.load, CachedTokens: p.cachedTokens, FirstEvent: p.firstEvent})
+	t.decide(Decision{Server: p.server, Load: p.load, CachedTokens: p.cachedTokens, FirstEvent: p.firstEvent,
+		PermitsDenied: t.permitsDenied})
 }
 
 func (c *Core) refuse(t *Ticket, reason Reason, retryAfter time.Duration) {
 	t.state = ticketDone
 	c.countDecision(&t.Request, decisionCount{refused: 1})
-	t.decide(Decision{Reason: reason, RetryAfter: retryAfter})
+	t.decide(Decision{Reason: reason, RetryAfter: retryAfter, PermitsDenied: t.permitsDenied})
 }
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -37,6 +37,7 @@
 		// An answer that denies the request for another reason holds no news about permits.
 		denied := o == reservation.Answered && !answer.Granted && answer.RetryIn == 0
 		if !denied && !c.acquirePermit(now, clock, t, answer, o) {
+			t.permitsDenied++
 			c.revokeGrant(now, t)
 			c.retryGrant(now, c.queue(t.Service.Name), t)
 			return false
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -74,6 +74,8 @@
 	CachedTokens int
 	// FirstEvent is the predicted time from the send to the first event.
 	FirstEvent time.Duration
+	// PermitsDenied is the number of servers with a limit that the request was to go to and for which there was no permit.
+	PermitsDenied int
 }
 
 // Result is the outcome of a granted request.
@@ -126,6 +128,8 @@
 	requestsPermit bool
 	permit         permit
 	sent           bool
+	// permitsDenied counts the permits that were denied.
+	permitsDenied int
 }
 
 type ticketState uint8
--- a/internal/daemon/gateway/limits_test.go
+++ b/internal/daemon/gateway/limits_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
 
@@ -132,3 +133,33 @@
 	g.Expect(after.served.Load()).To(BeNumerically(">=", 98), "%v after the end", time.Since(end))
 	g.Expect(after.failed.Load()).To(BeZero())
 }
+
+// Guards against operators who cannot see which servers have a limit, how old it is, and how much of it is used.
+func TestOperatorsSeeLimits(t *testing.T) {
+	g := NewWithT(t)
+	f := startLimitedFleet(t, 2, 2, "5")
+	var load callers
+	load.send(f.nodes, 40, 3*time.Second)
+	load.wg.Wait()
+	used := make(map[string]float64)
+	for _, n := range f.nodes {
+		client := adminhttp.NewClient(n.peerAddress(metricsPortOffset), "")
+		limits, err := client.Limits(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(limits).To(HaveLen(2))
+		for _, l := range limits {
+			g.Expect(l.PerSecond).To(Equal(5.0))
+			g.Expect(l.InForce).To(Equal(5.0))
+			g.Expect(l.AgeMS).To(BeNumerically("~", 3000, 1000))
+			g.Expect(l.Owner).NotTo(BeEmpty())
+			if l.Used != nil {
+				used[l.Server] = *l.Used
+			}
+		}
+		g.Expect(n.admission.PermitCounts().Granted).To(BeNumerically(">", 5))
+	}
+	g.Expect(used).To(HaveLen(2), "each server has one owner")
+	for server, rate := range used {
+		g.Expect(rate).To(BeNumerically("~", 2.3, 1), "%s: 5 a second for 3 s, with a time constant of 5 s", server)
+	}
+}
--- a/internal/daemon/gateway/partsapi.go
+++ b/internal/daemon/gateway/partsapi.go
@@ -11,11 +11,12 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
 
-// operatorHandler serves the metrics, and the parts of prompts that crash servers.
+// operatorHandler serves the metrics, the parts of prompts that crash servers, and the limits of servers.
 func (n *Node) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", n.metricsHandler())
 	mux.HandleFunc("GET "+admin.PathParts, n.poison.serveList)
+	mux.HandleFunc("GET "+admin.PathLimits, n.owners.limits.serveList)
 	mux.HandleFunc("DELETE "+admin.PathParts+"/{id}", n.poison.serveLift)
 	return mux
 }
@@ -33,7 +34,7 @@
 		}
 		list = append(list, part)
 	}
-	g.writeJSON(w, http.StatusOK, list)
+	g.node.writeJSON(w, http.StatusOK, list)
 }
 
 // serveLift lifts the suspicion of a part on all routers. The status is 400 for an ID that is not valid and 404 for a part
@@ -42,21 +43,21 @@
 	part, err := poison.ParsePart(r.PathValue("id"))
 	switch {
 	case err != nil:
-		g.writeJSON(w, http.StatusBadRequest, admin.ErrorResponse{Error: "the ID of a part is a hexadecimal number"})
+		g.node.writeJSON(w, http.StatusBadRequest, admin.ErrorResponse{Error: "the ID of a part is a hexadecimal number"})
 		return
 	case !g.guard.Lift(part):
-		g.writeJSON(w, http.StatusNotFound, admin.ErrorResponse{Error: "part " + part.String() + " is not suspected"})
+		g.node.writeJSON(w, http.StatusNotFound, admin.ErrorResponse{Error: "part " + part.String() + " is not suspected"})
 		return
 	}
 	g.node.log.Info("part lifted by an operator", zap.Stringer("part", part))
 	g.send(g.guard.Evidence([]poison.Part{part}), g.others()...)
-	g.writeJSON(w, http.StatusOK, struct{}{})
+	g.node.writeJSON(w, http.StatusOK, struct{}{})
 }
 
-func (g *partGuard) writeJSON(w http.ResponseWriter, status int, body any) {
+func (n *Node) writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		g.node.log.Info("response not sent", logfield.Error(err))
+		n.log.Info("response not sent", logfield.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/protocol/admin/limits.go
@@ -0,0 +1,22 @@
+package admin
+
+// PathLimits serves the limits of requests a second that backend servers name, at the metrics address of a router on the
+// users' platform. GET lists them.
+const PathLimits = "/limits"
+
+// Limit is the limit of a backend server as one router knows it.
+type Limit struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	// PerSecond is the limit that the server names, InForce the rate that the routers keep to, in requests per second.
+	PerSecond float64 `json:"per_second"`
+	InForce   float64 `json:"in_force"`
+	// AgeMS is the time since the server first named a limit, ConfirmedMS the time since this router last heard it, in
+	// milliseconds.
+	AgeMS       int64 `json:"age_ms"`
+	ConfirmedMS int64 `json:"confirmed_ms"`
+	// Owner is the router that grants the permits for the server, or empty if none is known.
+	Owner string `json:"owner"`
+	// Used is the recent rate of permits, in requests per second. Only the owner knows it.
+	Used *float64 `json:"used,omitempty"`
+}
--- a/internal/transport/adminhttp/client.go
+++ b/internal/transport/adminhttp/client.go
@@ -157,6 +157,14 @@
 	return parts, err
 }
 
+// Limits returns the limits of requests a second that backend servers name, as a router on the users' platform knows them.
+// The client's router is the metrics address.
+func (c *Client) Limits(ctx context.Context) ([]admin.Limit, error) {
+	var limits []admin.Limit
+	err := c.call(ctx, http.MethodGet, admin.PathLimits, nil, &limits)
+	return limits, err
+}
+
 // LiftPart ends the suspicion of a part on all routers. Errors: a *StatusError with status 400 for an ID that is not
 // valid, 404 for a part that is not suspected.
 func (c *Client) LiftPart(ctx context.Context, id string) error {
--- a/internal/transport/gateway/log.go
+++ b/internal/transport/gateway/log.go
@@ -51,6 +51,9 @@
 	}
 	sent, _ := x.sends.total()
 	age, _ := x.g.opts.Proof.Age()
+	if denied := a.decision.PermitsDenied; denied > 0 {
+		fields = append(fields, zap.Int("permits_denied", denied))
+	}
 	entry.Write(append([]zap.Field{
 		zap.String("request", x.metadata.ID),
 		zap.String("route", route),
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -87,6 +87,9 @@
 		x.fail(sendBroken)
 		return
 	}
+	if x.current.decision.Server == nil {
+		x.current.decision = decision
+	}
 	x.refuse(string(decision.Reason), decision.RetryAfter)
 }
 
