soak: Let engines name limits, and check that they are kept, used and given up

The fault limits lets the engines of a service name one or two limits in turn, beside the other faults. An engine must get no more than one and a half times its limit and five requests in 4 s, counted as the rule does; without other faults it must also get most of its limit, and more after its end.

--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -32,6 +32,9 @@
 	abandoned bool
 	// leaving identifies the engine incarnation whose answer said that it leaves. It is zero if the answer did not.
 	leaving incarnation
+	// limited is the ID of the engine whose answer named a limit, or empty. limitedAt is when the router passed it on.
+	limited   string
+	limitedAt time.Time
 }
 
 // incarnation is one start of an engine.
@@ -115,6 +118,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.leaving = leavingOf(resp.Header)
+	s.limited, s.limitedAt = limitedEngineOf(resp.Header), time.Now()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	s.end, s.status, s.err = time.Now(), resp.StatusCode, err
 	if err == nil && s.status == http.StatusOK {
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -66,6 +66,8 @@
 	poisonRuns  []*poisonRun
 	// poisoning is locked during a series.
 	poisoning sync.Mutex
+	// limiting is locked while engines name limits.
+	limiting sync.Mutex
 }
 
 // engine is a stand-in engine behind a proxy.
@@ -79,6 +81,8 @@
 	cuts []time.Time
 	// breaks are the faults in which the engine breaks off its answers or sends wrong ones.
 	breaks []span
+	// limits are the changes of the limit that the engine names.
+	limits []limitChange
 	// drainingSince is when the engine was written to the store as draining; zero while it is ready.
 	drainingSince time.Time
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -125,6 +125,7 @@
 	d.checkLeaving(log.list)
 	d.checkPauses()
 	d.checkPoison(names)
+	d.checkLimits(log.list, names)
 	r := d.report
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d MiB at most, %d violations; faults %v\n",
 		seed, r.served, r.refused, r.failed, r.peakMemoryMB, len(r.violations), names)
