admission: Do not ask an owner in a loop for permits of a server without a known limit

A router that had heard of the end of a limit before the owner of the server asked for a permit, was denied one, and chose the same server again at once, since it held back only servers with a limit that it knew of. In virtual time a fleet of 295 routers sent requests and answers without end (5.2 million datagrams at one instant); in a real one a request would have asked once for each round trip.

A denial now holds the server back whatever the router knows. The test failed before.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -266,6 +266,7 @@
 func (c *Core) Advance(now time.Time) {
 	c.loads.Expire(now)
 	c.limits.Expire(now)
+	c.expirePermitStates(now)
 	for _, q := range c.queues {
 		c.dispatch(now, q)
 	}
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -52,17 +52,27 @@
 	Granted, Denied, Unanswered, Lapsed, Returned int64
 }
 
-// mayRequestPermit reports whether a server has no limit, or a permit may be asked for now.
+// mayRequestPermit reports whether a server has no limit, or a permit may be asked for now. The owner of the server may
+// know of a limit that this router does not know of.
 func (c *Core) mayRequestPermit(now time.Time, server string) bool {
-	if c.limits.Len() == 0 {
+	s := c.permitStates[server]
+	if s == nil {
 		return true
 	}
+	if now.Before(s.heldBack) {
+		return false
+	}
 	rate, limited := c.limits.Rate(now, server)
-	s := c.permitStates[server]
-	if !limited || s == nil {
-		return true
+	return !limited || s.requested < 1+int(rate*requestsAhead.Seconds())
+}
+
+// expirePermitStates drops the states that hold nothing back.
+func (c *Core) expirePermitStates(now time.Time) {
+	for server, s := range c.permitStates {
+		if s.requested == 0 && !now.Before(s.heldBack) {
+			delete(c.permitStates, server)
+		}
 	}
-	return !now.Before(s.heldBack) && s.requested < 1+int(rate*requestsAhead.Seconds())
 }
 
 // permitStateOf returns what is known about the permits of a server.
--- a/internal/coordination/admission/limit_test.go
+++ b/internal/coordination/admission/limit_test.go
@@ -224,3 +224,19 @@
 	a.submit(3)
 	g.Expect(a.granted).To(HaveLen(3))
 }
+
+// Guards against a router that asks an owner for permits in a loop because it has heard that the limit has ended and the
+// owner has not. In virtual time a fleet of 295 routers sent messages without end.
+func TestOwnerThatDeniesAPermitIsNotAskedInALoop(t *testing.T) {
+	g := NewWithT(t)
+	a := newAnnounceTest(1)
+	a.submit(1)
+	ticket := a.granted[0]
+	denied := reservation.Answer{Limited: true, RetryIn: 50 * time.Millisecond}
+	g.Expect(a.core.confirm(a.now, 0, ticket, denied, reservation.Answered)).To(BeFalse())
+	g.Expect(a.granted).To(HaveLen(1))
+	a.advance(45 * time.Millisecond)
+	g.Expect(a.granted).To(HaveLen(1))
+	a.advance(10 * time.Millisecond)
+	g.Expect(a.granted).To(HaveLen(2))
+}
