gateway: Keep no connection after a response that does not name its request

A server that turns a request away does not name the request. If it sent a second copy of that response late, the next caller on the connection was told that its call had not run, and the server ran it; a retry ran it once more. Such a response now closes the connection, so that a copy of it has no next request. Copies of responses that name their request were skipped before.

TestLateCopyOfARefusalIsNotTheNextAnswer failed: three requests reached the server where two were made, the second one after it had run.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -108,7 +108,8 @@
 	a.resp = resp
 	a.metadata = platform.DecodeResponse(resp.StatusCode, resp.Header)
 	a.recordAnnouncement()
-	if a.metadata.Leaving {
+	if a.metadata.Leaving || a.metadata.ID == "" {
+		// A late copy of a response that does not name its request would be taken for the response to the next one.
 		resp.DisableReuse()
 	}
 	if a.metadata.NotExecuted {
