discovery: Poll the store often enough for a short revocation bound

With a bound of 2.5 s for removed keys, routers refused 19% of the requests with valid keys (503, Retry-After 0.050): a poll is held for up to 1.8 s and confirms the state as of the time at which it was sent, so that the proof was up to 3.6 s old, and keys are accepted up to 1.9 s. The wait of a poll is now at most half of that bound less 0.2 s; with the bound of 5 s it is as before. A bound that cannot be kept is logged.

TestShortRevocationBoundIsServed failed: 81 of 100 requests served at each of three routers.

--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -21,6 +21,10 @@
 	// maxPollWait is the longest time for which the store holds a poll without changes. Each answer renews the proof of
 	// freshness, whose age must stay well below the time in which a removed API key must stop working.
 	maxPollWait = 1800 * time.Millisecond
+	// minPollWait is the lower bound of the time for which the store holds a poll while a short bound on the age of the proof
+	// requires frequent polls. pollReserve is the time for calls within that bound.
+	minPollWait = 100 * time.Millisecond
+	pollReserve = 200 * time.Millisecond
 	// pollJitter is the share of the wait that is random. A change ends the polls of all routers at once; with jitter
 	// their next polls end at different times, so that some router always has a recent proof of freshness.
 	pollJitter = 0.4
@@ -67,6 +71,8 @@
 	IsConfig func(key string) bool
 	// OnRestored is called when the store has come back from an older copy. Default: nothing.
 	OnRestored func()
+	// MaxProofAge returns the age of the proof up to which it is of use. Default: there is no bound.
+	MaxProofAge func() time.Duration
 	// FleetConfig returns what the other routers report of the configuration. Default: there are no other routers.
 	FleetConfig func() FleetConfig
 }
@@ -180,12 +186,22 @@
 	case time.Now().Before(f.graceEnd()), time.Now().Before(f.settledAt):
 		return gracePollWait
 	case f.isRelaying():
-		return relayingPollWait
+		return f.boundPollWait(relayingPollWait, peerPollWait)
 	default:
-		return time.Duration((1 - pollJitter*rand.Float64()) * float64(maxPollWait))
+		return time.Duration((1 - pollJitter*rand.Float64()) * float64(f.boundPollWait(maxPollWait, 0)))
 	}
 }
 
+// boundPollWait returns the largest wait up to a given one with which the proof stays within its bound. A poll confirms the
+// state as of the time at which it was sent, so that the proof is up to two waits old when the next one is answered. passed
+// is the time for which other routers wait for the state from this one.
+func (f *Follower) boundPollWait(wait, passed time.Duration) time.Duration {
+	if f.opts.MaxProofAge == nil {
+		return wait
+	}
+	return max(min(wait, (f.opts.MaxProofAge()-pollReserve-passed)/2), minPollWait)
+}
+
 // Position returns the store's position that the local state corresponds to. It is zero before the first listing.
 func (f *Follower) Position() kv.Position {
 	if p := f.appliedPosition.Load(); p != nil {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -43,6 +43,9 @@
 	// which a removed key must no longer be accepted. It covers the time between a client's send of a request and the
 	// router's check of the request's key.
 	revokeMargin = 600 * time.Millisecond
+	// minKeyMaxConfigAge is the age of the configuration that a router needs to accept API keys without interruption: two
+	// polls of the store and the calls for them, some of which are slow.
+	minKeyMaxConfigAge = 800 * time.Millisecond
 	// advancePeriod is how often admission checks the waiting requests if no other event occurs. advanceIdlePeriod is how
 	// often it drops outdated loads while no request waits.
 	advancePeriod     = 5 * time.Millisecond
@@ -179,6 +182,7 @@
 		Log:         log.Named("discovery"),
 		IsConfig:    platform.Schema{}.IsConfig,
 		OnRestored:  n.onRestored,
+		MaxProofAge: n.currentKeyMaxConfigAge,
 		FleetConfig: n.fleetConfig,
 		Sink: discovery.NewState(discovery.StateOptions{
 			Schema:    platform.Schema{},
--- a/internal/daemon/gateway/reload.go
+++ b/internal/daemon/gateway/reload.go
@@ -47,5 +47,9 @@
 func (n *Node) applyBounds(b platform.Bounds) {
 	n.bounds.Store(&b)
 	n.keyMaxConfigAge.Store(int64(keyMaxConfigAge(b)))
+	if age := keyMaxConfigAge(b); age < minKeyMaxConfigAge {
+		n.log.Warn("the revocation bound is too short: requests with API keys will be refused at times",
+			zap.Duration("bound", b.Revoke), zap.Duration("config_age_limit", age))
+	}
 	n.budget.SetBounds(retryBoundFraction*b.RetryRatio, retryBoundFraction*b.RetrySlack)
 }
