daemon/gateway: Let routers without requests idle while servers have limits

Each router flushed every 10 ms as long as any server had a limit, also those of a large fleet that neither own loads nor have requests. A changed limit now ends the idle period instead.

--- a/internal/daemon/gateway/limits.go
+++ b/internal/daemon/gateway/limits.go
@@ -87,8 +87,9 @@
 // markChanged makes the next flush tell the other routers of a server's limit.
 func (e *limitExchange) markChanged(server string) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.changed[server] = struct{}{}
+	e.mu.Unlock()
+	e.owners.wake()
 }
 
 // takeChanged returns the servers that were marked as changed since the last call.
--- a/internal/daemon/gateway/limits_fleet_test.go
+++ b/internal/daemon/gateway/limits_fleet_test.go
@@ -128,6 +128,7 @@
 				f.call(f.routerNames(c.withCallers), 60, 10*time.Second)
 				f.expectKept(namedLimit)
 				g.Expect(f.arrivedSince(measured)).To(BeNumerically(">=", int(0.9*10*namedLimit)))
+				f.calls.Wait()
 				g.Expect(f.counts.byStatus).To(HaveLen(2), "answered or refused: %v", f.counts.byStatus)
 				g.Expect(f.counts.byStatus).To(And(HaveKey(http.StatusOK), HaveKey(http.StatusServiceUnavailable)))
 			})
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -63,7 +63,7 @@
 	node            *Node
 	pendingRequests *pending.Calls[reservation.Answer]
 	table           atomic.Pointer[ownerTable]
-	// reserved is signalled by each reservation, so that an idle run flushes this router's loads soon.
+	// reserved is signalled by each reservation and by changed limits, so that an idle run flushes soon.
 	reserved chan struct{}
 	// outcomes counts the reservation requests by outcome.
 	outcomes *prometheus.CounterVec
@@ -108,10 +108,7 @@
 func (o *loadOwners) Reserve(
 	ctx context.Context, r reservation.Request, limit *serverlimit.Entry,
 ) (reservation.Answer, reservation.Outcome) {
-	select {
-	case o.reserved <- struct{}{}:
-	default:
-	}
+	o.wake()
 	table := o.table.Load()
 	owner, address, ok := table.ownerOf(r.Server)
 	switch {
@@ -139,6 +136,14 @@
 	return answer, reservation.Answered
 }
 
+// wake ends an idle period of run.
+func (o *loadOwners) wake() {
+	select {
+	case o.reserved <- struct{}{}:
+	default:
+	}
+}
+
 // ownerOf returns the owner of a server and its address, which is not valid for this router. It returns false if the
 // server has no owner whose address is known.
 func (t *ownerTable) ownerOf(server string) (owner string, address netip.AddrPort, ok bool) {
@@ -200,8 +205,7 @@
 // loads.
 func (o *loadOwners) idle() bool {
 	table := o.loadTable()
-	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0) && o.node.admission.LoadsSettled() &&
-		!o.node.admission.AnyLimits()
+	return o.node.gateway.Active() == 0 && (table == nil || len(table.owned) == 0) && o.node.admission.LoadsSettled()
 }
 
 // flush sends capacity notices to routers and changed loads to their owners. It updates the owners and resends all
