--- a/internal/daemon/gateway/limits.go
+++ b/internal/daemon/gateway/limits.go
@@ -244,8 +244,7 @@
 
 // updateShare sets the fraction of the limits that this router may grant as an owner: that of the routers which it hears
 // from. Others may have an owner of their own.
-func (e *limitExchange) updateShare(now time.Time) {
-	live := e.node.peers.Live(now)
+func (e *limitExchange) updateShare(now time.Time, live []gossip.Peer) {
 	heard := len(live) + 1
 	e.node.admission.SetFleet(heard, float64(heard)/float64(heard+e.unheard(now, live)))
 }
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -279,10 +279,12 @@
 
 // updateOwners assigns the owners again if routers or servers have changed. It reports whether it did.
 func (o *loadOwners) updateOwners() bool {
-	candidates := o.candidates()
+	now := time.Now()
+	live := o.node.peers.Live(now)
+	candidates := o.candidates(live)
 	servers := o.node.servers.Load()
 	previous := o.table.Load()
-	o.limits.updateShare(time.Now())
+	o.limits.updateShare(now, live)
 	if previous != nil && previous.servers == servers && slices.Equal(previous.candidates, candidates) {
 		return false
 	}
@@ -301,13 +303,12 @@
 
 // candidates returns the routers that may be owners: those that are ready, or all live ones if none is. During a long
 // outage of the store no router is ready, and each one would be the owner of all servers.
-func (o *loadOwners) candidates() []reservation.Candidate {
+func (o *loadOwners) candidates(live []gossip.Peer) []reservation.Candidate {
 	n := o.node
 	own := reservation.Candidate{
 		Router: n.settings.Router, Domain: n.settings.FailureDomain,
 		Cores: float64(float32(n.settings.Cores)), // the precision that other routers receive in reports
 	}
-	live := n.peers.Live(time.Now())
 	anyReady := n.ready() || slices.ContainsFunc(live, func(p gossip.Peer) bool { return p.Ready })
 	var list []reservation.Candidate
 	if n.ready() || !anyReady {
