--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -34,13 +34,18 @@
 	sendsStopped atomic.Bool
 	// limited is the number of servers with a limit, or with one that has ended recently.
 	limited atomic.Int64
+	// clock includes suspension. The lifetime of permits counts on it.
+	clock freshness.Clock
 }
 
 // NewController returns a controller for a core. If owners is nil, grants need no confirmation.
 func NewController(core *Core, owners Owners) *Controller {
-	return &Controller{core: core, owners: owners, queued: make(chan struct{}, 1)}
+	return &Controller{core: core, owners: owners, queued: make(chan struct{}, 1), clock: freshness.BootTime}
 }
 
+// UseClock replaces the clock on which the lifetime of permits counts. It must be called before the first request.
+func (c *Controller) UseClock(clock freshness.Clock) { c.clock = clock }
+
 // Admit waits for the decision on a request. If the context ends, the request is withdrawn and the context's cause is
 // returned as the error.
 func (c *Controller) Admit(ctx context.Context, req Request) (*Ticket, Decision, error) {
@@ -80,7 +85,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	confirmed := c.core.confirm(time.Now(), freshness.BootTime(), t, answer, outcome)
+	confirmed := c.core.confirm(time.Now(), c.clock(), t, answer, outcome)
 	c.signalQueued()
 	return confirmed
 }
@@ -146,7 +151,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.core.MaySend(time.Now(), freshness.BootTime(), t)
+	return c.core.MaySend(time.Now(), c.clock(), t)
 }
 
 // RetryAfterPause returns the time after which a client may retry a request that a server refused while asking for a
--- a/internal/daemon/gateway/limits_fleet_test.go
+++ b/internal/daemon/gateway/limits_fleet_test.go
@@ -45,7 +45,10 @@
 		g: g, servers: startPlainServers(servers), counts: callCounts{byStatus: make(map[int]int)},
 		random: rand.New(rand.NewPCG(1, uint64(routers))),
 	}
+	start := time.Now()
 	f.reportFleet = newPreparedReportFleet(g, routers, func(ctx context.Context, n *Node) {
+		// Permits lapse in virtual time, too.
+		n.admission.UseClock(func() time.Duration { return time.Since(start) })
 		f.servers.serve(ctx, n)
 		if prepare != nil {
 			prepare(n)
