--- a/internal/coordination/ratelimit/allocator.go
+++ b/internal/coordination/ratelimit/allocator.go
@@ -42,9 +42,6 @@
 // SetShare sets the fraction of the rate, above 0 up to 1, that this router may grant.
 func (a *Allocator) SetShare(fraction float64) { a.share = fraction }
 
-// Share returns the fraction of the rate that this router may grant.
-func (a *Allocator) Share() float64 { return a.share }
-
 // Take grants a permit for a server that takes rate requests a second. If it denies one, it returns the time after which
 // the router may ask again.
 func (a *Allocator) Take(now time.Time, server string, rate float64) (granted bool, retryIn time.Duration) {
@@ -85,15 +82,6 @@
 // Reset makes the allowance of a server empty.
 func (a *Allocator) Reset(server string) { delete(a.buckets, server) }
 
-// Retain drops the state of the servers for which keep returns false.
-func (a *Allocator) Retain(keep func(server string) bool) {
-	for server := range a.buckets {
-		if !keep(server) {
-			delete(a.buckets, server)
-		}
-	}
-}
-
 // Used returns the recent rate of permits for a server that were granted and not returned, in requests per second.
 func (a *Allocator) Used(now time.Time, server string) float64 {
 	if b := a.buckets[server]; b != nil {
