gateway: Log the fingerprint of failed, cut and repeated requests

The logs of the incident do not show whether the requests under which servers end are the same one: parts is empty for requests of plain services. The fingerprint is a hash of team, method, host, target, prompt and body.

--- a/internal/transport/gateway/cut.go
+++ b/internal/transport/gateway/cut.go
@@ -32,7 +32,7 @@
 func (x *exchange) recordCut(cause cutCause) {
 	x.g.opts.Metrics.CutResponses.WithLabelValues(string(cause)).Inc()
 	x.log("cut", zap.String("reason", string(cause)), zap.Int("events", x.stream.eventsSent),
-		partsField(x.metadata.Parts),
+		partsField(x.metadata.Parts), x.fingerprintField(),
 		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
 }
 
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -217,7 +217,7 @@
 			x.fail(result)
 			return
 		}
-		x.log("repeat", zap.Stringer("result", result), zap.Int("events", x.stream.eventsSent), partsField(x.metadata.Parts),
+		x.log("repeat", zap.Stringer("result", result), zap.Int("events", x.stream.eventsSent), partsField(x.metadata.Parts), x.fingerprintField(),
 			logfield.Error(x.lastErr))
 	}
 }
--- a/internal/transport/gateway/log.go
+++ b/internal/transport/gateway/log.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
 
@@ -23,6 +24,14 @@
 	return zap.String("parts", strings.Join(ids, ","))
 }
 
+// fingerprintField is the log field with the fingerprint of the request. Equal requests have the same one.
+func (x *exchange) fingerprintField() zap.Field {
+	identity := poison.RequestIdentity{
+		Team: x.team, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Prompt: x.metadata.Parts, Body: x.body,
+	}
+	return zap.Stringer("fingerprint", identity.Fingerprint())
+}
+
 // log logs an outcome or a decision with the fields of the request and of its current attempt.
 func (x *exchange) log(outcome string, fields ...zap.Field) { x.logAttempt(x.current, outcome, fields) }
 
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -158,7 +158,7 @@
 func (x *exchange) failWithStatus(status int, reason string) {
 	platform.EncodeRouterResponse(x.w.Header(), x.metadata.ID, 0)
 	x.writeRouterResponse(status)
-	x.log("failed", zap.Int("status", status), zap.String("reason", reason), partsField(x.metadata.Parts),
+	x.log("failed", zap.Int("status", status), zap.String("reason", reason), partsField(x.metadata.Parts), x.fingerprintField(),
 		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
 }
 
