--- a/internal/daemon/gateway/poison_test.go
+++ b/internal/daemon/gateway/poison_test.go
@@ -29,31 +29,46 @@
 	*testFleet
 	hosts []*platformengine.Host
 
-	mu sync.Mutex
-	// sound holds the statuses of the sound requests, by the second in which they were sent.
-	sound  map[int][]int
+	mu    sync.Mutex
+	sound []soundRequest
+	wait  sync.WaitGroup
+	// starts is when the requests begin.
 	starts time.Time
-	wait   sync.WaitGroup
+}
+
+// soundRequest is a request that ends no engine, with the status of its response; 0 if there was no whole one.
+type soundRequest struct {
+	at     time.Time
+	status int
 }
 
 func newCrashingFleet(t *testing.T, engines, routers int) *crashingFleet {
 	t.Helper()
-	f := &crashingFleet{testFleet: newTestFleet(t, 0), sound: make(map[int][]int), starts: time.Now()}
+	f := newHostFleet(t, "pool", engines, routers)
+	for i, e := range f.engines {
+		e.Prefill, e.Pause = 30*time.Millisecond, 20*time.Millisecond
+		e.SetPoison(f.hosts[i].Crash, poisonPart)
+	}
+	return f
+}
+
+// newHostFleet returns a fleet whose engines belong to one service and can end.
+func newHostFleet(t *testing.T, service string, engines, routers int) *crashingFleet {
+	t.Helper()
+	f := &crashingFleet{testFleet: newTestFleet(t, 0), starts: time.Now()}
 	f.revokeMS = 5000
 	for i := range engines {
 		e := platformengine.New(fmt.Sprintf("i-%d", i))
-		e.Prefill, e.Pause = 30*time.Millisecond, 20*time.Millisecond
 		var host *platformengine.Host
 		register := func(startedAt int64) {
 			f.store.Put("servers/"+e.ID, fmt.Appendf(nil,
-				`{"service":"pool","address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, host.Address(), startedAt))
+				`{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, service, host.Address(), startedAt))
 		}
 		host, err := platformengine.StartHost(e, engineDownTime, register)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(host.Close)
-		e.SetPoison(host.Crash, poisonPart)
 		register(time.Now().UnixMilli())
 		f.engines = append(f.engines, e)
 		f.hosts = append(f.hosts, host)
@@ -126,11 +141,7 @@
 		f.wait.Add(1)
 		go func() {
 			defer f.wait.Done()
-			second := int(time.Since(f.starts) / time.Second)
-			status := f.send(n, false)
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.sound[second] = append(f.sound[second], status)
+			f.recordSound(func() int { return f.send(n, false) })
 		}()
 		if !poison {
 			continue
@@ -144,20 +155,32 @@
 	f.wait.Wait()
 }
 
+// recordSound sends a sound request and records its status.
+func (f *crashingFleet) recordSound(send func() int) {
+	at := time.Now()
+	status := send()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sound = append(f.sound, soundRequest{at: at, status: status})
+}
+
 // served returns the fraction of the sound requests sent from the given second on that were served.
 func (f *crashingFleet) served(from int) float64 {
+	return f.servedSince(f.starts.Add(time.Duration(from) * time.Second))
+}
+
+// servedSince returns the fraction of the sound requests sent from a time on that were served.
+func (f *crashingFleet) servedSince(from time.Time) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sent, served := 0, 0
-	for second, statuses := range f.sound {
-		if second < from {
+	for _, r := range f.sound {
+		if r.at.Before(from) {
 			continue
 		}
-		sent += len(statuses)
-		for _, status := range statuses {
-			if status == http.StatusOK {
-				served++
-			}
+		sent++
+		if r.status == http.StatusOK {
+			served++
 		}
 	}
 	return float64(served) / float64(max(sent, 1))
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -77,20 +77,33 @@
 	cancelled int
 	// arrivals counts requests since the last ResetArrivals.
 	arrivals int
-	// poison are the IDs of the parts of prompts that end the engine when it begins to write. onPoison ends it.
-	poison   []string
+	// crashes selects the requests that end the engine when it begins to write. onPoison ends it.
+	crashes  func(*http.Request) bool
 	onPoison func()
 	poisoned int
 }
 
 // SetPoison sets the parts of prompts that end the engine when it begins to write a response to them. end ends it.
 func (e *Engine) SetPoison(end func(), parts ...string) {
+	e.SetPoisonRequest(end, func(r *http.Request) bool {
+		for part := range strings.SplitSeq(r.Header.Get("Prefix-Hash"), ",") {
+			id, _, _ := strings.Cut(part, ":")
+			if slices.Contains(parts, id) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// SetPoisonRequest selects the requests that end the engine when it begins to write a response to them. end ends it.
+func (e *Engine) SetPoisonRequest(end func(), crashes func(*http.Request) bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.poison, e.onPoison = parts, end
+	e.crashes, e.onPoison = crashes, end
 }
 
-// Poisoned returns the number of requests that arrived with a part that ends the engine.
+// Poisoned returns the number of requests that arrived and end the engine.
 func (e *Engine) Poisoned() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -101,14 +114,11 @@
 func (e *Engine) poisonOf(r *http.Request) func() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for part := range strings.SplitSeq(r.Header.Get("Prefix-Hash"), ",") {
-		id, _, _ := strings.Cut(part, ":")
-		if slices.Contains(e.poison, id) {
-			e.poisoned++
-			return e.onPoison
-		}
+	if e.crashes == nil || !e.crashes(r) {
+		return nil
 	}
-	return nil
+	e.poisoned++
+	return e.onPoison
 }
 
 // ResetArrivals resets the count of requests that arrived.
