--- a/cmd/gooseberrytide/main.go
+++ b/cmd/gooseberrytide/main.go
@@ -68,7 +68,7 @@
 		},
 		Commands: []*cli.Command{
 			validateCommand(), applyCommand(), diffCommand(), getCommand(),
-			drainCommand(), statusCommand(), timelineCommand(), explainCommand(), partsCommand(), limitsCommand(),
+			drainCommand(), statusCommand(), timelineCommand(), explainCommand(), suspectsCommand(), limitsCommand(),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if name := c.Args().First(); name != "" {
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -1,43 +1,46 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// State is what is known about a part of a prompt.
+// State is what is known about a fingerprint.
 type State uint8
 
 const (
-	// Clear means that nothing speaks against the part.
+	// Clear means that nothing speaks against the fingerprint.
 	Clear State = iota
-	// Suspected means that requests with the part are sent as trials only.
+	// Suspected means that requests with the fingerprint are sent as trials only.
 	Suspected
-	// Blocked means that requests with the part are not sent.
+	// Blocked means that requests with the fingerprint are not sent.
 	Blocked
 )
 
 const (
-	// blockPeriod is the time from the last crash to the first trial of a blocked part. It doubles with each further
+	// blockPeriod is the time from the last crash to the first trial of a blocked fingerprint. It doubles with each further
 	// crash, up to maxRetrials.
 	blockPeriod = 2 * time.Minute
 	maxRetrials = 3
-	// separablePeriod is that time for a request without the other parts that may be the cause. It doubles, too, and
+	// separablePeriod is that time for a request without the other fingerprints that may be the cause. It doubles, too, and
 	// applies up to separableRetrials.
 	separablePeriod   = 10 * time.Second
 	separableRetrials = 2
-	// settleTime is the time in which requests that were sent before the block still arrive at servers.
+	// settleTime is the time in which the whole fleet learns of a crash and requests that were sent before it arrive.
 	settleTime = 3 * time.Second
-	// idlePeriod is the time without requests with the part after which it is tried again in any case.
+	// idlePeriod is the time without requests with the fingerprint after which it is tried again in any case.
 	idlePeriod = time.Hour
-	// retention is how long a suspected part is kept after its last crash.
+	// retention is how long a suspected fingerprint is kept after its last crash.
 	retention = 10 * time.Minute
-	// maxSuspects bounds the table. Parts with few and old crashes are dropped first.
+	// maxSuspects bounds the table. Fingerprints with few and old crashes are dropped first.
 	maxSuspects = 1024
-	// maxPartsPerRequest bounds the parts of a request that are candidates.
+	// maxPartsPerRequest bounds the parts of a prompt that are candidates.
 	maxPartsPerRequest = 16
-	// maxRetryAfter is the longest time after which a client with a blocked part is told to return, and trialRetryAfter
-	// the time for a part whose trial is in progress.
+	// maxPathBytes bounds the path of a request that is kept for operators.
+	maxPathBytes = 128
+	// maxRetryAfter is the longest time after which a client with a blocked fingerprint is told to return, and trialRetryAfter
+	// the time for a fingerprint whose trial is in progress.
 	maxRetryAfter   = 30 * time.Second
 	trialRetryAfter = time.Second
 )
@@ -45,9 +48,11 @@
 // Verdict tells whether a request may be sent, and why not.
 type Verdict struct {
 	State State
-	// Part is the part that decided. It is 0 if State is Clear.
-	Part Part
-	// Crashes is the number of crashes that count against the part, Servers the servers that ended, Since the time since
+	// Fingerprint is the one that decided. It is the zero value if State is Clear.
+	Fingerprint Fingerprint
+	// PartSuspected is set if a part of the prompt is suspected or blocked, whether it has decided or not.
+	PartSuspected bool
+	// Crashes is the number of crashes that count against the fingerprint, Servers the servers that ended, Since the time since
 	// the first crash.
 	Crashes int
 	Servers []string
@@ -70,8 +75,9 @@
 // Candidate is a request that may have crashed a server.
 type Candidate struct {
 	Team string
-	// Parts are the shared parts of its prompt.
-	Parts []Part
+	// Path is the path of the request.
+	Path         string
+	Fingerprints []Fingerprint
 }
 
 // Detector holds the evidence. It is not safe for concurrent use. Times are those of a clock that includes suspension.
@@ -79,10 +85,10 @@
 	proofs proofs
 	// controls holds the time of the last proof of any request, by service.
 	controls map[string]time.Duration
-	suspects map[Part]*suspect
+	suspects map[Fingerprint]*suspect
 	// lifted holds the times at which blocks ended, so that old evidence of other routers does not renew them.
-	lifted map[Part]time.Duration
-	trials map[Part]trial
+	lifted map[Fingerprint]time.Duration
+	trials map[Fingerprint]trial
 }
 
 // NewDetector returns a detector without evidence.
@@ -90,47 +96,64 @@
 	return &Detector{
 		proofs:   newProofs(),
 		controls: make(map[string]time.Duration),
-		suspects: make(map[Part]*suspect),
-		lifted:   make(map[Part]time.Duration),
-		trials:   make(map[Part]trial),
+		suspects: make(map[Fingerprint]*suspect),
+		lifted:   make(map[Fingerprint]time.Duration),
+		trials:   make(map[Fingerprint]trial),
 	}
 }
 
-// Len returns the number of parts with evidence.
+// Len returns the number of fingerprints with evidence.
 func (d *Detector) Len() int { return len(d.suspects) }
 
-// Check returns the verdict on a request. Of several parts the one with the most crashes decides.
-func (d *Detector) Check(now time.Duration, team string, parts []Part) Verdict {
+// Check returns the verdict on a request. Of several fingerprints the one with the most crashes decides. If a part has no
+// more crashes than the whole request, the latter decides: a trial of it says nothing about the part, which other requests
+// can be tried for meanwhile.
+func (d *Detector) Check(now time.Duration, team string, fingerprints []Fingerprint) Verdict {
 	var worst Verdict
-	for _, part := range parts {
-		s := d.suspects[part]
+	partSuspected := false
+	for _, fingerprint := range fingerprints {
+		s := d.suspects[fingerprint]
 		if s == nil {
 			continue
 		}
-		v := d.verdict(now, s, team, parts)
+		v := d.verdict(now, s, team, fingerprints)
 		s.lastRequested = max(s.lastRequested, now)
-		if v.State > worst.State || v.State == worst.State && v.Crashes > worst.Crashes {
+		partSuspected = partSuspected || fingerprint.Kind == KindPart && v.State != Clear
+		if v.exceeds(worst) {
 			worst = v
 		}
 	}
+	worst.PartSuspected = partSuspected
 	return worst
 }
 
-// verdict returns the verdict on a request because of one of its parts.
-func (d *Detector) verdict(now time.Duration, s *suspect, team string, parts []Part) Verdict {
+// exceeds reports whether the verdict decides over another one on the same request.
+func (v *Verdict) exceeds(other Verdict) bool {
+	switch {
+	case v.State != other.State:
+		return v.State > other.State
+	case v.Crashes != other.Crashes:
+		return v.Crashes > other.Crashes
+	default:
+		return v.Fingerprint.Kind > other.Fingerprint.Kind
+	}
+}
+
+// verdict returns the verdict on a request because of one of its fingerprints.
+func (d *Detector) verdict(now time.Duration, s *suspect, team string, fingerprints []Fingerprint) Verdict {
 	if !s.suspected() {
 		return Verdict{}
 	}
 	v := Verdict{
-		State: Suspected, Part: s.part, Crashes: len(s.crashes), Since: now - s.crashes[0].at, RetryAfter: trialRetryAfter,
+		State: Suspected, Fingerprint: s.fingerprint, Crashes: len(s.crashes), Since: now - s.crashes[0].at, RetryAfter: trialRetryAfter,
 	}
 	for _, c := range s.crashes {
 		v.Servers = append(v.Servers, c.server)
 	}
-	if s.blockedBy() < 0 || !s.appliesTo(team) {
+	if !d.blocked(s) || !s.appliesTo(team) {
 		return v
 	}
-	separable := d.separable(s, parts)
+	separable := d.separable(s, fingerprints)
 	if separable && len(s.crashes) < manyCrashes {
 		return v
 	}
@@ -141,27 +164,76 @@
 	return v
 }
 
-// separable reports whether parts that the request does not have may be the cause in place of a blocked one: in each
-// crash, another part without a proof was in the same request. The request then tells which of them it is.
-func (d *Detector) separable(s *suspect, parts []Part) bool {
-	explained := func(c crash) bool {
-		return slices.ContainsFunc(c.companions, func(companion Part) bool {
-			return d.suspects[companion] != nil && !slices.Contains(parts, companion)
-		})
+// blocked reports whether the evidence suffices to block a fingerprint.
+func (d *Detector) blocked(s *suspect) bool {
+	if s.retrials() >= maxRetrials {
+		return true
+	}
+	required := minCrashes
+	if s.provenBefore() {
+		required++
+	}
+	crashes := d.unexplained(s)
+	n := moments(crashes)
+	if len(crashes) < required || n < 2 || addresses(crashes) < 2 && n < manyMoments {
+		return false
 	}
-	return !slices.ContainsFunc(s.crashes, func(c crash) bool { return !explained(c) })
+	return d.hasControl(s) || len(crashes) >= manyCrashes && n >= manyMoments
 }
 
-// retrialAt returns the time from which a request with a blocked part is sent as a trial. separable is set for a request
-// without the other parts that may be the cause.
-func (s *suspect) retrialAt(separable bool) time.Duration {
-	blockedAt := s.crashes[s.blockedBy()].at
-	retrials := 0
-	for _, c := range s.crashes {
-		if c.at > blockedAt+settleTime {
-			retrials++
+// unexplained returns the crashes of a suspect that no other request on the server explains: none of the other requests
+// held a suspect with more crashes.
+func (d *Detector) unexplained(s *suspect) []crash {
+	stronger := func(f Fingerprint) bool {
+		other := d.suspects[f]
+		return other != nil && len(other.crashes) > len(s.crashes)
+	}
+	if !slices.ContainsFunc(s.crashes, func(c crash) bool { return slices.ContainsFunc(c.others, stronger) }) {
+		return s.crashes
+	}
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return slices.ContainsFunc(c.others, stronger) })
+}
+
+// hasControl reports whether a request without the fingerprint was proven at the service after the first crash. A request
+// with the fingerprint would have cleared it.
+func (d *Detector) hasControl(s *suspect) bool {
+	return s.control || d.controlSince(s, s.crashes[0].at)
+}
+
+// controlSince reports whether this router has proven a request at the suspect's service after a time.
+func (d *Detector) controlSince(s *suspect, since time.Duration) bool {
+	at, ok := d.controls[s.service]
+	return ok && at > since
+}
+
+// separable reports whether fingerprints that the request does not have may be the cause in place of a blocked one. That
+// is the case if one whole request was in all crashes, or if in each crash another part without a proof was in the same
+// request. The request then tells which of them is the cause.
+func (d *Detector) separable(s *suspect, fingerprints []Fingerprint) bool {
+	if s.fingerprint.Kind == KindRequest {
+		return false // equal requests have the same parts
+	}
+	elsewhere := func(kind Kind) func(Fingerprint) bool {
+		return func(f Fingerprint) bool {
+			return f.Kind == kind && d.suspects[f] != nil && !slices.Contains(fingerprints, f)
 		}
 	}
+	common := s.crashes[0].companions
+	for _, c := range s.crashes[1:] {
+		common = intersection(common, c.companions)
+	}
+	if slices.ContainsFunc(common, elsewhere(KindRequest)) {
+		return true
+	}
+	return !slices.ContainsFunc(s.crashes, func(c crash) bool {
+		return !slices.ContainsFunc(c.companions, elsewhere(KindPart))
+	})
+}
+
+// retrialAt returns the time from which a request with a blocked fingerprint is sent as a trial. separable is set for a request
+// without the other fingerprints that may be the cause.
+func (s *suspect) retrialAt(separable bool) time.Duration {
+	retrials := s.retrials()
 	if retrials >= maxRetrials {
 		return max(s.lastCrash(), s.lastRequested) + idlePeriod
 	}
@@ -171,62 +243,86 @@
 	return s.lastCrash() + blockPeriod<<retrials
 }
 
-// RecordCrash records a crash that this router saw. It returns the parts against which it is new evidence.
-func (d *Detector) RecordCrash(now time.Duration, r CrashReport) []Part {
-	var changed []Part
+// RecordCrash records a crash that this router saw. It returns the fingerprints against which it is new evidence.
+func (d *Detector) RecordCrash(now time.Duration, r CrashReport) []Fingerprint {
+	var changed []Fingerprint
+	known := d.knownSuspects(r.Requests)
 	for _, request := range r.Requests {
-		unproven := d.unproven(request.Parts, r.At)
-		for _, part := range unproven {
+		unproven := d.unproven(request.Fingerprints, r.At)
+		others := without(known, request.Fingerprints...)
+		for _, fingerprint := range unproven {
 			c := crash{
 				server: r.Server, startedAt: r.StartedAt, address: r.Address, at: r.At, teams: []string{request.Team},
-				companions: without(unproven, part),
+				companions: without(unproven, fingerprint), others: others[:min(len(others), maxOthers)],
+			}
+			if !d.addCrash(now, fingerprint, r.Service, c) {
+				continue
+			}
+			if fingerprint.Kind == KindRequest {
+				d.suspects[fingerprint].path = request.Path[:min(len(request.Path), maxPathBytes)]
 			}
-			if d.addCrash(now, part, r.Service, c) && !slices.Contains(changed, part) {
-				changed = append(changed, part)
+			if !slices.Contains(changed, fingerprint) {
+				changed = append(changed, fingerprint)
 			}
 		}
 	}
 	return changed
 }
 
-// unproven returns the parts for which no proof covers a time.
-func (d *Detector) unproven(parts []Part, at time.Duration) []Part {
-	var list []Part
-	for _, part := range parts[:min(len(parts), maxPartsPerRequest)] {
-		if !slices.Contains(list, part) && at > d.lastProof(part)+proofWindow {
-			list = append(list, part)
+// knownSuspects returns the fingerprints of requests that are suspects already, those with the most crashes first.
+func (d *Detector) knownSuspects(requests []Candidate) []Fingerprint {
+	var list []Fingerprint
+	for _, request := range requests {
+		for _, f := range request.Fingerprints {
+			if d.suspects[f] != nil && !slices.Contains(list, f) {
+				list = append(list, f)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(len(d.suspects[b].crashes), len(d.suspects[a].crashes)), a.compare(b))
+	})
+	return list
+}
+
+// unproven returns the fingerprints for which no proof covers a time.
+func (d *Detector) unproven(fingerprints []Fingerprint, at time.Duration) []Fingerprint {
+	var list []Fingerprint
+	for _, fingerprint := range fingerprints {
+		if !slices.Contains(list, fingerprint) && at > d.lastProof(fingerprint)+proofWindow {
+			list = append(list, fingerprint)
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, Fingerprint.compare)
 	return list
 }
 
-func without(parts []Part, part Part) []Part {
-	return slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return p == part })
+func without(fingerprints []Fingerprint, removed ...Fingerprint) []Fingerprint {
+	return slices.DeleteFunc(slices.Clone(fingerprints), func(f Fingerprint) bool { return slices.Contains(removed, f) })
 }
 
-// lastProof returns the time of the last proof of a part, or of the end of its block.
-func (d *Detector) lastProof(part Part) time.Duration {
-	at := d.proofs.last(part)
-	if lifted, ok := d.lifted[part]; ok {
+// lastProof returns the time of the last proof of a fingerprint, or of the end of its block.
+func (d *Detector) lastProof(fingerprint Fingerprint) time.Duration {
+	at := d.proofs.last(fingerprint)
+	if lifted, ok := d.lifted[fingerprint]; ok {
 		at = max(at, lifted)
 	}
-	if s := d.suspects[part]; s != nil {
+	if s := d.suspects[fingerprint]; s != nil {
 		at = max(at, s.lastProof)
 	}
 	return at
 }
 
-// addCrash records a crash against a part. It reports whether it is new evidence.
-func (d *Detector) addCrash(now time.Duration, part Part, service string, c crash) bool {
+// addCrash records a crash against a fingerprint. It reports whether it is new evidence.
+func (d *Detector) addCrash(now time.Duration, fingerprint Fingerprint, service string, c crash) bool {
 	if now-c.at > retention {
 		return false
 	}
-	s := d.suspects[part]
+	s := d.suspects[fingerprint]
 	if s == nil {
 		d.makeRoom(now)
-		s = &suspect{part: part, service: service, lastProof: d.lastProof(part), lastRequested: c.at}
-		d.suspects[part] = s
+		s = &suspect{fingerprint: fingerprint, service: service, lastProof: d.lastProof(fingerprint), lastRequested: c.at}
+		d.suspects[fingerprint] = s
 	}
 	return s.add(c)
 }
@@ -247,53 +343,41 @@
 			least = s
 		}
 	}
-	delete(d.suspects, least.part)
+	delete(d.suspects, least.fingerprint)
 }
 
-// Expire drops the parts whose last crash is too old, unless they are blocked and still requested.
+// Expire drops the fingerprints whose last crash is too old, unless they are blocked and still requested.
 func (d *Detector) Expire(now time.Duration) {
 	d.expireTrials(now)
-	for part, s := range d.suspects {
-		if now-s.lastCrash() > retention && (s.blockedBy() < 0 || now-s.lastRequested > idlePeriod) {
-			delete(d.suspects, part)
+	for fingerprint, s := range d.suspects {
+		if now-s.lastCrash() > retention && (!d.blocked(s) || now-s.lastRequested > idlePeriod) {
+			delete(d.suspects, fingerprint)
 		}
 	}
-	for part, at := range d.lifted {
+	for fingerprint, at := range d.lifted {
 		if now-at > retention {
-			delete(d.lifted, part)
+			delete(d.lifted, fingerprint)
 		}
 	}
 }
 
-// RecordProof records that a request of a service received a response although it has the given parts. It returns the
-// parts that are cleared by it.
-func (d *Detector) RecordProof(now time.Duration, service string, parts []Part) []Part {
+// RecordProof records that a request of a service received a response although it has the given fingerprints. It returns the
+// fingerprints that are cleared by it.
+func (d *Detector) RecordProof(now time.Duration, service string, fingerprints []Fingerprint) []Fingerprint {
 	d.controls[service] = now
-	var cleared []Part
-	for _, part := range parts[:min(len(parts), maxPartsPerRequest)] {
-		d.proofs.record(now, part, now)
-		if d.clear(part, now) {
-			cleared = append(cleared, part)
+	var cleared []Fingerprint
+	for _, fingerprint := range fingerprints {
+		d.proofs.record(now, fingerprint, now)
+		if d.clear(fingerprint, now) {
+			cleared = append(cleared, fingerprint)
 		}
 	}
-	if len(d.suspects) > 0 {
-		d.recordControl(service, parts)
-	}
 	return cleared
 }
 
-// recordControl records for the suspects of a service that a request without them was proven.
-func (d *Detector) recordControl(service string, parts []Part) {
-	for part, s := range d.suspects {
-		if s.service == service && !slices.Contains(parts, part) {
-			s.control = true
-		}
-	}
-}
-
-// clear applies a proof to the crashes of a part. It reports whether none is left.
-func (d *Detector) clear(part Part, at time.Duration) bool {
-	s := d.suspects[part]
+// clear applies a proof to the crashes of a fingerprint. It reports whether none is left.
+func (d *Detector) clear(fingerprint Fingerprint, at time.Duration) bool {
+	s := d.suspects[fingerprint]
 	if s == nil {
 		return false
 	}
@@ -303,44 +387,49 @@
 	if len(s.crashes) > 0 {
 		return false
 	}
-	delete(d.suspects, part)
-	delete(d.trials, part)
+	delete(d.suspects, fingerprint)
+	delete(d.trials, fingerprint)
 	if severalCrashes {
-		d.lifted[part] = at
+		d.lifted[fingerprint] = at
 	}
 	return true
 }
 
-// Lift ends the suspicion of a part by an operator's order. It reports whether there was one.
-func (d *Detector) Lift(now time.Duration, part Part) bool {
-	if d.suspects[part] == nil {
+// Lift ends the suspicion of a fingerprint by an operator's order. It reports whether there was one.
+func (d *Detector) Lift(now time.Duration, fingerprint Fingerprint) bool {
+	if d.suspects[fingerprint] == nil {
 		return false
 	}
-	d.lifted[part] = now
-	return d.clear(part, now)
+	d.lifted[fingerprint] = now
+	return d.clear(fingerprint, now)
 }
 
-// Suspicion describes a part for operators.
+// Suspicion describes a fingerprint for operators.
 type Suspicion struct {
-	Part    Part
-	State   State
-	Service string
+	Fingerprint Fingerprint
+	State       State
+	Service     string
+	// Path is the path of the request if the fingerprint is that of a whole request.
+	Path    string
 	Crashes int
 	Servers []string
 	Teams   []string
-	// Since is the time since the first crash, RetrialIn the time until a blocked part is tried again.
+	// Since is the time since the first crash, RetrialIn the time until a blocked fingerprint is tried again.
 	Since     time.Duration
 	RetrialIn time.Duration
 }
 
-// List returns the parts that are suspected or blocked, those with the most crashes first.
+// List returns the fingerprints that are suspected or blocked, those with the most crashes first.
 func (d *Detector) List(now time.Duration) []Suspicion {
 	var list []Suspicion
-	for part, s := range d.suspects {
+	for fingerprint, s := range d.suspects {
 		if !s.suspected() {
 			continue
 		}
-		entry := Suspicion{Part: part, State: Suspected, Service: s.service, Crashes: len(s.crashes), Since: now - s.crashes[0].at}
+		entry := Suspicion{
+			Fingerprint: fingerprint, State: Suspected, Service: s.service, Path: s.path, Crashes: len(s.crashes),
+			Since: now - s.crashes[0].at,
+		}
 		for _, c := range s.crashes {
 			entry.Servers = append(entry.Servers, c.server)
 			for _, team := range c.teams {
@@ -349,19 +438,13 @@
 				}
 			}
 		}
-		if s.blockedBy() >= 0 && s.retrialAt(false) > now {
+		if d.blocked(s) && s.retrialAt(false) > now {
 			entry.State, entry.RetrialIn = Blocked, s.retrialAt(false)-now
 		}
 		list = append(list, entry)
 	}
 	slices.SortFunc(list, func(a, b Suspicion) int {
-		if a.Crashes != b.Crashes {
-			return b.Crashes - a.Crashes
-		}
-		if a.Part < b.Part {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), a.Fingerprint.compare(b.Fingerprint))
 	})
 	return list
 }
--- a/internal/coordination/poison/detector_test.go
+++ b/internal/coordination/poison/detector_test.go
@@ -8,13 +8,16 @@
 	. "github.com/onsi/gomega"
 )
 
-// Parts of the prompts in the tests. first is common to all requests, bad crashes servers, own parts are above 1000.
-const (
-	first Part = 1
-	topic Part = 2
-	bad   Part = 3
+// Fingerprints of the prompts in the tests. first is common to all requests, bad crashes servers, own fingerprints are above 1000.
+var (
+	first = PartFingerprint(1)
+	topic = PartFingerprint(2)
+	bad   = PartFingerprint(3)
 )
 
+// ownPart returns a part that no other request has.
+func ownPart(n int) Fingerprint { return PartFingerprint(uint64(1000 + n)) }
+
 const (
 	service = "pool"
 	teamA   = "a"
@@ -34,8 +37,8 @@
 func newScenario() *scenario { return &scenario{Detector: NewDetector(), now: start} }
 
 // crash ends a server on which one request of a team had just begun.
-func (s *scenario) crash(team string, parts ...Part) {
-	s.crashOf(fmt.Sprintf("i-%d", s.crashes), Candidate{Team: team, Parts: parts})
+func (s *scenario) crash(team string, fingerprints ...Fingerprint) {
+	s.crashOf(fmt.Sprintf("i-%d", s.crashes), Candidate{Team: team, Fingerprints: fingerprints})
 }
 
 func (s *scenario) crashOf(server string, requests ...Candidate) {
@@ -46,20 +49,22 @@
 	})
 }
 
-func (s *scenario) prove(parts ...Part) { s.RecordProof(s.now, service, parts) }
+func (s *scenario) prove(fingerprints ...Fingerprint) { s.RecordProof(s.now, service, fingerprints) }
 
-func (s *scenario) state(team string, parts ...Part) State { return s.Check(s.now, team, parts).State }
+func (s *scenario) state(team string, fingerprints ...Fingerprint) State {
+	return s.Check(s.now, team, fingerprints).State
+}
 
 // crashApart crashes n servers one second apart, while sound requests are proven.
-func (s *scenario) crashApart(n int, team string, parts ...Part) {
+func (s *scenario) crashApart(n int, team string, fingerprints ...Fingerprint) {
 	for range n {
-		s.crash(team, parts...)
+		s.crash(team, fingerprints...)
 		s.now += time.Second
 		s.prove(first)
 	}
 }
 
-// Guards against a part that goes on to crash servers, and against a first part that is blocked with it.
+// Guards against a fingerprint that goes on to crash servers, and against a first fingerprint that is blocked with it.
 func TestPartIsBlockedAfterThreeCrashes(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -75,13 +80,13 @@
 	}
 	g.Expect(s.state(teamA, first, bad)).To(Equal(Blocked))
 	g.Expect(s.state(teamA, first, topic)).To(Equal(Clear))
-	verdict := s.Check(s.now, teamA, []Part{first, bad})
-	g.Expect(verdict.Part).To(Equal(bad))
+	verdict := s.Check(s.now, teamA, []Fingerprint{first, bad})
+	g.Expect(verdict.Fingerprint).To(Equal(bad))
 	g.Expect(verdict.Servers).To(Equal([]string{"i-0", "i-1", "i-2"}))
 	g.Expect(verdict.RetryAfter).To(Equal(maxRetryAfter))
 }
 
-// Guards against a sound part that stays under suspicion after it was on a crashed server.
+// Guards against a sound fingerprint that stays under suspicion after it was on a crashed server.
 func TestProofClearsPart(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -92,20 +97,20 @@
 	g.Expect(s.Len()).To(BeZero())
 }
 
-// Guards against suspicion of a part in use because of one crash, and against a part that was sound and is no longer.
+// Guards against suspicion of a fingerprint in use because of one crash, and against a fingerprint that was sound and is no longer.
 func TestPartThatTurnsPoisonousIsBlocked(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
 	s.prove(bad)
 	s.now += 2 * time.Second
 	s.crash(teamA, first, bad)
-	g.Expect(s.state(teamA, bad)).To(Equal(Clear), "one crash of a part that was proven before")
+	g.Expect(s.state(teamA, bad)).To(Equal(Clear), "one crash of a fingerprint that was proven before")
 	s.crashApart(2, teamA, first, bad)
 	s.crashApart(2, teamA, first, bad)
 	g.Expect(s.state(teamA, bad)).To(Equal(Blocked))
 }
 
-// Guards against a part that is blocked because many servers end at one moment, with it on all of them.
+// Guards against a fingerprint that is blocked because many servers end at one moment, with it on all of them.
 func TestServersThatEndTogetherAreOneEvent(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -121,19 +126,19 @@
 	g.Expect(s.state(teamA, topic)).To(Equal(Clear))
 }
 
-// Guards against parts that are blocked because one server ends under any load.
+// Guards against fingerprints that are blocked because one server ends under any load.
 func TestServerThatEndsUnderAnyLoadBlocksNoPart(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
 	for range minCrashes {
-		s.crashOf("i-broken", Candidate{Team: teamA, Parts: []Part{first, topic}})
+		s.crashOf("i-broken", Candidate{Team: teamA, Fingerprints: []Fingerprint{first, topic}})
 		s.now += 10 * time.Second
 		s.prove(first)
 	}
 	g.Expect(s.state(teamA, topic)).To(Equal(Suspected))
 }
 
-// Guards against parts that are blocked although nothing at all is served: the servers end under any load.
+// Guards against fingerprints that are blocked although nothing at all is served: the servers end under any load.
 func TestServiceWithoutProofsBlocksNoPart(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -143,7 +148,7 @@
 	}
 	g.Expect(s.state(teamA, topic)).To(Equal(Suspected))
 	s.crash(teamA, topic)
-	g.Expect(s.state(teamA, topic)).To(Equal(Blocked), "a part that all requests have is blocked in the end")
+	g.Expect(s.state(teamA, topic)).To(Equal(Blocked), "a fingerprint that all requests have is blocked in the end")
 }
 
 // Guards against crashes that several routers see and that count more than once.
@@ -157,16 +162,16 @@
 	for range 3 {
 		for _, from := range routers {
 			for _, to := range routers {
-				to.Merge(to.now, from.EvidenceOf(from.now, []Part{bad}))
+				to.Merge(to.now, from.EvidenceOf(from.now, []Fingerprint{bad}))
 			}
 		}
 	}
 	for _, s := range routers {
-		g.Expect(s.Check(s.now, teamA, []Part{bad}).Crashes).To(Equal(1))
+		g.Expect(s.Check(s.now, teamA, []Fingerprint{bad}).Crashes).To(Equal(1))
 	}
 }
 
-// Guards against a fleet in which each router sees one crash of three and nobody blocks the part, and against routers
+// Guards against a fleet in which each router sees one crash of three and nobody blocks the fingerprint, and against routers
 // that start or were partitioned and do not learn of it.
 func TestEvidenceOfManyRoutersIsMerged(t *testing.T) {
 	g := NewWithT(t)
@@ -196,24 +201,24 @@
 	g.Expect(late.state(teamA, first)).To(Equal(Clear))
 }
 
-// Guards against a proof of another router that does not clear a part, and against old evidence that then comes back.
+// Guards against a proof of another router that does not clear a fingerprint, and against old evidence that then comes back.
 func TestMergedProofClearsPart(t *testing.T) {
 	g := NewWithT(t)
 	s, other := newScenario(), newScenario()
 	s.crashApart(2, teamA, topic)
-	stale := s.EvidenceOf(s.now, []Part{topic})
+	stale := s.EvidenceOf(s.now, []Fingerprint{topic})
 	other.now = s.now
 	other.prove(topic)
 	_, refuted := other.Merge(other.now, stale)
-	g.Expect(refuted).To(Equal([]Part{topic}))
-	cleared, _ := s.Merge(s.now, other.EvidenceOf(other.now, []Part{topic}))
-	g.Expect(cleared).To(Equal([]Part{topic}))
+	g.Expect(refuted).To(Equal([]Fingerprint{topic}))
+	cleared, _ := s.Merge(s.now, other.EvidenceOf(other.now, []Fingerprint{topic}))
+	g.Expect(cleared).To(Equal([]Fingerprint{topic}))
 	s.Merge(s.now, stale)
 	g.Expect(s.state(teamA, topic)).To(Equal(Clear))
 	s.now += time.Minute // the proof itself is forgotten by then
-	for i := range Part(2) {
+	for i := range 2 {
 		s.now += proofGeneration
-		s.prove(1000 + i)
+		s.prove(ownPart(i))
 	}
 	for i := range stale[0].Crashes {
 		stale[0].Crashes[i].Age += (time.Minute + 2*proofGeneration).Milliseconds()
@@ -222,13 +227,13 @@
 	g.Expect(s.state(teamA, topic)).To(Equal(Clear))
 }
 
-// Guards against a team that gets another team's part, or the common first part, blocked by adding it to requests that
+// Guards against a team that gets another team's fingerprint, or the common first fingerprint, blocked by adding it to requests that
 // crash servers.
 func TestTeamCannotBlockPartsOfOthers(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
 	for i := range manyCrashes {
-		s.crashApart(1, teamA, first, topic, Part(1000+i))
+		s.crashApart(1, teamA, first, topic, ownPart(i))
 	}
 	g.Expect(s.state(teamA, first, topic)).To(Equal(Blocked))
 	g.Expect(s.state(teamB, first, topic)).To(Equal(Suspected))
@@ -237,7 +242,7 @@
 	g.Expect(s.state(teamB, first, topic)).To(Equal(Clear))
 }
 
-// Guards against one more crash for each team that sends the part.
+// Guards against one more crash for each team that sends the fingerprint.
 func TestPartIsBlockedForAllTeamsAfterCrashesOfTwo(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -246,7 +251,7 @@
 	g.Expect(s.state("c", first, bad)).To(Equal(Blocked))
 }
 
-// Guards against a sound part that is refused because it always came together with the poisonous one.
+// Guards against a sound fingerprint that is refused because it always came together with the poisonous one.
 func TestCompanionOfAPoisonousPartIsTriedAlone(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -258,14 +263,14 @@
 	g.Expect(s.state(teamA, first, bad)).To(Equal(Blocked))
 }
 
-// Guards against a new first part that is blocked because two poisonous parts came with it. A soak showed it.
+// Guards against a new first fingerprint that is blocked because two poisonous fingerprints came with it. A soak showed it.
 func TestNewFirstPartOfTwoPoisonousPartsIsTriedAlone(t *testing.T) {
 	g := NewWithT(t)
-	const otherBad Part = 4
+	otherBad := PartFingerprint(4)
 	s := newScenario()
-	s.RecordProof(s.now, service, []Part{topic})
-	for _, part := range []Part{bad, bad, otherBad} {
-		s.crash(teamA, first, part)
+	s.RecordProof(s.now, service, []Fingerprint{topic})
+	for _, fingerprint := range []Fingerprint{bad, bad, otherBad} {
+		s.crash(teamA, first, fingerprint)
 		s.now += time.Second
 		s.prove(topic)
 	}
@@ -276,27 +281,27 @@
 	g.Expect(s.state(teamA, first, topic)).To(Equal(Clear))
 }
 
-// Guards against a poisonous part that is never blocked because each request has a further part of its own.
+// Guards against a poisonous fingerprint that is never blocked because each request has a further fingerprint of its own.
 func TestPartIsBlockedBesidePartsOfTheirOwn(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
 	for i := range manyCrashes {
-		g.Expect(s.state(teamA, first, bad, Part(1000+i))).NotTo(Equal(Blocked))
-		s.crashApart(1, teamA, first, bad, Part(1000+i))
+		g.Expect(s.state(teamA, first, bad, ownPart(i))).NotTo(Equal(Blocked))
+		s.crashApart(1, teamA, first, bad, ownPart(i))
 	}
-	g.Expect(s.state(teamA, first, bad, 2000)).To(Equal(Blocked))
+	g.Expect(s.state(teamA, first, bad, ownPart(1000))).To(Equal(Blocked))
 	trials := 0
 	for end := s.now + 10*time.Minute; s.now < end; s.now += time.Second {
-		if s.state(teamA, first, bad, 3000) == Suspected {
+		if s.state(teamA, first, bad, ownPart(2000)) == Suspected {
 			trials++
-			s.crash(teamA, first, bad, 3000)
+			s.crash(teamA, first, bad, ownPart(2000))
 		}
 		s.prove(first)
 	}
 	g.Expect(trials).To(BeNumerically("<=", maxRetrials))
 }
 
-// Guards against a part that stays blocked for ever, and against more than three crashes for finding that out.
+// Guards against a fingerprint that stays blocked for ever, and against more than three crashes for finding that out.
 func TestBlockedPartIsTriedAgain(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -315,16 +320,16 @@
 	g.Expect(s.state(teamA, bad)).NotTo(Equal(Blocked), "no request came for an hour")
 }
 
-// Guards against made-up parts that push evidence out of the table.
+// Guards against made-up fingerprints that push evidence out of the table.
 func TestMadeUpPartsDoNotReplaceEvidence(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
 	s.crashApart(minCrashes, teamA, bad)
-	next := Part(1000)
+	next := 0
 	for range 400 {
 		var candidates []Candidate
 		for range 8 {
-			candidates = append(candidates, Candidate{Team: teamB, Parts: []Part{next, next + 1, next + 2}})
+			candidates = append(candidates, Candidate{Team: teamB, Fingerprints: []Fingerprint{ownPart(next), ownPart(next + 1), ownPart(next + 2)}})
 			next += 3
 		}
 		s.crashOf(fmt.Sprintf("i-%d", s.crashes), candidates...)
@@ -335,7 +340,7 @@
 	g.Expect(s.state(teamA, bad)).To(Equal(Blocked))
 }
 
-// Guards against two trials of a part at once, after a lease has ended, and by a router that asks twice.
+// Guards against two trials of a fingerprint at once, after a lease has ended, and by a router that asks twice.
 func TestOneTrialAtATime(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -343,15 +348,15 @@
 	g.Expect(s.GrantTrial(s.now, "r1", teamA, bad)).To(BeTrue())
 	g.Expect(s.GrantTrial(s.now, "r2", teamA, bad)).To(BeFalse())
 	g.Expect(s.GrantTrial(s.now, "r1", teamA, bad)).To(BeFalse())
-	s.EndTrial(s.now, "r2", bad)
+	s.EndTrial(s.now, "r2", bad, true)
 	g.Expect(s.GrantTrial(s.now, "r2", teamA, bad)).To(BeFalse(), "only its holder ends a trial")
-	s.EndTrial(s.now, "r1", bad)
+	s.EndTrial(s.now, "r1", bad, true)
 	g.Expect(s.GrantTrial(s.now, "r2", teamA, bad)).To(BeFalse(), "the evidence of the last trial is on its way")
 	s.now += trialPause
 	g.Expect(s.GrantTrial(s.now, "r2", teamA, bad)).To(BeTrue())
 	s.now += trialLease
 	g.Expect(s.GrantTrial(s.now, "r1", teamA, bad)).To(BeTrue(), "the holder was lost")
-	s.EndTrial(s.now, "r1", bad)
+	s.EndTrial(s.now, "r1", bad, true)
 	s.crashApart(2, teamA, bad)
 	g.Expect(s.GrantTrial(s.now, "r1", teamA, bad)).To(BeFalse(), "blocked")
 }
@@ -362,7 +367,7 @@
 	s, other := newScenario(), newScenario()
 	s.crashApart(minCrashes, teamA, bad)
 	other.now = s.now
-	other.Merge(other.now, s.EvidenceOf(s.now, []Part{bad}))
+	other.Merge(other.now, s.EvidenceOf(s.now, []Fingerprint{bad}))
 	g.Expect(s.Lift(s.now, bad)).To(BeTrue())
 	g.Expect(s.Lift(s.now, bad)).To(BeFalse())
 	s.now += time.Second
@@ -377,22 +382,22 @@
 func TestEvidenceIsSplit(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
-	var parts []Part
-	for i := range Part(60) {
-		s.crashApart(1, teamA, 1000+i, 2000+i)
-		parts = append(parts, 1000+i)
+	var fingerprints []Fingerprint
+	for i := range 60 {
+		s.crashApart(1, teamA, ownPart(i), ownPart(1000+i))
+		fingerprints = append(fingerprints, ownPart(i))
 	}
-	messages := Split("r1", s.EvidenceOf(s.now, parts))
+	messages := Split("r1", s.EvidenceOf(s.now, fingerprints))
 	total := 0
 	for _, m := range messages {
 		g.Expect(m.Router).To(Equal("r1"))
 		size := 0
-		for i := range m.Parts {
-			size += m.Parts[i].size()
+		for i := range m.Fingerprints {
+			size += m.Fingerprints[i].size()
 		}
 		g.Expect(size).To(BeNumerically("<=", maxMessageBytes))
-		total += len(m.Parts)
+		total += len(m.Fingerprints)
 	}
-	g.Expect(total).To(Equal(len(parts)))
+	g.Expect(total).To(Equal(len(fingerprints)))
 	g.Expect(len(messages)).To(BeNumerically(">", 1))
 }
--- a/internal/coordination/poison/evidence.go
+++ b/internal/coordination/poison/evidence.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// proofWindow is the time after a proof in which a crash does not count against the part.
+	// proofWindow is the time after a proof in which a crash does not count against the fingerprint.
 	proofWindow = time.Second
-	// soundWindow is the time after a proof in which one crash is not enough to suspect the part.
+	// soundWindow is the time after a proof in which one crash is not enough to suspect the fingerprint.
 	soundWindow = 30 * time.Second
 	// sameMoment is the time within which crashes of several servers are one event. Routers notice a crash some tens of
 	// milliseconds apart.
@@ -18,28 +18,31 @@
 	// sameIncarnation is that for a server with one. A router that was suspended reports late.
 	sameCrash       = 500 * time.Millisecond
 	sameIncarnation = 5 * time.Second
-	// minCrashes is the number of crashes after which a part is blocked. A part that was proven before needs one more.
+	// minCrashes is the number of crashes after which a fingerprint is blocked. A fingerprint that was proven before needs one more.
 	minCrashes = 3
-	// manyCrashes is the number of crashes that count although nothing else is proven at the service or other parts may be
+	// manyCrashes is the number of crashes that count although nothing else is proven at the service or other fingerprints may be
 	// the cause, and manyMoments the number of moments that count although all were at one address.
 	manyCrashes = 5
 	manyMoments = 4
-	// maxCrashes and maxTeams bound what is kept for a part.
+	// maxCrashes, maxTeams and maxOthers bound what is kept for a fingerprint.
 	maxCrashes = 16
 	maxTeams   = 4
+	maxOthers  = 4
 )
 
-// crash is the end of one incarnation of a server, as evidence against a part.
+// crash is the end of one incarnation of a server, as evidence against a fingerprint.
 type crash struct {
 	server    string
 	startedAt int64
 	// address is the address of the server. One that ends again and again at the same address is not evidence.
 	address string
 	at      time.Duration
-	// teams are the teams whose requests with the part were on the server, sorted.
+	// teams are the teams whose requests with the fingerprint were on the server, sorted.
 	teams []string
-	// companions are the other parts without a proof that were in all of these requests, sorted.
-	companions []Part
+	// companions are the other fingerprints without a proof that were in all of these requests, sorted.
+	companions []Fingerprint
+	// others are suspects that other requests on the server held, those with the most crashes first.
+	others []Fingerprint
 }
 
 // same reports whether two records are of the same crash.
@@ -47,21 +50,30 @@
 	if c.server != other.server || c.startedAt != other.startedAt {
 		return false
 	}
-	limit := sameCrash
-	if c.startedAt != 0 {
-		limit = sameIncarnation
+	return (c.at - other.at).Abs() < sameCrashWindow(c.startedAt)
+}
+
+// sameCrashWindow returns the time within which two reports of a server with a start time are of the same crash.
+func sameCrashWindow(startedAt int64) time.Duration {
+	if startedAt != 0 {
+		return sameIncarnation
 	}
-	return (c.at - other.at).Abs() < limit
+	return sameCrash
 }
 
 // merge adds what another record of the same crash knows. It reports whether that is new.
 func (c *crash) merge(other *crash) bool {
-	teams, companions := len(c.teams), len(c.companions)
+	teams, companions, others := len(c.teams), len(c.companions), len(c.others)
 	for _, team := range other.teams {
 		c.addTeam(team)
 	}
 	c.companions = intersection(c.companions, other.companions)
-	return len(c.teams) != teams || len(c.companions) != companions
+	for _, f := range other.others {
+		if len(c.others) < maxOthers && !slices.Contains(c.others, f) {
+			c.others = append(slices.Clip(c.others), f)
+		}
+	}
+	return len(c.teams) != teams || len(c.companions) != companions || len(c.others) != others
 }
 
 func (c *crash) addTeam(team string) {
@@ -71,27 +83,29 @@
 	}
 }
 
-func intersection(a, b []Part) []Part {
-	var both []Part
-	for _, part := range a {
-		if slices.Contains(b, part) {
-			both = append(both, part)
+func intersection(a, b []Fingerprint) []Fingerprint {
+	var both []Fingerprint
+	for _, fingerprint := range a {
+		if slices.Contains(b, fingerprint) {
+			both = append(both, fingerprint)
 		}
 	}
 	return both
 }
 
-// suspect is a part with crashes that no proof has taken back.
+// suspect is a fingerprint with crashes that no proof has taken back.
 type suspect struct {
-	part    Part
-	service string
+	fingerprint Fingerprint
+	service     string
+	// path is that of the request if the fingerprint is that of a whole request.
+	path string
 	// crashes are sorted by time.
 	crashes []crash
 	// lastProof is the time of the last proof before the crashes, or never.
 	lastProof time.Duration
-	// control is set if a request without the part was proven at the service after the first crash.
+	// control is set if another router has proven a request without the fingerprint at the service after the first crash.
 	control bool
-	// lastRequested is the time of the last request with the part.
+	// lastRequested is the time of the last request with the fingerprint.
 	lastRequested time.Duration
 }
 
@@ -112,34 +126,47 @@
 
 func (s *suspect) lastCrash() time.Duration { return s.crashes[len(s.crashes)-1].at }
 
-// provenBefore reports whether the part was proven shortly before its first crash.
+// provenBefore reports whether the fingerprint was proven shortly before its first crash.
 func (s *suspect) provenBefore() bool { return s.crashes[0].at-s.lastProof <= soundWindow }
 
-// suspected reports whether requests with the part are sent as trials only.
+// suspected reports whether requests with the fingerprint are sent as trials only.
 func (s *suspect) suspected() bool { return len(s.crashes) > 1 || !s.provenBefore() }
 
-// blockedBy returns the index of the crash with which the part is blocked, or -1.
-func (s *suspect) blockedBy() int {
-	required := minCrashes
-	if s.provenBefore() {
-		required++
-	}
-	addresses := make(map[string]bool)
-	moments, moment := 0, never
-	for i, c := range s.crashes {
-		addresses[c.address] = true
+// moments returns the number of moments at which servers ended. Crashes are sorted by time.
+func moments(crashes []crash) int {
+	n, moment := 0, never
+	for _, c := range crashes {
 		if c.at-moment > sameMoment {
-			moments++
+			n++
 			moment = c.at
 		}
-		if i+1 < required || moments < 2 || len(addresses) < 2 && moments < manyMoments {
-			continue
-		}
-		if s.control || i+1 >= manyCrashes && moments >= manyMoments {
-			return i
+	}
+	return n
+}
+
+// addresses returns the number of addresses at which servers ended.
+func addresses(crashes []crash) int {
+	seen := make(map[string]struct{}, len(crashes))
+	for _, c := range crashes {
+		seen[c.address] = struct{}{}
+	}
+	return len(seen)
+}
+
+// retrials returns the number of crashes by requests that were sent after the fingerprint had crashed minCrashes servers
+// and the fleet had learned of it.
+func (s *suspect) retrials() int {
+	if len(s.crashes) < minCrashes {
+		return 0
+	}
+	known := s.crashes[minCrashes-1].at + settleTime
+	n := 0
+	for _, c := range s.crashes {
+		if c.at > known {
+			n++
 		}
 	}
-	return -1
+	return n
 }
 
 // appliesTo reports whether a block applies to a team.
--- a/internal/coordination/poison/fingerprint.go
+++ b/internal/coordination/poison/fingerprint.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
@@ -69,6 +70,11 @@
 	return Fingerprint{Kind: KindRequest, Hash: binary.BigEndian.Uint64(h.Sum(sum[:0]))}
 }
 
+// compare orders fingerprints.
+func (f Fingerprint) compare(other Fingerprint) int {
+	return cmp.Or(cmp.Compare(f.Kind, other.Kind), cmp.Compare(f.Hash, other.Hash))
+}
+
 // String returns the ID of a part in hexadecimal, and for a request the hash with a prefix.
 func (f Fingerprint) String() string {
 	text := strconv.FormatUint(f.Hash, 16)
--- a/internal/coordination/poison/guard.go
+++ b/internal/coordination/poison/guard.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 )
 
 const (
@@ -18,39 +20,79 @@
 	recentlyLost = time.Second
 	// maxCandidates bounds the requests of a crash.
 	maxCandidates = 64
+	// trialWait is how long a request waits for the outcome of another request's trial, trialPoll how often it looks for it.
+	trialWait = 200 * time.Millisecond
+	trialPoll = 20 * time.Millisecond
 )
 
-// Trials grants trials of suspected parts over the whole fleet.
+// Answer is the answer to a request for a trial.
+type Answer uint8
+
+const (
+	// Unanswered means that the router that grants the trials could not be asked.
+	Unanswered Answer = iota
+	// Denied means that there was no trial.
+	Denied
+	// Granted means that the request may be sent as a trial.
+	Granted
+)
+
+// Trials grants trials of suspected fingerprints over the whole fleet.
 type Trials interface {
-	// Acquire asks for a trial of a part and reports whether it was granted.
-	Acquire(ctx context.Context, team string, part Part) bool
-	// Release ends a trial that was granted.
-	Release(part Part)
+	// Acquire asks for a trial of a fingerprint.
+	Acquire(ctx context.Context, team string, fingerprint Fingerprint) Answer
+	// Release ends a trial that was granted. sent is set if the request was sent.
+	Release(fingerprint Fingerprint, sent bool)
 }
 
+// ServerState is what new connections show of a server on which requests were lost.
+type ServerState uint8
+
+const (
+	// ServerAlive means that the server accepts connections, or that it is not known whether it does.
+	ServerAlive ServerState = iota
+	// ServerEnded means that the server's port is closed.
+	ServerEnded
+	// ServerClosing means that each new connection is accepted and closed at once. A server that has ended behind a port
+	// that another process holds does so, and a server that has too many connections.
+	ServerClosing
+)
+
 // Options configures a Guard.
 type Options struct {
 	// Clock returns the time on a clock that includes suspension.
 	Clock func() time.Duration
-	// Ended reports whether a server has ended without having announced it, by an attempt to connect to it.
-	Ended func(ctx context.Context, server *backends.Server) bool
+	// Probe returns the state of a server by attempts to connect to it. A server that announced its end counts as alive.
+	Probe func(ctx context.Context, server *backends.Server) ServerState
 	// Trials grants trials.
 	Trials Trials
-	// OnCrash is called after a crash that this router saw, with the parts against which it is new evidence; OnCleared is
-	// called with the parts that a proof of this router has cleared.
-	OnCrash   func(server *backends.Server, candidates int, parts []Part)
-	OnCleared func([]Part)
+	// OnCrash is called after a crash that this router saw, with the fingerprints against which it is new evidence;
+	// OnCleared is called with the fingerprints that a proof of this router has cleared.
+	OnCrash   func(server *backends.Server, candidates int, fingerprints []Fingerprint)
+	OnCleared func([]Fingerprint)
 }
 
 // Guard follows the attempts of a router and keeps the evidence. It is safe for concurrent use.
 type Guard struct {
 	opts Options
-	// suspects is the number of parts with evidence. While it is 0, checks take no lock.
+	// suspects is the number of fingerprints with evidence. While it is 0, checks take no lock.
 	suspects atomic.Int64
 
 	mu       sync.Mutex
 	detector *Detector
 	servers  map[string]*serverAttempts
+	// ended holds the times of the confirmed crashes of recent incarnations.
+	ended map[incarnation]time.Duration
+}
+
+// incarnation identifies a server from one start to the next. startedAt is 0 if the server does not report it.
+type incarnation struct {
+	key       string
+	startedAt int64
+}
+
+func incarnationOf(s *backends.Server) incarnation {
+	return incarnation{key: s.Key(), startedAt: s.StartedAt}
 }
 
 // serverAttempts are the attempts on one server.
@@ -60,18 +102,15 @@
 	lost map[*Attempt]time.Duration
 	// confirming is closed when the confirmation in progress has ended. It is nil if there is none.
 	confirming chan struct{}
-	// endedAt is the time of the last confirmed crash.
-	endedAt time.Duration
 }
 
-// Attempt is one request on one server. Its methods may be called on nil, which stands for a request without shared
-// parts, by one goroutine.
+// Attempt is one request on one server. Its methods may be called on nil, which stands for a request that is not followed,
+// by one goroutine.
 type Attempt struct {
-	guard  *Guard
-	server *backends.Server
-	team   string
-	parts  []Part
-	began  time.Duration
+	guard   *Guard
+	server  *backends.Server
+	request *Request
+	began   time.Duration
 	// firstEvent is the time of the first event, or 0. proven is set after the attempt's proof.
 	firstEvent atomic.Int64
 	proven     atomic.Bool
@@ -79,30 +118,31 @@
 
 // NewGuard returns a guard without evidence.
 func NewGuard(opts Options) *Guard {
-	return &Guard{opts: opts, detector: NewDetector(), servers: make(map[string]*serverAttempts)}
+	return &Guard{
+		opts: opts, detector: NewDetector(), servers: make(map[string]*serverAttempts),
+		ended: make(map[incarnation]time.Duration),
+	}
 }
 
 // Check returns the verdict on a request.
-func (g *Guard) Check(team string, parts []Part) Verdict {
-	if len(parts) == 0 || g.suspects.Load() == 0 {
+func (g *Guard) Check(r *Request) Verdict {
+	if g.suspects.Load() == 0 {
 		return Verdict{}
 	}
+	fingerprints := r.fingerprints()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.Check(g.opts.Clock(), team, parts)
+	return g.detector.Check(g.opts.Clock(), r.identity.Team, fingerprints)
 }
 
 // Begin follows a request that is about to be sent.
-func (g *Guard) Begin(server *backends.Server, team string, parts []Part) *Attempt {
-	if len(parts) == 0 {
-		return nil
-	}
-	a := &Attempt{guard: g, server: server, team: team, parts: parts, began: g.opts.Clock()}
+func (g *Guard) Begin(server *backends.Server, r *Request) *Attempt {
+	a := &Attempt{guard: g, server: server, request: r, began: g.opts.Clock()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.servers[server.Key()]
 	if s == nil {
-		s = &serverAttempts{active: make(map[*Attempt]struct{}), lost: make(map[*Attempt]time.Duration), endedAt: never}
+		s = &serverAttempts{active: make(map[*Attempt]struct{}), lost: make(map[*Attempt]time.Duration)}
 		g.servers[server.Key()] = s
 	}
 	s.active[a] = struct{}{}
@@ -141,8 +181,9 @@
 func (a *Attempt) prove(now time.Duration) {
 	a.proven.Store(true)
 	g := a.guard
+	fingerprints := a.request.proofFingerprints(g.suspects.Load() > 0)
 	g.mu.Lock()
-	cleared := g.detector.RecordProof(now, a.server.Service, a.parts)
+	cleared := g.detector.RecordProof(now, a.server.Service, fingerprints)
 	g.countSuspects()
 	g.mu.Unlock()
 	if len(cleared) > 0 {
@@ -183,8 +224,8 @@
 	now := g.opts.Clock()
 	g.mu.Lock()
 	s := g.servers[a.server.Key()]
-	if s == nil || s.endedAt >= a.began {
-		// The crash was recorded with this attempt.
+	if s == nil || g.endedBefore(a, now) {
+		// The crash was recorded with this attempt, or the server had ended before it.
 		g.remove(a)
 		g.mu.Unlock()
 		return true
@@ -193,19 +234,26 @@
 	if s.confirming != nil {
 		confirming := s.confirming
 		g.mu.Unlock()
-		return g.await(ctx, a, s, confirming)
+		return g.await(ctx, a, confirming)
 	}
 	s.confirming = make(chan struct{})
 	g.mu.Unlock()
 	confirmCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
-	ended := g.opts.Ended(confirmCtx, a.server)
+	state := g.opts.Probe(confirmCtx, a.server)
 	cancel()
-	g.finishConfirmation(a, s, ended)
-	return ended
+	return g.finishConfirmation(a, s, state)
+}
+
+// endedBefore reports whether the attempt's server has ended since the attempt began, or before that in the same
+// incarnation. The guard must be locked.
+func (g *Guard) endedBefore(a *Attempt, now time.Duration) bool {
+	id := incarnationOf(a.server)
+	at, ok := g.ended[id]
+	return ok && (at >= a.began || now-at < sameCrashWindow(id.startedAt))
 }
 
 // await waits for the confirmation that another attempt has started.
-func (g *Guard) await(ctx context.Context, a *Attempt, s *serverAttempts, confirming <-chan struct{}) bool {
+func (g *Guard) await(ctx context.Context, a *Attempt, confirming <-chan struct{}) bool {
 	select {
 	case <-confirming:
 	case <-ctx.Done():
@@ -213,27 +261,38 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remove(a)
-	return s.endedAt >= a.began
+	return g.endedBefore(a, g.opts.Clock())
 }
 
-// finishConfirmation records the crash of a server, or that there was none.
-func (g *Guard) finishConfirmation(a *Attempt, s *serverAttempts, ended bool) {
+// finishConfirmation records the crash of a server, or that there was none. It reports the former.
+func (g *Guard) finishConfirmation(a *Attempt, s *serverAttempts, state ServerState) bool {
 	now := g.opts.Clock()
 	g.mu.Lock()
 	close(s.confirming)
 	s.confirming = nil
-	if !ended {
+	if state == ServerAlive || state == ServerClosing && s.hasSurvivor(s.lost[a]) {
 		g.remove(a)
 		g.mu.Unlock()
-		return
+		return false
 	}
 	report := s.crashReport(a.server, now)
-	s.endedAt = now
+	g.ended[incarnationOf(a.server)] = now
 	g.remove(a)
 	changed := g.detector.RecordCrash(now, report)
 	g.countSuspects()
 	g.mu.Unlock()
 	g.opts.OnCrash(a.server, len(report.Requests), changed)
+	return true
+}
+
+// hasSurvivor reports whether an attempt that began before a time still has its connection. The server is alive then.
+func (s *serverAttempts) hasSurvivor(lostAt time.Duration) bool {
+	for a := range s.active {
+		if _, lost := s.lost[a]; !lost && a.began < lostAt {
+			return true
+		}
+	}
+	return false
 }
 
 // crashReport returns the crash of a server with the requests that had just begun on it.
@@ -243,7 +302,7 @@
 	}
 	add := func(a *Attempt) {
 		if !a.proven.Load() && len(r.Requests) < maxCandidates {
-			r.Requests = append(r.Requests, Candidate{Team: a.team, Parts: a.parts})
+			r.Requests = append(r.Requests, a.request.candidate())
 		}
 	}
 	for a, at := range s.lost {
@@ -263,78 +322,105 @@
 // countSuspects publishes the number of suspects for checks without the lock. The guard must be locked.
 func (g *Guard) countSuspects() { g.suspects.Store(int64(g.detector.Len())) }
 
-// Acquire asks for a trial of a suspected part. It returns nil if it was not granted.
-func (g *Guard) Acquire(ctx context.Context, team string, part Part) *Trial {
+// Permit returns the verdict on a request, and a trial if the request is suspected and may be sent. While another trial of
+// the fingerprint is in progress, it waits for the outcome for up to trialWait.
+func (g *Guard) Permit(ctx context.Context, r *Request) (Verdict, *Trial) {
+	verdict := g.Check(r)
+	if verdict.State != Suspected {
+		return verdict, nil
+	}
+	if trial := g.acquire(ctx, r, verdict); trial != nil {
+		return verdict, trial
+	}
+	for end := g.opts.Clock() + trialWait; g.opts.Clock() < end; {
+		if !periodic.Sleep(ctx, trialPoll) {
+			return verdict, nil
+		}
+		if verdict = g.Check(r); verdict.State != Suspected {
+			return verdict, nil
+		}
+	}
+	return verdict, g.acquire(ctx, r, verdict)
+}
+
+// acquire asks for a trial. It returns nil if there is none.
+func (g *Guard) acquire(ctx context.Context, r *Request, v Verdict) *Trial {
 	asked := g.opts.Clock()
-	if !g.opts.Trials.Acquire(ctx, team, part) {
+	answer := g.opts.Trials.Acquire(ctx, r.identity.Team, v.Fingerprint)
+	// One crash says little, so the loss of the router that grants the trials does not keep the request from other servers.
+	local := answer == Unanswered && v.Crashes == 1 && g.GrantTrial("", r.identity.Team, v.Fingerprint)
+	if answer != Granted && !local {
 		return nil
 	}
-	return &Trial{guard: g, part: part, granted: asked}
+	return &Trial{guard: g, fingerprint: v.Fingerprint, granted: asked, local: local}
 }
 
-// Trial is the right to send one request with a suspected part. Its methods may be called on nil.
+// Trial is the right to send one request with a suspected fingerprint. Its methods may be called on nil.
 type Trial struct {
-	guard *Guard
-	part  Part
+	guard       *Guard
+	fingerprint Fingerprint
 	// granted is the time at which the trial was asked for.
 	granted time.Duration
-	ended   bool
+	// local is set if this router granted the trial to itself because another one did not answer.
+	local bool
+	sent  bool
+	ended bool
 }
 
-// Part returns the part that is tried, or 0.
-func (t *Trial) Part() Part {
-	if t == nil {
-		return 0
-	}
-	return t.part
+// MaySend reports whether the request may be sent now. If so, it counts as sent.
+func (t *Trial) MaySend() bool {
+	t.sent = t.guard.opts.Clock()-t.granted <= TrialSendTime
+	return t.sent
 }
 
-// MaySend reports whether the request may still be sent.
-func (t *Trial) MaySend() bool { return t.guard.opts.Clock()-t.granted <= TrialSendTime }
-
 // End ends the trial.
 func (t *Trial) End() {
-	if t == nil || t.ended {
+	switch {
+	case t == nil || t.ended:
 		return
+	case t.local:
+		t.guard.EndTrial("", t.fingerprint, t.sent)
+	default:
+		t.guard.opts.Trials.Release(t.fingerprint, t.sent)
 	}
 	t.ended = true
-	t.guard.opts.Trials.Release(t.part)
 }
 
-// GrantTrial grants a trial as the owner of a part.
-func (g *Guard) GrantTrial(router, team string, part Part) bool {
+// GrantTrial grants a trial as the owner of a fingerprint.
+func (g *Guard) GrantTrial(router, team string, fingerprint Fingerprint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.GrantTrial(g.opts.Clock(), router, team, part)
+	return g.detector.GrantTrial(g.opts.Clock(), router, team, fingerprint)
 }
 
-// EndTrial ends a router's trial as the owner of a part.
-func (g *Guard) EndTrial(router string, part Part) {
+// EndTrial ends a router's trial as the owner of a fingerprint. sent is set if the request was sent.
+func (g *Guard) EndTrial(router string, fingerprint Fingerprint, sent bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.detector.EndTrial(g.opts.Clock(), router, part)
+	g.detector.EndTrial(g.opts.Clock(), router, fingerprint, sent)
 }
 
-// Evidence returns the evidence about parts.
-func (g *Guard) Evidence(parts []Part) []PartEvidence {
+// Evidence returns the evidence about fingerprints.
+func (g *Guard) Evidence(fingerprints []Fingerprint) []FingerprintEvidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.EvidenceOf(g.opts.Clock(), parts)
+	return g.detector.EvidenceOf(g.opts.Clock(), fingerprints)
 }
 
 // Recent returns the evidence that is sent again and again. It also drops what is outdated.
-func (g *Guard) Recent() []PartEvidence {
+func (g *Guard) Recent() []FingerprintEvidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.opts.Clock()
 	g.detector.Expire(now)
+	maps.DeleteFunc(g.ended, func(_ incarnation, at time.Duration) bool { return now-at > sameIncarnation })
 	g.countSuspects()
 	return g.detector.EvidenceOf(now, g.detector.Recent(now))
 }
 
-// Merge adds another router's evidence. It returns the parts that it cleared, and those for which the sender lacks a proof
+// Merge adds another router's evidence. It returns the fingerprints that it cleared, and those for which the sender lacks a proof
 // of this router.
-func (g *Guard) Merge(list []PartEvidence) (cleared, refuted []Part) {
+func (g *Guard) Merge(list []FingerprintEvidence) (cleared, refuted []Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	cleared, refuted = g.detector.Merge(g.opts.Clock(), list)
@@ -342,16 +428,16 @@
 	return cleared, refuted
 }
 
-// Lift ends the suspicion of a part by an operator's order. It reports whether there was one.
-func (g *Guard) Lift(part Part) bool {
+// Lift ends the suspicion of a fingerprint by an operator's order. It reports whether there was one.
+func (g *Guard) Lift(fingerprint Fingerprint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	lifted := g.detector.Lift(g.opts.Clock(), part)
+	lifted := g.detector.Lift(g.opts.Clock(), fingerprint)
 	g.countSuspects()
 	return lifted
 }
 
-// List returns the parts that are suspected or blocked.
+// List returns the fingerprints that are suspected or blocked.
 func (g *Guard) List() []Suspicion {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/poison/guard_test.go
+++ b/internal/coordination/poison/guard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,15 +12,20 @@
 	. "github.com/onsi/gomega"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
 
 // guardFixture is a guard in virtual time whose servers end when ended is set.
 type guardFixture struct {
 	*Guard
-	ended    atomic.Bool
-	checks   atomic.Int64
-	crashes  atomic.Int64
-	released atomic.Int64
+	ended atomic.Bool
+	// alive is the ServerState while ended is not set.
+	alive atomic.Int32
+	// unanswered makes the owner of trials not answer.
+	unanswered atomic.Bool
+	checks     atomic.Int64
+	crashes    atomic.Int64
+	released   atomic.Int64
 }
 
 func newGuardFixture() *guardFixture {
@@ -26,27 +33,51 @@
 	began := time.Now()
 	f.Guard = NewGuard(Options{
 		Clock: func() time.Duration { return start + time.Since(began) },
-		Ended: func(context.Context, *backends.Server) bool {
+		Probe: func(context.Context, *backends.Server) ServerState {
 			f.checks.Add(1)
 			time.Sleep(10 * time.Millisecond)
-			return f.ended.Load()
+			if f.ended.Load() {
+				return ServerEnded
+			}
+			return ServerState(f.alive.Load())
 		},
 		Trials:    f,
-		OnCrash:   func(*backends.Server, int, []Part) { f.crashes.Add(1) },
-		OnCleared: func([]Part) {},
+		OnCrash:   func(*backends.Server, int, []Fingerprint) { f.crashes.Add(1) },
+		OnCleared: func([]Fingerprint) {},
 	})
 	return f
 }
 
 // Acquire implements Trials.
-func (f *guardFixture) Acquire(_ context.Context, team string, part Part) bool {
-	return f.GrantTrial("r", team, part)
+func (f *guardFixture) Acquire(_ context.Context, team string, fingerprint Fingerprint) Answer {
+	switch {
+	case f.unanswered.Load():
+		return Unanswered
+	case f.GrantTrial("r", team, fingerprint):
+		return Granted
+	default:
+		return Denied
+	}
 }
 
 // Release implements Trials.
-func (f *guardFixture) Release(part Part) {
+func (f *guardFixture) Release(fingerprint Fingerprint, sent bool) {
 	f.released.Add(1)
-	f.EndTrial("r", part)
+	f.EndTrial("r", fingerprint, sent)
+}
+
+// testRequest returns a request of team a with shared parts. n makes it a request of its own.
+func testRequest(n int, parts ...Fingerprint) *Request {
+	identity := RequestIdentity{Team: teamA, Method: "POST", Target: "/digest/x?n=1"}
+	for _, part := range append(slices.Clone(parts), ownPart(n)) {
+		identity.Prompt = append(identity.Prompt, relay.PromptPart{ID: part.Hash})
+	}
+	return NewRequest(identity)
+}
+
+// lookup returns a request without parts.
+func lookup(target string) *Request {
+	return NewRequest(RequestIdentity{Team: teamA, Method: "GET", Target: target})
 }
 
 func testServer(id string) *backends.Server {
@@ -58,9 +89,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newGuardFixture()
-		a := f.Begin(testServer("i-1"), teamA, []Part{bad})
+		a := f.Begin(testServer("i-1"), testRequest(1, bad))
 		g.Expect(a.Lost(t.Context())).To(BeFalse())
-		g.Expect(f.Check(teamA, []Part{bad}).State).To(Equal(Clear))
+		g.Expect(f.Check(testRequest(9, bad)).State).To(Equal(Clear))
 		g.Expect(f.servers).To(BeEmpty())
 	})
 }
@@ -73,14 +104,14 @@
 		f := newGuardFixture()
 		f.ended.Store(true)
 		server := testServer("i-1")
-		long := f.Begin(server, teamA, []Part{topic})
+		long := f.Begin(server, testRequest(0, topic))
 		g.Expect(long.Event()).To(BeFalse())
 		time.Sleep(minProofTime)
 		g.Expect(long.Event()).To(BeTrue())
 		time.Sleep(2 * proofWindow)
 		var attempts []*Attempt
-		for i := range Part(3) {
-			attempts = append(attempts, f.Begin(server, teamA, []Part{bad, 1000 + i}))
+		for i := range 3 {
+			attempts = append(attempts, f.Begin(server, testRequest(10+i, bad, ownPart(i))))
 		}
 		attempts = append(attempts, long)
 		for _, a := range attempts {
@@ -94,8 +125,8 @@
 		synctest.Wait()
 		g.Expect(f.crashes.Load()).To(Equal(int64(1)))
 		g.Expect(f.checks.Load()).To(Equal(int64(1)))
-		g.Expect(f.Check(teamA, []Part{bad}).Crashes).To(Equal(1))
-		g.Expect(f.Check(teamA, []Part{topic}).State).To(Equal(Clear))
+		g.Expect(f.Check(testRequest(9, bad)).Crashes).To(Equal(1))
+		g.Expect(f.Check(testRequest(9, topic)).State).To(Equal(Clear))
 		g.Expect(f.servers).To(BeEmpty())
 	})
 }
@@ -105,9 +136,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newGuardFixture()
-		trial := f.Acquire(t.Context(), teamA, bad)
-		g.Expect(trial).To(BeTrue())
-		held := f.Guard.Acquire(t.Context(), teamA, topic)
+		f.crash("i-1", testRequest(1, topic))
+		verdict, held := f.Permit(t.Context(), testRequest(1, topic))
+		g.Expect(verdict.State).To(Equal(Suspected))
 		g.Expect(held.MaySend()).To(BeTrue())
 		time.Sleep(TrialSendTime + time.Millisecond)
 		g.Expect(held.MaySend()).To(BeFalse())
@@ -117,15 +148,151 @@
 	})
 }
 
-// Guards against attempts of requests without shared parts that cost anything or fail.
-func TestRequestsWithoutSharedPartsAreNotFollowed(t *testing.T) {
+// crash ends a server on which requests had just begun.
+func (f *guardFixture) crash(server string, requests ...*Request) {
+	f.ended.Store(true)
+	defer f.ended.Store(false)
+	var attempts []*Attempt
+	for _, r := range requests {
+		attempts = append(attempts, f.Begin(testServer(server), r))
+	}
+	time.Sleep(time.Millisecond)
+	for _, a := range attempts {
+		a.Lost(context.Background())
+	}
+}
+
+// serve completes a request on a server.
+func (f *guardFixture) serve(r *Request) {
+	a := f.Begin(testServer("i-sound"), r)
+	time.Sleep(time.Millisecond)
+	a.Complete()
+}
+
+// Guards against a request without shared parts that is not followed, so that it goes on to crash servers.
+func TestRequestWithoutSharedPartsIsSuspectedAsAWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		f.crash("i-1", lookup("/lookup/bad"))
+		verdict := f.Check(lookup("/lookup/bad"))
+		g.Expect(verdict.State).To(Equal(Suspected))
+		g.Expect(verdict.Fingerprint.Kind).To(Equal(KindRequest))
+		g.Expect(f.Check(lookup("/lookup/other")).State).To(Equal(Clear))
+		for i := range 2 {
+			time.Sleep(time.Second)
+			f.serve(lookup("/lookup/other"))
+			f.crash(fmt.Sprint("i-", 2+i), lookup("/lookup/bad"))
+		}
+		g.Expect(f.Check(lookup("/lookup/bad")).State).To(Equal(Blocked))
+		g.Expect(f.List()).To(ContainElement(HaveField("Path", "/lookup/bad")))
+	})
+}
+
+// Guards against a request that is refused because the server that ran it has ended for another reason, and against one
+// that has to wait longer than one trial takes.
+func TestSoundRequestOfACrashedServerIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		for i := range 3 {
+			f.crash(fmt.Sprint("i-", i), lookup("/lookup/popular"))
+		}
+		_, trial := f.Permit(t.Context(), lookup("/lookup/popular"))
+		g.Expect(trial).NotTo(BeNil())
+		waited := make(chan State)
+		go func() {
+			verdict, _ := f.Permit(t.Context(), lookup("/lookup/popular"))
+			waited <- verdict.State
+		}()
+		time.Sleep(100 * time.Millisecond)
+		f.serve(lookup("/lookup/popular"))
+		trial.End()
+		g.Expect(<-waited).To(Equal(Clear))
+	})
+}
+
+// Guards against a crash that stays unseen because another process holds the port, and against a server that closes new
+// connections only because it has too many and is taken for an ended one.
+func TestServerThatClosesConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		f.alive.Store(int32(ServerClosing))
+		survivor := f.Begin(testServer("i-1"), lookup("/lookup/1"))
+		time.Sleep(time.Millisecond)
+		a := f.Begin(testServer("i-1"), lookup("/lookup/bad"))
+		time.Sleep(time.Millisecond)
+		g.Expect(a.Lost(t.Context())).To(BeFalse(), "another request still has its connection")
+		survivor.Complete()
+		a = f.Begin(testServer("i-1"), lookup("/lookup/bad"))
+		time.Sleep(time.Millisecond)
+		g.Expect(a.Lost(t.Context())).To(BeTrue())
+		g.Expect(f.Check(lookup("/lookup/bad")).State).To(Equal(Suspected))
+	})
+}
+
+// Guards against requests that are suspected because they reach a server after it has ended.
+func TestRequestThatFindsAnEndedServerIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		f.crash("i-1", lookup("/lookup/bad"))
+		time.Sleep(100 * time.Millisecond)
+		a := f.Begin(testServer("i-1"), lookup("/lookup/late"))
+		time.Sleep(time.Millisecond)
+		g.Expect(a.Lost(t.Context())).To(BeTrue())
+		g.Expect(f.Check(lookup("/lookup/late")).State).To(Equal(Clear))
+	})
+}
+
+// Guards against sound requests that fail because the router that grants the trials was lost, and against more than one
+// trial of a router without it.
+func TestTrialWithoutItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		f.unanswered.Store(true)
+		bad := func() *Request { return lookup("/lookup/bad") }
+		f.crash("i-1", bad())
+		_, trial := f.Permit(t.Context(), bad())
+		g.Expect(trial).NotTo(BeNil())
+		g.Expect(trial.MaySend()).To(BeTrue())
+		_, second := f.Permit(t.Context(), bad())
+		g.Expect(second).To(BeNil())
+		time.Sleep(time.Second)
+		f.crash("i-2", bad())
+		trial.End()
+		g.Expect(f.released.Load()).To(BeZero())
+		time.Sleep(10 * time.Second)
+		_, third := f.Permit(t.Context(), bad())
+		g.Expect(third).To(BeNil(), "two crashes")
+	})
+}
+
+// Guards against a proof that is lost because the body was too large to hash while nothing was suspected.
+func TestProofOfALargeRequestClearsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		large := func() *Request {
+			return NewRequest(RequestIdentity{Team: teamA, Method: "POST", Target: "/x", Body: make([]byte, 72<<10)})
+		}
+		f.serve(large())
+		g.Expect(f.detector.proofs.current).To(BeEmpty(), "not hashed")
+		f.crash("i-1", large())
+		g.Expect(f.Check(large()).State).To(Equal(Suspected))
+		f.serve(large())
+		g.Expect(f.Check(large()).State).To(Equal(Clear))
+	})
+}
+
+// Guards against attempts that are not followed and fail.
+func TestAttemptThatIsNotFollowed(t *testing.T) {
 	g := NewWithT(t)
-	f := newGuardFixture()
-	a := f.Begin(testServer("i-1"), teamA, nil)
-	g.Expect(a).To(BeNil())
+	var a *Attempt
 	a.Event()
 	a.Complete()
 	a.End()
 	g.Expect(a.Lost(t.Context())).To(BeFalse())
-	g.Expect(f.Check(teamA, nil).State).To(Equal(Clear))
 }
--- a/internal/coordination/poison/trial.go
+++ b/internal/coordination/poison/trial.go
@@ -3,50 +3,76 @@
 import "time"
 
 const (
-	// trialLease is how long a trial of a part excludes others.
+	// trialLease is how long a trial of a fingerprint excludes others.
 	trialLease = 5 * time.Second
 	// trialPause is the time after a trial without a proof before the next one, in which its evidence reaches the fleet.
 	trialPause = 250 * time.Millisecond
+	// maxPauseDoublings bounds that pause, which doubles with each further trial without a proof: a trial may end without
+	// any evidence.
+	maxPauseDoublings = 9
+	// controlWait is how long a trial that would follow a crash of another trial waits for a proof of any other request at
+	// the service. With such a proof, fewer crashes suffice to tell that the request is the cause.
+	controlWait = 1500 * time.Millisecond
+	// trialMemory is how long a trial without a proof counts for the pause after the next one. maxTrials bounds the
+	// trials that are remembered.
+	trialMemory = 2 * time.Minute
+	maxTrials   = 2048
 	// TrialSendTime is the time within which a granted trial must be sent. It is well below trialLease, so that a router
 	// that was suspended does not send on a lease that has passed to another one.
 	TrialSendTime = time.Second
 )
 
-// trial is a lease of the right to send one request with a suspected part.
+// trial is a lease of the right to send one request with a suspected fingerprint.
 type trial struct {
 	router string
 	until  time.Duration
-	// ended is set after the trial has ended; until is then the end of trialPause.
+	// ended is set after the trial has ended; until is then the end of the pause.
 	ended bool
+	// unproven is the number of trials in a row without a proof, this one included.
+	unproven int
 }
 
-// GrantTrial grants a router the next trial of a part, unless another trial is in progress or the part is blocked for the
-// team. The owner of the part calls it.
-func (d *Detector) GrantTrial(now time.Duration, router, team string, part Part) bool {
-	if current, ok := d.trials[part]; ok && now < current.until {
+// GrantTrial grants a router the next trial of a fingerprint, unless another trial is in progress or the fingerprint is
+// blocked for the team. The owner of the fingerprint calls it.
+func (d *Detector) GrantTrial(now time.Duration, router, team string, fingerprint Fingerprint) bool {
+	last, known := d.trials[fingerprint]
+	if known && now < last.until || !known && len(d.trials) >= maxTrials {
 		return false
 	}
-	if s := d.suspects[part]; s != nil && d.verdict(now, s, team, nil).State == Blocked {
+	if s := d.suspects[fingerprint]; s != nil && (d.verdict(now, s, team, nil).State == Blocked || d.awaitsControl(now, s)) {
 		return false
 	}
-	d.trials[part] = trial{router: router, until: now + trialLease}
+	d.trials[fingerprint] = trial{router: router, until: now + trialLease, unproven: last.unproven + 1}
 	return true
 }
 
-// EndTrial ends a router's trial of a part.
-func (d *Detector) EndTrial(now time.Duration, router string, part Part) {
-	current, ok := d.trials[part]
+// awaitsControl reports whether a further trial should wait for a proof of another request at the service.
+func (d *Detector) awaitsControl(now time.Duration, s *suspect) bool {
+	last := s.lastCrash()
+	return now < last+controlWait && moments(s.crashes) > 1 && !d.controlSince(s, last)
+}
+
+// EndTrial ends a router's trial of a fingerprint. sent is set if the request was sent.
+func (d *Detector) EndTrial(now time.Duration, router string, fingerprint Fingerprint, sent bool) {
+	current, ok := d.trials[fingerprint]
 	if !ok || current.router != router || current.ended {
 		return
 	}
-	d.trials[part] = trial{router: router, until: now + trialPause, ended: true}
+	current.ended = true
+	if sent {
+		current.until = now + trialPause<<min(current.unproven-1, maxPauseDoublings)
+	} else {
+		current.until = now
+		current.unproven--
+	}
+	d.trials[fingerprint] = current
 }
 
-// expireTrials drops the leases that have ended.
+// expireTrials forgets the trials that have ended long ago.
 func (d *Detector) expireTrials(now time.Duration) {
-	for part, t := range d.trials {
-		if now >= t.until {
-			delete(d.trials, part)
+	for fingerprint, t := range d.trials {
+		if now >= t.until+trialMemory {
+			delete(d.trials, fingerprint)
 		}
 	}
 }
--- a/internal/daemon/gateway/evidence_test.go
+++ b/internal/daemon/gateway/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -15,14 +16,27 @@
 	"gooseberrytide.example/gooseberrytide/internal/protocol/datagrams"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
+	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
 
 const (
-	crashingPart poison.Part = 0xbad
-	commonPart   poison.Part = 0xa1
-	evidenceTeam             = "farm"
+	crashingPart uint64 = 0xbad
+	commonPart   uint64 = 0xa1
+	evidenceTeam        = "farm"
 )
 
+// lastOwnPart is the last part that belongs to one request alone.
+var lastOwnPart atomic.Uint64
+
+// requestWith returns a request with shared parts and a last part of its own.
+func requestWith(parts ...uint64) *poison.Request {
+	identity := poison.RequestIdentity{Team: evidenceTeam, Method: http.MethodPost, Target: "/digest/x"}
+	for _, part := range append(parts, 1000+lastOwnPart.Add(1)) {
+		identity.Prompt = append(identity.Prompt, relay.PromptPart{ID: part})
+	}
+	return poison.NewRequest(identity)
+}
+
 // evidenceFleet is a fleet of routers that exchange reports and evidence in virtual time. All servers count as ended.
 type evidenceFleet struct {
 	*reportFleet
@@ -37,7 +51,7 @@
 	f.reportFleet = newPreparedReportFleet(g, size, func(ctx context.Context, n *Node) {
 		n.poison.guard = poison.NewGuard(poison.Options{
 			Clock:   clock,
-			Ended:   func(context.Context, *backends.Server) bool { return true },
+			Probe:   func(context.Context, *backends.Server) poison.ServerState { return poison.ServerEnded },
 			Trials:  n.poison,
 			OnCrash: n.poison.onCrash, OnCleared: n.poison.onCleared,
 		})
@@ -63,19 +77,19 @@
 // crash lets a router lose a request with the part and its server.
 func (f *evidenceFleet) crash(router string, server int) {
 	guard := f.nodes[router].poison.guard
-	guard.Begin(crashedServer(server), evidenceTeam, []poison.Part{commonPart, crashingPart}).Lost(context.Background())
+	guard.Begin(crashedServer(server), requestWith(commonPart, crashingPart)).Lost(context.Background())
 }
 
 // prove lets a router get a response to a request without the part.
 func (f *evidenceFleet) prove(router string) {
-	f.nodes[router].poison.guard.Begin(crashedServer(200), evidenceTeam, []poison.Part{commonPart}).Complete()
+	f.nodes[router].poison.guard.Begin(crashedServer(200), requestWith(commonPart)).Complete()
 }
 
 // states counts the routers by what they know of a part.
-func (f *evidenceFleet) states(part poison.Part) map[poison.State]int {
+func (f *evidenceFleet) states(part uint64) map[poison.State]int {
 	counts := make(map[poison.State]int)
 	for _, n := range f.nodes {
-		counts[n.poison.guard.Check(evidenceTeam, []poison.Part{part}).State]++
+		counts[n.poison.guard.Check(requestWith(part)).State]++
 	}
 	return counts
 }
@@ -122,18 +136,22 @@
 		f := newEvidenceFleet(g, 8)
 		defer f.killAll()
 		time.Sleep(settleTime)
+		f.crash("r-005", 1)
+		time.Sleep(time.Second)
 		granted := 0
 		var trial *poison.Trial
 		for _, n := range f.nodes {
-			if got := n.poison.guard.Acquire(t.Context(), evidenceTeam, crashingPart); got != nil {
+			if _, got := n.poison.guard.Permit(t.Context(), requestWith(crashingPart)); got != nil {
 				granted++
 				trial = got
 			}
 		}
 		g.Expect(granted).To(Equal(1))
+		g.Expect(trial.MaySend()).To(BeFalse(), "the others have waited for its outcome")
 		trial.End()
 		time.Sleep(time.Second)
-		g.Expect(f.nodes["r-003"].poison.guard.Acquire(t.Context(), evidenceTeam, crashingPart)).NotTo(BeNil())
+		_, next := f.nodes["r-003"].poison.guard.Permit(t.Context(), requestWith(crashingPart))
+		g.Expect(next).NotTo(BeNil())
 		f.killAll()
 	})
 }
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -79,7 +79,7 @@
 	relays    *gossip.Relays
 	exchange  *freshness.Exchange
 	owners    *loadOwners
-	poison    *partGuard
+	poison    *poisonGuard
 	offload   *offloader
 	// transmit sends a datagram. It is set before the first one is sent.
 	transmit func(to netip.AddrPort, data []byte)
@@ -146,7 +146,7 @@
 	})
 	n.owners = newLoadOwners(n)
 	n.admission = admission.NewController(core, n.owners)
-	n.poison = newPartGuard(n)
+	n.poison = newPoisonGuard(n)
 	connectionsOpened := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "gooseberrytide_backend_connections_total", Help: "Connections opened to backend servers.",
 	})
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -128,6 +128,7 @@
 		Limits:   routing.Limits{MaxBodyBytes: 1000},
 	})
 	n.gateway = gateway.New(gateway.Options{
+		Poison:  n.poison.guard,
 		Routing: &n.routing, Proof: n.proof, MaxConfigAge: n.currentKeyMaxConfigAge, SchedulingDelay: n.runQueueDelay.Load,
 		Admission: n.admission, RetryBudget: retry.NewWindowBudget(10 * time.Second), Metrics: gateway.NewMetrics(prometheus.NewRegistry()),
 		Pool: upstream.New(upstream.Options{Dial: func(_ context.Context, _, address string) (net.Conn, error) {
--- a/internal/daemon/gateway/poison.go
+++ b/internal/daemon/gateway/poison.go
@@ -16,6 +16,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/ident"
+	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 )
 
 const (
@@ -24,16 +25,18 @@
 	evidencePeriod = 250 * time.Millisecond
 	evidenceFanout = 3
 	// announceInterval is the shortest time between two announcements of a proof that refutes evidence of others;
-	// maxAnnounced is the number of parts for which it is kept.
+	// maxAnnounced is the number of fingerprints for which it is kept.
 	announceInterval = 500 * time.Millisecond
 	maxAnnounced     = 1024
-	// partOwnerKey is the beginning of the key of the rendezvous ranking that selects the owner of a part.
-	partOwnerKey = "prompt-part-"
+	// suspectOwnerKey is the beginning of the key of the rendezvous ranking that selects the owner of a fingerprint.
+	suspectOwnerKey = "prompt-part-"
+	// maxLoggedSuspects bounds the suspects in the log line of a crash.
+	maxLoggedSuspects = 32
 )
 
-// partGuard exchanges the evidence about parts of prompts that crash servers with the other routers, and the trials of
-// suspected parts. It implements poison.Trials.
-type partGuard struct {
+// poisonGuard exchanges the evidence about requests that crash servers with the other routers, and the trials of suspected
+// fingerprints. It implements poison.Trials.
+type poisonGuard struct {
 	node  *Node
 	guard *poison.Guard
 	calls *pending.Calls[poison.TrialAnswer]
@@ -43,45 +46,51 @@
 
 	mu sync.Mutex
 	// announced holds the times at which this router has last announced a proof that refutes evidence of others.
-	announced map[poison.Part]time.Time
+	announced map[poison.Fingerprint]time.Time
 }
 
-var _ poison.Trials = (*partGuard)(nil)
+var _ poison.Trials = (*poisonGuard)(nil)
 
-// newPartGuard returns the guard of a node and registers its metrics.
-func newPartGuard(n *Node) *partGuard {
-	g := &partGuard{
+// newPoisonGuard returns the guard of a node and registers its metrics.
+func newPoisonGuard(n *Node) *poisonGuard {
+	g := &poisonGuard{
 		node:      n,
 		calls:     pending.NewCalls[poison.TrialAnswer](),
-		announced: make(map[poison.Part]time.Time),
+		announced: make(map[poison.Fingerprint]time.Time),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gooseberrytide_server_crashes_total",
-			Help: "Crashes of backend servers on which this router had requests with parts.",
+			Help: "Crashes of backend servers on which this router had requests.",
 		}),
 		trials: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrytide_part_trials_total",
-			Help: "Requests with a suspected part that asked to be sent as a trial, by outcome: granted, denied, unanswered.",
+			Help: "Suspected requests that asked to be sent as a trial, by outcome: granted, denied, unanswered.",
 		}, []string{"outcome"}),
 	}
 	g.guard = poison.NewGuard(poison.Options{
 		Clock:     freshness.BootTime,
-		Ended:     n.serverEnded,
+		Probe:     n.probeServer,
 		Trials:    g,
 		OnCrash:   g.onCrash,
 		OnCleared: g.onCleared,
 	})
-	n.registry.MustRegister(g.crashes, g.trials, g.stateGauge("suspected_parts",
-		"Parts of prompts that are suspected of crashing backend servers.", poison.Suspected),
-		g.stateGauge("blocked_parts", "Parts of prompts that are blocked because they crash backend servers.", poison.Blocked))
+	n.registry.MustRegister(g.crashes, g.trials,
+		g.stateGauge("suspected_parts", "Parts of prompts that are suspected of crashing backend servers.",
+			poison.KindPart, poison.Suspected),
+		g.stateGauge("blocked_parts", "Parts of prompts that are blocked because they crash backend servers.",
+			poison.KindPart, poison.Blocked),
+		g.stateGauge("suspected_requests", "Requests that are suspected as a whole of crashing backend servers.",
+			poison.KindRequest, poison.Suspected),
+		g.stateGauge("blocked_requests", "Requests that are blocked as a whole because they crash backend servers.",
+			poison.KindRequest, poison.Blocked))
 	return g
 }
 
-// stateGauge returns a gauge of the number of parts in a state.
-func (g *partGuard) stateGauge(name, help string, state poison.State) prometheus.Collector {
+// stateGauge returns a gauge of the number of fingerprints of a kind in a state.
+func (g *poisonGuard) stateGauge(name, help string, kind poison.Kind, state poison.State) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrytide_" + name, Help: help}, func() float64 {
 		count := 0
 		for _, s := range g.guard.List() {
-			if s.State == state {
+			if s.State == state && s.Fingerprint.Kind == kind {
 				count++
 			}
 		}
@@ -89,36 +98,44 @@
 	})
 }
 
-// serverEnded reports whether a server has ended without having announced it.
-func (n *Node) serverEnded(ctx context.Context, server *backends.Server) bool {
+// probeServer returns the state of a server by attempts to connect to it. A server that has announced its end, or whose
+// entry is gone, counts as alive.
+func (n *Node) probeServer(ctx context.Context, server *backends.Server) poison.ServerState {
 	current := n.servers.Load().Get(server.ID)
 	if current == nil || !current.SameStart(server) || current.Draining || n.admission.Draining(server.ID) {
-		return false
+		return poison.ServerAlive
+	}
+	switch n.pool.Probe(ctx, server.Key(), server.Address) {
+	case upstream.PortRefusing:
+		return poison.ServerEnded
+	case upstream.PortClosing:
+		return poison.ServerClosing
+	default:
+		return poison.ServerAlive
 	}
-	return n.pool.Refuses(ctx, server.Key(), server.Address)
 }
 
 // onCrash is called after a crash that this router saw.
-func (g *partGuard) onCrash(server *backends.Server, candidates int, parts []poison.Part) {
+func (g *poisonGuard) onCrash(server *backends.Server, candidates int, fingerprints []poison.Fingerprint) {
 	g.crashes.Inc()
 	g.node.admission.ForgetCache(server.ID)
 	g.node.log.Info("backend server crashed", zap.String("server", server.ID), zap.Int("candidates", candidates),
-		zap.Stringers("parts", parts))
-	g.send(g.guard.Evidence(parts), g.others()...)
+		zap.Stringers("suspects", fingerprints[:min(len(fingerprints), maxLoggedSuspects)]))
+	g.send(g.guard.Evidence(fingerprints), g.others()...)
 }
 
-// onCleared is called with the parts that a proof of this router has cleared.
-func (g *partGuard) onCleared(parts []poison.Part) {
-	for _, part := range parts {
-		g.announceProof(part)
+// onCleared is called with the fingerprints that a proof of this router has cleared.
+func (g *poisonGuard) onCleared(fingerprints []poison.Fingerprint) {
+	for _, fingerprint := range fingerprints {
+		g.announceProof(fingerprint)
 	}
 }
 
-// announceProof makes a proof known: the owner of the part sends it to all routers, others send it to the owner, so that
-// the proofs of many routers for a part in frequent use do not go to all of them.
-func (g *partGuard) announceProof(part poison.Part) {
-	evidence := g.guard.Evidence([]poison.Part{part})
-	if address, other := g.owner(part); other {
+// announceProof makes a proof known: the owner of the fingerprint sends it to all routers, others send it to the owner, so
+// that the proofs of many routers for a fingerprint in frequent use do not go to all of them.
+func (g *poisonGuard) announceProof(fingerprint poison.Fingerprint) {
+	evidence := g.guard.Evidence([]poison.Fingerprint{fingerprint})
+	if address, other := g.owner(fingerprint); other {
 		g.send(evidence, address)
 		return
 	}
@@ -126,37 +143,37 @@
 }
 
 // handleEvidence handles evidence of another router. Proofs that refute it go back to its sender, and are announced.
-func (g *partGuard) handleEvidence(m poison.Evidence, from netip.AddrPort) {
-	cleared, refuted := g.guard.Merge(m.Parts)
-	for _, part := range cleared {
-		if _, other := g.owner(part); !other {
-			g.announceProof(part)
+func (g *poisonGuard) handleEvidence(m poison.Evidence, from netip.AddrPort) {
+	cleared, refuted := g.guard.Merge(m.Fingerprints)
+	for _, fingerprint := range cleared {
+		if _, other := g.owner(fingerprint); !other {
+			g.announceProof(fingerprint)
 		}
 	}
 	g.send(g.guard.Evidence(refuted), from)
-	for _, part := range refuted {
-		if g.mayAnnounce(part, time.Now()) {
-			g.announceProof(part)
+	for _, fingerprint := range refuted {
+		if g.mayAnnounce(fingerprint, time.Now()) {
+			g.announceProof(fingerprint)
 		}
 	}
 }
 
 // mayAnnounce reports whether a proof may be announced again. Many routers send evidence that it refutes.
-func (g *partGuard) mayAnnounce(part poison.Part, now time.Time) bool {
+func (g *poisonGuard) mayAnnounce(fingerprint poison.Fingerprint, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Sub(g.announced[part]) < announceInterval {
+	if now.Sub(g.announced[fingerprint]) < announceInterval {
 		return false
 	}
 	if len(g.announced) >= maxAnnounced {
 		clear(g.announced)
 	}
-	g.announced[part] = now
+	g.announced[fingerprint] = now
 	return true
 }
 
 // gossip sends the recent evidence to a few random routers.
-func (g *partGuard) gossip() {
+func (g *poisonGuard) gossip() {
 	recent := g.guard.Recent()
 	if len(recent) == 0 {
 		return
@@ -166,14 +183,14 @@
 	g.send(recent, others[:min(len(others), evidenceFanout)]...)
 }
 
-func (g *partGuard) send(parts []poison.PartEvidence, to ...netip.AddrPort) {
-	for _, message := range poison.Split(g.node.settings.Router, parts) {
+func (g *poisonGuard) send(fingerprints []poison.FingerprintEvidence, to ...netip.AddrPort) {
+	for _, message := range poison.Split(g.node.settings.Router, fingerprints) {
 		g.node.send(message, to...)
 	}
 }
 
 // others returns the addresses of all other routers with an entry in the store.
-func (g *partGuard) others() []netip.AddrPort {
+func (g *poisonGuard) others() []netip.AddrPort {
 	registered := g.node.routers.Load()
 	if registered == nil {
 		return nil
@@ -188,13 +205,13 @@
 	return list
 }
 
-// owner returns the address of the router that grants the trials of a part. It returns false if that is this router.
-func (g *partGuard) owner(part poison.Part) (netip.AddrPort, bool) {
+// owner returns the address of the router that grants the trials of a fingerprint. It returns false if that is this router.
+func (g *poisonGuard) owner(fingerprint poison.Fingerprint) (netip.AddrPort, bool) {
 	ids := []ident.RouterID{ident.RouterID(g.node.settings.Router)}
 	for _, p := range g.node.peers.Live(time.Now()) {
 		ids = append(ids, ident.RouterID(p.Router))
 	}
-	owner := string(ownership.Top(partOwnerKey+part.String(), ids, 1)[0])
+	owner := string(ownership.Top(suspectOwnerKey+fingerprint.String(), ids, 1)[0])
 	registered := g.node.routers.Load()
 	if owner == g.node.settings.Router || registered == nil {
 		return netip.AddrPort{}, false
@@ -204,37 +221,45 @@
 }
 
 // Acquire implements poison.Trials.
-func (g *partGuard) Acquire(ctx context.Context, team string, part poison.Part) bool {
-	router := g.node.settings.Router
-	address, other := g.owner(part)
-	if !other {
-		return g.countTrial(g.guard.GrantTrial(router, team, part), true)
-	}
-	answer, ok := g.calls.Call(ctx, address.String(), func(id uint64) {
-		g.node.send(poison.TrialRequest{ID: id, Router: router, Team: team, Part: part}, address)
-	})
-	return g.countTrial(answer.Granted, ok)
+func (g *poisonGuard) Acquire(ctx context.Context, team string, fingerprint poison.Fingerprint) poison.Answer {
+	answer := g.askForTrial(ctx, team, fingerprint)
+	g.trials.WithLabelValues(trialOutcomes[answer]).Inc()
+	return answer
 }
 
-// countTrial counts a request for a trial and reports whether it was granted.
-func (g *partGuard) countTrial(granted, answered bool) bool {
-	outcome := "granted"
-	switch {
-	case !answered:
-		outcome = "unanswered"
-	case !granted:
-		outcome = "denied"
+// trialOutcomes are the values of the label of the trials metric.
+var trialOutcomes = [...]string{
+	poison.Unanswered: "unanswered", poison.Denied: "denied", poison.Granted: "granted",
+}
+
+// askForTrial asks the owner of a fingerprint for a trial.
+func (g *poisonGuard) askForTrial(ctx context.Context, team string, fingerprint poison.Fingerprint) poison.Answer {
+	router := g.node.settings.Router
+	address, other := g.owner(fingerprint)
+	granted := false
+	if other {
+		answer, ok := g.calls.Call(ctx, address.String(), func(id uint64) {
+			g.node.send(poison.TrialRequest{ID: id, Router: router, Team: team, Fingerprint: fingerprint}, address)
+		})
+		if !ok {
+			return poison.Unanswered
+		}
+		granted = answer.Granted
+	} else {
+		granted = g.guard.GrantTrial(router, team, fingerprint)
+	}
+	if granted {
+		return poison.Granted
 	}
-	g.trials.WithLabelValues(outcome).Inc()
-	return answered && granted
+	return poison.Denied
 }
 
 // Release implements poison.Trials.
-func (g *partGuard) Release(part poison.Part) {
+func (g *poisonGuard) Release(fingerprint poison.Fingerprint, sent bool) {
 	router := g.node.settings.Router
-	if address, other := g.owner(part); other {
-		g.node.send(poison.TrialEnd{Router: router, Part: part}, address)
+	if address, other := g.owner(fingerprint); other {
+		g.node.send(poison.TrialEnd{Router: router, Fingerprint: fingerprint, Sent: sent}, address)
 		return
 	}
-	g.guard.EndTrial(router, part)
+	g.guard.EndTrial(router, fingerprint, sent)
 }
--- a/internal/daemon/gateway/poison_test.go
+++ b/internal/daemon/gateway/poison_test.go
@@ -222,15 +222,15 @@
 	for _, n := range f.nodes {
 		client := adminhttp.NewClient(n.peerAddress(metricsPortOffset), "")
 		clients = append(clients, client)
-		g.Eventually(func() ([]admin.Part, error) { return client.Parts(t.Context()) }, "2s").Should(ContainElement(And(
-			HaveField("ID", poisonPart), HaveField("State", admin.PartBlocked), HaveField("Teams", []string{"farm"}),
+		g.Eventually(func() ([]admin.Suspect, error) { return client.Suspects(t.Context()) }, "2s").Should(ContainElement(And(
+			HaveField("ID", poisonPart), HaveField("State", admin.SuspectBlocked), HaveField("Teams", []string{"farm"}),
 			HaveField("Crashes", BeNumerically(">=", 3)))))
 	}
-	g.Expect(clients[0].LiftPart(t.Context(), "xyz")).To(MatchError(ContainSubstring("400")))
-	g.Expect(clients[0].LiftPart(t.Context(), "fff")).To(MatchError(ContainSubstring("404")))
-	g.Expect(clients[0].LiftPart(t.Context(), poisonPart)).To(Succeed())
+	g.Expect(clients[0].LiftSuspect(t.Context(), "xyz")).To(MatchError(ContainSubstring("400")))
+	g.Expect(clients[0].LiftSuspect(t.Context(), "fff")).To(MatchError(ContainSubstring("404")))
+	g.Expect(clients[0].LiftSuspect(t.Context(), poisonPart)).To(Succeed())
 	for _, client := range clients {
-		g.Eventually(func() ([]admin.Part, error) { return client.Parts(t.Context()) }, "2s").ShouldNot(
+		g.Eventually(func() ([]admin.Suspect, error) { return client.Suspects(t.Context()) }, "2s").ShouldNot(
 			ContainElement(HaveField("ID", poisonPart)))
 	}
 }
--- a/internal/transport/adminhttp/client.go
+++ b/internal/transport/adminhttp/client.go
@@ -149,12 +149,12 @@
 	return statusErr
 }
 
-// Parts returns the parts of prompts that a router on the users' platform suspects or blocks. The client's router is the
-// metrics address.
-func (c *Client) Parts(ctx context.Context) ([]admin.Part, error) {
-	var parts []admin.Part
-	err := c.call(ctx, http.MethodGet, admin.PathParts, nil, &parts)
-	return parts, err
+// Suspects returns the parts of prompts and the requests that a router on the users' platform suspects or blocks. The
+// client's router is the metrics address.
+func (c *Client) Suspects(ctx context.Context) ([]admin.Suspect, error) {
+	var suspects []admin.Suspect
+	err := c.call(ctx, http.MethodGet, admin.PathSuspects, nil, &suspects)
+	return suspects, err
 }
 
 // Limits returns the limits of requests a second that backend servers name, as a router on the users' platform knows them.
@@ -165,8 +165,8 @@
 	return limits, err
 }
 
-// LiftPart ends the suspicion of a part on all routers. Errors: a *StatusError with status 400 for an ID that is not
-// valid, 404 for a part that is not suspected.
-func (c *Client) LiftPart(ctx context.Context, id string) error {
-	return c.call(ctx, http.MethodDelete, admin.PathParts+"/"+url.PathEscape(id), nil, &struct{}{})
+// LiftSuspect ends the suspicion of a part or a request on all routers. Errors: a *StatusError with status 400 for an ID
+// that is not valid, 404 for one that is not suspected.
+func (c *Client) LiftSuspect(ctx context.Context, id string) error {
+	return c.call(ctx, http.MethodDelete, admin.PathSuspects+"/"+url.PathEscape(id), nil, &struct{}{})
 }
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -57,9 +57,9 @@
 	ahead *part
 	// failureResponse is a response with a status of 500 or above.
 	failureResponse *bufferedResponse
-	// tracked is the attempt as evidence about the parts of the prompt.
+	// tracked is the attempt as evidence about the request.
 	tracked *poison.Attempt
-	// trial is the right to make the attempt although a part is suspected, or nil.
+	// trial is the right to make the attempt although the request is suspected, or nil.
 	trial *poison.Trial
 	// crashed is set if the attempt was lost because its server has ended.
 	crashed bool
@@ -100,7 +100,7 @@
 
 // open sends the request and reads the header of the response. It returns 0 if the server runs the request.
 func (a *attempt) open() sendResult {
-	a.tracked = a.x.g.opts.Poison.Begin(a.decision.Server, a.x.team, a.x.parts)
+	a.tracked = a.x.g.opts.Poison.Begin(a.decision.Server, a.x.poison)
 	resp, err := a.x.g.opts.Pool.Do(a.ctx, a.upstreamRequest())
 	if err != nil {
 		return a.handleNoResponse(err)
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -29,7 +29,7 @@
 	}
 	x.g.opts.Admission.RecordEvent(a.ticket)
 	if a.tracked.Event() {
-		x.partsProven.Store(true)
+		x.proven.Store(true)
 	}
 	x.writeStreamHeader(a)
 	x.stream.sequence = a.position.sequence
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -51,11 +51,11 @@
 	body     []byte
 	deadline time.Time
 
-	// parts are the shared parts of the prompt of a request to a model engine.
-	parts []poison.Part
-	// partsProven is set once a response has shown that none of them crashes servers.
-	partsProven atomic.Bool
-	// trial is the right to send the request although a part is suspected of that, or nil.
+	// poison is the request as a possible cause of crashes. It is nil until the body has been read.
+	poison *poison.Request
+	// proven is set once a response has shown that the request does not crash servers.
+	proven atomic.Bool
+	// trial is the right to send the request although it is suspected of that, or nil.
 	trial *poison.Trial
 
 	sends sends
@@ -104,9 +104,7 @@
 	}
 	ctx, cancel := withDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	if x.service.Engine != nil {
-		x.parts = partIDs(x.metadata.Parts)
-	}
+	x.poison = x.newPoisonRequest()
 	x.g.opts.RetryBudget.Deposit(time.Now(), x.service.Name)
 	x.sendWithRetries(ctx)
 }
@@ -185,7 +183,7 @@
 func (x *exchange) sendWithRetries(ctx context.Context) {
 	defer func() { x.trial.End() }()
 	for {
-		if !x.permitParts(ctx) {
+		if !x.permitSuspect(ctx) {
 			return
 		}
 		request := x.admissionRequest()
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -133,20 +133,25 @@
 // localTrials grants every trial.
 type localTrials struct{}
 
-func (localTrials) Acquire(context.Context, string, poison.Part) bool { return true }
+func (localTrials) Acquire(context.Context, string, poison.Fingerprint) poison.Answer {
+	return poison.Granted
+}
 
-func (localTrials) Release(poison.Part) {}
+func (localTrials) Release(poison.Fingerprint, bool) {}
 
 // newTestGuard returns a guard of a router without others.
 func newTestGuard(pool *upstream.Pool) *poison.Guard {
 	return poison.NewGuard(poison.Options{
 		Clock: freshness.BootTime,
-		Ended: func(ctx context.Context, server *backends.Server) bool {
-			return pool.Refuses(ctx, server.Key(), server.Address)
+		Probe: func(ctx context.Context, server *backends.Server) poison.ServerState {
+			if pool.Probe(ctx, server.Key(), server.Address) == upstream.PortRefusing {
+				return poison.ServerEnded
+			}
+			return poison.ServerAlive
 		},
 		Trials:    localTrials{},
-		OnCrash:   func(*backends.Server, int, []poison.Part) {},
-		OnCleared: func([]poison.Part) {},
+		OnCrash:   func(*backends.Server, int, []poison.Fingerprint) {},
+		OnCleared: func([]poison.Fingerprint) {},
 	})
 }
 
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// admitSubstitute prepares a substitute if the parts of the prompt, the number of attempts, the retry budget and the
+// admitSubstitute prepares a substitute if the evidence about the request, the number of attempts, the retry budget and the
 // admission controller permit one. Otherwise it returns nil. It also returns nil while another substitute waits for its
 // admission.
 func (x *exchange) admitSubstitute(ctx context.Context, at position) *attempt {
@@ -117,7 +117,7 @@
 		return nil
 	}
 	defer x.admitting.Unlock()
-	if x.checkParts().State != poison.Clear {
+	if x.verdict().State != poison.Clear {
 		return nil
 	}
 	if !x.sends.mayRunAgain(x.route.MaxAttempts) || !x.g.opts.RetryBudget.Available(time.Now(), x.service.Name) {
--- a/internal/transport/gateway/log.go
+++ b/internal/transport/gateway/log.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
 
@@ -26,10 +25,10 @@
 
 // fingerprintField is the log field with the fingerprint of the request. Equal requests have the same one.
 func (x *exchange) fingerprintField() zap.Field {
-	identity := poison.RequestIdentity{
-		Team: x.team, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Prompt: x.metadata.Parts, Body: x.body,
+	if x.poison == nil {
+		return zap.Skip()
 	}
-	return zap.Stringer("fingerprint", identity.Fingerprint())
+	return zap.Stringer("fingerprint", x.poison.Fingerprint())
 }
 
 // log logs an outcome or a decision with the fields of the request and of its current attempt.
--- a/internal/transport/gateway/retry.go
+++ b/internal/transport/gateway/retry.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 )
 
 // mayRetry reports whether the request may be sent again after a failed send. If so, it charges the retry to the
@@ -27,6 +25,8 @@
 	denialBudget retryDenial = "retry-budget"
 	// denialPart means that a part of the prompt is suspected of crashing servers, or blocked for it.
 	denialPart retryDenial = "suspected-part"
+	// denialRequest means the same of the request as a whole. A suspected one is sent again only as a trial.
+	denialRequest retryDenial = "suspected-request"
 	// denialNoServer means that the admission controller chose no further server.
 	denialNoServer retryDenial = "no-server"
 )
@@ -43,8 +43,8 @@
 		return denialRoute
 	case result.mayHaveRun() && possibleRuns >= x.route.MaxAttempts:
 		return denialAttempts
-	case result.mayHaveRun() && x.checkParts().State != poison.Clear:
-		return denialPart
+	case result.mayHaveRun() && !mayRepeat(x.verdict()):
+		return suspectDenial(x.verdict())
 	case !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name):
 		return denialBudget
 	}
