platform, discovery: Decode entries of servers and routers strictly, and parse router addresses once

A server whose entry cannot be decoded is dropped until it writes it again; a router keeps its earlier entry, which it writes only once. What is refused is counted and logged once a minute for each key.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -38,7 +39,8 @@
 }
 
 func (s testSchema) DecodeRouter(key string, value []byte) (Router, error) {
-	return Router{ID: s.RouterID(key), PeerAddress: string(value)}, nil
+	address, err := netip.ParseAddrPort(string(value))
+	return Router{ID: s.RouterID(key), PeerAddress: address}, err
 }
 
 // testFollower is a running follower of a fake store, with the state that it maintains.
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 type Router struct {
 	ID string
 	// PeerAddress is the address that receives datagrams of other routers.
-	PeerAddress string
+	PeerAddress netip.AddrPort
 	// Incarnation differs between the starts of a router.
 	Incarnation uint64
 }
@@ -46,6 +47,8 @@
 	OnServers func(*backends.Set)
 	// OnConfig is called with a configuration that came into force. Optional.
 	OnConfig func(*routing.Table)
+	// OnInvalid is called for each value of an entry that cannot be decoded. Optional.
+	OnInvalid func()
 }
 
 // State holds the decoded content of the store: backend servers, routers and configuration. It implements Sink.
@@ -64,8 +67,18 @@
 	// revisions holds the revision of each entry of a server or router by key. Older changes of a key are ignored, since
 	// pages of a listing may be older than changes that follow.
 	revisions map[string]kv.Revision
+	// invalidLogged holds when an entry that cannot be decoded was last logged, by key.
+	invalidLogged map[string]time.Time
 }
 
+const (
+	// invalidLogInterval is the shortest time between two log lines about an entry that cannot be decoded. A writer may
+	// write it again and again.
+	invalidLogInterval = time.Minute
+	// maxInvalidLogged bounds the entries for which it is kept.
+	maxInvalidLogged = 256
+)
+
 var _ Sink = (*State)(nil)
 
 // NewState returns an empty state.
@@ -79,6 +92,9 @@
 	if opts.OnConfig == nil {
 		opts.OnConfig = func(*routing.Table) {}
 	}
+	if opts.OnInvalid == nil {
+		opts.OnInvalid = func() {}
+	}
 	return &State{
 		opts:      opts,
 		servers:   make(map[string]*backends.Server),
@@ -88,6 +104,7 @@
 
 		expiringRouters: make(map[string]time.Time),
 		departed:        make(map[string]departure),
+		invalidLogged:   make(map[string]time.Time),
 	}
 }
 
@@ -211,7 +228,7 @@
 	case schema.IsServer(e.Key):
 		return s.applyServer(e, now)
 	case schema.IsRouter(e.Key):
-		return s.applyRouter(e)
+		return s.applyRouter(e, now)
 	default:
 		return false
 	}
@@ -232,12 +249,13 @@
 	s.opts.OnConfig(table)
 }
 
+// applyServer applies a server's entry. One that cannot be decoded names no server to use, so the server is dropped until
+// it writes its entry again.
 func (s *State) applyServer(e kv.Entry, now time.Time) bool {
 	s.revisions[e.Key] = e.Revision
 	server, err := s.opts.Schema.DecodeServer(e.Key, e.Value)
 	if err != nil {
-		s.opts.Log.Warn("cannot decode entry of a backend server", logfield.Error(err),
-			zap.Int64("revision", int64(e.Revision)))
+		s.recordInvalid("cannot decode entry of a backend server", e, err, now)
 		return s.dropServer(s.opts.Schema.ServerID(e.Key), now)
 	}
 	previous := s.servers[server.ID]
@@ -255,11 +273,26 @@
 	return previous == nil || *previous != *server
 }
 
-func (s *State) applyRouter(e kv.Entry) bool {
+// recordInvalid counts an entry that cannot be decoded, and logs it unless that was done lately.
+func (s *State) recordInvalid(message string, e kv.Entry, err error, now time.Time) {
+	s.opts.OnInvalid()
+	if now.Sub(s.invalidLogged[e.Key]) < invalidLogInterval {
+		return
+	}
+	if len(s.invalidLogged) >= maxInvalidLogged {
+		clear(s.invalidLogged)
+	}
+	s.invalidLogged[e.Key] = now
+	s.opts.Log.Warn(message, logfield.Error(err), zap.Int64("revision", int64(e.Revision)))
+}
+
+// applyRouter applies a router's entry. One that cannot be decoded leaves the router with its earlier entry: the router
+// writes an entry once, and its lease tells when it has ended.
+func (s *State) applyRouter(e kv.Entry, now time.Time) bool {
 	s.revisions[e.Key] = e.Revision
 	router, err := s.opts.Schema.DecodeRouter(e.Key, e.Value)
 	if err != nil {
-		s.opts.Log.Warn("cannot decode entry of a router", logfield.Error(err))
+		s.recordInvalid("cannot decode entry of a router", e, err, now)
 		return false
 	}
 	delete(s.expiringRouters, router.ID)
--- a/internal/daemon/gateway/limits.go
+++ b/internal/daemon/gateway/limits.go
@@ -182,9 +182,8 @@
 	}
 	var list []netip.AddrPort
 	for id, r := range *registered {
-		address, err := netip.ParseAddrPort(r.PeerAddress)
-		if id != e.node.settings.Router && err == nil && (needed == nil || needed[id] || e.isInformed(now, address)) {
-			list = append(list, address)
+		if id != e.node.settings.Router && (needed == nil || needed[id] || e.isInformed(now, r.PeerAddress)) {
+			list = append(list, r.PeerAddress)
 		}
 	}
 	return list
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -153,7 +153,11 @@
 	storeCalls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gooseberrytide_store_calls_total", Help: "Calls of the platform's store, by kind.",
 	}, []string{"kind"})
-	n.registry.MustRegister(connectionsOpened, storeCalls)
+	invalidEntries := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "gooseberrytide_invalid_entries_total",
+		Help: "Values of entries of backend servers and routers in the store that could not be decoded.",
+	})
+	n.registry.MustRegister(connectionsOpened, storeCalls, invalidEntries)
 	n.pool = upstream.New(upstream.Options{OnConnect: connectionsOpened.Inc})
 	n.budget = retry.NewWindowBudget(settings.Bounds.RetryWindow)
 	n.applyBounds(settings.Bounds)
@@ -192,6 +196,7 @@
 			OnRouters: func(list map[string]discovery.Router) { n.routers.Store(&list) },
 			OnServers: n.onServers,
 			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
+			OnInvalid: invalidEntries.Inc,
 		}),
 	})
 	n.offload = newOffloader(n)
--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -168,12 +168,8 @@
 		if !ok || p.ConfigVersion < table.Version {
 			continue
 		}
-		address, ok := offloadAddress(router.PeerAddress)
-		if !ok {
-			continue
-		}
 		c := candidate(p, n.settings.FailureDomain)
-		c.OffloadAddress = address
+		c.OffloadAddress = offloadAddress(router.PeerAddress)
 		list = append(list, c)
 	}
 	return list
@@ -188,10 +184,6 @@
 }
 
 // offloadAddress returns the address for forwarded connections of the router with a peer address.
-func offloadAddress(peerAddress string) (string, bool) {
-	address, err := netip.ParseAddrPort(peerAddress)
-	if err != nil {
-		return "", false
-	}
-	return netip.AddrPortFrom(address.Addr(), address.Port()+offloadPortOffset).String(), true
+func offloadAddress(peer netip.AddrPort) string {
+	return netip.AddrPortFrom(peer.Addr(), peer.Port()+offloadPortOffset).String()
 }
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -336,8 +336,8 @@
 		if registered == nil || c.Router == o.node.settings.Router {
 			continue
 		}
-		if address, err := netip.ParseAddrPort((*registered)[c.Router].PeerAddress); err == nil {
-			table.addresses[c.Router] = address
+		if router, ok := (*registered)[c.Router]; ok {
+			table.addresses[c.Router] = router.PeerAddress
 		}
 	}
 	for server, owner := range table.owner {
--- a/internal/daemon/gateway/poison.go
+++ b/internal/daemon/gateway/poison.go
@@ -197,9 +197,8 @@
 	}
 	var list []netip.AddrPort
 	for id, r := range *registered {
-		address, err := netip.ParseAddrPort(r.PeerAddress)
-		if id != g.node.settings.Router && err == nil {
-			list = append(list, address)
+		if id != g.node.settings.Router {
+			list = append(list, r.PeerAddress)
 		}
 	}
 	return list
@@ -216,8 +215,8 @@
 	if owner == g.node.settings.Router || registered == nil {
 		return netip.AddrPort{}, false
 	}
-	address, err := netip.ParseAddrPort((*registered)[owner].PeerAddress)
-	return address, err == nil
+	router, ok := (*registered)[owner]
+	return router.PeerAddress, ok
 }
 
 // Acquire implements poison.Trials.
--- a/internal/daemon/gateway/readers.go
+++ b/internal/daemon/gateway/readers.go
@@ -47,7 +47,7 @@
 			return nil
 		}
 		if router, ok := (*registered)[string(id)]; ok {
-			addresses = append(addresses, router.PeerAddress)
+			addresses = append(addresses, router.PeerAddress.String())
 		}
 	}
 	return addresses
--- a/internal/daemon/gateway/register.go
+++ b/internal/daemon/gateway/register.go
@@ -95,7 +95,7 @@
 	}
 	key, value, err := platform.EncodeRouter(discovery.Router{
 		ID:          n.settings.Router,
-		PeerAddress: netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort)).String(),
+		PeerAddress: netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort)),
 		Incarnation: n.incarnation,
 	})
 	if err != nil {
--- a/internal/daemon/gateway/reporter.go
+++ b/internal/daemon/gateway/reporter.go
@@ -232,9 +232,8 @@
 	}
 	others := make([]otherRouter, 0, len(*registered))
 	for id, r := range *registered {
-		address, err := netip.ParseAddrPort(r.PeerAddress)
-		if id != s.node.settings.Router && err == nil {
-			others = append(others, otherRouter{id: id, incarnation: r.Incarnation, address: address})
+		if id != s.node.settings.Router {
+			others = append(others, otherRouter{id: id, incarnation: r.Incarnation, address: r.PeerAddress})
 		}
 	}
 	s.others, s.registered = others, registered
--- a/internal/daemon/gateway/reporter_test.go
+++ b/internal/daemon/gateway/reporter_test.go
@@ -69,7 +69,7 @@
 	number := len(f.registered) + 1
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(number >> 8), byte(number)}), 7000)
 	if known, ok := f.registered[name]; ok {
-		address = netip.MustParseAddrPort(known.PeerAddress)
+		address = known.PeerAddress
 	}
 	settings := &platform.Settings{
 		Router: name, FailureDomain: "a", IP: address.Addr(), PeerPort: int(address.Port()), MemoryBytes: 1 << 28, Cores: cores,
@@ -80,7 +80,7 @@
 	n.runQueueDelay = noDelay{}
 	n.transmit = func(to netip.AddrPort, data []byte) { f.deliver(address, to, data) }
 	f.nodes[name] = n
-	f.registered[name] = discovery.Router{ID: name, PeerAddress: address.String(), Incarnation: n.incarnation}
+	f.registered[name] = discovery.Router{ID: name, PeerAddress: address, Incarnation: n.incarnation}
 	f.mu.Lock()
 	f.byAddress[address] = n
 	f.mu.Unlock()
@@ -128,7 +128,7 @@
 func (f *reportFleet) kill(name string) {
 	f.stop[name]()
 	f.mu.Lock()
-	delete(f.byAddress, netip.MustParseAddrPort(f.registered[name].PeerAddress))
+	delete(f.byAddress, f.registered[name].PeerAddress)
 	f.mu.Unlock()
 	delete(f.nodes, name)
 }
