gateway: Take no refusal without a name for that of the request on a reused connection

Other operators saw clients told 'not run' for calls that a server had run, because a faulty server had written a refusal once more on a kept connection. A refusal of a call on another connection, written without a name on a kept one, was taken for that of the next call, which then was refused though it ran, or ran at a second server.

On a reused connection such a refusal now says nothing: the call may have run. Its Retry-After is not believed either.

TestRefusalOfAnotherCallOnAKeptConnection failed before for each refusal without a name.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -31,6 +31,10 @@
 // errUnsigned reports a response without the server's signature.
 var errUnsigned = errors.New("response lacks the server's signature")
 
+// errUnnamedRefusal reports a refusal that does not name its request, on a connection that was used before. It may be that of
+// an earlier request.
+var errUnnamedRefusal = errors.New("refusal on a reused connection does not name its request")
+
 // attempt is one send of the request to a server, and the response. One goroutine uses it at a time.
 type attempt struct {
 	x        *exchange
@@ -107,6 +111,10 @@
 	}
 	a.resp = resp
 	a.metadata = platform.DecodeResponse(resp.StatusCode, resp.Header)
+	if a.metadata.NotExecuted && a.metadata.ID == "" && resp.Reused() {
+		a.err = errUnnamedRefusal
+		return sendBroken
+	}
 	a.recordAnnouncement()
 	if a.metadata.Leaving || a.metadata.ID == "" {
 		// A late copy of a response that does not name its request would be taken for the response to the next one.
--- a/internal/transport/gateway/latecopy_test.go
+++ b/internal/transport/gateway/latecopy_test.go
@@ -76,3 +76,79 @@
 	}, "2s", "100ms").Should(Equal(http.StatusOK))
 	g.Expect(server.requests.Load()).To(BeEquivalentTo(2), "the second call ran and was answered")
 }
+
+// strayServer answers each request after the first one on a connection with a stray response and then with its own. It runs
+// every request.
+type strayServer struct {
+	net.Listener
+	stray string
+	runs  atomic.Int32
+}
+
+func startStrayServer(t *testing.T, stray string) *strayServer {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &strayServer{Listener: listener, stray: stray}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *strayServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.runs.Add(1)
+		if n > 0 {
+			_, _ = io.WriteString(conn, s.stray)
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+			r.Header.Get("Attempt-Id"))
+	}
+}
+
+// Guards against a caller that is told that its call has not run, or a call that runs at a second server, because a faulty
+// server has written a refusal of another call once more on a connection that was kept.
+func TestRefusalOfAnotherCallOnAKeptConnection(t *testing.T) {
+	for _, head := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "400 Bad Request"} {
+		for _, name := range []string{"", "Attempt-Id: another\r\n"} {
+			t.Run(fmt.Sprintf("%s %q", head, name), func(t *testing.T) {
+				g := NewWithT(t)
+				stray := "HTTP/1.1 " + head + "\r\n" + name + "Not-Executed: 1\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n"
+				first, second := startStrayServer(t, stray), startStrayServer(t, stray)
+				h := newGatewayHarness(t, []string{first.Addr().String(), second.Addr().String()})
+				runs := func() int32 { return first.runs.Load() + second.runs.Load() }
+				for i := range 8 {
+					before := runs()
+					response := h.do(h.request(http.MethodPost, "/callout/x", fmt.Sprint("a", i), "body"))
+					if response.status == http.StatusServiceUnavailable {
+						g.Expect(runs()).To(Equal(before), "both servers are ejected, and it has not run")
+						continue
+					}
+					g.Expect(runs()).To(Equal(before+1), "it runs once")
+					want := []int{http.StatusOK}
+					if name == "" {
+						want = append(want, http.StatusBadGateway)
+					}
+					g.Expect(want).To(ContainElement(response.status))
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -269,6 +269,9 @@
 	return n, r.conn.guard.classify(err)
 }
 
+// Reused reports whether the connection had carried other requests before.
+func (r *Response) Reused() bool { return r.conn.reused }
+
 // DisableReuse makes Close close the connection.
 func (r *Response) DisableReuse() { r.idleTimeout = 0 }
 
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -272,12 +272,14 @@
 		w.Header().Set("Instance-Incarnation", strconv.Itoa(incarnation))
 	}
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != e.ID {
+		w.Header().Set("Attempt-Id", attempt)
 		w.Header().Set("Instance-Id", e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if mode == Full || retryAfter != "" {
 		e.nameLimit(w.Header())
+		w.Header().Set("Attempt-Id", attempt)
 		w.Header().Set("Not-Executed", "1")
 		if retryAfter != "" {
 			w.Header().Set("Retry-After", retryAfter)
