gateway: Do not pass on a continued stream that begins with something else than its events

Other operators saw the text of an error in the middle of streams. The first event of a continued stream needs one now, unless it is a comment.

--- a/internal/protocol/eventstream/reader.go
+++ b/internal/protocol/eventstream/reader.go
@@ -24,6 +24,8 @@
 	ErrTruncated = errors.New("eventstream: stream ends within an event")
 	// ErrTooLarge reports an event that exceeds maxEventBytes.
 	ErrTooLarge = errors.New("eventstream: event too large")
+	// ErrNoID reports a continued stream that does not begin with an event with an ID.
+	ErrNoID = errors.New("eventstream: first event of a continued stream has no ID")
 	// ErrGap reports an event whose ID is not the previous ID plus one.
 	ErrGap = errors.New("eventstream: event IDs are not consecutive")
 )
@@ -35,6 +37,8 @@
 	// ID is the event's ID. HasID reports whether the event has an ID that is a number.
 	ID    int64
 	HasID bool
+	// HasFields is set if the event does not consist of comments only.
+	HasFields bool
 }
 
 // Reader reads whole events from a stream.
@@ -72,6 +76,9 @@
 			e.Raw = r.buf
 			return e, nil
 		}
+		if line[0] != ':' {
+			e.HasFields = true
+		}
 		if id, ok := parseID(line); ok {
 			e.ID, e.HasID = id, true
 		}
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -234,6 +234,8 @@
 		err = errNoEvents
 	case err == io.EOF:
 		return part{end: true}, 0
+	case err == nil && a.position.started && !a.responded && event.HasFields && !event.HasID:
+		err = eventstream.ErrNoID // something else than the rest of the stream
 	case err == nil:
 		err = a.position.sequence.Check(event)
 	}
