poison: Try sound requests before poisonous ones, and end the check of killed processes in the soak at their restart

A request that holds no other suspect with several crashes separates the part from others: it does not wait for another request's proof, nor for the pause that doubles. The asking router says so.

A kill now lasts until the restart.

--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -52,6 +52,9 @@
 	Fingerprint Fingerprint
 	// PartSuspected is set if a part of the prompt is suspected or blocked, whether it has decided or not.
 	PartSuspected bool
+	// Alone is set if no other fingerprint of the request has severalCrashes, so that a trial of the request says much about
+	// this one.
+	Alone bool
 	// Crashes is the number of crashes that count against the fingerprint, Servers the servers that ended, Since the time since
 	// the first crash.
 	Crashes int
@@ -124,6 +127,10 @@
 		}
 	}
 	worst.PartSuspected = partSuspected
+	worst.Alone = !slices.ContainsFunc(fingerprints, func(f Fingerprint) bool {
+		s := d.suspects[f]
+		return f != worst.Fingerprint && s != nil && len(s.crashes) >= severalCrashes
+	})
 	return worst
 }
 
@@ -382,14 +389,14 @@
 		return false
 	}
 	s.lastProof = max(s.lastProof, at)
-	severalCrashes := len(s.crashes) > 1
+	several := len(s.crashes) >= severalCrashes
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.at <= at+proofWindow })
 	if len(s.crashes) > 0 {
 		return false
 	}
 	delete(d.suspects, fingerprint)
 	delete(d.trials, fingerprint)
-	if severalCrashes {
+	if several {
 		d.lifted[fingerprint] = at
 	}
 	return true
--- a/internal/coordination/poison/evidence.go
+++ b/internal/coordination/poison/evidence.go
@@ -20,6 +20,8 @@
 	sameIncarnation = 5 * time.Second
 	// minCrashes is the number of crashes after which a fingerprint is blocked. A fingerprint that was proven before needs one more.
 	minCrashes = 3
+	// severalCrashes is the number of crashes from which on chance is an unlikely explanation.
+	severalCrashes = 2
 	// manyCrashes is the number of crashes that count although nothing else is proven at the service or other fingerprints may be
 	// the cause, and manyMoments the number of moments that count although all were at one address.
 	manyCrashes = 5
@@ -130,7 +132,7 @@
 func (s *suspect) provenBefore() bool { return s.crashes[0].at-s.lastProof <= soundWindow }
 
 // suspected reports whether requests with the fingerprint are sent as trials only.
-func (s *suspect) suspected() bool { return len(s.crashes) > 1 || !s.provenBefore() }
+func (s *suspect) suspected() bool { return len(s.crashes) >= severalCrashes || !s.provenBefore() }
 
 // moments returns the number of moments at which servers ended. Crashes are sorted by time.
 func moments(crashes []crash) int {
--- a/internal/coordination/poison/guard.go
+++ b/internal/coordination/poison/guard.go
@@ -40,7 +40,7 @@
 // Trials grants trials of suspected fingerprints over the whole fleet.
 type Trials interface {
 	// Acquire asks for a trial of a fingerprint.
-	Acquire(ctx context.Context, team string, fingerprint Fingerprint) Answer
+	Acquire(ctx context.Context, ask Ask) Answer
 	// Release ends a trial that was granted. sent is set if the request was sent.
 	Release(fingerprint Fingerprint, sent bool)
 }
@@ -346,9 +346,10 @@
 // acquire asks for a trial. It returns nil if there is none.
 func (g *Guard) acquire(ctx context.Context, r *Request, v Verdict) *Trial {
 	asked := g.opts.Clock()
-	answer := g.opts.Trials.Acquire(ctx, r.identity.Team, v.Fingerprint)
+	ask := Ask{Team: r.identity.Team, Fingerprint: v.Fingerprint, Alone: v.Alone}
+	answer := g.opts.Trials.Acquire(ctx, ask)
 	// One crash says little, so the loss of the router that grants the trials does not keep the request from other servers.
-	local := answer == Unanswered && v.Crashes == 1 && g.GrantTrial("", r.identity.Team, v.Fingerprint)
+	local := answer == Unanswered && v.Crashes == 1 && g.GrantTrial("", ask)
 	if answer != Granted && !local {
 		return nil
 	}
@@ -387,10 +388,10 @@
 }
 
 // GrantTrial grants a trial as the owner of a fingerprint.
-func (g *Guard) GrantTrial(router, team string, fingerprint Fingerprint) bool {
+func (g *Guard) GrantTrial(router string, ask Ask) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.GrantTrial(g.opts.Clock(), router, team, fingerprint)
+	return g.detector.GrantTrial(g.opts.Clock(), router, ask)
 }
 
 // EndTrial ends a router's trial as the owner of a fingerprint. sent is set if the request was sent.
--- a/internal/coordination/poison/message.go
+++ b/internal/coordination/poison/message.go
@@ -45,11 +45,10 @@
 
 // TrialRequest asks the owner of a fingerprint for the next trial.
 type TrialRequest struct {
-	_           struct{} `cbor:",toarray"`
-	ID          uint64
-	Router      string
-	Team        string
-	Fingerprint Fingerprint
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Router string
+	Ask    Ask
 }
 
 // TrialAnswer answers a TrialRequest.
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -419,7 +419,7 @@
 	case poison.Evidence:
 		n.poison.handleEvidence(m, from)
 	case poison.TrialRequest:
-		n.send(poison.TrialAnswer{ID: m.ID, Granted: n.poison.guard.GrantTrial(m.Router, m.Team, m.Fingerprint)}, from)
+		n.send(poison.TrialAnswer{ID: m.ID, Granted: n.poison.guard.GrantTrial(m.Router, m.Ask)}, from)
 	case poison.TrialAnswer:
 		n.poison.calls.Resolve(m.ID, m)
 	case poison.TrialEnd:
--- a/internal/daemon/gateway/poison.go
+++ b/internal/daemon/gateway/poison.go
@@ -220,8 +220,8 @@
 }
 
 // Acquire implements poison.Trials.
-func (g *poisonGuard) Acquire(ctx context.Context, team string, fingerprint poison.Fingerprint) poison.Answer {
-	answer := g.askForTrial(ctx, team, fingerprint)
+func (g *poisonGuard) Acquire(ctx context.Context, ask poison.Ask) poison.Answer {
+	answer := g.askForTrial(ctx, ask)
 	g.trials.WithLabelValues(trialOutcomes[answer]).Inc()
 	return answer
 }
@@ -232,20 +232,20 @@
 }
 
 // askForTrial asks the owner of a fingerprint for a trial.
-func (g *poisonGuard) askForTrial(ctx context.Context, team string, fingerprint poison.Fingerprint) poison.Answer {
+func (g *poisonGuard) askForTrial(ctx context.Context, ask poison.Ask) poison.Answer {
 	router := g.node.settings.Router
-	address, other := g.owner(fingerprint)
+	address, other := g.owner(ask.Fingerprint)
 	granted := false
 	if other {
 		answer, ok := g.calls.Call(ctx, address.String(), func(id uint64) {
-			g.node.send(poison.TrialRequest{ID: id, Router: router, Team: team, Fingerprint: fingerprint}, address)
+			g.node.send(poison.TrialRequest{ID: id, Router: router, Ask: ask}, address)
 		})
 		if !ok {
 			return poison.Unanswered
 		}
 		granted = answer.Granted
 	} else {
-		granted = g.guard.GrantTrial(router, team, fingerprint)
+		granted = g.guard.GrantTrial(router, ask)
 	}
 	if granted {
 		return poison.Granted
--- a/test/soak/announcements.go
+++ b/test/soak/announcements.go
@@ -91,6 +91,10 @@
 // shutdown does not count.
 func (r *router) killedOrPausedBetween(from, to time.Time) bool {
 	return r.anyInterruption(func(i interruption) bool {
+		if i.signal == syscall.SIGKILL {
+			// A busy machine ends a process some time after the signal, and requests may start meanwhile.
+			return i.at.Before(to) && (i.restarted.IsZero() || i.restarted.After(from))
+		}
 		return i.signal != syscall.SIGTERM && i.at.After(from) && i.at.Before(to)
 	})
 }
