poison: Let a whole request explain the crashes of its parts, and add the soak's fault crash-request

The fault sends one request again and again that crashes each engine that begins to run it, at plain services and at engines, the ports closed or held open, to one router or all. It checks that at most three sends of undisturbed routers reach engines three seconds after the third crash, and that sound requests of the route are served.

A part is now explained by a whole request with as many crashes on the same servers. Trials at plain services prefer the server with the fewest other requests, too.

--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -121,13 +121,13 @@
 	if server.FailureDomain != c.opts.Domain {
 		p.cost += domainPenalty
 	}
+	if req.Isolated {
+		p.cost += time.Duration(p.load.Running) * isolationCost
+	}
 	if req.Service.Engine == nil {
 		p.cost += time.Duration(float64(maxTieBreak) * tieBreak(req.ID, server.ID))
 		return p
 	}
-	if req.Isolated {
-		p.cost += time.Duration(p.load.Running) * isolationCost
-	}
 	parts := relay.SharedParts(req.Parts)
 	p.cachedTokens = c.prefixes.cachedTokens(now, parts, server.ID)
 	slowdown := speeds.slowdownOf(server.ID)
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -188,17 +188,26 @@
 	return d.hasControl(s) || len(crashes) >= manyCrashes && n >= manyMoments
 }
 
-// unexplained returns the crashes of a suspect that no other request on the server explains: none of the other requests
-// held a suspect with more crashes.
+// unexplained returns the crashes of a suspect that nothing else on the server explains.
 func (d *Detector) unexplained(s *suspect) []crash {
-	stronger := func(f Fingerprint) bool {
-		other := d.suspects[f]
-		return other != nil && len(other.crashes) > len(s.crashes)
+	explained := func(c crash) bool {
+		return slices.ContainsFunc(c.others, func(f Fingerprint) bool { return d.explains(f, s) }) ||
+			slices.ContainsFunc(c.companions, func(f Fingerprint) bool { return f.Kind == KindRequest && d.explains(f, s) })
 	}
-	if !slices.ContainsFunc(s.crashes, func(c crash) bool { return slices.ContainsFunc(c.others, stronger) }) {
+	if !slices.ContainsFunc(s.crashes, explained) {
 		return s.crashes
 	}
-	return slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return slices.ContainsFunc(c.others, stronger) })
+	return slices.DeleteFunc(slices.Clone(s.crashes), explained)
+}
+
+// explains reports whether a fingerprint is a better explanation than a suspect for a crash with both on the server: it has
+// more crashes, or as many and is that of a whole request, while the suspect is a part, which more requests have.
+func (d *Detector) explains(f Fingerprint, s *suspect) bool {
+	other := d.suspects[f]
+	if other == nil {
+		return false
+	}
+	return len(other.crashes) > len(s.crashes) || len(other.crashes) == len(s.crashes) && f.Kind > s.fingerprint.Kind
 }
 
 // hasControl reports whether a request without the fingerprint was proven at the service after the first crash. A request
--- a/internal/coordination/poison/fewservers_test.go
+++ b/internal/coordination/poison/fewservers_test.go
@@ -169,6 +169,22 @@
 	g.Expect(other.state(teamA, sound.Fingerprints...)).To(Equal(Suspected), "a router that learns of it from others")
 }
 
+// Guards against a part that is blocked because trials of a sound and of a poisonous request with it met on each server. A
+// soak showed it.
+func TestPartOfASoundAndAPoisonousRequestOnOneServerIsNotBlocked(t *testing.T) {
+	g := NewWithT(t)
+	s := newScenario()
+	poisonous := Candidate{Team: teamA, Fingerprints: []Fingerprint{first, topic, {Kind: KindRequest, Hash: 1}}}
+	for i := range 3 {
+		sound := Candidate{Team: teamA, Fingerprints: []Fingerprint{first, topic, {Kind: KindRequest, Hash: uint64(2 + i)}}}
+		s.crashOf(fmt.Sprint("i-", i), sound, poisonous)
+		s.now += time.Second
+		s.prove(bad)
+	}
+	g.Expect(s.state(teamA, poisonous.Fingerprints...)).To(Equal(Blocked))
+	g.Expect(s.state(teamA, first, topic, Fingerprint{Kind: KindRequest, Hash: 9})).To(Equal(Suspected))
+}
+
 // Guards against sound requests that share all parts with a poisonous one and are held for it.
 func TestPartsOfAPoisonousRequestAreTriedWithOthers(t *testing.T) {
 	g := NewWithT(t)
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,8 +63,11 @@
 	settings settings
 	timeouts []timeoutChange
 	// poisonParts are the parts of prompts that crash engines; poisonRuns are the series of requests with them.
-	poisonParts []string
-	poisonRuns  []*poisonRun
+	// poisonRequests are the ends of the paths of requests that do.
+	poisonParts, poisonRequests []string
+	poisonRuns                  []*poisonRun
+	// keepPorts makes the ports of engines that crash stay open.
+	keepPorts atomic.Bool
 	// poisoning is locked during a series.
 	poisoning sync.Mutex
 	// limiting is locked while engines name limits.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -64,6 +64,7 @@
 	{"engine-pauses", pauseEngine},
 	{"engine-leaves", drainEngine},
 	{"poison", poison},
+	{crashRequestFault, crashOnRequest},
 	{limitFault, limitEngines},
 	{"config", func(_ context.Context, d *deployment, _ int, _ time.Duration) { d.writeConfig() }},
 	{"remove-key", removeKey},
--- a/test/soak/poison.go
+++ b/test/soak/poison.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
+	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
 
 const (
@@ -46,8 +47,11 @@
 
 // poisonRun is what one series of such requests did.
 type poisonRun struct {
+	// part is the part that crashes engines, or the end of the path of the request that does.
 	part string
-	mu   sync.Mutex
+	// tolerated is the number of crashes after which requests of the series must not go on to reach engines.
+	tolerated int
+	mu        sync.Mutex
 	// sent holds by request ID whether the router was undisturbed when the request was sent.
 	sent  map[string]bool
 	sound []soundRequest
@@ -90,21 +94,34 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.poisonParts = append(d.poisonParts, parts...)
+	d.setPoison()
+}
+
+// setPoison makes all engines crash on the parts and requests that were chosen for that. The deployment must be locked.
+func (d *deployment) setPoison() {
+	parts, requests := slices.Clone(d.poisonParts), slices.Clone(d.poisonRequests)
 	for _, e := range d.engines {
-		e.SetPoison(func() { d.crash(e) }, slices.Clone(d.poisonParts)...)
+		e.SetPoisonRequest(func() { d.crash(e) }, func(r *http.Request) bool {
+			return platformengine.HasPart(r, parts...) ||
+				slices.ContainsFunc(requests, func(target string) bool { return strings.HasSuffix(r.URL.Path, target) })
+		})
 	}
 }
 
 // crash closes the port and all connections of an engine, and starts it again after engineDownTime. Requests that crash
-// an engine together crash it once.
+// an engine together crash it once. While keepPorts is set, the port stays open and closes all connections.
 func (d *deployment) crash(e *engine) {
-	if !e.proxy.shutDown() {
+	shutDown, reopen := e.proxy.shutDown, e.proxy.reopen
+	if d.keepPorts.Load() {
+		shutDown, reopen = e.proxy.beginRejecting, e.proxy.endRejecting
+	}
+	if !shutDown() {
 		return
 	}
 	end := d.beginBreak(e)
 	d.recordCut(e)
 	time.AfterFunc(engineDownTime, func() {
-		if err := e.proxy.reopen(); err != nil {
+		if err := reopen(); err != nil {
 			d.report.addViolation("%s: not started again: %v", e.ID, err)
 			return
 		}
@@ -124,7 +141,7 @@
 
 // sendPoison sends the requests of one part for poisonTime.
 func (d *deployment) sendPoison(ctx context.Context, shape poisonShape, part string, pick int) {
-	run := &poisonRun{part: part, sent: make(map[string]bool)}
+	run := &poisonRun{part: part, tolerated: toleratedEnds, sent: make(map[string]bool)}
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	key := d.newestKey()
@@ -205,7 +222,7 @@
 // first part and key that were not served. The latter are checked if no other fault kept engines from serving.
 func (d *deployment) checkPoison(faultNames []string) {
 	others := slices.ContainsFunc(faultNames, func(name string) bool {
-		return name != "poison" && !slices.ContainsFunc([]string{"config", "config-routes", "hangup", "pause"},
+		return name != "poison" && name != crashRequestFault && !slices.ContainsFunc([]string{"config", "config-routes", "hangup", "pause"},
 			func(allowed string) bool { return name == allowed })
 	})
 	d.mu.Lock()
@@ -218,15 +235,15 @@
 		if len(crashes) == 0 {
 			continue
 		}
-		last := crashes[min(len(crashes), toleratedEnds)-1]
+		last := crashes[min(len(crashes), run.tolerated)-1]
 		late := 0
 		for _, a := range arrivals {
-			if len(crashes) >= toleratedEnds && a.undisturbed && a.at.Sub(last) > settleTime {
+			if len(crashes) >= run.tolerated && a.undisturbed && a.at.Sub(last) > settleTime {
 				late++
 			}
 		}
 		if late > maxLatePoison {
-			d.report.addViolation("part %s: %d requests reached engines %v after the fifth crash", run.part, late, settleTime)
+			d.report.addViolation("part %s: %d requests reached engines %v after crash %d", run.part, late, settleTime, run.tolerated)
 		}
 		served, sent := run.soundAfter(last.Add(2 * settleTime))
 		fmt.Printf("   part %s: %d of %d sound requests served %v after the crashes\n", run.part, served, sent, 2*settleTime)
@@ -294,6 +311,29 @@
 	return true
 }
 
+// beginRejecting closes all connections, and new ones at once. It returns false if the proxy does so already.
+func (p *proxy) beginRejecting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down || p.rejecting {
+		return false
+	}
+	p.rejecting = true
+	for l := range p.links {
+		_ = l.client.Close()
+		_ = l.server.Close()
+	}
+	return true
+}
+
+// endRejecting passes connections on again.
+func (p *proxy) endRejecting() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rejecting = false
+	return nil
+}
+
 // reopen listens at the same address again.
 func (p *proxy) reopen() error {
 	address := p.address()
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -33,8 +33,10 @@
 	// listener is closed while the proxy is down.
 	listener net.Listener
 	down     bool
-	mode     proxyMode
-	links    map[*link]bool
+	// rejecting is set while all connections are closed at once.
+	rejecting bool
+	mode      proxyMode
+	links     map[*link]bool
 	// held is closed when the data of all connections is passed on again. It is nil while nothing is held.
 	held chan struct{}
 }
@@ -73,6 +75,9 @@
 func (p *proxy) currentMode() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.rejecting {
+		return proxyRefuse
+	}
 	return p.mode
 }
 
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -85,15 +85,18 @@
 
 // SetPoison sets the parts of prompts that end the engine when it begins to write a response to them. end ends it.
 func (e *Engine) SetPoison(end func(), parts ...string) {
-	e.SetPoisonRequest(end, func(r *http.Request) bool {
-		for part := range strings.SplitSeq(r.Header.Get("Prefix-Hash"), ",") {
-			id, _, _ := strings.Cut(part, ":")
-			if slices.Contains(parts, id) {
-				return true
-			}
+	e.SetPoisonRequest(end, func(r *http.Request) bool { return HasPart(r, parts...) })
+}
+
+// HasPart reports whether the prompt of a request has one of the parts.
+func HasPart(r *http.Request, parts ...string) bool {
+	for part := range strings.SplitSeq(r.Header.Get("Prefix-Hash"), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		if slices.Contains(parts, id) {
+			return true
 		}
-		return false
-	})
+	}
+	return false
 }
 
 // SetPoisonRequest selects the requests that end the engine when it begins to write a response to them. end ends it.
