--- a/internal/daemon/gateway/poisonrequest_test.go
+++ b/internal/daemon/gateway/poisonrequest_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
 
@@ -91,7 +92,7 @@
 }
 
 // playRequests sends sound requests, and one that ends servers again and again, 20 a second of each.
-func (f *crashingFleet) playRequests(k requestKind, d time.Duration, poison bool) {
+func (f *crashingFleet) playRequests(k requestKind, d time.Duration) {
 	const period = 50 * time.Millisecond
 	f.starts = time.Now()
 	n := 0
@@ -102,9 +103,6 @@
 			defer f.wait.Done()
 			f.recordSound(func() int { return k.send(f, n, fmt.Sprint(n)) })
 		}()
-		if !poison {
-			continue
-		}
 		f.wait.Add(1)
 		go func() {
 			defer f.wait.Done()
@@ -136,7 +134,7 @@
 						t.Parallel()
 						g := NewWithT(t)
 						f := k.newFleet(t, servers, routers, keepPort)
-						f.playRequests(k, 6*time.Second, true)
+						f.playRequests(k, 6*time.Second)
 						from := f.starts.Add(2 * time.Second)
 						if last := f.lastCrash(); servers == 3 && last.After(from) {
 							from = last
@@ -210,3 +208,69 @@
 		}
 	}
 }
+
+// Guards against a popular request that is blocked, or held for longer than a trial takes, because servers end, reset or
+// fall silent for another reason while it is on all of them, also while a poisonous request is sent beside it.
+func TestPopularRequestIsNotBlocked(t *testing.T) {
+	const playTime = 4 * time.Second
+	k := requestKinds[0]
+	everyServer := func(f *crashingFleet, pause time.Duration, do func(i int)) {
+		for i := range f.hosts {
+			do(i)
+			time.Sleep(pause)
+		}
+	}
+	for name, disturb := range map[string]func(*crashingFleet){
+		"all servers end at once": func(f *crashingFleet) { everyServer(f, 0, func(i int) { f.hosts[i].Crash() }) },
+		"servers end in turn": func(f *crashingFleet) {
+			everyServer(f, 300*time.Millisecond, func(i int) { f.hosts[i].Crash() })
+			everyServer(f, 300*time.Millisecond, func(i int) { f.hosts[i].Crash() })
+		},
+		"a server resets": func(f *crashingFleet) { // for a time that the retry budget allows
+			f.engines[0].SetMode(platformengine.Reset)
+			time.Sleep(time.Second)
+			f.engines[0].SetMode(platformengine.Silent)
+		},
+		"a server hangs":  func(f *crashingFleet) { f.engines[0].SetMode(platformengine.Hang) },
+		"a server fails":  func(f *crashingFleet) { f.engines[0].SetMode(platformengine.Fail) },
+		"servers leave": func(f *crashingFleet) {
+			everyServer(f, 200*time.Millisecond, func(i int) { f.store.Remove(fmt.Sprintf("servers/i-%d", i)) })
+		},
+	} {
+		for _, beside := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, poisonous request beside it: %v", name, beside), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				f := k.newFleet(t, 6, 2, false)
+				for _, e := range f.engines {
+					e.Silence = 40 * time.Millisecond
+					e.SetMode(platformengine.Silent)
+				}
+				f.starts = time.Now()
+				f.wait.Go(func() {
+					time.Sleep(500 * time.Millisecond)
+					disturb(f)
+				})
+				for n := 0; time.Since(f.starts) < playTime; n++ {
+					f.wait.Go(func() { f.recordSound(func() int { return k.send(f, n, "popular") }) })
+					if beside && n%3 == 0 {
+						f.wait.Go(func() { k.send(f, n, poisonTarget) })
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				f.wait.Wait()
+				for _, n := range f.nodes {
+					for _, s := range n.poison.guard.List() {
+						if s.State == poison.Blocked {
+							g.Expect(s.Path).To(Equal(k.prefix + poisonTarget))
+						}
+					}
+				}
+				if name != "servers leave" {
+					t.Logf("served %.2f of all, %.2f in the last second", f.served(0), f.served(3))
+					g.Expect(f.served(3)).To(BeNumerically(">=", 0.95))
+				}
+			})
+		}
+	}
+}
