serverlimit: Believe the end of a limit in time although it overlaps the last response that named it

KNOWN-RED TestLoadReturnsInStepsAfterTheLimit/65_routers: one of 65 routers listed a limit four seconds after its end and sent nothing to the server. Cause: the owner knew the end by a response whose request was sent up to 100 ms before that router got its last response that named the limit. Either may have been the later one, so the limit was kept, and the owner went on to state the same response. Nothing else ended it: the router preferred servers without a limit and so never asked for a permit there.

An end that another router states is now believed one second after the last response that named the limit, if their times overlap: a later response that names it would have reached the owner by then. A router that gets one starts the limit again.

TestEndThatOverlapsTheLastNamingIsBelievedInTime failed before.

--- a/internal/coordination/serverlimit/message.go
+++ b/internal/coordination/serverlimit/message.go
@@ -9,6 +9,11 @@
 // milliseconds, at a router that lacks CPU time tens of them.
 const maxMessageDelay = 100 * time.Millisecond
 
+// overlapTime is how long a limit counts that another router states to have ended, if the response that last named it may
+// have been the later one. By then a response that names the limit would have reached the owner, which would not state the
+// end any more.
+const overlapTime = time.Second
+
 // Entry is what a router knows of a server's limit, in messages between routers.
 type Entry struct {
 	_      struct{} `cbor:",toarray"`
@@ -59,6 +64,9 @@
 	s := Statement{Limited: !e.Ended, Rate: e.Rate, SentAt: ago(now, e.SentAgeMS), ReceivedAt: ago(now, e.ReceivedAgeMS)}
 	if e.Ended {
 		s.SentAt = s.SentAt.Add(-maxMessageDelay)
+		if l := r.limits[e.Server]; l != nil && now.Sub(l.latest.ReceivedAt) > overlapTime {
+			s.SentAt = later(s.SentAt, l.latest.ReceivedAt)
+		}
 	}
 	change := r.Receive(server, s)
 	if change == Started || change == Ended {
--- a/internal/coordination/serverlimit/registry_test.go
+++ b/internal/coordination/serverlimit/registry_test.go
@@ -122,6 +122,30 @@
 	g.Expect(r.Len()).To(BeZero(), "another server at the ID")
 }
 
+// Guards against a router that keeps a limit for good which has ended, and sends nothing to the server: it had a response
+// that named the limit after the request was sent whose response showed its end to the owner. A fleet of 65 showed it.
+func TestEndThatOverlapsTheLastNamingIsBelievedInTime(t *testing.T) {
+	g := NewWithT(t)
+	owner, server := newRegistry()
+	router, _ := newRegistry()
+	owner.Receive(server, names(5, 0, 0.1))
+	router.Receive(server, names(5, 0.9, 1.02))
+	g.Expect(owner.Receive(server, none(1, 1.05))).To(Equal(Ended))
+	merge := func(seconds float64) Change {
+		entry, ok := owner.Entry(at(seconds), "i-0")
+		g.Expect(ok).To(BeTrue())
+		return router.Merge(at(seconds+0.005), entry)
+	}
+	g.Expect(merge(1.1)).To(Equal(Unchanged), "the server may name the limit again")
+	g.Expect(merge(2.0)).To(Equal(Unchanged))
+	g.Expect(merge(2.1)).To(Equal(Ended))
+	g.Expect(router.Receive(server, names(5, 1.5, 2.2))).To(Equal(Started), "it does")
+	g.Expect(merge(2.3)).To(Equal(Unchanged), "the end is older than that")
+	g.Expect(merge(9)).To(Equal(Unchanged))
+	_, limited := router.Named("i-0")
+	g.Expect(limited).To(BeTrue())
+}
+
 // Guards against a message that was delayed on its way and ends a limit that the server named again meanwhile, and
 // against entries of other incarnations or with values that make no sense.
 func TestMessagesOfOtherRouters(t *testing.T) {
