--- a/internal/daemon/gateway/evidence_test.go
+++ b/internal/daemon/gateway/evidence_test.go
@@ -129,6 +129,34 @@
 	}
 }
 
+// Guards against a flood of messages after a crash of a server with many requests, each of which is suspected as a whole.
+func TestManySuspectsInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const size, suspects = 295, 100
+		f := newEvidenceFleet(g, size)
+		defer f.killAll()
+		time.Sleep(settleTime)
+		for i := range 2 { // a crash has 64 candidates at most at one router
+			guard := f.nodes[fmt.Sprintf("r-%03d", i)].poison.guard
+			var attempts []*poison.Attempt
+			for range suspects / 2 {
+				attempts = append(attempts, guard.Begin(crashedServer(1), requestWith()))
+			}
+			for _, a := range attempts {
+				go a.Lost(context.Background())
+			}
+		}
+		time.Sleep(2200 * time.Millisecond)
+		t.Logf("%d messages with evidence, %d bytes in 2.2 s", f.messages.Load(), f.bytes.Load())
+		for _, n := range f.nodes {
+			g.Expect(n.poison.guard.List()).To(HaveLen(suspects))
+		}
+		g.Expect(f.messages.Load()).To(BeNumerically("<", 100*size))
+		f.killAll()
+	})
+}
+
 // Guards against two trials of a part at once in the whole fleet.
 func TestOneTrialInTheWholeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/gateway/poisonrequest_test.go
+++ b/internal/daemon/gateway/poisonrequest_test.go
@@ -231,8 +231,8 @@
 			time.Sleep(time.Second)
 			f.engines[0].SetMode(platformengine.Silent)
 		},
-		"a server hangs":  func(f *crashingFleet) { f.engines[0].SetMode(platformengine.Hang) },
-		"a server fails":  func(f *crashingFleet) { f.engines[0].SetMode(platformengine.Fail) },
+		"a server hangs": func(f *crashingFleet) { f.engines[0].SetMode(platformengine.Hang) },
+		"a server fails": func(f *crashingFleet) { f.engines[0].SetMode(platformengine.Fail) },
 		"servers leave": func(f *crashingFleet) {
 			everyServer(f, 200*time.Millisecond, func(i int) { f.store.Remove(fmt.Sprintf("servers/i-%d", i)) })
 		},
