--- a/internal/coordination/poison/guard.go
+++ b/internal/coordination/poison/guard.go
@@ -312,7 +312,8 @@
 		}
 	}
 	for a := range s.active {
-		if _, lost := s.lost[a]; !lost {
+		// One that began later is still connecting to a server that has ended.
+		if _, lost := s.lost[a]; !lost && a.began < r.At {
 			add(a)
 		}
 	}
--- a/internal/coordination/poison/guard_test.go
+++ b/internal/coordination/poison/guard_test.go
@@ -246,6 +246,25 @@
 	})
 }
 
+// Guards against requests that are suspected because they were about to connect to a server when its end was confirmed.
+func TestRequestThatConnectsToAnEndedServerIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		f.ended.Store(true)
+		bad := f.Begin(testServer("i-1"), lookup("/lookup/bad"))
+		time.Sleep(time.Millisecond)
+		lost := make(chan bool)
+		go func() { lost <- bad.Lost(t.Context()) }()
+		time.Sleep(time.Millisecond)
+		late := f.Begin(testServer("i-1"), lookup("/lookup/late"))
+		g.Expect(<-lost).To(BeTrue())
+		late.End() // the connection was refused
+		g.Expect(f.Check(lookup("/lookup/bad")).State).To(Equal(Suspected))
+		g.Expect(f.Check(lookup("/lookup/late")).State).To(Equal(Clear))
+	})
+}
+
 // Guards against sound requests that fail because the router that grants the trials was lost, and against more than one
 // trial of a router without it.
 func TestTrialWithoutItsOwner(t *testing.T) {
