--- a/internal/daemon/gateway/limits_fleet_test.go
+++ b/internal/daemon/gateway/limits_fleet_test.go
@@ -146,6 +146,7 @@
 // Guards against a limit that is exceeded, or not used for long, when the router that grants the permits is lost while the
 // store is down: its entry stays.
 func TestLimitIsKeptWhenItsOwnerIsLost(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{8, 65} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -182,6 +183,7 @@
 
 // Guards against an owner that forgets at a restart what it has granted.
 func TestLimitIsKeptWhenItsOwnerRestarts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newLimitedFleet(g, 8, 4)
@@ -203,6 +205,7 @@
 // Guards against two owners that each grant the whole limit while the routers of two failure domains do not hear from
 // each other, and both reach the servers.
 func TestDividedFleetKeepsTheLimit(t *testing.T) {
+	t.Parallel()
 	for _, part := range []int{1, 4} {
 		t.Run(fmt.Sprint(part, " of 8 routers cut off"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -233,6 +236,7 @@
 
 // Guards against permits that are granted twice or not used because datagrams are lost.
 func TestLossyLinksKeepTheLimit(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{8, 65} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -258,6 +262,7 @@
 
 // Guards against routers that each take themselves for the only owner while none is ready because the store is down.
 func TestLimitIsKeptWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newPreparedLimitedFleet(g, 8, 4, func(n *Node) { n.draining.Store(true) })
@@ -276,6 +281,7 @@
 // Guards against a limit that outlasts the time for which the server names it, and against all requests reaching the
 // server at the moment of its end.
 func TestLoadReturnsInStepsAfterTheLimit(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{8, 65} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -306,6 +312,7 @@
 
 // Guards against a lower limit that some routers do not follow, and a higher one that is not used.
 func TestChangedLimitsAreFollowed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newLimitedFleet(g, 8, 4)
@@ -326,6 +333,7 @@
 
 // Guards against a server that takes nothing and is never asked again whether that still holds.
 func TestServerThatTakesNothingIsTriedNowAndThen(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newLimitedFleet(g, 8, 2)
@@ -347,6 +355,7 @@
 // Guards against messages between routers that grow with the fleet while no server has a limit, and against a storm of
 // requests for permits: at most two messages for each request of a client, and one for each router and server in a second.
 func TestMessagesForLimits(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		const routers, rate, seconds = 65, 60, 5
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -164,6 +164,7 @@
 // one now and then filled the servers of a plain service, which used a fifth of their slots, and a fourth of the
 // requests was refused.
 func TestEndedRequestsOfIdleRoutersFreeTheServers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const (
 			routers  = 295
@@ -191,6 +192,7 @@
 
 // Guards against a load that an owner counts for a second and more because the message on its end was lost.
 func TestLostReleaseIsRepeated(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		servers := startPlainServers(5)
--- a/internal/daemon/gateway/reporter_test.go
+++ b/internal/daemon/gateway/reporter_test.go
@@ -182,6 +182,7 @@
 // Guards against reports whose number grows with the square of the fleet, also if each router gets a few requests: they
 // took most of the processor time of a fleet of 295, and half of the bytes between its failure domains.
 func TestReportsGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		perRouter := make(map[int]float64)
@@ -204,6 +205,7 @@
 // Guards against a fleet that falls apart because the relays are lost at once, and against lost routers that stay in the
 // directory for more than three seconds.
 func TestLossOfAllRelays(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newReportFleet(g, 60)
@@ -226,6 +228,7 @@
 
 // Guards against routers that are not known for long after a restart of many of them.
 func TestRestartOfMostRouters(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newReportFleet(g, 60)
@@ -248,6 +251,7 @@
 // Guards against a router that gets requests and does not know the loads that the others put on the engines, and against
 // loads that are sent to routers without requests.
 func TestLoadsGoToRoutersWithRequests(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newReportFleet(g, 60)
