poison: Send the path of a request as valid text

A request target may have bytes that are no UTF-8. Other routers could not decode the evidence about such a request. TestEvidenceOfARequestWithAnyPathIsDecoded failed before (invalid UTF-8 string).

--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -275,7 +275,7 @@
 				continue
 			}
 			if fingerprint.Kind == KindRequest {
-				d.suspects[fingerprint].path = request.Path[:min(len(request.Path), maxPathBytes)]
+				d.suspects[fingerprint].path = request.Path
 			}
 			if !slices.Contains(changed, fingerprint) {
 				changed = append(changed, fingerprint)
--- a/internal/coordination/poison/guard_test.go
+++ b/internal/coordination/poison/guard_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
@@ -306,6 +308,28 @@
 	})
 }
 
+// Guards against evidence that other routers cannot decode because the path of the request has bytes that are no text.
+func TestEvidenceOfARequestWithAnyPathIsDecoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newGuardFixture()
+		for i, target := range []string{"/caf\xff\xfe", "/" + strings.Repeat("é", maxPathBytes) + "?q=1", "/plain?secret=1"} {
+			f.crash(fmt.Sprint("i-", i), lookup(target))
+		}
+		messages := Split("r", f.Recent())
+		g.Expect(messages).NotTo(BeEmpty())
+		for _, m := range messages {
+			data, err := cbor.Marshal(m)
+			g.Expect(err).NotTo(HaveOccurred())
+			var decoded Evidence
+			g.Expect(cbor.Unmarshal(data, &decoded)).To(Succeed())
+			for _, e := range decoded.Fingerprints {
+				g.Expect(e.Path).NotTo(ContainSubstring("secret"))
+			}
+		}
+	})
+}
+
 // Guards against attempts that are not followed and fail.
 func TestAttemptThatIsNotFollowed(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/coordination/poison/message.go
+++ b/internal/coordination/poison/message.go
@@ -186,7 +186,7 @@
 	}
 	s.control = s.control || e.Control
 	if s.path == "" {
-		s.path = e.Path[:min(len(e.Path), maxPathBytes)]
+		s.path = boundedPath(e.Path)
 	}
 	if e.RequestAge >= 0 {
 		s.lastRequested = max(s.lastRequested, now-age(e.RequestAge))
--- a/internal/coordination/poison/request.go
+++ b/internal/coordination/poison/request.go
@@ -63,5 +63,11 @@
 // candidate returns the request as a possible cause of a crash.
 func (r *Request) candidate() Candidate {
 	path, _, _ := strings.Cut(r.identity.Target, "?")
-	return Candidate{Team: r.identity.Team, Path: path, Fingerprints: r.fingerprints()}
+	return Candidate{Team: r.identity.Team, Path: boundedPath(path), Fingerprints: r.fingerprints()}
+}
+
+// boundedPath returns the beginning of a path as valid UTF-8, which messages between routers need. A request target may have
+// any bytes.
+func boundedPath(path string) string {
+	return strings.ToValidUTF8(path[:min(len(path), maxPathBytes)], "?")
 }
