peerlink: Look for the log lines of refusals before further refusals in a test

The router had refused six connections within a second; of equal lines only the first five in a second are written, and the sixth was that one. The two refused sends now come after the check, so that there are four lines to write.

--- a/internal/transport/peerlink/fault_test.go
+++ b/internal/transport/peerlink/fault_test.go
@@ -64,18 +64,19 @@
 	if got := requireRefused(t, callEcho(f.start("a", 1, nil), "c")); got.Reason != peerlink.ReasonWrongName {
 		t.Errorf("wrong name: %+v", got)
 	}
-	wrongKey.Send("b", cancelMessage("x", 1, 1))
-	unknown.Send("b", cancelMessage("x", 1, 1))
-	eventually(t, "drops", func() bool { return wrongKey.Stats().Dropped == 1 && unknown.Stats().Dropped == 1 })
-	if b.messageCount() != 0 || b.Stats().Refused < 3 || len(b.recordedLinkEvents()) != 0 {
-		t.Errorf("messages %d, refused %d, links %v", b.messageCount(), b.Stats().Refused, b.recordedLinkEvents())
-	}
+	// Before further refusals: of equal lines in a second only the first five are written.
 	for _, reason := range []string{"wrong key", "unknown peer", "wrong name"} {
 		// The accepting router logs a refusal after it has sent its reply.
 		eventually(t, "a log line for "+reason, func() bool {
 			return logs.Filter(func(e observer.LoggedEntry) bool { return e.ContextMap()["reason"] == reason }).Len() > 0
 		})
 	}
+	wrongKey.Send("b", cancelMessage("x", 1, 1))
+	unknown.Send("b", cancelMessage("x", 1, 1))
+	eventually(t, "drops", func() bool { return wrongKey.Stats().Dropped == 1 && unknown.Stats().Dropped == 1 })
+	if b.messageCount() != 0 || b.Stats().Refused < 3 || len(b.recordedLinkEvents()) != 0 {
+		t.Errorf("messages %d, refused %d, links %v", b.messageCount(), b.Stats().Refused, b.recordedLinkEvents())
+	}
 	if _, err := peerlink.New(peerlink.Options{Self: "x", Listen: "127.0.0.1:0", Key: []byte("short")}); err == nil {
 		t.Error("a short key was accepted")
 	}
