gateway: Use the shared server loop and one send in tests, and take one verdict for the decision on a retry

Two raw servers of latecopy_test had an accept loop of their own in place of endless.Serve, and two fleets of tests the same end of a send. denyRetry asked for the verdict twice, which could differ between the two. No assertion is changed.

--- a/internal/daemon/gateway/poison_test.go
+++ b/internal/daemon/gateway/poison_test.go
@@ -122,6 +122,11 @@
 	r.Header.Set("Model", "m")
 	r.Header.Set("Token-Usage", "1600,10")
 	r.Header.Set("Prefix-Hash", prompt(n, poison))
+	return statusOf(r)
+}
+
+// statusOf sends a request and returns the status; 0 if there is no whole response.
+func statusOf(r *http.Request) int {
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0
--- a/internal/daemon/gateway/poisonrequest_test.go
+++ b/internal/daemon/gateway/poisonrequest_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -65,18 +64,10 @@
 		r.Header.Set("Token-Usage", "1600,10")
 		r.Header.Set("Prefix-Hash", "a1:800,c1:300,"+own+":300")
 	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
+	return statusOf(r)
 }
 
-// newRequestFleet returns a fleet whose servers end on one request of the kind.
+// newFleet returns a fleet whose servers end on one request of the kind.
 func (k requestKind) newFleet(t *testing.T, servers, routers int, keepPort bool) *crashingFleet {
 	f := newHostFleet(t, k.service, servers, routers)
 	for i, e := range f.engines {
--- a/internal/transport/gateway/latecopy_test.go
+++ b/internal/transport/gateway/latecopy_test.go
@@ -10,37 +10,17 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/test/standin/endless"
 )
 
 // copyingServer turns its first request away without naming it. On a connection that is used again it sends the same
 // response once more before it answers the next request.
 type copyingServer struct {
-	net.Listener
 	requests atomic.Int32
 }
 
-func startCopyingServer(t *testing.T) *copyingServer {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &copyingServer{Listener: listener}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return s
-}
-
 func (s *copyingServer) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	reader := bufio.NewReader(conn)
 	refused := false
@@ -67,8 +47,8 @@
 // on the same connection. Refusals do not name the request.
 func TestLateCopyOfARefusalIsNotTheNextAnswer(t *testing.T) {
 	g := NewWithT(t)
-	server := startCopyingServer(t)
-	h := newGatewayHarness(t, []string{server.Addr().String()})
+	server := &copyingServer{}
+	h := newGatewayHarness(t, []string{endless.Serve(t, server.serve)})
 	first := h.do(h.request(http.MethodPost, "/callout/x", "a1", "body"))
 	g.Expect(first.status).To(Equal(http.StatusServiceUnavailable))
 	g.Eventually(func() int {
@@ -80,33 +60,11 @@
 // strayServer answers each request after the first one on a connection with a stray response and then with its own. It runs
 // every request.
 type strayServer struct {
-	net.Listener
 	stray string
 	runs  atomic.Int32
 }
 
-func startStrayServer(t *testing.T, stray string) *strayServer {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &strayServer{Listener: listener, stray: stray}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return s
-}
-
 func (s *strayServer) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for n := 0; ; n++ {
 		r, err := http.ReadRequest(reader)
@@ -131,8 +89,8 @@
 			t.Run(fmt.Sprintf("%s %q", head, name), func(t *testing.T) {
 				g := NewWithT(t)
 				stray := "HTTP/1.1 " + head + "\r\n" + name + "Not-Executed: 1\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n"
-				first, second := startStrayServer(t, stray), startStrayServer(t, stray)
-				h := newGatewayHarness(t, []string{first.Addr().String(), second.Addr().String()})
+				first, second := &strayServer{stray: stray}, &strayServer{stray: stray}
+				h := newGatewayHarness(t, []string{endless.Serve(t, first.serve), endless.Serve(t, second.serve)})
 				runs := func() int32 { return first.runs.Load() + second.runs.Load() }
 				for i := range 8 {
 					before := runs()
--- a/internal/transport/gateway/retry.go
+++ b/internal/transport/gateway/retry.go
@@ -43,9 +43,13 @@
 		return denialRoute
 	case result.mayHaveRun() && possibleRuns >= x.route.MaxAttempts:
 		return denialAttempts
-	case result.mayHaveRun() && !mayRepeat(x.verdict()):
-		return suspectDenial(x.verdict())
-	case !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name):
+	}
+	if result.mayHaveRun() {
+		if verdict := x.verdict(); !mayRepeat(verdict) {
+			return suspectDenial(verdict)
+		}
+	}
+	if !x.g.opts.RetryBudget.Allow(time.Now(), x.service.Name) {
 		return denialBudget
 	}
 	return ""
