--- a/review/drive/harness_test.go
+++ b/review/drive/harness_test.go
@@ -5,12 +5,14 @@
 package drive
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -50,6 +52,11 @@
 // cases maps the value of CASE to a case. Each file adds its own.
 var cases = map[string]func(f *fleet) bool{}
 
+// memoryMB maps a case to the memory of its machines in MiB, if that is not defaultMemoryMB.
+var memoryMB = map[string]int{}
+
+const defaultMemoryMB = 284
+
 // TestMain runs the case that CASE names, and exits with the code of its outcome.
 func TestMain(m *testing.M) {
 	run, ok := cases[os.Getenv("CASE")]
@@ -197,7 +204,7 @@
 	f.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[
 {"name":"callout","host":%q,"pathPrefix":%q,"routeKind":"unsafe","timeoutMs":4000,"objectiveMs":300,"service":%q,"maxAttempts":1},
 {"name":"lookup","host":%q,"pathPrefix":%q,"routeKind":"safe","timeoutMs":4000,"objectiveMs":300,"service":%q,"maxAttempts":2}],
-"services":[{"name":%q}],"limits":{"maxBodyBytes":1000000,"tokensPerS":100000},
+"services":[{"name":%q}],"limits":{"maxBodyBytes":4194304,"tokensPerS":100000},
 "tenants":[{"name":"farm","apiKeys":["%s"]}]}`,
 		f.version, clientHost, routePrefix, service, clientHost, lookupRoute, service, service, strings.Join(keys, `","`)))
 	f.note("operator: configuration %d with the keys %v is acknowledged", f.version, keys)
@@ -222,10 +229,11 @@
 		cfg: filepath.Join(f.dir, name+".yaml"), transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
 	text := fmt.Sprintf(`{"nodeName":%q,"role":"router","machineClass":"edge","serves":["edge","directory"],"ip":"127.0.0.1",
 "zone":%q,"region":"midlands","listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],
-"limits":{"memoryMb":284,"cpuShare":0.4,"cores":1},"platform":{"address":%q,"form":"kv"},"heartbeatMs":1200,
+"limits":{"memoryMb":%d,"cpuShare":0.4,"cores":1},"platform":{"address":%q,"form":"kv"},"heartbeatMs":1200,
 "bounds":{"contactMs":3000,"drainMs":2000,"graceS":8,"configApplyMs":2000,"revokeMs":5000,"strictRevoke":true,
 "retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":56,"quotaWindowS":4,"ttl_max_s":5}}`,
-		name, zone, r.front, r.readiness, address(ports.Directory), ports.Peer, ports.Peer+2, f.storeServer.Listener.Addr())
+		name, zone, r.front, r.readiness, address(ports.Directory), ports.Peer, ports.Peer+2,
+		cmp.Or(memoryMB[os.Getenv("CASE")], defaultMemoryMB), f.storeServer.Listener.Addr())
 	return r, os.WriteFile(r.cfg, []byte(text), 0o600)
 }
 
@@ -401,7 +409,9 @@
 	status               int
 	engine               string
 	leaving, limited     bool
-	err                  error
+	// kept is set if the connection had carried another request before.
+	kept bool
+	err  error
 }
 
 // send sends one request and records its answer.
@@ -413,6 +423,9 @@
 	if err != nil {
 		panic(err)
 	}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { a.kept = info.Reused },
+	}))
 	req.Host, req.GetBody = clientHost, nil
 	req.Header.Set("Attempt-Id", a.attempt)
 	req.Header.Set("Deadline-Ms", "4000")
