--- a/review/drive/harness_test.go
+++ b/review/drive/harness_test.go
@@ -59,6 +59,10 @@
 
 // TestMain runs the case that CASE names, and exits with the code of its outcome.
 func TestMain(m *testing.M) {
+	if address := os.Getenv("ENGINE"); address != "" {
+		fmt.Fprintln(os.Stderr, runStreamEngine(address))
+		os.Exit(exitCannotRun)
+	}
 	run, ok := cases[os.Getenv("CASE")]
 	if !ok {
 		os.Exit(m.Run())
@@ -203,10 +207,13 @@
 func (f *fleet) rewriteConfig(keys ...string) {
 	f.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[
 {"name":"callout","host":%q,"pathPrefix":%q,"routeKind":"unsafe","timeoutMs":4000,"objectiveMs":300,"service":%q,"maxAttempts":1},
-{"name":"lookup","host":%q,"pathPrefix":%q,"routeKind":"safe","timeoutMs":4000,"objectiveMs":300,"service":%q,"maxAttempts":2}],
-"services":[{"name":%q}],"limits":{"maxBodyBytes":4194304,"tokensPerS":100000},
+{"name":"lookup","host":%q,"pathPrefix":%q,"routeKind":"safe","timeoutMs":4000,"objectiveMs":300,"service":%q,"maxAttempts":2},
+{"name":"digest","host":%q,"pathPrefix":%q,"routeKind":"streaming","timeoutMs":10000,"objectiveMs":1000,"service":%q,"maxAttempts":2,
+"resumable":true,"gapTargetMs":600,"sticky":true}],
+"services":[{"name":%q},{"name":%q,"engine":{"slots":16,"kvCapacity":100000}}],"limits":{"maxBodyBytes":4194304,"tokensPerS":100000},
 "tenants":[{"name":"farm","apiKeys":["%s"]}]}`,
-		f.version, clientHost, routePrefix, service, clientHost, lookupRoute, service, service, strings.Join(keys, `","`)))
+		f.version, clientHost, routePrefix, service, clientHost, lookupRoute, service, clientHost, streamRoute, poolService, service,
+		poolService, strings.Join(keys, `","`)))
 	f.note("operator: configuration %d with the keys %v is acknowledged", f.version, keys)
 }
 
