discovery: Routers that start together are no witnesses for each other

If all routers restart while the store comes back from an older copy, each one heard of others that had read the same copy, and served after 0.4 s: API keys that had been withdrawn worked again until the operators wrote the removal again.

A router that has just started now relies on what it has read if a router that serves has confirmed its state in the same era of the store, or if the store was never restored (era 0), which is as fast as before. Otherwise it waits for 3 s after its first listing. Reports state the era of the sender's last confirmation. Until then every request is refused, also without a key, since a copy may lack other facts than keys.

--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -83,6 +83,8 @@
 	position kv.Position
 	// appliedPosition is a copy of position that other goroutines may read.
 	appliedPosition atomic.Pointer[kv.Position]
+	// confirmedEra is the era in which the state was last confirmed.
+	confirmedEra atomic.Int64
 	// settledAt is the time from which the state of a new era may be confirmed: the store may lack a configuration that
 	// it had acknowledged until the operators have written it again.
 	settledAt time.Time
@@ -226,16 +228,29 @@
 	if f.start.passed || !f.checkStart() || f.unconfirmed == 0 {
 		return
 	}
-	f.opts.Proof.Confirm(f.unconfirmed)
+	f.confirmProof(f.unconfirmed)
 }
 
+// confirmProof confirms the local state as of a time on the proof's clock.
+func (f *Follower) confirmProof(at time.Duration) {
+	f.confirmedEra.Store(int64(f.Position().Era))
+	f.opts.Proof.Confirm(at)
+}
+
+// ConfirmedEra returns the store's era in which the local state was last confirmed. It is 0 before the first confirmation.
+func (f *Follower) ConfirmedEra() kv.Era { return kv.Era(f.confirmedEra.Load()) }
+
 // checkStart reports whether this router may rely on the configuration that it has read since its start. mu must be held.
 func (f *Follower) checkStart() bool {
 	if f.start.passed {
 		return true
 	}
+	position := f.Position()
+	if position.IsZero() {
+		return false
+	}
 	fleet := f.opts.FleetConfig()
-	passed := f.start.pass(time.Now(), fleet)
+	passed := f.start.pass(time.Now(), fleet, position.Era)
 	if passed && fleet.Own < fleet.Newest {
 		f.opts.Log.Warn("serving with an older configuration than other routers", zap.Int64("own_version", fleet.Own),
 			zap.Int64("newest_version", fleet.Newest))
@@ -248,7 +263,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.checkStart() {
-		f.opts.Proof.Confirm(at)
+		f.confirmProof(at)
 	} else {
 		f.unconfirmed = max(f.unconfirmed, at)
 	}
@@ -325,6 +340,9 @@
 	now := time.Now()
 	f.restoredAt = now
 	f.settledAt = now.Add(settlePeriod)
+	f.mu.Lock()
+	f.unconfirmed = 0 // it is that of another era
+	f.mu.Unlock()
 	f.opts.Log.Warn("store restored from an older copy",
 		zap.Int64("era", int64(position.Era)), zap.Int64("previous_era", int64(f.position.Era)),
 		zap.Int64("revision", int64(position.Revision)), zap.Int64("previous_revision", int64(f.position.Revision)))
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -53,6 +53,8 @@
 	ProofEra int64 `cbor:"19,keyasint,omitempty"`
 	// Draining lists the backend servers whose responses to the sender said that they leave.
 	Draining []serverdrain.Incarnation `cbor:"20,keyasint,omitempty"`
+	// ConfirmedEra is the store's era in which the sender last confirmed its state.
+	ConfirmedEra int64 `cbor:"24,keyasint,omitempty"`
 }
 
 // Position returns the position of the store that the proof states. The report must have a proof.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -21,6 +21,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/state/runqueue"
@@ -206,13 +207,16 @@
 
 // fleetConfig returns the configuration versions that the routers have in force.
 func (n *Node) fleetConfig() discovery.FleetConfig {
-	var fleet discovery.FleetConfig
+	fleet := discovery.FleetConfig{Witnesses: make(map[kv.Era]int)}
 	if table := n.routing.Load(); table != nil {
 		fleet.Own = table.Version
 	}
 	live := n.peers.Live(time.Now())
 	for _, p := range live {
 		fleet.Newest = max(fleet.Newest, p.ConfigVersion)
+		if p.Ready { // a router is ready only after its own check
+			fleet.Witnesses[kv.Era(p.ConfirmedEra)]++
+		}
 	}
 	// A store that came back from an older copy has lost the entries of most routers, so that none may be registered.
 	registered := n.routers.Load()
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -24,6 +24,7 @@
 		Domain:        n.settings.FailureDomain,
 		Ready:         n.ready(),
 		Queue:         n.admission.Waiting(),
+		ConfirmedEra:  int64(n.follower.ConfirmedEra()),
 	}
 	if table := n.routing.Load(); table != nil {
 		r.ConfigVersion = table.Version
--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -81,3 +81,32 @@
 	status, _ := started.call("/callout/x", "new", "other-key")
 	g.Expect(status).To(Equal(http.StatusOK))
 }
+
+// Guards against routers that all start after the store came back from an older copy, take each other for witnesses of its
+// state, and accept an API key that was removed since. They must serve within a few seconds all the same.
+func TestRoutersStartedTogetherAfterARestoreRefuseRemovedKeys(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	older := f.store.Copy()
+	f.configure(2, "other-key")
+	f.store.Restore(older)
+	var nodes []*testNode
+	for i := range 3 {
+		nodes = append(nodes, f.startRouter(fmt.Sprintf("r-%d", i)))
+	}
+	for i := range 75 {
+		for _, n := range nodes {
+			status, _ := n.call("/callout/x", fmt.Sprint(n.settings.Router, i), "farm-key")
+			g.Expect(status).To(Or(BeZero(), Equal(http.StatusServiceUnavailable)), "0: not listening yet")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.configure(2, "other-key")
+	for _, n := range nodes {
+		g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
+		status, _ := n.call("/callout/x", "new", "other-key")
+		g.Expect(status).To(Equal(http.StatusOK))
+		status, _ = n.call("/callout/x", "removed", "farm-key")
+		g.Expect(status).To(Equal(http.StatusUnauthorized))
+	}
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -116,6 +116,10 @@
 		x.refuse(refusalNoConfig, retryAfterUnavailable)
 		return false
 	}
+	if _, confirmed := x.g.opts.Proof.Age(); !confirmed {
+		x.refuse(refusalUnconfirmed, retryAfterUnavailable) // a restored store may lack what was written last
+		return false
+	}
 	x.route = x.table.Route(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		x.reject(http.StatusNotFound, "no route")
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
@@ -159,6 +160,19 @@
 	g.Expect(h.do(h.request(http.MethodGet, "/open/x", "anonymous", "")).status).To(Equal(http.StatusOK))
 }
 
+// Guards against a router that has just started and serves by what a restored store lists, before it may rely on that: also
+// requests without an API key must not reach servers that an operator has taken out of use.
+func TestNothingIsServedBeforeTheFirstConfirmation(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, 1)
+	proof := freshness.NewProof(func() time.Duration { return *h.clock })
+	h.gateway.opts.Proof = proof
+	g.Expect(h.do(h.request(http.MethodGet, "/open/x", "early", "")).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(h.totalRuns("early")).To(BeZero())
+	proof.Confirm(*h.clock)
+	g.Expect(h.do(h.request(http.MethodGet, "/open/x", "confirmed", "")).status).To(Equal(http.StatusOK))
+}
+
 // Guards against wrong statuses for requests that the configuration does not allow.
 func TestRequestsThatAreNotAllowed(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -15,13 +15,15 @@
 
 // Reasons for which the gateway refuses a request. Package admission defines further ones.
 const (
-	refusalNoConfig  = "no-configuration"
-	refusalNoService = "no-service"
-	refusalStale     = "configuration-stale"
-	refusalMemory    = "memory"
-	refusalStopping  = "stopping"
-	refusalFull      = "servers-full"
-	refusalOverload  = "processor-overload"
+	refusalNoConfig = "no-configuration"
+	// refusalUnconfirmed is for a router that has just started and may not rely yet on what it has read from the store.
+	refusalUnconfirmed = "configuration-unconfirmed"
+	refusalNoService   = "no-service"
+	refusalStale       = "configuration-stale"
+	refusalMemory      = "memory"
+	refusalStopping    = "stopping"
+	refusalFull        = "servers-full"
+	refusalOverload    = "processor-overload"
 )
 
 // Times after which a refused client may retry.
