Keep what is known about an incarnation of a server while its entry has lapsed

An entry of another writer that lacked born was taken for a further start of the server, and routers sent requests again to a server that had announced that it leaves. A limit or a pause was forgotten when the entry lapsed and came back with the same born.

Announcements, limits and pauses are kept by incarnation (ID, address, start) and hold again when it is listed again.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -39,12 +39,8 @@
 	if t.server == nil {
 		return News{}
 	}
-	if current := c.servers.Get(t.server.ID); current != nil && !current.SameStart(t.server) {
-		return News{}
-	}
 	if a.Pause > 0 {
-		h := c.healthOf(t.server.ID)
-		h.reopensAt = later(h.reopensAt, now.Add(a.Pause))
+		c.recordPause(t.server, now.Add(a.Pause))
 	}
 	news := News{Leaving: a.Leaving && c.drains.Receive(now, t.server)}
 	if a.Limit != nil {
@@ -56,7 +52,7 @@
 // MaySend reports whether a granted request may be sent now: its server may have announced since that it leaves or wants
 // a pause, or may have named a limit, or the permit may have lapsed. clock is the time on a clock that includes suspension.
 func (c *Core) MaySend(now time.Time, clock time.Duration, t *Ticket) bool {
-	if t.state != ticketGranted || c.drains.Draining(t.server) || now.Before(c.healthOf(t.server.ID).reopensAt) {
+	if t.state != ticketGranted || c.drains.Draining(t.server) || now.Before(c.reopensAt(t.server)) {
 		return false
 	}
 	if _, limited := c.limits.Rate(now, t.server.ID); limited && !t.permit.valid(clock) {
@@ -79,6 +75,9 @@
 			h.reopensAt = h.reopensAt.Add(-d)
 		}
 	}
+	for incarnation, until := range c.pauses {
+		c.pauses[incarnation] = until.Add(-d)
+	}
 }
 
 // ReportDraining records the servers that another router knows to leave. It returns those that are out of use because of
--- a/internal/coordination/admission/announce_test.go
+++ b/internal/coordination/admission/announce_test.go
@@ -218,3 +218,42 @@
 	g.Expect(a.core.confirm(a.now, 0, ticket, answer, reservation.Answered)).To(BeFalse())
 	g.Expect(ticket.server.ID).To(Equal("i-1"), "it is placed elsewhere, though this router has not heard of the leaving")
 }
+
+// Guards against requests to a server that has asked for a pause, does not reach the store, and comes back there with the same
+// start; and against a pause that binds the next incarnation.
+func TestPauseHoldsWhileTheEntryHasLapsed(t *testing.T) {
+	g := NewWithT(t)
+	a := newAnnounceTest(1)
+	a.submit(2)
+	first, second := a.granted[0], a.granted[1]
+	lapse := func() { a.core.SetServers(a.now, backends.NewSet(nil)) }
+	comeBack := func(s backends.Server) { a.core.SetServers(a.now, backends.NewSet([]*backends.Server{&s})) }
+	a.core.Announce(a.now, first, Announcement{Pause: 2 * time.Second})
+	lapse()
+	g.Expect(a.core.MaySend(a.now, 0, second)).To(BeFalse())
+	a.core.Announce(a.now, second, Announcement{Pause: 3 * time.Second})
+	a.core.Finish(a.now, first, ResultCancelled)
+	a.core.Finish(a.now, second, ResultCancelled)
+	comeBack(*first.server)
+	a.granted = nil
+	a.submit(1)
+	a.advance(2900 * time.Millisecond)
+	g.Expect(a.granted).To(BeEmpty())
+	restarted := *first.server
+	restarted.StartedAt++
+	comeBack(restarted)
+	a.submit(1)
+	g.Expect(a.granted).NotTo(BeEmpty(), "the next incarnation is not bound")
+	for _, ticket := range a.granted {
+		a.core.Finish(a.now, ticket, ResultCancelled)
+	}
+	comeBack(*first.server)
+	a.granted = nil
+	a.submit(1)
+	g.Expect(a.granted).To(BeEmpty(), "the entry of the next start was that of another writer")
+	a.advance(200 * time.Millisecond)
+	g.Expect(a.granted).NotTo(BeEmpty())
+	lapse()
+	a.advance(maxReopenSteps * reopenStep)
+	g.Expect(a.core.pauses).To(BeEmpty())
+}
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -43,11 +43,13 @@
 	// returns are the unused permits of other routers.
 	returns []PermitReturn
 	// routers is the number of live routers, this one included.
-	routers        int
-	loads          *engineload.Table
-	accounts       *fairshare.Accounts
-	prefixes       *prefixIndex
-	health         map[string]*health
+	routers  int
+	loads    *engineload.Table
+	accounts *fairshare.Accounts
+	prefixes *prefixIndex
+	health   map[string]*health
+	// pauses holds until when incarnations that the store does not list want no requests.
+	pauses         map[backends.Incarnation]time.Time
 	meanErrorRates map[string]meanErrorRate
 	speeds         map[string]*prefillSpeeds
 	queues         map[string]*queue
@@ -75,6 +77,7 @@
 		accounts:       fairshare.New(opts.ShareWindow / meanAgesPerWindow),
 		prefixes:       newPrefixIndex(),
 		health:         make(map[string]*health),
+		pauses:         make(map[backends.Incarnation]time.Time),
 		meanErrorRates: make(map[string]meanErrorRate),
 		speeds:         make(map[string]*prefillSpeeds),
 		queues:         make(map[string]*queue),
@@ -85,10 +88,11 @@
 }
 
 // SetServers replaces the backend servers. The health and the cached parts of a server that is gone or has restarted
-// are dropped.
+// are dropped. What the server has said about itself is kept in case the same incarnation comes back.
 func (c *Core) SetServers(now time.Time, set *backends.Set) {
 	for id, before := range c.servers.All() {
 		if after := set.Get(id); after == nil || !after.SameIncarnation(before) {
+			c.keepPause(now, before)
 			delete(c.health, id)
 			delete(c.permitStates, id)
 			c.allocator.Reset(id)
@@ -96,6 +100,7 @@
 		}
 	}
 	c.servers = set
+	c.restorePauses()
 	c.drains.SetServers(now, set)
 	c.limits.SetServers(set)
 	for _, s := range c.speeds {
@@ -266,6 +271,7 @@
 func (c *Core) Advance(now time.Time) {
 	c.loads.Expire(now)
 	c.limits.Expire(now)
+	c.expirePauses(now)
 	c.expirePermitStates(now)
 	for _, q := range c.queues {
 		c.dispatch(now, q)
--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -283,3 +283,31 @@
 		}
 	})
 }
+
+// Guards against an entry of another writer without a start time that is taken for a further start of the server: what was
+// known about the server would be dropped. In a deployment whose servers never state it, such entries name servers.
+func TestEntryWithoutAStartTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const started = `{"Service":"app","Address":"10.0.0.1:80","StartedAt":7}`
+		feed := kv.NewFakeFeed()
+		feed.Put("s/a", []byte(serverJSON))
+		f := newTestFollower(t, feed, nil)
+		time.Sleep(time.Second)
+		g.Expect(f.hasServer("a")).To(BeTrue(), "no server states its start")
+		feed.Put("s/b", []byte(started))
+		time.Sleep(time.Second)
+		feed.Put("s/b", []byte(serverJSON))
+		time.Sleep(time.Second)
+		g.Expect(f.hasServer("b")).To(BeFalse())
+		feed.Put("s/b", []byte(started))
+		feed.Put("s/c", []byte(serverJSON))
+		time.Sleep(time.Second)
+		g.Expect(f.hasServer("b")).To(BeTrue())
+		g.Expect(f.hasServer("c")).To(BeFalse(), "another server states its start")
+		listing := newTestFollower(t, feed, nil)
+		time.Sleep(time.Second)
+		g.Expect(listing.hasServer("a")).To(BeFalse(), "listed before the first entry with a start")
+		g.Expect(listing.hasServer("b")).To(BeTrue())
+	})
+}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
@@ -69,8 +70,14 @@
 	revisions map[string]kv.Revision
 	// invalidLogged holds when an entry that cannot be decoded was last logged, by key.
 	invalidLogged map[string]time.Time
+	// startsKnown is set once an entry of a server has had a start time. An entry without one is then that of another writer.
+	// Before, it is that of a deployment whose servers never state it.
+	startsKnown bool
 }
 
+// errNoStart reports an entry of a server without a start time.
+var errNoStart = errors.New("start time is missing, which other entries have")
+
 const (
 	// invalidLogInterval is the shortest time between two log lines about an entry that cannot be decoded. A writer may
 	// write it again and again.
@@ -124,6 +131,9 @@
 	for _, e := range entries {
 		listed[e.Key] = true
 	}
+	for _, e := range entries {
+		s.noteStart(e)
+	}
 	changed := false
 	for key := range s.revisions {
 		if !listed[key] {
@@ -152,6 +162,16 @@
 	s.bound = nil
 }
 
+// noteStart records whether an entry of a server has a start time. All entries of a listing are checked before the first one
+// is applied, so that the result does not depend on their order.
+func (s *State) noteStart(e kv.Entry) {
+	if s.startsKnown || !s.opts.Schema.IsServer(e.Key) {
+		return
+	}
+	server, err := s.opts.Schema.DecodeServer(e.Key, e.Value)
+	s.startsKnown = err == nil && server.StartedAt != 0
+}
+
 // hasDeparted reports whether an entry is that of a server that was dropped lately, and not of a later start of it.
 func (s *State) hasDeparted(e kv.Entry) bool {
 	if !s.opts.Schema.IsServer(e.Key) {
@@ -167,6 +187,9 @@
 
 // Apply implements Sink.
 func (s *State) Apply(changes []kv.Change, now, graceEnd time.Time) {
+	for _, c := range changes {
+		s.noteStart(c.Entry)
+	}
 	changed := false
 	for _, c := range changes {
 		if c.Revision <= s.revisions[c.Key] {
@@ -254,6 +277,9 @@
 func (s *State) applyServer(e kv.Entry, now time.Time) bool {
 	s.revisions[e.Key] = e.Revision
 	server, err := s.opts.Schema.DecodeServer(e.Key, e.Value)
+	if err == nil && server.StartedAt == 0 && s.startsKnown {
+		err = errors.Wrap(errNoStart, e.Key)
+	}
 	if err != nil {
 		s.recordInvalid("cannot decode entry of a backend server", e, err, now)
 		return s.dropServer(s.opts.Schema.ServerID(e.Key), now)
--- a/internal/coordination/serverdrain/registry.go
+++ b/internal/coordination/serverdrain/registry.go
@@ -1,7 +1,7 @@
 // Package serverdrain keeps which backend servers have announced in their responses that they leave.
 //
 // The announcement holds whatever the store says: the store may be unreachable, or may have come back from an older copy
-// in which the server is ready. It ends with the incarnation of the server.
+// in which the server is ready. It ends with the incarnation of the server, and is kept while the store does not list it.
 //
 // Routers tell each other what they received. A server that only one other router names is taken out of use as long as
 // it is one of few: the word of one router takes out at most a quarter of a service, so that a router in error cannot
@@ -19,7 +19,7 @@
 	// maxFractionByOneRouter is the fraction of a service's servers that the word of one other router takes out of use.
 	maxFractionByOneRouter = 0.25
 	// absenceRetention is how long an announcement is kept after the server has disappeared from the store. An older copy
-	// of the store may list it again.
+	// of the store may list it again, and its entry may lapse, or be overwritten, while it runs.
 	absenceRetention = time.Minute
 	// maxReported is the number of announcements in a report; the latest ones are reported.
 	maxReported = 16
@@ -52,46 +52,45 @@
 	absentSince time.Time
 }
 
-// Registry holds the announcements by server. It is not safe for concurrent use.
+// Registry holds the announcements by incarnation. It is not safe for concurrent use.
 type Registry struct {
 	servers       *backends.Set
-	announcements map[string]*announcement
+	announcements map[backends.Incarnation]*announcement
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: backends.NewSet(nil), announcements: make(map[string]*announcement)}
+	return &Registry{servers: backends.NewSet(nil), announcements: make(map[backends.Incarnation]*announcement)}
 }
 
-// SetServers replaces the known servers. The announcements of earlier incarnations are dropped.
+// SetServers replaces the known servers. The announcements of incarnations that have long been absent are dropped.
 func (r *Registry) SetServers(now time.Time, set *backends.Set) {
 	r.servers = set
-	for id, a := range r.announcements {
-		switch current := set.Get(id); {
-		case current == nil && a.absentSince.IsZero():
-			a.absentSince = now
-		case current == nil && now.Sub(a.absentSince) > absenceRetention:
-			delete(r.announcements, id)
-		case current != nil && !current.SameStart(a.server):
-			delete(r.announcements, id)
-		case current != nil:
+	for incarnation, a := range r.announcements {
+		switch {
+		case set.Has(incarnation):
 			a.absentSince = time.Time{}
+		case a.absentSince.IsZero():
+			a.absentSince = now
+		case now.Sub(a.absentSince) > absenceRetention:
+			delete(r.announcements, incarnation)
 		}
 	}
 }
 
-// Receive records that this router received the announcement of a server. It reports whether this is new.
+// Receive records that this router received the announcement of a server. It reports whether this is new, and not that of
+// an incarnation whose place another one has.
 func (r *Registry) Receive(now time.Time, server *backends.Server) bool {
-	current := r.servers.Get(server.ID)
-	if current != nil && !current.SameStart(server) {
-		return false
-	}
 	a := r.announcementOf(server)
 	if a.received {
 		return false
 	}
 	a.received, a.inForce, a.at = true, true, now
-	return true
+	if r.servers.Has(server.Incarnation()) {
+		return true
+	}
+	a.absentSince = now
+	return r.servers.Get(server.ID) == nil
 }
 
 // Report records the announcements that another router has received. Unknown incarnations are ignored. It returns the
@@ -114,10 +113,10 @@
 }
 
 func (r *Registry) announcementOf(server *backends.Server) *announcement {
-	a := r.announcements[server.ID]
-	if a == nil || !a.server.SameStart(server) {
+	a := r.announcements[server.Incarnation()]
+	if a == nil {
 		a = &announcement{server: server, reporters: make(map[string]bool)}
-		r.announcements[server.ID] = a
+		r.announcements[server.Incarnation()] = a
 	}
 	return a
 }
@@ -125,8 +124,12 @@
 // mayTakeOut reports whether the word of one router may take one more server of a service out of use.
 func (r *Registry) mayTakeOut(router, service string) bool {
 	taken := 0
-	for _, a := range r.announcements {
-		if a.inForce && !a.received && a.server.Service == service && len(a.reporters) == 1 && a.reporters[router] {
+	for incarnation, a := range r.announcements {
+		replaced := r.servers.Get(incarnation.ID) != nil && !r.servers.Has(incarnation)
+		if replaced || !a.inForce || a.received || a.server.Service != service {
+			continue
+		}
+		if len(a.reporters) == 1 && a.reporters[router] {
 			taken++
 		}
 	}
@@ -136,20 +139,26 @@
 
 // Draining reports whether a server gets no new requests: because the store says so, or because it has announced it.
 func (r *Registry) Draining(server *backends.Server) bool {
-	return server.Draining || r.Announced(server.ID)
+	return server.Draining || r.announced(server)
 }
 
 // Announced reports whether the present incarnation of a server has announced that it leaves.
 func (r *Registry) Announced(id string) bool {
-	a := r.announcements[id]
+	current := r.servers.Get(id)
+	return current != nil && r.announced(current)
+}
+
+// announced reports whether the incarnation of a server has announced that it leaves.
+func (r *Registry) announced(server *backends.Server) bool {
+	a := r.announcements[server.Incarnation()]
 	return a != nil && a.inForce
 }
 
-// Len returns the number of announcements in force.
+// Len returns the number of servers that the store lists and that have announced that they leave.
 func (r *Registry) Len() int {
 	n := 0
-	for _, a := range r.announcements {
-		if a.inForce {
+	for incarnation, a := range r.announcements {
+		if a.inForce && r.servers.Has(incarnation) {
 			n++
 		}
 	}
@@ -159,9 +168,8 @@
 // Received returns the announcements that this router received itself and that the store does not show, the latest first.
 func (r *Registry) Received() []Incarnation {
 	var received []*announcement
-	for id, a := range r.announcements {
-		current := r.servers.Get(id)
-		if a.received && current != nil && !current.Draining {
+	for incarnation, a := range r.announcements {
+		if a.received && r.servers.Has(incarnation) && !r.servers.Get(incarnation.ID).Draining {
 			received = append(received, a)
 		}
 	}
--- a/internal/coordination/serverdrain/registry_test.go
+++ b/internal/coordination/serverdrain/registry_test.go
@@ -45,6 +45,34 @@
 	g.Expect(r.Draining(second)).To(BeFalse())
 }
 
+// Guards against requests to a leaving server whose entry another writer has overwritten with that of another start, until
+// the server writes it again.
+func TestAnnouncementHoldsAfterAnEntryOfAnotherWriter(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	first, odd := newServer("i-0", 1), newServer("i-0", 9)
+	r.SetServers(start, backends.NewSet([]*backends.Server{first}))
+	r.Receive(start, first)
+	r.SetServers(start, backends.NewSet([]*backends.Server{odd}))
+	g.Expect(r.Announced("i-0")).To(BeFalse())
+	g.Expect(r.Draining(first)).To(BeTrue(), "a request that was granted before")
+	again := *first
+	r.SetServers(start.Add(time.Second), backends.NewSet([]*backends.Server{&again}))
+	g.Expect(r.Announced("i-0")).To(BeTrue())
+	g.Expect(r.Received()).To(Equal([]Incarnation{IncarnationOf(first)}))
+}
+
+// Guards against servers that restart one after another and use up what the word of one router may take out of use.
+func TestReplacedIncarnationsDoNotCountAsTakenOut(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	for startedAt := range int64(6) {
+		server := newServer("i-0", startedAt+1)
+		r.SetServers(start, backends.NewSet([]*backends.Server{server}))
+		g.Expect(r.Report("router-a", []Incarnation{IncarnationOf(server)})).To(Equal([]string{"i-0"}))
+	}
+}
+
 // Guards against announcements that are kept for servers that never come back.
 func TestAnnouncementsOfGoneServersAreForgotten(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/coordination/serverlimit/registry.go
+++ b/internal/coordination/serverlimit/registry.go
@@ -20,6 +20,9 @@
 	minRecoveryRate = 2.0
 	// endRetention is how long an ended limit is kept to be compared with late statements.
 	endRetention = 10 * time.Minute
+	// absenceRetention is how long a limit is kept after the store has ceased to list the server, which may run on and come
+	// back with the same start.
+	absenceRetention = 10 * time.Minute
 )
 
 // Statement is what one response says about the rate of requests that its server takes.
@@ -84,34 +87,53 @@
 	since time.Time
 }
 
+// absentLimit is the limit of an incarnation that the store does not list.
+type absentLimit struct {
+	*limit
+	// absentSince is when Expire first noticed the absence, or zero.
+	absentSince time.Time
+}
+
 // Registry holds the limits by server. It is not safe for concurrent use.
 type Registry struct {
 	servers *backends.Set
 	limits  map[string]*limit
+	// absent holds the limits of incarnations that the store does not list.
+	absent map[backends.Incarnation]*absentLimit
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: backends.NewSet(nil), limits: make(map[string]*limit)}
+	return &Registry{servers: backends.NewSet(nil), limits: make(map[string]*limit), absent: make(map[backends.Incarnation]*absentLimit)}
 }
 
-// SetServers replaces the known servers. The limits of servers that are gone or have restarted are dropped.
+// SetServers replaces the known servers. The limits of servers that are gone or have restarted are set aside, and hold
+// again if the same incarnation comes back.
 func (r *Registry) SetServers(set *backends.Set) {
 	r.servers = set
 	for id, l := range r.limits {
-		if current := set.Get(id); current == nil || !current.SameStart(l.server) {
+		if incarnation := l.server.Incarnation(); !set.Has(incarnation) {
 			delete(r.limits, id)
+			r.absent[incarnation] = &absentLimit{limit: l}
+		}
+	}
+	for incarnation, l := range r.absent {
+		if set.Has(incarnation) {
+			delete(r.absent, incarnation)
+			l.server = set.Get(incarnation.ID)
+			r.limits[incarnation.ID] = l.limit
 		}
 	}
 }
 
-// Receive records what a response of a server says. Statements of servers that are not known, or of an earlier
-// incarnation, are ignored.
+// Receive records what a response of a server says. The statement of an incarnation that the store does not list has no
+// effect until the incarnation comes back.
 func (r *Registry) Receive(server *backends.Server, s Statement) Change {
-	current := r.servers.Get(server.ID)
-	if current == nil || !current.SameStart(server) {
+	if !r.servers.Has(server.Incarnation()) {
+		r.receiveAbsent(server, s)
 		return Unchanged
 	}
+	current := r.servers.Get(server.ID)
 	l := r.limits[server.ID]
 	if l == nil {
 		if !s.Limited {
@@ -123,6 +145,17 @@
 	return l.apply(s)
 }
 
+// receiveAbsent records what a response of an incarnation says that the store does not list.
+func (r *Registry) receiveAbsent(server *backends.Server, s Statement) {
+	incarnation := server.Incarnation()
+	switch known := r.absent[incarnation]; {
+	case known != nil:
+		known.apply(s)
+	case s.Limited:
+		r.absent[incarnation] = &absentLimit{limit: &limit{server: server, latest: s, rate: s.Rate, since: s.ReceivedAt}}
+	}
+}
+
 // apply records a further statement.
 func (l *limit) apply(s Statement) Change {
 	before := l.latest
@@ -182,22 +215,37 @@
 	return l.rate, true
 }
 
-// Expire drops the limits that have ended long ago.
+// Expire drops the limits that have ended long ago, and those of incarnations that have long been absent.
 func (r *Registry) Expire(now time.Time) {
 	for id, l := range r.limits {
 		if !l.latest.Limited && now.Sub(l.since) > endRetention {
 			delete(r.limits, id)
 		}
 	}
+	for incarnation, l := range r.absent {
+		switch {
+		case l.absentSince.IsZero():
+			l.absentSince = now
+		case now.Sub(l.absentSince) > absenceRetention, !l.latest.Limited && now.Sub(l.since) > endRetention:
+			delete(r.absent, incarnation)
+		}
+	}
 }
 
 // Skip dates all statements back by a time for which the clock stood still.
 func (r *Registry) Skip(d time.Duration) {
 	for _, l := range r.limits {
-		l.latest.SentAt = l.latest.SentAt.Add(-d)
-		l.latest.ReceivedAt = l.latest.ReceivedAt.Add(-d)
-		l.since = l.since.Add(-d)
+		l.skip(d)
 	}
+	for _, l := range r.absent {
+		l.skip(d)
+	}
+}
+
+func (l *limit) skip(d time.Duration) {
+	l.latest.SentAt = l.latest.SentAt.Add(-d)
+	l.latest.ReceivedAt = l.latest.ReceivedAt.Add(-d)
+	l.since = l.since.Add(-d)
 }
 
 // Known reports whether a server has a limit, or had one that is not forgotten.
--- a/internal/coordination/serverlimit/registry_test.go
+++ b/internal/coordination/serverlimit/registry_test.go
@@ -122,6 +122,36 @@
 	g.Expect(r.Len()).To(BeZero(), "another server at the ID")
 }
 
+// Guards against a limit that is forgotten while the server does not reach the store: its entry lapses and comes back with
+// the same start. What its responses say meanwhile counts when it is back.
+func TestLimitHoldsWhileTheEntryHasLapsed(t *testing.T) {
+	g := NewWithT(t)
+	r, server := newRegistry()
+	lapse := func() { r.SetServers(backends.NewSet(nil)) }
+	comeBack := func() {
+		again := *server
+		r.SetServers(backends.NewSet([]*backends.Server{&again}))
+	}
+	r.Receive(server, names(5, 1, 1.2))
+	lapse()
+	g.Expect(r.Len()).To(BeZero())
+	r.Expire(at(3))
+	comeBack()
+	rate, limited := r.Rate(at(6), "i-0")
+	g.Expect(limited).To(BeTrue())
+	g.Expect(rate).To(Equal(5.0))
+	lapse()
+	g.Expect(r.Receive(server, names(3, 7, 7.2))).To(Equal(Unchanged))
+	comeBack()
+	rate, _ = r.Rate(at(8), "i-0")
+	g.Expect(rate).To(Equal(3.0), "named while the entry had lapsed")
+	lapse()
+	r.Expire(at(9))
+	r.Expire(at(10).Add(absenceRetention))
+	comeBack()
+	g.Expect(r.Known("i-0")).To(BeFalse(), "it was gone for too long")
+}
+
 // Guards against a router that keeps a limit for good which has ended, and sends nothing to the server: it had a response
 // that named the limit after the request was sent whose response showed its end to the owner. A fleet of 65 showed it.
 func TestEndThatOverlapsTheLastNamingIsBelievedInTime(t *testing.T) {
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -24,9 +24,21 @@
 // Key returns "ID@ADDRESS", which identifies the server at its address.
 func (s *Server) Key() string { return s.ID + "@" + s.Address }
 
+// Incarnation identifies a server from one start to the next, whatever service it belongs to. What is known about an
+// incarnation holds whether or not the store lists it at the moment.
+type Incarnation struct {
+	ID, Address string
+	StartedAt   int64
+}
+
+// Incarnation returns the identity of the server's incarnation.
+func (s *Server) Incarnation() Incarnation {
+	return Incarnation{ID: s.ID, Address: s.Address, StartedAt: s.StartedAt}
+}
+
 // SameStart reports whether both values describe a server since the same start, whatever service it belongs to.
 func (s *Server) SameStart(other *Server) bool {
-	return s.ID == other.ID && s.Address == other.Address && s.StartedAt == other.StartedAt
+	return s.Incarnation() == other.Incarnation()
 }
 
 // SameIncarnation reports whether both values describe the same incarnation of the same server.
@@ -62,6 +74,12 @@
 // Get returns the server with an ID, or nil if the set has none.
 func (s *Set) Get(id string) *Server { return s.byID[id] }
 
+// Has reports whether the set has a server of an incarnation.
+func (s *Set) Has(i Incarnation) bool {
+	server := s.byID[i.ID]
+	return server != nil && server.Incarnation() == i
+}
+
 // ByKey returns the server whose Key is key, or nil if the set has none.
 func (s *Set) ByKey(key string) *Server { return s.byKey[key] }
 
