gateway: Write the own entry again when the store has lost it

A write of a router's entry whose response was lost left its lease behind. Executed seconds later it put the entry under that lease, with which the entry ended, while the router renewed another lease with success. The others no longer sent it datagrams, and it owned all servers beside them: a server with a limit got both owners' permits.

The write is made again under the same lease. A router compares its entry with the one that it reads, and writes it again if that is missing or another one.

--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -86,6 +86,7 @@
 	transmit func(to netip.AddrPort, data []byte)
 	registry *prometheus.Registry
 	routers  atomic.Pointer[map[string]discovery.Router]
+	entry    *entryWatch
 	draining atomic.Bool
 	// hangup receives SIGHUP. If it is nil, the settings are reloaded only periodically.
 	hangup <-chan os.Signal
@@ -137,6 +138,7 @@
 		exchange:      freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:      prometheus.NewRegistry(),
 		restored:      make(chan struct{}, 1),
+		entry:         newEntryWatch(),
 		suspension:    newSuspension(),
 	}
 	n.serving, n.endRequests = context.WithCancelCause(context.Background())
@@ -158,7 +160,7 @@
 		Name: "gooseberrytide_invalid_entries_total",
 		Help: "Values of entries of backend servers and routers in the store that could not be decoded.",
 	})
-	n.registry.MustRegister(connectionsOpened, storeCalls, invalidEntries)
+	n.registry.MustRegister(connectionsOpened, storeCalls, invalidEntries, n.entry.rewrites)
 	n.pool = upstream.New(upstream.Options{OnConnect: connectionsOpened.Inc})
 	n.budget = retry.NewWindowBudget(settings.Bounds.RetryWindow)
 	n.applyBounds(settings.Bounds)
@@ -194,7 +196,7 @@
 			Routing:   &n.routing,
 			Servers:   &n.servers,
 			Log:       log.Named("discovery"),
-			OnRouters: func(list map[string]discovery.Router) { n.routers.Store(&list) },
+			OnRouters: n.onRouters,
 			OnServers: n.onServers,
 			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
 			OnInvalid: invalidEntries.Inc,
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -302,7 +302,8 @@
 }
 
 // candidates returns the routers that may be owners: those that are ready, or all live ones if none is. During a long
-// outage of the store no router is ready, and each one would be the owner of all servers.
+// outage of the store no router is ready, and each one would be the owner of all servers. This router is none if it has lost
+// its entry for long: the others have replaced it.
 func (o *loadOwners) candidates(live []gossip.Peer) []reservation.Candidate {
 	n := o.node
 	own := reservation.Candidate{
@@ -311,7 +312,7 @@
 	}
 	anyReady := n.ready() || slices.ContainsFunc(live, func(p gossip.Peer) bool { return p.Ready })
 	var list []reservation.Candidate
-	if n.ready() || !anyReady {
+	if (n.ready() || !anyReady) && n.entry.lostFor(time.Now()) < maxUnregistered {
 		list = append(list, own)
 	}
 	for _, p := range live {
--- a/internal/daemon/gateway/register.go
+++ b/internal/daemon/gateway/register.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
-	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
@@ -24,8 +22,8 @@
 	renewPeriod = 6 * time.Second
 	// registerTimeout bounds one attempt to register, renew or unregister.
 	registerTimeout = 2 * time.Second
-	// reregisterSpread is the time over which the routers register anew after the store came back from an older copy,
-	// which has lost their entries. Their entries are kept in memory for longer.
+	// reregisterSpread is the time over which the routers register anew after the store has lost their entries, because it
+	// came back from an older copy or because leases ended. Entries that a copy has lost are kept in memory for longer.
 	reregisterSpread = time.Second
 )
 
@@ -54,10 +52,13 @@
 type registration struct {
 	lease kv.LeaseID
 	era   kv.Era
+	// writtenAt is when the entry was last written. It is zero if that has not succeeded: the lease is then used for the next
+	// attempt, so that a write which is executed late does not put the entry under a lease that is not renewed.
+	writtenAt time.Time
 }
 
-// sleepUntilRestored waits for d, or until the store has come back from an older copy and a random part of
-// reregisterSpread has passed.
+// sleepUntilRestored waits for d, or until the store has come back from an older copy or has lost this router's entry and a
+// random part of reregisterSpread has passed.
 func (n *Node) sleepUntilRestored(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -66,6 +67,8 @@
 	case <-timer.C:
 	case <-n.restored:
 		periodic.Sleep(ctx, rand.N(reregisterSpread))
+	case <-n.entry.lost:
+		periodic.Sleep(ctx, rand.N(reregisterSpread))
 	}
 }
 
@@ -77,10 +80,30 @@
 	}
 }
 
-// renewOrRegister renews the lease. If there is none or it has expired, it requests a new one and writes the entry.
+// renewOrRegister renews the lease. If there is none or it has expired, it requests a new one. It writes the entry if that is
+// not the one in the store.
 func (n *Node) renewOrRegister(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	if err := n.renew(ctx, r); err != nil {
+		return err
+	}
+	now := time.Now()
+	lost := n.entry.lostFor(now) > 0 && now.Sub(r.writtenAt) >= entryReadTime
+	switch {
+	case r.writtenAt.IsZero():
+		return n.writeEntry(ctx, r)
+	case lost:
+		n.log.Warn("own entry lost, registering again")
+		n.entry.rewrites.Inc()
+		return n.writeEntry(ctx, r)
+	default:
+		return nil
+	}
+}
+
+// renew renews the lease, or requests a new one if there is none in this era or it has expired.
+func (n *Node) renew(ctx context.Context, r *registration) error {
 	if r.lease != 0 && r.era == n.store.Era() {
 		err := n.store.Renew(ctx, r.lease)
 		if !errors.Is(err, kv.ErrNotFound) {
@@ -93,18 +116,21 @@
 	if err != nil {
 		return err
 	}
-	key, value, err := platform.EncodeRouter(discovery.Router{
-		ID:          n.settings.Router,
-		PeerAddress: netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort)),
-		Incarnation: n.incarnation,
-	})
+	r.lease, r.era = id, era
+	return nil
+}
+
+// writeEntry writes the entry under the lease.
+func (n *Node) writeEntry(ctx context.Context, r *registration) error {
+	key, value, err := platform.EncodeRouter(n.ownEntry())
 	if err != nil {
 		return err
 	}
-	if err := n.store.PutLeased(ctx, key, value, id); err != nil {
+	if err := n.store.PutLeased(ctx, key, value, r.lease); err != nil {
 		return err
 	}
-	*r = registration{lease: id, era: era}
+	r.writtenAt = time.Now()
+	n.entry.written.Store(true)
 	return nil
 }
 
