--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -13,9 +13,12 @@
 	mu     sync.Mutex
 	length time.Duration
 	// ratio is the number of retries allowed per request in the window; slack is the number of retries allowed in each
-	// window in addition.
+	// window in addition, to all routers together.
 	ratio, slack float64
-	services     map[string]*windowCounts
+	// routers is the number of routers that share the slack. Each one has the same part: the pattern that uses it up, a
+	// service that fails, reaches all routers at the same time.
+	routers  int
+	services map[string]*windowCounts
 }
 
 // windowCounts holds the numbers of requests and retries of a service in each bucket of the window.
@@ -27,12 +30,20 @@
 }
 
 // NewWindowBudget returns a budget over a sliding window of the given length. It allows no retries until SetBounds is
-// called.
+// called. The slack is for this router alone until SetRouters is called.
 func NewWindowBudget(length time.Duration) *WindowBudget {
-	return &WindowBudget{length: length, services: make(map[string]*windowCounts)}
+	return &WindowBudget{length: length, routers: 1, services: make(map[string]*windowCounts)}
 }
 
-// SetBounds sets the number of retries allowed per request and the number allowed in addition in each window.
+// SetRouters sets the number of routers that share the slack, this one included.
+func (w *WindowBudget) SetRouters(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.routers = max(n, 1)
+}
+
+// SetBounds sets the number of retries allowed per request and the number that all routers together are allowed in addition
+// in each window.
 func (w *WindowBudget) SetBounds(ratio, slack float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -68,7 +79,7 @@
 
 // available reports whether the counts allow a further retry. The caller holds mu.
 func (w *WindowBudget) available(c *windowCounts) bool {
-	return float64(sum(c.retries)+1) <= w.ratio*float64(sum(c.requests))+w.slack
+	return float64(sum(c.retries)+1) <= w.ratio*float64(sum(c.requests))+w.slack/float64(w.routers)
 }
 
 // advance moves a service's window to the current time and returns its counts. Buckets that have left the window are
--- a/internal/daemon/gateway/ownentry.go
+++ b/internal/daemon/gateway/ownentry.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 )
 
 const (
@@ -79,3 +80,13 @@
 	n.routers.Store(&list)
 	n.entry.compare(time.Now(), n.ownEntry(), list[n.settings.Router])
 }
+
+// routerCount returns the number of routers that may run, this one included: the live ones, or those with an entry if that
+// are more. A router that is cut off from this one keeps its entry.
+func (n *Node) routerCount(live []gossip.Peer) int {
+	count := len(live) + 1
+	if registered := n.routers.Load(); registered != nil {
+		count = max(count, len(*registered))
+	}
+	return count
+}
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -285,6 +285,7 @@
 	servers := o.node.servers.Load()
 	previous := o.table.Load()
 	o.limits.updateShare(now, live)
+	o.node.budget.SetRouters(o.node.routerCount(live))
 	if previous != nil && previous.servers == servers && slices.Equal(previous.candidates, candidates) {
 		return false
 	}
