upstream: A reset during the upload breaks an early response without a length

The system reports a reset once, to the writer of the body or to the reader of the response; the reader then saw a plain end, and the response looked complete. Such a response, with a status below 400, is complete only if the whole request was written. A status below 100 was skipped as informational, and is an invalid response now. The tests fail before the change.

--- a/internal/transport/upstream/guard.go
+++ b/internal/transport/upstream/guard.go
@@ -24,6 +24,7 @@
 	errHeadTooLong          = errors.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
 	errTooManyLines         = errors.Errorf("head of the response exceeds %d lines", maxHeadLines)
 	errTooManyInformational = errors.Errorf("more than %d informational responses", maxInformationalResponses)
+	errInvalidStatus        = errors.New("status code of the response is below 100")
 	errMismatchedResponses  = errors.New("received responses that belong to other requests")
 )
 
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -22,6 +22,9 @@
 	// new connection costs less than more bytes or a longer wait.
 	maxDiscardedBytes = 16 << 10
 	maxDiscardTime    = 100 * time.Millisecond
+	// maxUploadWait bounds how long the end of a response that ends with its connection waits for the end of the request's
+	// body. A reset reaches the writer of the body in the time of a round trip.
+	maxUploadWait = 100 * time.Millisecond
 )
 
 // Stage tells how much of a failed request was sent.
@@ -177,6 +180,20 @@
 	}
 }
 
+// endOfUpload returns nil if the whole request has been written, and otherwise why it has not. The end of a connection on
+// which a body is still written may be a reset: the system reports that once, to the writer or to the reader, and the other
+// one sees the end.
+func (w *requestWriter) endOfUpload() error {
+	timer := time.NewTimer(maxUploadWait)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+		return io.ErrUnexpectedEOF
+	}
+	return w.err
+}
+
 // stage waits for the writer to finish and returns whether any byte was written. The connection must be closed first,
 // so that the writer finishes.
 func (w *requestWriter) stage() Stage {
@@ -232,7 +249,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case resp.StatusCode < http.StatusContinue:
+			return nil, errInvalidStatus
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
@@ -260,15 +280,27 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, and an *InvalidResponseError if the body is
-// not encoded correctly.
+// not encoded correctly. A body that ends with its connection is complete unless the connection ends while the request is
+// still written: a server that refuses a request may do so, one that runs it has read it.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
+	if err == io.EOF && r.EndsWithConnection() && r.StatusCode < http.StatusBadRequest {
+		if uploadErr := r.writer.endOfUpload(); uploadErr != nil {
+			return n, uploadErr
+		}
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
 	return n, r.conn.guard.classify(err)
 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that its end looks like that of the
+// server.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // Reused reports whether the connection had carried other requests before.
 func (r *Response) Reused() bool { return r.conn.reused }
 
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -208,6 +209,62 @@
 	g.Expect(p.idle).To(BeEmpty())
 }
 
+// Guards against a response without a length that looks complete although its server has reset the connection while the body
+// of the request was still written. The system reports the reset to the writer, and the end of the connection to the reader.
+func TestEarlyResponseFollowedByAReset(t *testing.T) {
+	for i := range 20 {
+		g := NewWithT(t)
+		address := rawServer(t, func(c net.Conn, br *bufio.Reader) {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nConnection: close\r\n\r\npart", r.Header.Get("Attempt-Id"))
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		})
+		_, err := sendAndRead(t, New(Options{}), testRequest(address, "a", strings.Repeat("x", 16<<20)))
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(ConnectionLost(err)).To(BeTrue(), "%v", err)
+	}
+}
+
+// Guards against an early refusal without a length that is lost because the server does not read the rest of the body.
+func TestEarlyRefusalWithoutALength(t *testing.T) {
+	g := NewWithT(t)
+	address := rawServer(t, func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 413 Too Large\r\nAttempt-Id: %s\r\nConnection: close\r\n\r\nno", r.Header.Get("Attempt-Id"))
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, br)
+	})
+	body, err := sendAndRead(t, New(Options{}), testRequest(address, "a", strings.Repeat("x", 16<<20)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("no"))
+}
+
+// Guards against a status below 100 that is taken for an informational response, or that reaches the client.
+func TestStatusBelow100IsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099"} {
+		g := NewWithT(t)
+		address := rawServer(t, func(c net.Conn, br *bufio.Reader) {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			id := r.Header.Get("Attempt-Id")
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" None\r\nAttempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"+responseText(id, "late"))
+		})
+		_, err := sendAndRead(t, New(Options{}), testRequest(address, "a", "call"))
+		var invalid *InvalidResponseError
+		g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", err)
+	}
+}
+
 // Guards against treating a request that was not sent as one that may have run.
 func TestUnreachableServer(t *testing.T) {
 	g := NewWithT(t)
