gateway: End a stream as broken if its server ends between two events

The end of a stream without a length or chunks was taken for complete when its server was killed between two events. The router now finds out whether the server has ended, as for a connection that breaks, and continues the stream elsewhere or ends it as broken. TestStreamOfAServerThatEndsBetweenTwoEvents fails before the change.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -28,6 +28,9 @@
 // errNoEvents reports a stream that ended with its connection before its first event.
 var errNoEvents = errors.New("stream ended with its connection before its first event")
 
+// errServerEnded reports a stream that ended with its connection between two events, in the same moment as its server.
+var errServerEnded = errors.New("stream ended with its connection, and its server has ended")
+
 // errUnsigned reports a response without the server's signature.
 var errUnsigned = errors.New("response lacks the server's signature")
 
@@ -229,9 +232,10 @@
 // nextEvent reads the next event of a stream, or its end.
 func (a *attempt) nextEvent() (part, sendResult) {
 	event, err := a.events.Next()
+	if err == io.EOF && a.resp.EndsWithConnection() {
+		err = a.endOfConnection()
+	}
 	switch {
-	case err == io.EOF && a.endsWithConnection() && !a.responded:
-		err = errNoEvents
 	case err == io.EOF:
 		return part{end: true}, 0
 	case err == nil && a.position.started && !a.responded && event.HasFields && !event.HasID:
@@ -251,10 +255,17 @@
 	return part{event: event}, 0
 }
 
-// endsWithConnection reports whether the response has neither a length nor chunks, so that its end looks like that of the
-// server.
-func (a *attempt) endsWithConnection() bool {
-	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
+// endOfConnection returns io.EOF if the end of the connection is that of the stream, as far as this router can know, and
+// otherwise why it is not. A server that ends closes its connections between two events, too.
+func (a *attempt) endOfConnection() error {
+	if !a.responded {
+		return errNoEvents
+	}
+	a.crashed = a.tracked.Lost(a.ctx)
+	if a.crashed {
+		return errServerEnded
+	}
+	return io.EOF
 }
 
 // readBody reads a response completely, up to maxBufferedBytes. A server's failure is kept in failureResponse, so that
--- a/internal/transport/gateway/framing_test.go
+++ b/internal/transport/gateway/framing_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -112,3 +113,49 @@
 	g.Expect(response.err).NotTo(HaveOccurred())
 	g.Expect(response.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
 }
+
+// serveAndEnd starts a server that ends, with its port and its connections, between two events of a stream without a length.
+func serveAndEnd(t *testing.T) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: sig\r\nConnection: close\r\n\r\n%s",
+			r.Header.Get("Attempt-Id"), "id: 1\ndata: a\n\n")
+		time.Sleep(minProof + 100*time.Millisecond) // the request is not suspected of having ended the server
+		_, _ = io.WriteString(c, "id: 2\ndata: b\n\n")
+		_ = listener.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a stream that looks complete to the client although its server was killed between two events.
+func TestStreamOfAServerThatEndsBetweenTwoEvents(t *testing.T) {
+	g := NewWithT(t)
+	const delivered = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	h := newGatewayHarness(t, []string{serveAndEnd(t)})
+	response := h.do(h.stream("/chat/x", "once"))
+	g.Expect(response.err).To(HaveOccurred())
+	g.Expect(response.body).To(Equal(delivered))
+
+	rest := func(lastEvent string) string {
+		return map[string]string{"": delivered, "2": "id: 3\ndata: c\n\n"}[lastEvent]
+	}
+	for range 4 { // the first server is chosen at random
+		h = newGatewayHarness(t, []string{serveAndEnd(t), serveUnframed(t, closed, rest)})
+		response = h.do(h.stream("/digest/x", "resumable"))
+		g.Expect(response.err).NotTo(HaveOccurred())
+		g.Expect(response.body).To(Or(Equal(delivered), Equal(delivered+"id: 3\ndata: c\n\n")))
+	}
+}
--- a/internal/transport/gateway/poison.go
+++ b/internal/transport/gateway/poison.go
@@ -125,6 +125,9 @@
 // was lost, since it then finds out whether the server has ended.
 func (a *attempt) recordEvidence(result sendResult) {
 	defer a.trial.End()
+	if a.crashed {
+		return // recorded when the stream ended
+	}
 	switch {
 	case (result == sendAnswered || result == sendError) && a.isProof():
 		a.tracked.Complete()
@@ -139,4 +142,6 @@
 
 // isProof reports whether a complete response shows that its server has survived it. The end of a response without a
 // length may be that of the server. A response with the status of a failure is as good as any other.
-func (a *attempt) isProof() bool { return !a.endsWithConnection() && (a.events == nil || a.responded) }
+func (a *attempt) isProof() bool {
+	return !a.resp.EndsWithConnection() && (a.events == nil || a.responded)
+}
