gateway: Don't close the channel of log lines

Goroutines may still log while the process ends, and panicked with a send on a closed channel. TestLogWriterIsClosedWhileOthersWrite shows the panic before the change.

--- a/internal/daemon/gateway/logwriter.go
+++ b/internal/daemon/gateway/logwriter.go
@@ -19,17 +19,22 @@
 	lines   chan []byte
 	out     io.Writer
 	dropped atomic.Int64
-	done    chan struct{}
+	// stop is closed by close. The lines' channel stays open, since goroutines may still log while the process ends.
+	stop chan struct{}
+	done chan struct{}
 }
 
 func newLogWriter(out io.Writer) *logWriter {
-	w := &logWriter{lines: make(chan []byte, logBufferLines), out: out, done: make(chan struct{})}
+	w := &logWriter{lines: make(chan []byte, logBufferLines), out: out, stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write implements io.Writer. It does not block and returns no error.
 func (w *logWriter) Write(line []byte) (int, error) {
+	if w.stopped() {
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -38,15 +43,29 @@
 	return len(line), nil
 }
 
+// stopped reports whether close has been called.
+func (w *logWriter) stopped() bool {
+	select {
+	case <-w.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // Sync implements zapcore.WriteSyncer.
 func (w *logWriter) Sync() error { return nil }
 
-// run writes the lines in batches until the buffer is closed and empty.
+// run writes the lines in batches until the writer is stopped and the buffer is empty.
 func (w *logWriter) run() {
 	defer close(w.done)
 	var batch []byte
 	var lastDroppedCheck time.Time
-	for line := range w.lines {
+	for {
+		line, ok := w.next()
+		if !ok {
+			return
+		}
 		batch = append(batch[:0], line...)
 		batch = w.appendPending(batch)
 		if time.Since(lastDroppedCheck) >= sampleTick {
@@ -59,6 +78,21 @@
 	}
 }
 
+// next returns the next line. It returns false if the writer is stopped and the buffer is empty.
+func (w *logWriter) next() ([]byte, bool) {
+	select {
+	case line := <-w.lines:
+		return line, true
+	case <-w.stop:
+	}
+	select {
+	case line := <-w.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
 // appendDropped appends a line with the number of lines that were dropped since the last such line, if any.
 func (w *logWriter) appendDropped(batch []byte) []byte {
 	n := w.dropped.Swap(0)
@@ -79,10 +113,7 @@
 func (w *logWriter) appendPending(batch []byte) []byte {
 	for len(batch) < maxBatchBytes {
 		select {
-		case line, ok := <-w.lines:
-			if !ok {
-				return batch
-			}
+		case line := <-w.lines:
 			batch = append(batch, line...)
 		default:
 			return batch
@@ -91,9 +122,9 @@
 	return batch
 }
 
-// close writes the buffered lines and stops the writer.
+// close writes the buffered lines and stops the writer. Lines that are written later are lost. It must be called once.
 func (w *logWriter) close() {
-	close(w.lines)
+	close(w.stop)
 	<-w.done
 }
 
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -375,3 +376,22 @@
 	}
 	w.close()
 }
+
+// Guards against a panic at the end of the process, when goroutines still log while the writer is closed.
+func TestLogWriterIsClosedWhileOthersWrite(t *testing.T) {
+	w := newLogWriter(io.Discard)
+	ctx, cancel := context.WithCancel(t.Context())
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = w.Write([]byte("line\n"))
+			}
+		})
+	}
+	time.Sleep(10 * time.Millisecond)
+	w.close()
+	time.Sleep(10 * time.Millisecond)
+	cancel()
+	writers.Wait()
+}
