gateway: Match routes on paths with encoded slashes kept

/callout%2Fx got the route of /callout/, since routes were matched on the decoded path. Other encoded characters stay the same as the plain ones.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -120,7 +120,7 @@
 		x.refuse(refusalUnconfirmed, retryAfterUnavailable) // a restored store may lack what was written last
 		return false
 	}
-	x.route = x.table.Route(x.r.Host, x.r.URL.Path)
+	x.route = x.table.Route(x.r.Host, routePath(x.r.URL))
 	if x.route == nil {
 		x.reject(http.StatusNotFound, "no route")
 		return false
--- a/internal/transport/gateway/offload.go
+++ b/internal/transport/gateway/offload.go
@@ -12,7 +12,7 @@
 	if table == nil {
 		return false
 	}
-	route := table.Route(r.Host, r.URL.Path)
+	route := table.Route(r.Host, routePath(r.URL))
 	if route == nil {
 		return false
 	}
