gossip: Accept a router whose clock went back

A router that started again with an earlier time of day had a lower incarnation, and was ignored for a minute. A lower incarnation is accepted once the known one has been silent for 0.5 s, and late reports of the replaced one are ignored. TestRestartWithAnEarlierClock fails before the change.

--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -95,3 +95,21 @@
 	g.Expect(owner.Idle()).To(BeFalse(), "others need the loads of its servers")
 	g.Expect(owner.Active()).To(BeFalse())
 }
+
+// Guards against a router that is ignored after a restart because its clock went back meanwhile, and against late reports of
+// its earlier start that bring that one back.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPeers()
+	now := time.Now()
+	report := func(after time.Duration, incarnation, seq uint64) bool {
+		return p.Update(now.Add(after), &Report{Router: "r-1", Incarnation: incarnation, Seq: seq})
+	}
+	g.Expect(report(0, 1000, 1001)).To(BeTrue())
+	g.Expect(report(overtakenTime/2, 400, 401)).To(BeFalse(), "it may be that of an earlier start")
+	g.Expect(report(overtakenTime+time.Millisecond, 400, 402)).To(BeTrue())
+	g.Expect(report(overtakenTime+2*time.Millisecond, 1000, 1002)).To(BeFalse(), "a late report of the earlier start")
+	g.Expect(report(overtakenTime+3*time.Millisecond, 400, 403)).To(BeTrue())
+	g.Expect(p.Live(now.Add(2 * overtakenTime))[0].Incarnation).To(BeEquivalentTo(400))
+	g.Expect(report(2*overtakenTime, 2000, 2001)).To(BeTrue(), "the clock is set again")
+}
--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -15,6 +15,9 @@
 	// forgetAfter is the time after which the report of a lost router is dropped. Until then a relay's sightings are
 	// enough to count it as live again.
 	forgetAfter = time.Minute
+	// overtakenTime is the longest time by which a datagram of an earlier start of a router arrives later than one of the
+	// next start. Incarnations are times of day, and a clock may go back, so that the later start has the lower one.
+	overtakenTime = 500 * time.Millisecond
 )
 
 // Peer is the latest report of another router.
@@ -31,6 +34,23 @@
 	Peer
 	// lost is set if RemoveLost has returned the router and no sign of life came since.
 	lost bool
+	// reported is when the latest report arrived.
+	reported time.Time
+	// replaced is the incarnation that a lower one has replaced, or 0.
+	replaced uint64
+}
+
+// accepts reports whether a report is newer than the latest one: it is of the same start with a higher number, of a start
+// with a higher incarnation, or of one with a lower incarnation after the start known has fallen silent.
+func (e *entry) accepts(now time.Time, r *Report) bool {
+	switch {
+	case r.Incarnation == e.Incarnation:
+		return r.Seq > e.Seq
+	case r.Incarnation == e.replaced:
+		return false
+	default:
+		return r.Incarnation > e.Incarnation || now.Sub(e.reported) > overtakenTime
+	}
 }
 
 // Peers holds the latest report of each other router. It is safe for concurrent use.
@@ -74,12 +94,16 @@
 		})
 		p.sorted = slices.Insert(p.sorted, i, known)
 	} else {
-		if r.Incarnation < known.Incarnation || r.Incarnation == known.Incarnation && r.Seq <= known.Seq {
+		if !known.accepts(now, r) {
 			return false
 		}
+		if r.Incarnation < known.Incarnation {
+			known.replaced = known.Incarnation
+		}
 		delete(p.byPresence, known.presenceKey())
 	}
 	known.Peer = Peer{Report: r, Heard: now}
+	known.reported = now
 	known.lost = false
 	p.byPresence[r.presenceKey()] = r.Router
 	return true
