gateway: Write the own entry again when another writer has overwritten it

Running routers keep the earlier entry of a router if the new value cannot be decoded, but those that start cannot use it. TestRouterRegistersAgainWhenItsEntryIsOverwritten fails without the change, since the entry is written only once.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -50,6 +50,8 @@
 	OnConfig func(*routing.Table)
 	// OnInvalid is called for each value of an entry that cannot be decoded. Optional.
 	OnInvalid func()
+	// OnInvalidRouter is called with the ID of a router whose entry has a value that cannot be decoded. Optional.
+	OnInvalidRouter func(id string)
 }
 
 // State holds the decoded content of the store: backend servers, routers and configuration. It implements Sink.
@@ -102,6 +104,9 @@
 	if opts.OnInvalid == nil {
 		opts.OnInvalid = func() {}
 	}
+	if opts.OnInvalidRouter == nil {
+		opts.OnInvalidRouter = func(string) {}
+	}
 	return &State{
 		opts:      opts,
 		servers:   make(map[string]*backends.Server),
@@ -319,6 +324,7 @@
 	router, err := s.opts.Schema.DecodeRouter(e.Key, e.Value)
 	if err != nil {
 		s.recordInvalid("cannot decode entry of a router", e, err, now)
+		s.opts.OnInvalidRouter(s.opts.Schema.RouterID(e.Key))
 		return false
 	}
 	delete(s.expiringRouters, router.ID)
--- a/internal/daemon/gateway/ownentry.go
+++ b/internal/daemon/gateway/ownentry.go
@@ -29,7 +29,10 @@
 	// lostAt is when the entry was first read as missing or as another one, in nanoseconds since the Unix epoch. It is 0 if
 	// the entry is not lost. An entry that was written a moment ago and has not been read yet looks lost, too.
 	lostAt atomic.Int64
-	// lost is signalled when the entry becomes lost.
+	// overwritten is set if another writer has given the entry a value that cannot be decoded. Running routers keep the
+	// earlier one, but those that start cannot use it.
+	overwritten atomic.Bool
+	// lost is signalled when the entry becomes lost or is overwritten.
 	lost chan struct{}
 	// rewrites counts how often the entry was written again because it was lost.
 	rewrites prometheus.Counter
@@ -48,15 +51,24 @@
 		w.lostAt.Store(0)
 		return
 	}
-	if !w.written.Load() || !w.lostAt.CompareAndSwap(0, now.UnixNano()) {
-		return
+	if w.written.Load() && w.lostAt.CompareAndSwap(0, now.UnixNano()) {
+		w.wake()
 	}
+}
+
+// wake makes the router check its entry.
+func (w *entryWatch) wake() {
 	select {
 	case w.lost <- struct{}{}:
 	default:
 	}
 }
 
+// mustRewrite reports whether the entry must be written again.
+func (w *entryWatch) mustRewrite(now time.Time) bool {
+	return w.lostFor(now) > 0 || w.overwritten.Load()
+}
+
 // lostFor returns for how long the entry has been lost. It is 0 if the entry is not lost.
 func (w *entryWatch) lostFor(now time.Time) time.Duration {
 	at := w.lostAt.Load()
@@ -81,6 +93,14 @@
 	n.entry.compare(time.Now(), n.ownEntry(), list[n.settings.Router])
 }
 
+// onInvalidRouter is called with the ID of a router whose entry cannot be decoded.
+func (n *Node) onInvalidRouter(id string) {
+	if id == n.settings.Router && n.entry.written.Load() {
+		n.entry.overwritten.Store(true)
+		n.entry.wake()
+	}
+}
+
 // routerCount returns the number of routers that may run, this one included: the live ones, or those with an entry if that
 // are more. A router that is cut off from this one keeps its entry.
 func (n *Node) routerCount(live []gossip.Peer) int {
--- a/internal/daemon/gateway/register.go
+++ b/internal/daemon/gateway/register.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	now := time.Now()
-	lost := n.entry.lostFor(now) > 0 && now.Sub(r.writtenAt) >= entryReadTime
+	lost := n.entry.mustRewrite(now) && now.Sub(r.writtenAt) >= entryReadTime
 	switch {
 	case r.writtenAt.IsZero():
 		return n.writeEntry(ctx, r)
@@ -131,6 +131,7 @@
 	}
 	r.writtenAt = time.Now()
 	n.entry.written.Store(true)
+	n.entry.overwritten.Store(false)
 	return nil
 }
 
--- a/internal/daemon/gateway/register_test.go
+++ b/internal/daemon/gateway/register_test.go
@@ -56,6 +56,25 @@
 	}
 }
 
+// Guards against a router that routers which start later do not know, because another writer has overwritten its entry with a
+// value that cannot be decoded.
+func TestRouterRegistersAgainWhenItsEntryIsOverwritten(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2)
+	n := f.startRouter("r-0")
+	g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	time.Sleep(entryReadTime)
+	f.store.Put(routersKeys+"r-0", []byte(`{"peer_address":"nowhere"}`))
+	g.Eventually(func() int { return f.store.Calls()["kv-txn"] }, maxUnregistered).Should(Equal(2))
+	later := f.startRouter("r-1")
+	g.Eventually(func() discovery.Router {
+		if list := later.routers.Load(); list != nil {
+			return (*list)["r-0"]
+		}
+		return discovery.Router{}
+	}, "3s").Should(Equal(n.ownEntry()))
+}
+
 // writeLate writes a router's entry under a lease of its own, as a write does that is executed late. The lease may end.
 func (f *testFleet) writeLate(entry discovery.Router, leaseEnds bool) {
 	f.t.Helper()
