--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -21,6 +21,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/gossip"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
 	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
 	"gooseberrytide.example/gooseberrytide/internal/state/runqueue"
@@ -85,6 +86,7 @@
 	transmit func(to netip.AddrPort, data []byte)
 	registry *prometheus.Registry
 	routers  atomic.Pointer[map[string]discovery.Router]
+	entry    *entryWatch
 	draining atomic.Bool
 	// hangup receives SIGHUP. If it is nil, the settings are reloaded only periodically.
 	hangup <-chan os.Signal
@@ -136,6 +138,7 @@
 		exchange:      freshness.NewExchange(settings.Router, freshness.BootTime),
 		registry:      prometheus.NewRegistry(),
 		restored:      make(chan struct{}, 1),
+		entry:         newEntryWatch(),
 		suspension:    newSuspension(),
 	}
 	n.serving, n.endRequests = context.WithCancelCause(context.Background())
@@ -158,7 +161,7 @@
 		Name: "gooseberrytide_invalid_entries_total",
 		Help: "Values of entries of backend servers and routers in the store that could not be decoded.",
 	})
-	n.registry.MustRegister(connectionsOpened, storeCalls, invalidEntries)
+	n.registry.MustRegister(connectionsOpened, storeCalls, invalidEntries, n.entry.rewrites)
 	n.pool = upstream.New(upstream.Options{OnConnect: connectionsOpened.Inc})
 	n.budget = retry.NewWindowBudget(settings.Bounds.RetryWindow)
 	n.applyBounds(settings.Bounds)
@@ -190,14 +193,15 @@
 		MaxProofAge: n.currentKeyMaxConfigAge,
 		FleetConfig: n.fleetConfig,
 		Sink: discovery.NewState(discovery.StateOptions{
-			Schema:    platform.Schema{},
-			Routing:   &n.routing,
-			Servers:   &n.servers,
-			Log:       log.Named("discovery"),
-			OnRouters: func(list map[string]discovery.Router) { n.routers.Store(&list) },
-			OnServers: n.onServers,
-			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
-			OnInvalid: invalidEntries.Inc,
+			Schema:          platform.Schema{},
+			Routing:         &n.routing,
+			Servers:         &n.servers,
+			Log:             log.Named("discovery"),
+			OnRouters:       n.onRouters,
+			OnInvalidRouter: n.onInvalidRouter,
+			OnServers:       n.onServers,
+			OnConfig:        func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
+			OnInvalid:       invalidEntries.Inc,
 		}),
 	})
 	n.offload = newOffloader(n)
@@ -207,13 +211,16 @@
 
 // fleetConfig returns the configuration versions that the routers have in force.
 func (n *Node) fleetConfig() discovery.FleetConfig {
-	var fleet discovery.FleetConfig
+	fleet := discovery.FleetConfig{Witnesses: make(map[kv.Era]int)}
 	if table := n.routing.Load(); table != nil {
 		fleet.Own = table.Version
 	}
 	live := n.peers.Live(time.Now())
 	for _, p := range live {
 		fleet.Newest = max(fleet.Newest, p.ConfigVersion)
+		if p.Ready { // a router is ready only after its own check
+			fleet.Witnesses[kv.Era(p.ConfirmedEra)]++
+		}
 	}
 	// A store that came back from an older copy has lost the entries of most routers, so that none may be registered.
 	registered := n.routers.Load()
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -116,7 +116,11 @@
 		x.refuse(refusalNoConfig, retryAfterUnavailable)
 		return false
 	}
-	x.route = x.table.Route(x.r.Host, x.r.URL.Path)
+	if _, confirmed := x.g.opts.Proof.Age(); !confirmed {
+		x.refuse(refusalUnconfirmed, retryAfterUnavailable) // a restored store may lack what was written last
+		return false
+	}
+	x.route = x.table.Route(x.r.Host, routePath(x.r.URL))
 	if x.route == nil {
 		x.reject(http.StatusNotFound, "no route")
 		return false
