evacuation: Send no requests to evacuated failure domains

Cause: operators could take a failure domain out of use only by draining each of its servers, and servers that registered there meanwhile got requests.

Change: the key op/evacuate/DOMAIN evacuates a domain. The discovery state follows it, keeps it for 5 s when the store comes back from an older copy that lacks it, and tells the admission before it tells it of servers. Servers of an evacuated domain are excluded like those that drain: first sends, retries, substitutes, resumed streams and trials go elsewhere, preferred engines are chosen without them, owners grant no permits for them, and the check is repeated immediately before the send. A service with servers in evacuated domains only gets 503 with the reason servers-evacuated. Log lines, a gauge, a list at the operator port and the command "evacuations" show them.

The test schema of package discovery has the two new methods of Schema.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -54,9 +54,9 @@
 }
 
 // MaySend reports whether a granted request may be sent now: its server may have announced since that it leaves or wants
-// a pause, or may have named a limit, or the permit may have lapsed. clock is the time on a clock that includes suspension.
+// a pause, or may have named a limit, its failure domain may have been evacuated, or the permit may have lapsed. clock is the time on a clock that includes suspension.
 func (c *Core) MaySend(now time.Time, clock time.Duration, t *Ticket) bool {
-	if t.state != ticketGranted || c.drains.Draining(t.server) || now.Before(c.healthOf(t.server.ID).reopensAt) {
+	if t.state != ticketGranted || c.excluded(t.server) || now.Before(c.healthOf(t.server.ID).reopensAt) {
 		return false
 	}
 	if _, limited := c.limits.Rate(now, t.server.ID); limited && !t.permit.valid(clock) {
@@ -108,7 +108,7 @@
 	var next opening
 	for _, server := range c.servers.ByService(req.Service.Name) {
 		h, mayRequest := c.health[server.ID], c.mayRequestPermit(now, server.ID)
-		if h == nil && mayRequest || c.drains.Draining(server) {
+		if h == nil && mayRequest || c.excluded(server) {
 			continue
 		}
 		var opens time.Time
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/evacuation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/ratelimit"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
@@ -35,6 +36,8 @@
 	servers *backends.Set
 	drains  *serverdrain.Registry
 	limits  *serverlimit.Registry
+	// evacuations are the failure domains whose servers get no requests.
+	evacuations *evacuation.Registry
 	// allocator grants the permits of the servers that this router owns, permitStates is what it knows about those of all
 	// servers with a limit.
 	allocator    *ratelimit.Allocator
@@ -68,6 +71,7 @@
 		servers:        backends.NewSet(nil),
 		drains:         serverdrain.New(),
 		limits:         serverlimit.New(),
+		evacuations:    evacuation.New(),
 		allocator:      ratelimit.NewAllocator(),
 		permitStates:   make(map[string]*permitState),
 		routers:        1,
@@ -161,6 +165,10 @@
 		q.recordArrival(t.cost)
 	}
 	c.refreshShares(now)
+	if c.allEvacuated(t.Service.Name) {
+		c.refuse(t, ReasonEvacuated, c.jitter.around(evacuatedRetryAfter))
+		return t
+	}
 	if wait, ok := c.waitsTooLong(now, q, t); ok {
 		c.refuse(t, ReasonBacklog, c.jitter.around(wait))
 		return t
--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -55,7 +55,7 @@
 
 // takesRequests reports whether a server takes requests at present, regardless of its load.
 func (c *Core) takesRequests(now time.Time, server *backends.Server) bool {
-	return !c.drains.Draining(server) && c.health[server.ID].available(now) && c.mayRequestPermit(now, server.ID)
+	return !c.excluded(server) && c.health[server.ID].available(now) && c.mayRequestPermit(now, server.ID)
 }
 
 // grantOne grants the first placeable request in fair order: by team, and within a team by kind. If no server takes the
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -142,6 +142,9 @@
 // takePermit grants a permit as the owner of a server. If it denies one, it returns the time after which the router may
 // ask again.
 func (c *Core) takePermit(now time.Time, server string) (granted bool, retryIn time.Duration) {
+	if s := c.servers.Get(server); s != nil && c.evacuated(s) {
+		return false, unansweredHold // the asking router has not heard of the evacuation yet
+	}
 	rate, limited := c.limits.Rate(now, server)
 	if !limited {
 		return true, 0
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -63,7 +63,7 @@
 	parts := relay.SharedParts(req.Parts)
 	var preferred preferredEngines
 	if req.Service.Engine != nil {
-		preferred = preferredEnginesFor(parts, c.withoutDraining(servers))
+		preferred = preferredEnginesFor(parts, c.withoutExcluded(servers))
 		preferred.cachedAnywhere = c.prefixes.cachedAnywhere(now, parts)
 		preferred.sharedTokens = tokensOf(parts)
 	}
@@ -97,13 +97,13 @@
 	return &bestFree, true
 }
 
-// withoutDraining returns the servers from which the preferred engines of a prompt are chosen. Ejected servers stay in,
+// withoutExcluded returns the servers from which the preferred engines of a prompt are chosen. Ejected servers stay in,
 // so that the preferred engines do not change during an ejection; meanwhile the request goes to the cheapest server.
-func (c *Core) withoutDraining(servers []*backends.Server) []*backends.Server {
-	if !slices.ContainsFunc(servers, c.drains.Draining) {
+func (c *Core) withoutExcluded(servers []*backends.Server) []*backends.Server {
+	if !slices.ContainsFunc(servers, c.excluded) {
 		return servers
 	}
-	return slices.DeleteFunc(slices.Clone(servers), c.drains.Draining)
+	return slices.DeleteFunc(slices.Clone(servers), c.excluded)
 }
 
 // usable reports whether a server may get the request, regardless of its load.
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -81,6 +81,9 @@
 func (c *Core) refuseWithoutServer(now time.Time, q *queue, t *Ticket) bool {
 	next := c.nextOpening(now, &t.Request)
 	switch {
+	case c.allEvacuated(t.Service.Name):
+		q.remove(t)
+		c.refuse(t, ReasonEvacuated, c.jitter.around(evacuatedRetryAfter))
 	case !next.paused && !next.limited:
 		q.remove(t)
 		c.refuse(t, ReasonNoServer, c.jitter.around(lateRetryAfter))
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -53,6 +53,8 @@
 	ReasonBacklog Reason = "backlog"
 	// ReasonNoServer means that no backend server takes requests.
 	ReasonNoServer Reason = "no-server"
+	// ReasonEvacuated means that all backend servers of the service are in evacuated failure domains.
+	ReasonEvacuated Reason = "servers-evacuated"
 	// ReasonPaused means that all backend servers have asked for a pause.
 	ReasonPaused Reason = "servers-paused"
 	// ReasonLimited means that the backend servers take fewer requests a second than there are.
--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -23,11 +23,19 @@
 // testSchema decodes configurations and servers from JSON under the types' own field names.
 type testSchema struct{}
 
-func (testSchema) IsConfig(key string) bool   { return key == "config" }
-func (testSchema) IsServer(key string) bool   { return strings.HasPrefix(key, "s/") }
-func (testSchema) ServerID(key string) string { return strings.TrimPrefix(key, "s/") }
-func (testSchema) IsRouter(key string) bool   { return strings.HasPrefix(key, "r/") }
-func (testSchema) RouterID(key string) string { return strings.TrimPrefix(key, "r/") }
+func (testSchema) IsConfig(key string) bool     { return key == "config" }
+func (testSchema) IsServer(key string) bool     { return strings.HasPrefix(key, "s/") }
+func (testSchema) ServerID(key string) string   { return strings.TrimPrefix(key, "s/") }
+func (testSchema) IsRouter(key string) bool     { return strings.HasPrefix(key, "r/") }
+func (testSchema) RouterID(key string) string   { return strings.TrimPrefix(key, "r/") }
+func (testSchema) IsEvacuation(key string) bool { return strings.HasPrefix(key, "e/") }
+func (testSchema) EvacuatedDomain(key string) (string, error) {
+	if key == "e/" {
+		return "", errors.New("no domain")
+	}
+	return strings.TrimPrefix(key, "e/"), nil
+}
+
 func (testSchema) DecodeConfig(value []byte, revision int64) (*routing.Config, error) {
 	c := &routing.Config{Revision: revision}
 	return c, json.Unmarshal(value, c)
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -24,6 +24,9 @@
 	IsRouter(key string) bool
 	RouterID(key string) string
 	DecodeRouter(key string, value []byte) (Router, error)
+	// IsEvacuation recognises a key that names an evacuated failure domain. EvacuatedDomain returns the domain.
+	IsEvacuation(key string) bool
+	EvacuatedDomain(key string) (string, error)
 }
 
 // Router is the store entry of a router.
@@ -45,6 +48,9 @@
 	OnRouters func(map[string]Router)
 	// OnServers is called with the set of servers when servers or routers changed. Optional.
 	OnServers func(*backends.Set)
+	// OnEvacuations is called with the evacuated failure domains, sorted, when they changed, before OnServers is called for
+	// the same change. Optional.
+	OnEvacuations func(domains []string)
 	// OnConfig is called with a configuration that came into force. Optional.
 	OnConfig func(*routing.Table)
 	// OnInvalid is called for each value of an entry that cannot be decoded. Optional.
@@ -61,7 +67,8 @@
 	// expiringRouters is like expiring for routers.
 	expiringRouters map[string]time.Time
 	// departed holds the servers that were dropped lately. An older copy of the store may still list them.
-	departed map[string]departure
+	departed    map[string]departure
+	evacuations *evacuations
 	// bound holds, while an older copy is applied, the servers that are known to drain.
 	bound map[string]*backends.Server
 	// revisions holds the revision of each entry of a server or router by key. Older changes of a key are ignored, since
@@ -89,6 +96,9 @@
 	if opts.OnServers == nil {
 		opts.OnServers = func(*backends.Set) {}
 	}
+	if opts.OnEvacuations == nil {
+		opts.OnEvacuations = func([]string) {}
+	}
 	if opts.OnConfig == nil {
 		opts.OnConfig = func(*routing.Table) {}
 	}
@@ -105,6 +115,7 @@
 		expiringRouters: make(map[string]time.Time),
 		departed:        make(map[string]departure),
 		invalidLogged:   make(map[string]time.Time),
+		evacuations:     newEvacuations(),
 	}
 }
 
@@ -137,7 +148,8 @@
 }
 
 // Restore implements Sink. The copy may list servers that have left since, or show servers as ready that drain: both
-// stay out of use. A server whose entry the copy lacks is kept until graceEnd, and so is a router.
+// stay out of use. A server whose entry the copy lacks is kept until graceEnd, and so is a router. A failure domain that was
+// evacuated stays so for evacuationGrace.
 func (s *State) Restore(entries []kv.Entry, now, graceEnd time.Time) {
 	for key := range s.revisions {
 		s.revisions[key] = 0 // the copy's revisions do not compare with those before
@@ -148,7 +160,9 @@
 			s.bound[id] = server
 		}
 	}
+	s.evacuations.beginRestore(now)
 	s.Replace(slices.DeleteFunc(slices.Clone(entries), s.hasDeparted), now, graceEnd)
+	s.evacuations.endRestore()
 	s.bound = nil
 }
 
@@ -204,16 +218,24 @@
 			delete(s.departed, id)
 		}
 	}
+	s.evacuations.expire(now)
 	s.publish(changed)
 }
 
-// publish stores the set of servers and calls the callbacks if servers or routers changed.
+// publish stores the set of servers and calls the callbacks if servers or routers changed, or evacuations. Servers that
+// register in an evacuated domain are thereby known to be evacuated before they are used.
 func (s *State) publish(changed bool) {
+	var set *backends.Set
+	if changed {
+		set = backends.NewSet(slices.Collect(maps.Values(s.servers)))
+		s.opts.Servers.Store(set)
+	}
+	if domains, news := s.evacuations.takeChanged(); news {
+		s.opts.OnEvacuations(domains)
+	}
 	if !changed {
 		return
 	}
-	set := backends.NewSet(slices.Collect(maps.Values(s.servers)))
-	s.opts.Servers.Store(set)
 	s.opts.OnServers(set)
 	s.opts.OnRouters(maps.Clone(s.routers))
 }
@@ -229,6 +251,9 @@
 		return s.applyServer(e, now)
 	case schema.IsRouter(e.Key):
 		return s.applyRouter(e, now)
+	case schema.IsEvacuation(e.Key):
+		s.applyEvacuation(e, now)
+		return false
 	default:
 		return false
 	}
@@ -300,6 +325,17 @@
 	return true
 }
 
+// applyEvacuation applies a key that names an evacuated failure domain. Its value has no meaning.
+func (s *State) applyEvacuation(e kv.Entry, now time.Time) {
+	s.revisions[e.Key] = e.Revision
+	domain, err := s.opts.Schema.EvacuatedDomain(e.Key)
+	if err != nil {
+		s.recordInvalid("cannot decode key of an evacuation", e, err, now)
+		return
+	}
+	s.evacuations.add(domain)
+}
+
 // applyDeletion applies the deletion of a key. It reports whether servers or routers changed.
 func (s *State) applyDeletion(key string, now, graceEnd time.Time) bool {
 	schema := s.opts.Schema
@@ -325,6 +361,11 @@
 		}
 		delete(s.routers, id)
 		return true
+	case schema.IsEvacuation(key):
+		if domain, err := schema.EvacuatedDomain(key); err == nil {
+			s.evacuations.remove(domain)
+		}
+		return false
 	default:
 		return false
 	}
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -36,6 +36,9 @@
 			}
 			return 0
 		}},
+		{"evacuated_domains", "Failure domains that operators have evacuated.", func() float64 {
+			return float64(len(n.admission.Evacuations()))
+		}},
 		{"known_backend_servers", "Backend servers that registered.", func() float64 {
 			return float64(n.servers.Load().Len())
 		}},
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -189,14 +189,15 @@
 		MaxProofAge: n.currentKeyMaxConfigAge,
 		FleetConfig: n.fleetConfig,
 		Sink: discovery.NewState(discovery.StateOptions{
-			Schema:    platform.Schema{},
-			Routing:   &n.routing,
-			Servers:   &n.servers,
-			Log:       log.Named("discovery"),
-			OnRouters: func(list map[string]discovery.Router) { n.routers.Store(&list) },
-			OnServers: n.onServers,
-			OnConfig:  func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
-			OnInvalid: invalidEntries.Inc,
+			Schema:        platform.Schema{},
+			Routing:       &n.routing,
+			Servers:       &n.servers,
+			Log:           log.Named("discovery"),
+			OnRouters:     func(list map[string]discovery.Router) { n.routers.Store(&list) },
+			OnServers:     n.onServers,
+			OnEvacuations: n.onEvacuations,
+			OnConfig:      func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
+			OnInvalid:     invalidEntries.Inc,
 		}),
 	})
 	n.offload = newOffloader(n)
--- a/internal/daemon/gateway/suspectsapi.go
+++ b/internal/daemon/gateway/suspectsapi.go
@@ -11,12 +11,14 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 )
 
-// operatorHandler serves the metrics, the parts and requests that crash servers, and the limits of servers.
+// operatorHandler serves the metrics, the parts and requests that crash servers, the limits of servers, and
+// the evacuated failure domains.
 func (n *Node) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", n.metricsHandler())
 	mux.HandleFunc("GET "+admin.PathSuspects, n.poison.serveList)
 	mux.HandleFunc("GET "+admin.PathLimits, n.owners.limits.serveList)
+	mux.HandleFunc("GET "+admin.PathEvacuations, n.serveEvacuations)
 	mux.HandleFunc("DELETE "+admin.PathSuspects+"/{id}", n.poison.serveLift)
 	return mux
 }
--- a/internal/transport/adminhttp/client.go
+++ b/internal/transport/adminhttp/client.go
@@ -165,6 +165,14 @@
 	return limits, err
 }
 
+// Evacuations returns the evacuated failure domains as a router on the users' platform knows them. The client's router is
+// the metrics address.
+func (c *Client) Evacuations(ctx context.Context) ([]admin.Evacuation, error) {
+	var list []admin.Evacuation
+	err := c.call(ctx, http.MethodGet, admin.PathEvacuations, nil, &list)
+	return list, err
+}
+
 // LiftSuspect ends the suspicion of a part or a request on all routers. Errors: a *StatusError with status 400 for an ID
 // that is not valid, 404 for one that is not suspected.
 func (c *Client) LiftSuspect(ctx context.Context, id string) error {
