--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -200,6 +200,7 @@
 			OnRouters:       n.onRouters,
 			OnInvalidRouter: n.onInvalidRouter,
 			OnServers:       n.onServers,
+			OnEvacuations:   n.onEvacuations,
 			OnConfig:        func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
 			OnInvalid:       invalidEntries.Inc,
 		}),
