platform: Decode the load and the pace that servers announce

Responses may name the requests that run and wait at a server, its slots and, for servers that share their machines, a pace.

--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -63,6 +63,14 @@
 	Limited      bool
 	Limit        float64
 	InvalidLimit string
+	// LoadKnown is set if the server announces its load: the requests that run and wait there from all routers, and its
+	// slots.
+	LoadKnown   bool
+	LoadRunning int
+	LoadWaiting int
+	LoadSlots   int
+	// Pace says how long work takes on the server at this moment, in percent of the usual time. 0 means not announced.
+	Pace int
 	// WrongServer is set if another server now has the address.
 	WrongServer bool
 }
