admission: Schedule services whose servers announce their pace by observed speed

The constants were tuned for engines with 64 slots and 45 prompt tokens per ms. Engines with 12 slots and 157 tokens per ms were filled to three quarters, and the kinds of a team got equal tokens, so that long prompts starved. For services whose servers announce their pace, placement predicts the first event from the observed prefill rate and the pace, batches are filled as far as the routes' longest pause permits, the queued prefill is bounded by the objective, a request is refused when an idle engine could no longer serve it in time, the kinds of a team share its service in proportion to what they asked for, and requests count in an engine's memory with the most output that they may have. Other services keep the constants. The simulation has a profile of its engines.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -6,6 +6,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
 )
 
 const (
@@ -24,6 +25,8 @@
 	Pause time.Duration
 	// Limit is what the response says about the rate of requests that the server takes, or nil if it says nothing valid.
 	Limit *serverlimit.Statement
+	// Load is the load and the pace that the server announces.
+	Load serverspeed.Announcement
 }
 
 // News is what an announcement has changed.
@@ -32,6 +35,8 @@
 	Leaving bool
 	// Limit is the change of the server's limit.
 	Limit serverlimit.Change
+	// Paced is set if the service of the server is scheduled by observed speeds from now on.
+	Paced bool
 }
 
 // Announce records what a response says about the server that the request was sent to.
@@ -50,6 +55,7 @@
 	if a.Limit != nil {
 		news.Limit = c.limits.Receive(t.server, *a.Limit)
 	}
+	news.Paced = c.announceLoad(now, t.server, a.Load)
 	return news
 }
 
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -10,6 +10,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -50,7 +51,9 @@
 	health         map[string]*health
 	meanErrorRates map[string]meanErrorRate
 	speeds         map[string]*prefillSpeeds
-	queues         map[string]*queue
+	// models are the observed speeds of the servers by service, for services whose servers announce their load.
+	models map[string]*serverspeed.Model
+	queues map[string]*queue
 	// waiters are the routers whose reservations on servers owned by this router were denied.
 	waiters *reservation.Waiters
 	jitter  jitter
@@ -77,6 +80,7 @@
 		health:         make(map[string]*health),
 		meanErrorRates: make(map[string]meanErrorRate),
 		speeds:         make(map[string]*prefillSpeeds),
+		models:         make(map[string]*serverspeed.Model),
 		queues:         make(map[string]*queue),
 		waiters:        reservation.NewWaiters(),
 		jitter:         jitter{state: opts.Seed | 1},
@@ -93,6 +97,7 @@
 			delete(c.permitStates, id)
 			c.allocator.Reset(id)
 			c.prefixes.removeServer(id)
+			c.forgetSpeed(before)
 		}
 	}
 	c.servers = set
@@ -160,6 +165,11 @@
 	if !t.Repeat {
 		q.recordArrival(t.cost)
 	}
+	paced := c.preparePaced(now, q, t)
+	if paced && exceedsMemory(&t.Request) {
+		c.refuse(t, ReasonTooLarge, maxRetryAfter)
+		return t
+	}
 	c.refreshShares(now)
 	if wait, ok := c.waitsTooLong(now, q, t); ok {
 		c.refuse(t, ReasonBacklog, c.jitter.around(wait))
@@ -197,6 +207,7 @@
 		return
 	}
 	c.recordResumed(now, t)
+	c.observeEvent(now, t)
 	if t.firstEventSeen {
 		return
 	}
@@ -245,6 +256,7 @@
 	c.endPermitRequest(t)
 	c.returnPermit(now, t)
 	c.loads.Remove(t.server.ID, t.load)
+	c.observeFinish(now, t, result)
 	h := c.healthOf(t.server.ID)
 	c.endProbe(h, t)
 	if result == ResultOK {
--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -44,9 +44,9 @@
 // requests, so that the requests are then refused.
 func (c *Core) hasCapacity(now time.Time, service *routing.Service) bool {
 	servers := c.servers.ByService(service.Name)
-	speeds := c.speedsOf(service.Name)
+	limitsOf := c.limitsAt(now, service)
 	fits := func(s *backends.Server) bool {
-		limits := limitsOf(service, s, speeds.slowdownOf(s.ID), 1)
+		limits := limitsOf(s)
 		return limits.Fit(c.loads.Total(s.ID), engineload.Load{Running: 1}) && c.takesRequests(now, s)
 	}
 	takesRequests := func(s *backends.Server) bool { return c.takesRequests(now, s) }
@@ -65,7 +65,7 @@
 		if i == maxBlockedTeams {
 			return false
 		}
-		for _, t := range team.heads(now, q.grantedByFlow) {
+		for _, t := range q.heads(now, team) {
 			p, available := c.choose(now, &t.Request, c.shares.fraction(team.served))
 			if !available {
 				if c.refuseWithoutServer(now, q, t) {
@@ -107,12 +107,12 @@
 		t.probe, h.probing = true, true
 	}
 	c.beginPermitRequest(now, t)
-	t.load = loadOf(&t.Request, p.cachedTokens)
+	t.load = q.loadOf(&t.Request, p.cachedTokens)
 	t.limits = p.limits
 	if t.Service.Engine != nil {
 		c.prefixes.recordAndAnnounce(now, relay.SharedParts(t.Parts), p.server.ID)
 	}
-	t.tokensAhead = p.load.PendingTokens
+	t.tokensAhead, t.runningAhead = p.load.PendingTokens, p.load.Running
 	c.loads.Add(p.server.ID, t.load)
 	c.charge(now, t.Team, t.cost)
 	c.countDecision(&t.Request, decisionCount{granted: 1})
--- /dev/null
+++ b/internal/coordination/admission/paced.go
@@ -0,0 +1,323 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/state/relay"
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+)
+
+const (
+	// backlogFraction is the fraction of the shortest objective of a service that the prefill queued at an engine may take.
+	backlogFraction = 0.4
+	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load and
+	// for the transfer to the server.
+	pacedSendReserve = 30 * time.Millisecond
+	// pacedMemoryFill is the fraction of an engine's memory that the requests on it may fill if each of them has the most
+	// output that it may have.
+	pacedMemoryFill = 0.95
+	// boundWindow is how long the bound that a request names counts for the other requests of its service.
+	boundWindow = 10 * time.Second
+)
+
+// serviceBounds are the strictest bounds of the recent requests of a service. 0 means that there is none.
+type serviceBounds struct {
+	current, previous requestBounds
+	since             time.Time
+}
+
+// requestBounds are the bounds that the requests of a route name.
+type requestBounds struct{ objective, maxPause time.Duration }
+
+// record adds the bounds of a request. Bounds that no request has named for a while are dropped.
+func (b *serviceBounds) record(now time.Time, req *Request) {
+	if now.Sub(b.since) >= boundWindow {
+		b.previous, b.current, b.since = b.current, requestBounds{}, now
+	}
+	b.current.objective = strictest(b.current.objective, req.Objective)
+	b.current.maxPause = strictest(b.current.maxPause, req.MaxPause)
+}
+
+// strictest returns the bounds in force.
+func (b *serviceBounds) strictest() requestBounds {
+	return requestBounds{
+		objective: strictest(b.current.objective, b.previous.objective),
+		maxPause:  strictest(b.current.maxPause, b.previous.maxPause),
+	}
+}
+
+// strictest returns the shorter one of two bounds, of which 0 means none.
+func strictest(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// pacedModel returns the speeds of the servers of a service, or nil unless they announce their pace. Services without a
+// pace are scheduled by constants.
+func (c *Core) pacedModel(service string) *serverspeed.Model {
+	if m := c.models[service]; m != nil && m.Paced() {
+		return m
+	}
+	return nil
+}
+
+// modelOf returns the model of a service's servers, which it creates if there is none.
+func (c *Core) modelOf(service string) *serverspeed.Model {
+	m := c.models[service]
+	if m == nil {
+		m = serverspeed.New()
+		c.models[service] = m
+	}
+	return m
+}
+
+// announceLoad records the load and the pace that a server announces. It reports whether the service is scheduled by
+// observed speeds because of it.
+func (c *Core) announceLoad(now time.Time, server *backends.Server, a serverspeed.Announcement) bool {
+	if a.Slots == 0 || c.servers.Get(server.ID) == nil {
+		return false
+	}
+	before := c.pacedModel(server.Service) != nil
+	c.modelOf(server.Service).Announce(now, server.ID, a, c.loads.Own()[server.ID].Running)
+	return !before && c.pacedModel(server.Service) != nil
+}
+
+// observeEvent records what an event of a stream shows about the speed of its server.
+func (c *Core) observeEvent(now time.Time, t *Ticket) {
+	m := c.pacedModel(t.Service.Name)
+	if m == nil || t.Service.Engine == nil || c.servers.Get(t.server.ID) == nil {
+		return
+	}
+	if !t.firstEventSeen {
+		m.ObserveFirstEvent(now, t.server.ID, t.load.PendingTokens+t.tokensAhead, now.Sub(t.sentAt))
+	} else if !t.lastEvent.IsZero() {
+		m.ObservePause(now, t.server.ID, c.loads.Total(t.server.ID).Running, now.Sub(t.lastEvent))
+	}
+	t.lastEvent = now
+}
+
+// observeFinish records what the end of a request to a plain service shows about the speed of its server.
+func (c *Core) observeFinish(now time.Time, t *Ticket, result Result) {
+	m := c.pacedModel(t.Service.Name)
+	if m == nil || t.Service.Engine != nil || result != ResultOK || c.servers.Get(t.server.ID) == nil {
+		return
+	}
+	m.ObserveWork(now, t.server.ID, t.runningAhead+1, t.server.Slots, now.Sub(t.sentAt))
+}
+
+// evaluation compares the servers of a service for one request.
+type evaluation struct {
+	core      *Core
+	now       time.Time
+	req       *Request
+	queue     *queue
+	preferred preferredEngines
+	// fraction is the fraction of an engine's capacity that the request's team may fill.
+	fraction float64
+	speeds   *prefillSpeeds
+	// paced is set if the servers announce their pace. view then shows their speeds, and speed is that of the server that
+	// was evaluated last.
+	paced  bool
+	view   serverspeed.View
+	speed  serverspeed.Speed
+	bounds requestBounds
+}
+
+func (c *Core) newEvaluation(now time.Time, req *Request, preferred preferredEngines, fraction float64) *evaluation {
+	e := &evaluation{
+		core: c, now: now, req: req, queue: c.queue(req.Service.Name), preferred: preferred, fraction: fraction,
+		speeds: c.speedsOf(req.Service.Name),
+	}
+	if m := c.pacedModel(req.Service.Name); m != nil {
+		e.paced, e.view, e.bounds = true, m.At(now), e.queue.bounds.strictest()
+	}
+	return e
+}
+
+// evaluate returns the placement of the request on a server with its cost, without limits.
+func (e *evaluation) evaluate(server *backends.Server) placement {
+	if !e.paced {
+		return e.core.evaluate(e.now, e.req, server, e.preferred, e.speeds)
+	}
+	e.speed = e.view.Server(server.ID)
+	return e.core.evaluatePaced(e.now, e.req, server, &e.preferred, &e.speed)
+}
+
+// limits returns the limits of the server that was evaluated last.
+func (e *evaluation) limits(p *placement) reservation.Limits {
+	if !e.paced {
+		return limitsOf(e.req.Service, p.server, e.speeds.slowdownOf(p.server.ID), e.fraction)
+	}
+	limits := pacedLimits(e.req.Service, p.server, &e.speed, e.bounds, e.fraction)
+	e.limitBacklog(p, &limits)
+	return limits
+}
+
+// evaluatePaced returns the placement of a request on a server that announces its pace, with its cost and without limits.
+// The cost is the expected time to the first event or the response, so that a server in a slow moment is avoided. It
+// answers the load pattern of servers that share their machines: their speed changes many times a second.
+func (c *Core) evaluatePaced(
+	now time.Time, req *Request, server *backends.Server, preferred *preferredEngines, speed *serverspeed.Speed,
+) placement {
+	p := placement{server: server, load: c.loads.Total(server.ID)}
+	slots := max(server.Slots, 1)
+	requests := p.load.Running
+	if speed.LoadKnown() {
+		requests = max(requests, speed.Requests(c.loads.Own()[server.ID].Running))
+	}
+	if server.FailureDomain != c.opts.Domain {
+		p.cost += domainPenalty
+	}
+	if req.Isolated {
+		p.cost += time.Duration(p.load.Running) * isolationCost
+	}
+	if req.Service.Engine == nil {
+		p.firstEvent = speed.ResponseTime(requests, slots)
+		p.cost += p.firstEvent + speed.Work()*time.Duration(requests)/time.Duration(slots)
+		p.cost += time.Duration(float64(maxTieBreak) * tieBreak(req.ID, server.ID))
+		return p
+	}
+	p.cachedTokens = c.prefixes.cachedTokens(now, relay.SharedParts(req.Parts), server.ID)
+	backlog := speed.PrefillTime(p.load.PendingTokens)
+	p.firstEvent = backlog + speed.PrefillTime(max(req.PromptTokens-p.cachedTokens, 0)) + speed.Delay()
+	p.cost += time.Duration(float64(batchPenalty) * float64(requests) / float64(slots))
+	p.cost += backlog + speed.Delay() + speed.PrefillTime(max(req.PromptTokens-preferred.sharedTokens, 0))
+	if uncached := preferred.sharedTokens - p.cachedTokens; uncached > 0 {
+		p.cost += time.Duration(preferred.weight(server) * float64(speed.PrefillTime(uncached)))
+	}
+	p.permitCost = c.permitCost(now, req, server)
+	p.cost += p.permitCost
+	return p
+}
+
+// pacedLimits returns the limits of a server that announces its pace, before any request's own. fraction is the fraction of
+// an engine's capacity that may be filled. An engine may run as many requests as pauses permit, and may have as much
+// prefill queued as first events can wait for.
+func pacedLimits(
+	service *routing.Service, server *backends.Server, speed *serverspeed.Speed, bounds requestBounds, fraction float64,
+) reservation.Limits {
+	slots := server.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if service.Engine == nil {
+		return reservation.Limits{Running: speed.MaxRequests(slots, bounds.objective), PendingTokens: -1}
+	}
+	running, known := speed.MaxRunning(slots, bounds.maxPause)
+	if !known {
+		running = int(maxBatchFill * float64(slots))
+	}
+	backlog := maxPrefillBacklog
+	if bounds.objective > 0 {
+		backlog = time.Duration(backlogFraction * float64(bounds.objective))
+	}
+	return reservation.Limits{
+		Running:       max(int(fraction*float64(running)), 1),
+		PendingTokens: max(speed.PrefillTokens(time.Duration(fraction*float64(backlog))), 1),
+		ContextTokens: int(pacedMemoryFill * float64(service.Engine.CacheTokens)),
+	}
+}
+
+// limitBacklog lowers the bound of the queued prefill to what leaves a request its objective. A request whose objective
+// cannot be met by an idle engine keeps the bound.
+func (e *evaluation) limitBacklog(p *placement, limits *reservation.Limits) {
+	own := p.firstEvent - e.speed.PrefillTime(p.load.PendingTokens)
+	if e.req.Service.Engine == nil || e.req.Objective <= own {
+		return
+	}
+	left := e.req.Objective - e.now.Sub(e.req.Arrival) - own
+	limits.PendingTokens = min(limits.PendingTokens, max(e.speed.PrefillTokens(left), 1))
+}
+
+// pacedRefusalTime returns the time at which a waiting request is refused: when an idle engine of the mean speed could no
+// longer send its first event in time.
+func pacedRefusalTime(req *Request, m *serverspeed.Model) time.Time {
+	speed := m.Mean()
+	reserve := pacedSendReserve
+	if req.Service.Engine != nil {
+		ownTokens := max(req.PromptTokens-tokensOf(relay.SharedParts(req.Parts)), 0)
+		reserve += speed.PrefillTime(ownTokens) + speed.Delay()
+	} else {
+		reserve += speed.ResponseTime(0, 1)
+	}
+	minWait := time.Duration(minWaitFraction * float64(req.Objective))
+	return req.Arrival.Add(max(req.Objective-reserve, minWait))
+}
+
+// preparePaced records the bounds and the demand of a new request. It reports whether its service is scheduled by observed
+// speeds.
+func (c *Core) preparePaced(now time.Time, q *queue, t *Ticket) bool {
+	q.paced = c.pacedModel(t.Service.Name) != nil
+	if !q.paced {
+		return false
+	}
+	q.bounds.record(now, &t.Request)
+	if !t.Repeat {
+		q.recordAsked(now, t)
+	}
+	return true
+}
+
+// forgetSpeed drops the observed speed of a server that is gone or has restarted.
+func (c *Core) forgetSpeed(server *backends.Server) {
+	if m := c.models[server.Service]; m != nil {
+		m.Forget(server.ID)
+	}
+}
+
+// maxTokens bounds the sizes that clients declare, so that sums do not overflow.
+const maxTokens = math.MaxInt / 4
+
+// exceedsMemory reports whether a request is larger than the memory of an engine, which would crash.
+func exceedsMemory(req *Request) bool {
+	if req.Service.Engine == nil || req.Service.Engine.CacheTokens <= 0 {
+		return false
+	}
+	return min(req.PromptTokens, maxTokens)+min(req.OutputTokens, maxTokens) > req.Service.Engine.CacheTokens
+}
+
+// contextTokens returns the most tokens that a request may hold in an engine's memory. An estimate that is too low would
+// let an engine run out of memory.
+func contextTokens(req *Request) int {
+	tokens := min(req.PromptTokens, maxTokens) + min(max(req.OutputTokens, req.MaxOutputTokens), maxTokens)
+	if memory := req.Service.Engine.CacheTokens; memory > 0 {
+		return min(tokens, memory)
+	}
+	return tokens
+}
+
+// SpeedStatus describes the observed speed of the servers of one service that announce their pace.
+type SpeedStatus struct {
+	Service string
+	// Pace is the mean pace, relative to the usual one.
+	Pace float64
+	// PrefillRate is the number of prompt tokens per millisecond at the usual pace.
+	PrefillRate float64
+	// Pause is the mean pause between two events with all slots in use. It is 0 if it is not known.
+	Pause time.Duration
+	// MaxRunning is the number of requests that a server may run.
+	MaxRunning int
+}
+
+// Speeds returns the speeds of the services whose servers announce their pace.
+func (c *Core) Speeds() []SpeedStatus {
+	var list []SpeedStatus
+	for name := range c.models {
+		m, servers, q := c.pacedModel(name), c.servers.ByService(name), c.queues[name]
+		if m == nil || len(servers) == 0 || q == nil || q.service == nil {
+			continue
+		}
+		speed := m.Mean()
+		status := SpeedStatus{Service: name, Pace: speed.Pace, PrefillRate: speed.PrefillRate() * speed.Pace}
+		status.Pause, _ = speed.Pause(servers[0].Slots)
+		status.MaxRunning = pacedLimits(q.service, servers[0], &speed, q.bounds.strictest(), 1).Running
+		list = append(list, status)
+	}
+	return list
+}
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -67,22 +67,22 @@
 		preferred.cachedAnywhere = c.prefixes.cachedAnywhere(now, parts)
 		preferred.sharedTokens = tokensOf(parts)
 	}
-	speeds := c.speedsOf(req.Service.Name)
+	e := c.newEvaluation(now, req, preferred, fraction)
 	var best, bestFree placement
 	for _, server := range servers {
 		if !c.usable(now, req, server) {
 			continue
 		}
-		p := c.evaluate(now, req, server, preferred, speeds)
+		p := e.evaluate(server)
 		if best.server == nil || p.cost < best.cost {
 			best = p
 		}
 		if bestFree.server != nil && p.cost >= bestFree.cost {
 			continue
 		}
-		limits := limitsOf(req.Service, server, speeds.slowdownOf(server.ID), fraction)
+		limits := e.limits(&p)
 		limits.Running = min(limits.Running, c.health[server.ID].reopenLimit(now))
-		if limits.Fit(p.load, loadOf(req, p.cachedTokens)) {
+		if limits.Fit(p.load, e.queue.loadOf(req, p.cachedTokens)) {
 			bestFree = p
 			bestFree.limits = limits
 		}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -26,6 +26,11 @@
 	// was refused because of limits may return.
 	permits    grantRate
 	lastReturn time.Time
+	// askedByFlow is the recent rate of service that each flow asked for. bounds are the strictest bounds of the recent
+	// requests. paced is set if the servers announce their pace.
+	askedByFlow map[flow]*grantRate
+	bounds      serviceBounds
+	paced       bool
 	// meanCost is a moving average of the cost of new requests, in tokens.
 	meanCost float64
 }
@@ -45,12 +50,14 @@
 	waiting []*Ticket
 	// cost is the total cost of the waiting requests, in tokens.
 	cost float64
-	// granted is the recent rate of service granted to the kind, in tokens per second.
+	// granted is the recent rate of service granted to the kind, in tokens per second, or as a fraction of what the kind
+	// asked for.
 	granted float64
 }
 
 func newQueue() *queue {
-	return &queue{teams: make(map[string]*teamQueue), grantedByFlow: make(map[flow]*grantRate)}
+	return &queue{teams: make(map[string]*teamQueue), grantedByFlow: make(map[flow]*grantRate),
+		askedByFlow: make(map[flow]*grantRate)}
 }
 
 // flow identifies the requests of one kind of a team.
@@ -68,6 +75,12 @@
 			kind.granted = rate.current(now)
 		}
 	}
+	return t.sortedHeads()
+}
+
+// sortedHeads returns the first request of each kind: repeats first, then by priority, then the kinds to which least was
+// granted.
+func (t *teamQueue) sortedHeads() []*Ticket {
 	slices.SortFunc(t.kinds, func(a, b *kindQueue) int {
 		return cmp.Or(
 			comparePrecedence(a.waiting[0], b.waiting[0]),
@@ -200,21 +213,26 @@
 // recordGrant adds a grant to the observed rates.
 func (q *queue) recordGrant(now time.Time, t *Ticket) {
 	q.granted.add(now, t.cost)
+	addToFlow(now, q.grantedByFlow, t)
+}
+
+// addToFlow adds the cost of a request to the rate of its flow.
+func addToFlow(now time.Time, rates map[flow]*grantRate, t *Ticket) {
 	f := flowOf(t)
-	rate := q.grantedByFlow[f]
+	rate := rates[f]
 	if rate == nil {
-		if len(q.grantedByFlow) >= maxFlows {
-			maps.DeleteFunc(q.grantedByFlow, func(_ flow, r *grantRate) bool { return r.current(now) == 0 })
+		if len(rates) >= maxFlows {
+			maps.DeleteFunc(rates, func(_ flow, r *grantRate) bool { return r.current(now) == 0 })
 		}
 		rate = &grantRate{}
-		q.grantedByFlow[f] = rate
+		rates[f] = rate
 	}
 	rate.add(now, t.cost)
 }
 
 // expectedWait returns the time in which the waiting requests of a team's kind are granted if the given number of teams
-// share the observed rate of grants equally. The kinds of a team share the team's part equally until they have no more
-// requests. It returns false if no request of the kind waits or the rate is not known.
+// share the observed rate of grants equally. The kinds of a team share the team's part equally, or in proportion to what
+// they asked for if the servers announce their pace, until they have no more requests. It returns false if no request of the kind waits or the rate is not known.
 func (q *queue) expectedWait(now time.Time, f flow, teams int) (time.Duration, bool) {
 	team := q.teams[f.team]
 	rate := q.granted.current(now)
@@ -227,7 +245,7 @@
 	}
 	grantedBefore := 0.0
 	for _, other := range team.kinds {
-		grantedBefore += min(other.cost, kind.cost)
+		grantedBefore += min(other.cost, kind.cost*q.shareRatio(now, team.name, other.name, kind.name))
 	}
 	return time.Duration(grantedBefore * float64(teams) / rate * float64(time.Second)), true
 }
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -29,6 +29,9 @@
 // refusalTime returns the time at which a waiting request is refused because its first event could no longer come in
 // time.
 func (c *Core) refusalTime(req *Request) time.Time {
+	if m := c.pacedModel(req.Service.Name); m != nil {
+		return pacedRefusalTime(req, m)
+	}
 	objective := req.Objective
 	reserve := sendReserve
 	if req.Service.Engine != nil {
--- a/internal/coordination/admission/simulated_engine_test.go
+++ b/internal/coordination/admission/simulated_engine_test.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
+)
 
 // The simulated engine prefills prompts one after another, in chunks between the steps of the running batch. A step
 // decodes one token of each running request.
@@ -11,12 +15,53 @@
 	simChunkTokens        = 4096
 )
 
+// engineProfile describes the simulated engines of a service.
+type engineProfile struct {
+	slots              int
+	cacheTokens        int
+	prefillRate        float64 // prompt tokens per millisecond
+	stepTime           time.Duration
+	stepTimePerRequest time.Duration
+	// eventTokens is the number of output tokens in an event. 0 means that no events after the first one are recorded.
+	eventTokens int
+	// pace returns the time that work takes on an engine, in percent of the usual time. It is announced in responses. A
+	// nil function means that the engines announce nothing.
+	pace func(e *simEngine, now time.Time) int
+}
+
+// usualProfile describes engines that announce nothing.
+func usualProfile() engineProfile {
+	return engineProfile{slots: 64, cacheTokens: 560_000, prefillRate: simPrefillRate, stepTime: simStepTime,
+		stepTimePerRequest: simStepTimePerRequest}
+}
+
+// paceOf returns the pace of an engine in percent.
+func (sim *simulation) paceOf(e *simEngine) int {
+	if sim.profile.pace == nil {
+		return 100
+	}
+	return sim.profile.pace(e, sim.now)
+}
+
+// announce passes the load and the pace of an engine to the core that gets a response from it.
+func (sim *simulation) announce(e *simEngine, r *simRequest) {
+	if sim.profile.pace == nil {
+		return
+	}
+	load := serverspeed.Announcement{
+		Running: len(e.active), Waiting: len(e.queue), Slots: sim.profile.slots, Pace: sim.paceOf(e),
+	}
+	r.core.Announce(sim.now, r.ticket, Announcement{Load: load})
+}
+
 // simRequest is a request in a simulated engine.
 type simRequest struct {
 	core          *Core
 	ticket        *Ticket
 	pendingTokens int
 	output        int
+	// sinceEvent is the number of tokens since the last event.
+	sinceEvent int
 }
 
 // simEngine is a simulated engine with its cache.
@@ -56,10 +101,10 @@
 		e.busy = false
 		return
 	}
-	took := simStepTime + time.Duration(len(e.active))*simStepTimePerRequest
+	took := sim.profile.stepTime + time.Duration(len(e.active))*sim.profile.stepTimePerRequest
 	budget := simChunkTokens
 	var done []*simRequest
-	for len(e.queue) > 0 && budget > 0 {
+	for len(e.queue) > 0 && budget > 0 && len(e.active)+len(done) < sim.profile.slots {
 		r := e.queue[0]
 		n := min(r.pendingTokens, budget)
 		r.pendingTokens -= n
@@ -70,14 +115,17 @@
 		e.queue = e.queue[1:]
 		done = append(done, r)
 	}
-	took += time.Duration(float64(simChunkTokens-budget) / simPrefillRate * float64(time.Millisecond))
+	took += time.Duration(float64(simChunkTokens-budget) / sim.profile.prefillRate * float64(time.Millisecond))
+	took = took * time.Duration(sim.paceOf(e)) / 100
 	sim.after(took, func() {
 		for _, r := range done {
+			sim.announce(e, r)
 			sim.recordFirstEvent(r)
 		}
 		kept := e.active[:0]
 		for _, r := range e.active {
 			r.output--
+			sim.recordToken(r)
 			if r.output > 0 {
 				kept = append(kept, r)
 				continue
@@ -89,6 +137,15 @@
 	})
 }
 
+// recordToken records an event if enough tokens have come since the last one.
+func (sim *simulation) recordToken(r *simRequest) {
+	r.sinceEvent++
+	if n := sim.profile.eventTokens; n > 0 && r.sinceEvent >= n {
+		r.sinceEvent = 0
+		r.core.RecordEvent(sim.now, r.ticket)
+	}
+}
+
 func (sim *simulation) recordFirstEvent(r *simRequest) {
 	t := r.ticket
 	s := sim.statsOf(t.Team + t.Kind)
--- a/internal/coordination/admission/simulation_test.go
+++ b/internal/coordination/admission/simulation_test.go
@@ -23,6 +23,7 @@
 	cores     []*Core
 	engines   map[string]*simEngine
 	service   *routing.Service
+	profile   engineProfile
 	rand      *rand.Rand
 	prefilled map[uint64]bool
 	stats     map[string]*teamStats
@@ -45,16 +46,21 @@
 }
 
 func newSimulationWithPeriod(routers, engines int, capacity float64, period time.Duration) *simulation {
+	return newSimulationOf(usualProfile(), routers, engines, capacity, period)
+}
+
+func newSimulationOf(profile engineProfile, routers, engines int, capacity float64, period time.Duration) *simulation {
 	begin := time.Unix(1_000_000, 0)
 	sim := &simulation{
 		begin: begin, now: begin, engines: map[string]*simEngine{}, rand: rand.New(rand.NewPCG(1, 2)),
-		service:   &routing.Service{Name: "pool", Engine: &routing.Engine{Slots: 64, CacheTokens: 560_000}},
+		service:   &routing.Service{Name: "pool", Engine: &routing.Engine{Slots: profile.slots, CacheTokens: profile.cacheTokens}},
+		profile:   profile,
 		prefilled: map[uint64]bool{}, stats: map[string]*teamStats{},
 	}
 	var servers []*backends.Server
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
-		servers = append(servers, &backends.Server{ID: id, Service: "pool", Slots: 64})
+		servers = append(servers, &backends.Server{ID: id, Service: "pool", Slots: profile.slots})
 		sim.engines[id] = &simEngine{id: id, cached: map[uint64]bool{}}
 	}
 	for i := range routers {
@@ -175,6 +181,7 @@
 	own       int
 	output    int
 	objective time.Duration
+	maxPause  time.Duration
 }
 
 // start runs a workload for the given time.
@@ -214,7 +221,7 @@
 	t = core.Submit(sim.now, Request{
 		Team: w.team, Kind: w.kind, Service: sim.service, Parts: parts,
 		PromptTokens: w.shared + w.own, OutputTokens: w.output,
-		Arrival: sim.now, Objective: w.objective, Deadline: sim.now.Add(12 * time.Second),
+		Arrival: sim.now, Objective: w.objective, MaxPause: w.maxPause, Deadline: sim.now.Add(12 * time.Second),
 	}, decide)
 	if decision != nil {
 		sim.handleDecision(core, t, *decision, s, arrival)
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -23,11 +23,15 @@
 	// PromptTokens and OutputTokens are the sizes of a request to a model engine; OutputTokens is an estimate.
 	PromptTokens int
 	OutputTokens int
-	Priority     int
+	// MaxOutputTokens is the largest possible number of output tokens, or 0 if it is not known.
+	MaxOutputTokens int
+	Priority        int
 	// Arrival is the time at which the router had read the whole request.
 	Arrival time.Time
 	// Objective is the target time from the arrival to the first event or the answer.
 	Objective time.Duration
+	// MaxPause is the longest pause between two events of the response that is on time. 0 means no bound.
+	MaxPause time.Duration
 	// Deadline is the time at which the client or the route gives up.
 	Deadline time.Time
 	// Repeat marks a request that was already sent once. It precedes the team's other requests, because its client has
@@ -57,6 +61,8 @@
 	ReasonPaused Reason = "servers-paused"
 	// ReasonLimited means that the backend servers take fewer requests a second than there are.
 	ReasonLimited Reason = "servers-limited"
+	// ReasonTooLarge means that the request exceeds the memory of an engine.
+	ReasonTooLarge Reason = "too-large"
 	// ReasonDeadline means that the client or the route has given up.
 	ReasonDeadline Reason = "deadline"
 )
@@ -112,6 +118,10 @@
 	server         *backends.Server
 	load           engineload.Load
 	firstEventSeen bool
+	// lastEvent is the time of the last event, if the service's servers announce their pace.
+	lastEvent time.Time
+	// runningAhead is the number of requests on the server when this one was granted.
+	runningAhead int
 	// quiet is set while the server has sent nothing for too long. Its next event clears it.
 	quiet bool
 	// tokensAhead is the number of prompt tokens that the engine had to prefill before those of the request.
--- a/internal/coordination/serverspeed/announcement.go
+++ b/internal/coordination/serverspeed/announcement.go
@@ -38,29 +38,28 @@
 type pace struct {
 	known      bool
 	last, mean float64
-	at         time.Time
+	at         time.Duration
 }
 
 // announce records a pace and the time of its receipt.
-func (p *pace) announce(now time.Time, percent int) {
+func (p *pace) announce(now time.Duration, percent int) {
 	trusted := trustedPace(percent)
-	if !p.known {
-		p.known, p.mean = true, 1
-	}
 	weight := maxMeanPaceWeight
-	if !p.at.IsZero() {
-		weight = min(now.Sub(p.at).Seconds()/meanPaceWindow.Seconds(), maxMeanPaceWeight)
+	if p.known {
+		weight = min((now-p.at).Seconds()/meanPaceWindow.Seconds(), maxMeanPaceWeight)
+	} else {
+		p.known, p.mean = true, 1
 	}
 	p.mean += max(weight, 0) * (trusted - p.mean)
 	p.last, p.at = trusted, now
 }
 
 // current returns the pace at a time: the last one announced, which decays to the mean.
-func (p *pace) current(now time.Time) float64 {
+func (p *pace) current(now time.Duration) float64 {
 	if !p.known {
 		return 1
 	}
-	age := now.Sub(p.at)
+	age := now - p.at
 	if age >= paceLifetime {
 		return p.mean
 	}
@@ -72,14 +71,10 @@
 	requests int
 	// own is the number of this router's requests at the server at the time of the announcement.
 	own int
-	at  time.Time
+	at  time.Duration
+	// trusted is set if the announced number is not below that of this router's own requests.
+	trusted bool
 }
 
-// current returns the number of requests at the server if it is known: the announced one with the changes of this
-// router's own requests since.
-func (l *announcedLoad) current(now time.Time, own int) (requests int, ok bool) {
-	if l.requests < l.own || l.at.IsZero() || now.Sub(l.at) > loadLifetime {
-		return 0, false
-	}
-	return l.requests + own - l.own, true
-}
+// known reports whether the number of requests at the server is known.
+func (l *announcedLoad) known(now time.Duration) bool { return l.trusted && now-l.at <= loadLifetime }
--- a/internal/coordination/serverspeed/model.go
+++ b/internal/coordination/serverspeed/model.go
@@ -26,6 +26,8 @@
 
 // Model holds the estimates of the servers of one service. It is not safe for concurrent use.
 type Model struct {
+	// epoch is the time from which the times of announcements count.
+	epoch   time.Time
 	servers map[string]*server
 	// paced is the number of servers that announce their pace, announcing the number of those that announce their load.
 	paced, announcing int
@@ -60,19 +62,20 @@
 	if a.Slots == 0 {
 		return
 	}
+	at := m.sinceEpoch(now)
 	s := m.server(id)
 	if !s.announces {
 		s.announces = true
 		m.announcing++
 	}
-	s.load = announcedLoad{requests: a.Running + a.Waiting, own: own, at: now}
+	s.load = announcedLoad{requests: a.Running + a.Waiting, own: own, at: at, trusted: a.Running+a.Waiting >= own}
 	if a.Pace == 0 {
 		return
 	}
 	if !s.pace.known {
 		m.paced++
 	}
-	s.pace.announce(now, a.Pace)
+	s.pace.announce(at, a.Pace)
 	m.meanPace.add(s.pace.last, serviceWeight)
 }
 
@@ -82,14 +85,14 @@
 		return
 	}
 	s := m.server(id)
-	ms := milliseconds(took)
+	ms, pace := milliseconds(took), s.pace.current(m.sinceEpoch(now))
 	if tokens < minPrefillTokens {
-		prefill := float64(tokens) * s.prefill.or(m.prefill.or(initialPrefillTime)) * s.pace.current(now)
+		prefill := float64(tokens) * s.prefill.or(m.prefill.or(initialPrefillTime)) * pace
 		m.delay.add(min(max(ms-prefill, 0), milliseconds(maxDelay)), serviceWeight)
 		return
 	}
 	delay := m.delay.or(milliseconds(initialDelay))
-	perToken := max(ms-delay, 0) / float64(tokens) / s.pace.current(now)
+	perToken := max(ms-delay, 0) / float64(tokens) / pace
 	perToken = min(max(perToken, minPrefillTime), maxPrefillTime)
 	s.prefill.add(perToken, serverWeight)
 	m.prefill.add(perToken, serviceWeight)
@@ -101,7 +104,7 @@
 		return
 	}
 	s := m.server(id)
-	n, ms := float64(running), milliseconds(pause)/s.pace.current(now)
+	n, ms := float64(running), milliseconds(pause)/s.pace.current(m.sinceEpoch(now))
 	if !m.pauses.known() {
 		m.pauses.add(n, ms)
 		return
@@ -121,18 +124,32 @@
 	}
 	s := m.server(id)
 	rounds := max(float64(requests)/float64(max(slots, 1)), 1)
-	ms := milliseconds(took) / rounds / s.pace.current(now)
+	ms := milliseconds(took) / rounds / s.pace.current(m.sinceEpoch(now))
 	s.work.add(ms, serverWeight)
 	m.work.add(ms, serviceWeight)
 }
 
-// At returns the speed of a server at a time.
-func (m *Model) At(now time.Time, id string) Speed {
-	s := m.servers[id]
+// View shows the speeds of all servers at one time.
+type View struct {
+	model *Model
+	now   time.Duration
+	mean  Speed
+}
+
+// At returns the speeds at a time.
+func (m *Model) At(now time.Time) View { return View{model: m, now: m.sinceEpoch(now), mean: m.Mean()} }
+
+// Server returns the speed of a server.
+func (v *View) Server(id string) Speed {
+	s := v.model.servers[id]
 	if s == nil {
-		return m.Mean()
+		return v.mean
+	}
+	speed := v.mean
+	speed.Pace = s.pace.current(v.now)
+	if s.load.known(v.now) {
+		speed.load = &s.load
 	}
-	speed := m.speed(s.pace.current(now))
 	speed.prefill = s.prefill.or(speed.prefill)
 	speed.work = s.work.or(speed.work)
 	speed.pauseRatio = s.pauseRatio.or(1)
@@ -143,10 +160,18 @@
 	return speed
 }
 
-// Mean returns the mean speed of the service's servers.
-func (m *Model) Mean() Speed { return m.speed(m.meanPace.or(1)) }
+// sinceEpoch returns the time since the epoch of the model. It is computed once for all servers, because choosing a server
+// compares the ages of all announcements.
+func (m *Model) sinceEpoch(now time.Time) time.Duration {
+	if m.epoch.IsZero() {
+		m.epoch = now
+	}
+	return now.Sub(m.epoch)
+}
 
-func (m *Model) speed(pace float64) Speed {
+// Mean returns the mean speed of the service's servers.
+func (m *Model) Mean() Speed {
+	pace := m.meanPace.or(1)
 	return Speed{
 		Pace:       pace,
 		meanPace:   pace,
@@ -158,16 +183,6 @@
 	}
 }
 
-// Requests returns the number of requests at a server as it announced, with the changes of this router's own requests
-// since. It returns false if the announcement is too old or below the load that this router itself had on the server.
-func (m *Model) Requests(now time.Time, id string, own int) (int, bool) {
-	s := m.servers[id]
-	if s == nil {
-		return 0, false
-	}
-	return s.load.current(now, own)
-}
-
 // Forget drops what is known of a server that has restarted.
 func (m *Model) Forget(id string) {
 	s := m.servers[id]
--- a/internal/coordination/serverspeed/model_test.go
+++ b/internal/coordination/serverspeed/model_test.go
@@ -32,6 +32,12 @@
 	return now
 }
 
+// at returns the speed of a server at a time.
+func at(m *Model, now time.Time, id string) Speed {
+	view := m.At(now)
+	return view.Server(id)
+}
+
 func constant(percent int) func(int) int { return func(int) int { return percent } }
 
 func alternating(i int) int {
@@ -49,12 +55,12 @@
 	m := New()
 	now := engineOfB.run(m, "e", 2000, alternating, alternating)
 	g.Expect(m.Paced()).To(BeTrue())
-	speed := m.At(now, "e")
+	speed := at(m, now, "e")
 	g.Expect(speed.PrefillRate() * speed.Pace).To(BeNumerically("~", 157, 12))
 	pause, known := speed.Pause(10)
 	g.Expect(known).To(BeTrue())
 	g.Expect(milliseconds(pause) / speed.Pace).To(BeNumerically("~", 39+5.1, 2))
-	other := m.At(now, "without observations")
+	other := at(m, now, "without observations")
 	g.Expect(other.PrefillRate() * other.Pace).To(BeNumerically("~", 157, 12))
 }
 
@@ -65,11 +71,11 @@
 	m := New()
 	engineOfB.run(m, "honest", 2000, constant(100), constant(100))
 	now := engineOfB.run(m, "liar", 2000, constant(20), constant(100))
-	honest, liar := m.At(now, "honest"), m.At(now, "liar")
+	honest, liar := at(m, now, "honest"), at(m, now, "liar")
 	usual := float64(honest.PrefillTime(10_000))
 	g.Expect(float64(liar.PrefillTime(10_000))).To(BeNumerically("~", usual, 0.1*usual))
 	m.Announce(now, "honest", Announcement{Slots: 12, Pace: 1}, 0)
-	moment := m.At(now, "honest")
+	moment := at(m, now, "honest")
 	g.Expect(float64(moment.PrefillTime(10_000))).To(BeNumerically(">=", 0.79*usual))
 }
 
@@ -79,9 +85,9 @@
 	m := New()
 	now := engineOfB.run(m, "e", 1000, constant(100), constant(100))
 	m.Announce(now, "e", Announcement{Slots: 12, Pace: 300}, 0)
-	g.Expect(m.At(now, "e").Pace).To(BeNumerically("~", 3, 0.01))
-	g.Expect(m.At(now.Add(paceLifetime/2), "e").Pace).To(BeNumerically("~", 2, 0.1))
-	g.Expect(m.At(now.Add(paceLifetime), "e").Pace).To(BeNumerically("~", 1, 0.1))
+	g.Expect(at(m, now, "e").Pace).To(BeNumerically("~", 3, 0.01))
+	g.Expect(at(m, now.Add(paceLifetime/2), "e").Pace).To(BeNumerically("~", 2, 0.1))
+	g.Expect(at(m, now.Add(paceLifetime), "e").Pace).To(BeNumerically("~", 1, 0.1))
 }
 
 // Guards against an announced load that hides this router's own requests, or that counts after it is outdated.
@@ -89,11 +95,11 @@
 	g := NewWithT(t)
 	m := New()
 	requests := func(now time.Time, own int) int {
-		n, ok := m.Requests(now, "i", own)
-		if !ok {
+		speed := at(m, now, "i")
+		if !speed.LoadKnown() {
 			return -1
 		}
-		return n
+		return speed.Requests(own)
 	}
 	g.Expect(requests(begin, 0)).To(Equal(-1))
 	m.Announce(begin, "i", Announcement{Running: 5, Waiting: 2, Slots: 6, Pace: 100}, 3)
@@ -128,7 +134,7 @@
 	_, known := unknown.MaxRunning(12, 300*time.Millisecond)
 	g.Expect(known).To(BeFalse(), "without observations")
 	now := engineOfB.run(m, "e", 2000, constant(100), constant(100))
-	speed := m.At(now, "e")
+	speed := at(m, now, "e")
 	limit := func(maxPause time.Duration) int {
 		n, _ := speed.MaxRunning(12, maxPause)
 		return n
@@ -148,7 +154,7 @@
 			m.Announce(begin, "i", Announcement{Running: 1, Slots: 6, Pace: pace}, 0)
 			m.ObserveWork(begin, "i", 1, 6, work*time.Duration(pace)/100)
 		}
-		speed := m.At(begin, "i")
+		speed := at(m, begin, "i")
 		return speed.MaxRequests(6, objective)
 	}
 	g.Expect(limit(60*time.Millisecond, 100, 300*time.Millisecond)).To(Equal(9))
@@ -176,7 +182,7 @@
 				m.ObserveWork(now, "e", n%64, 6, d)
 			}
 		}
-		s := m.At(now, "e")
+		s := at(m, now, "e")
 		if rate := s.PrefillRate(); !(rate > 0.01 && rate < 10_000) {
 			t.Fatalf("rate %v", rate)
 		}
--- a/internal/coordination/serverspeed/speed.go
+++ b/internal/coordination/serverspeed/speed.go
@@ -26,6 +26,21 @@
 	prefill, delay, work float64
 	pauseRatio           float64
 	pauses               *line
+	// load is nil if it is not known.
+	load *announcedLoad
+}
+
+// LoadKnown reports whether the number of requests at the server is known from an announcement. It is not if the
+// announcement is too old, or below the load that this router itself had on the server.
+func (s *Speed) LoadKnown() bool { return s.load != nil }
+
+// Requests returns the number of requests at the server as it announced, with the changes of this router's own requests
+// since. It returns own if the announced number is not known.
+func (s *Speed) Requests(own int) int {
+	if s.load == nil {
+		return own
+	}
+	return s.load.requests + own - s.load.own
 }
 
 // PrefillTime returns the time to prefill tokens.
@@ -82,6 +97,9 @@
 	return max(int(perSlot*float64(slots)+0.5), slots, 1)
 }
 
+// Work returns the time of a request of a plain service at the usual pace.
+func (s *Speed) Work() time.Duration { return fromMilliseconds(s.work) }
+
 // ResponseTime returns the expected time of the response of a plain server that has a number of requests already.
 func (s *Speed) ResponseTime(requests, slots int) time.Duration {
 	rounds := max(float64(requests+1)/float64(max(slots, 1)), 1)
