admission: Bound the queued prefill of services with long objectives

A route without an objective has its timeout as one, 30 s by default, so that 12 s of prefill might be queued at an engine, where it is served in order of arrival. The bound is 500 ms now; shorter objectives keep theirs. TestQueuedPrefillIsBoundedWithoutAnObjective; the tests of the package pass.

--- a/internal/coordination/admission/paced.go
+++ b/internal/coordination/admission/paced.go
@@ -14,6 +14,9 @@
 const (
 	// backlogFraction is the fraction of the shortest objective of a service that the prefill queued at an engine may take.
 	backlogFraction = 0.4
+	// maxPacedBacklog bounds that prefill for services with long objectives. Requests in an engine's queue are served in
+	// order of arrival, so a long one would undo the shares of teams.
+	maxPacedBacklog = 500 * time.Millisecond
 	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load and
 	// for the transfer to the server.
 	pacedSendReserve = 30 * time.Millisecond
@@ -215,7 +218,7 @@
 	}
 	backlog := maxPrefillBacklog
 	if bounds.objective > 0 {
-		backlog = time.Duration(backlogFraction * float64(bounds.objective))
+		backlog = min(time.Duration(backlogFraction*float64(bounds.objective)), maxPacedBacklog)
 	}
 	return reservation.Limits{
 		Running:       max(int(fraction*float64(running)), 1),
--- a/internal/coordination/admission/paced_test.go
+++ b/internal/coordination/admission/paced_test.go
@@ -254,6 +254,22 @@
 	g.Expect(d.Reason).To(Equal(ReasonTooLarge))
 }
 
+// Load pattern: requests of a route without an objective, whose timeout counts as one. Guards against engines in which
+// seconds of prefill are queued, in order of arrival instead of by team.
+func TestQueuedPrefillIsBoundedWithoutAnObjective(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	service := engineService(500_000)
+	c := newPacedCore(now, service, 12)
+	view := c.models[service.Name].At(now)
+	speed := view.Server("s0")
+	pending := func(objective time.Duration) int {
+		return pacedLimits(service, c.servers.Get("s0"), &speed, requestBounds{objective: objective}, 1).PendingTokens
+	}
+	g.Expect(pending(30*time.Second)).To(Equal(22_500), "500 ms at 45 tokens per ms")
+	g.Expect(pending(400 * time.Millisecond)).To(Equal(7200))
+}
+
 // Load pattern: long prompts wait for engines whose prefill is much faster or slower than the constants assume. Guards
 // against prompts that are refused although they could be served in time, and against those that wait although they cannot.
 func TestRefusalFollowsTheObservedPrefillRate(t *testing.T) {
