gateway: Pass announced loads and paces to the admission controller

Signed responses, and those that say that the request did not run, announce the load and the pace of their server. Requests name the route's longest pause and the most output that they may have. The first announcement by which a service is scheduled by observed speeds is logged.

--- a/internal/transport/gateway/announce.go
+++ b/internal/transport/gateway/announce.go
@@ -7,14 +7,15 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
 )
 
 // maxServerPause bounds the pause that a server asks for, so that a wrong value does not take it out of use for good.
 const maxServerPause = 5 * time.Minute
 
 // recordAnnouncement records what a response to the request says about its server: that it leaves, that it wants a pause,
-// or how many requests a second it takes. Announcements other than a pause count only if the server signed the response
-// or says that it did not run the request. A response of another server at the address does not count.
+// how many requests a second it takes, or its load and its pace. Announcements other than a pause count only if the server
+// signed the response or says that it did not run the request. A response of another server at the address does not count.
 func (a *attempt) recordAnnouncement() {
 	x := a.x
 	metadata := a.metadata
@@ -25,6 +26,7 @@
 		Leaving: metadata.Leaving && (metadata.Signed || metadata.NotExecuted),
 		Pause:   a.serverPause(),
 		Limit:   a.limitStatement(),
+		Load:    a.announcedLoad(),
 	}
 	if announcement == (admission.Announcement{}) {
 		return
@@ -39,6 +41,10 @@
 		x.g.opts.Metrics.ServerPauses.Inc()
 		a.log("backend server pauses", zap.Duration("pause", announcement.Pause))
 	}
+	if news.Paced {
+		x.g.opts.Log.Info("backend servers announce their pace", zap.String("service", x.service.Name),
+			zap.String("server", a.decision.Server.ID), zap.Int("pace", metadata.Pace))
+	}
 	if news.Limit != serverlimit.Unchanged {
 		x.g.opts.Metrics.ServerLimits.WithLabelValues(news.Limit.String()).Inc()
 		a.log("backend server limit "+news.Limit.String(), zap.Float64("limit", metadata.Limit))
@@ -46,6 +52,17 @@
 	}
 }
 
+// announcedLoad returns the load and the pace that the response announces, or a zero value if it announces none that count.
+func (a *attempt) announcedLoad() serverspeed.Announcement {
+	metadata := a.metadata
+	if !metadata.LoadKnown || !metadata.Signed && !metadata.NotExecuted {
+		return serverspeed.Announcement{}
+	}
+	return serverspeed.Announcement{
+		Running: metadata.LoadRunning, Waiting: metadata.LoadWaiting, Slots: metadata.LoadSlots, Pace: metadata.Pace,
+	}
+}
+
 // limitStatement returns what the response says about the rate of requests that its server takes. It returns nil if it
 // says nothing that counts: an invalid value neither sets a limit nor ends one, and only a server that has run the request
 // can end its limit.
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -242,6 +242,7 @@
 		Arrival:   arrival,
 		Repeat:    len(tried) > 0,
 		Objective: x.route.Objective,
+		MaxPause:  x.route.MaxPause,
 		Deadline:  x.deadline,
 		Exclude:   tried,
 	}
@@ -249,6 +250,7 @@
 		req.Parts = x.metadata.Parts
 		req.PromptTokens = x.metadata.PromptTokens
 		req.OutputTokens = x.estimateOutputTokens()
+		req.MaxOutputTokens = x.metadata.MaxOutputTokens
 	}
 	return req
 }
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -68,6 +68,8 @@
 	retryAfter string
 	// limit is the limit of requests a second that responses name, or empty.
 	limit string
+	// load is the load that responses announce, or empty.
+	load string
 	// exchanges records the requests if recording is set.
 	recording bool
 	exchanges []Exchange
@@ -171,13 +173,23 @@
 	e.limit = text
 }
 
-// nameLimit adds the limit to the header of a response.
-func (e *Engine) nameLimit(h http.Header) {
+// SetLoad makes the engine announce a load, and possibly a pace, in its responses. An empty text ends that.
+func (e *Engine) SetLoad(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load = text
+}
+
+// setAnnouncements adds the limit and the load to the header of a response.
+func (e *Engine) setAnnouncements(h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limit != "" {
 		h.Set("Server-Limit", e.limit)
 	}
+	if e.load != "" {
+		h.Set("Instance-Load", e.load)
+	}
 }
 
 // Exchange is one request that an engine received.
@@ -209,7 +221,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.incarnation++
-	e.leaving, e.retryAfter, e.limit = false, "", ""
+	e.leaving, e.retryAfter, e.limit, e.load = false, "", "", ""
 	return e.incarnation
 }
 
@@ -281,7 +293,7 @@
 		return
 	}
 	if mode == Full || retryAfter != "" {
-		e.nameLimit(w.Header())
+		e.setAnnouncements(w.Header())
 		w.Header().Set("Attempt-Id", attempt)
 		w.Header().Set("Not-Executed", "1")
 		if retryAfter != "" {
@@ -322,7 +334,7 @@
 		attemptID = "another"
 	}
 	w.Header().Set("Attempt-Id", attemptID)
-	e.nameLimit(w.Header())
+	e.setAnnouncements(w.Header())
 	if mode != Unsigned {
 		w.Header().Set("Instance-Signature", "sig-"+e.ID)
 	}
