--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -11,6 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -57,7 +58,9 @@
 	pauses         map[backends.Incarnation]time.Time
 	meanErrorRates map[string]meanErrorRate
 	speeds         map[string]*prefillSpeeds
-	queues         map[string]*queue
+	// models are the observed speeds of the servers by service, for services whose servers announce their load.
+	models map[string]*serverspeed.Model
+	queues map[string]*queue
 	// waiters are the routers whose reservations on servers owned by this router were denied.
 	waiters *reservation.Waiters
 	jitter  jitter
@@ -86,6 +89,7 @@
 		pauses:         make(map[backends.Incarnation]time.Time),
 		meanErrorRates: make(map[string]meanErrorRate),
 		speeds:         make(map[string]*prefillSpeeds),
+		models:         make(map[string]*serverspeed.Model),
 		queues:         make(map[string]*queue),
 		waiters:        reservation.NewWaiters(),
 		jitter:         jitter{state: opts.Seed | 1},
@@ -103,6 +107,7 @@
 			delete(c.permitStates, id)
 			c.allocator.Reset(id)
 			c.prefixes.removeServer(id)
+			c.forgetSpeed(before)
 		}
 	}
 	c.servers = set
@@ -171,6 +176,11 @@
 	if !t.Repeat {
 		q.recordArrival(t.cost)
 	}
+	paced := c.preparePaced(now, q, t)
+	if paced && exceedsMemory(&t.Request) {
+		c.refuse(t, ReasonTooLarge, maxRetryAfter)
+		return t
+	}
 	c.refreshShares(now)
 	if c.allEvacuated(t.Service.Name) {
 		c.refuse(t, ReasonEvacuated, c.jitter.around(evacuatedRetryAfter))
@@ -212,6 +222,7 @@
 		return
 	}
 	c.recordResumed(now, t)
+	c.observeEvent(now, t)
 	if t.firstEventSeen {
 		return
 	}
@@ -260,6 +271,7 @@
 	c.endPermitRequest(t)
 	c.returnPermit(now, t)
 	c.loads.Remove(t.server.ID, t.load)
+	c.observeFinish(now, t, result)
 	h := c.healthOf(t.server.ID)
 	c.endProbe(h, t)
 	if result == ResultOK {
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -71,22 +71,22 @@
 		preferred.cachedAnywhere = c.prefixes.cachedAnywhere(now, parts)
 		preferred.sharedTokens = tokensOf(parts)
 	}
-	speeds := c.speedsOf(req.Service.Name)
-	var best, bestFree placement
+	e := c.newEvaluation(now, req, preferred, fraction)
+	var p, best, bestFree placement
 	for _, server := range servers {
 		if !c.usable(now, req, server) {
 			continue
 		}
-		p := c.evaluate(now, req, server, preferred, speeds)
+		e.evaluate(server, &p)
 		if best.server == nil || p.cost < best.cost {
 			best = p
 		}
 		if bestFree.server != nil && p.cost >= bestFree.cost {
 			continue
 		}
-		limits := limitsOf(req.Service, server, speeds.slowdownOf(server.ID), fraction)
+		limits := e.limits(&p)
 		limits.Running = min(limits.Running, c.health[server.ID].reopenLimit(now))
-		if limits.Fit(p.load, loadOf(req, p.cachedTokens)) {
+		if limits.Fit(p.load, e.queue.loadOf(req, p.cachedTokens)) {
 			bestFree = p
 			bestFree.limits = limits
 		}
@@ -115,11 +115,12 @@
 	return !req.excludes(server.ID) && c.takesRequests(now, server)
 }
 
-// evaluate returns the placement of a request on a server with its cost, without limits.
+// evaluate sets the placement of a request on a server with its cost, without limits. It writes to p, because copies of
+// placements took a fifth of the time to choose a server.
 func (c *Core) evaluate(
-	now time.Time, req *Request, server *backends.Server, preferred preferredEngines, speeds *prefillSpeeds,
-) placement {
-	p := placement{server: server, load: c.loads.Total(server.ID)}
+	now time.Time, req *Request, server *backends.Server, preferred *preferredEngines, speeds *prefillSpeeds, p *placement,
+) {
+	*p = placement{server: server, load: c.loads.Total(server.ID)}
 	slots := max(server.Slots, 1)
 	p.cost = time.Duration(float64(batchPenalty) * float64(p.load.Running) / float64(slots))
 	if server.FailureDomain != c.opts.Domain {
@@ -130,7 +131,7 @@
 	}
 	if req.Service.Engine == nil {
 		p.cost += time.Duration(float64(maxTieBreak) * tieBreak(req.ID, server.ID))
-		return p
+		return
 	}
 	parts := relay.SharedParts(req.Parts)
 	p.cachedTokens = c.prefixes.cachedTokens(now, parts, server.ID)
@@ -143,7 +144,6 @@
 	}
 	p.permitCost = c.permitCost(now, req, server)
 	p.cost += p.permitCost
-	return p
 }
 
 // crossDomainCost returns the cost of a server in another failure domain. It answers load that is uneven between domains:
