admission: Observe the limits of engines where the operators ask for it, and let late requests take any engine

A request with long shared parts waited for the engine that had cached them, whose free places went to others.

A request accepts a server without its cached parts the more, the closer it is to its refusal.

--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -22,6 +22,9 @@
 	Domain string
 	// DomainAware makes requests stay in the router's failure domain as long as that costs their callers little.
 	DomainAware bool
+	// ObservedLimits makes the limits of model engines, the order of a team's kinds, and refusal times follow from what the
+	// engines are seen to do instead of constants.
+	ObservedLimits bool
 	// ShareWindow is the time window over which each team is to receive its share.
 	ShareWindow time.Duration
 	// Seed seeds the jitter of the retry times of refused clients.
--- a/internal/coordination/admission/kinds.go
+++ b/internal/coordination/admission/kinds.go
@@ -67,7 +67,7 @@
 
 // limitsAt returns a function that returns the limits of each server of a service at a time.
 func (c *Core) limitsAt(now time.Time, service *routing.Service) func(*backends.Server) reservation.Limits {
-	if m := c.pacedModel(service.Name); m != nil {
+	if m := c.pacedModel(service); m != nil {
 		view, bounds := m.At(now), c.queue(service.Name).bounds.strictest()
 		return func(s *backends.Server) reservation.Limits {
 			speed := view.Server(s.ID)
--- a/internal/coordination/admission/paced.go
+++ b/internal/coordination/admission/paced.go
@@ -17,12 +17,14 @@
 	// maxPacedBacklog bounds that prefill for services with long objectives. Requests in an engine's queue are served in
 	// order of arrival, so a long one would undo the shares of teams.
 	maxPacedBacklog = 500 * time.Millisecond
-	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load and
-	// for the transfer to the server.
-	pacedSendReserve = 30 * time.Millisecond
+	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load, for the
+	// transfer to the server, and for what other routers send there meanwhile.
+	pacedSendReserve = 80 * time.Millisecond
 	// pacedMemoryFill is the fraction of an engine's memory that the requests on it may fill if each of them has the most
 	// output that it may have.
 	pacedMemoryFill = 0.95
+	// fastPrefillRate, in prompt tokens per millisecond, is the rate above which cached parts do not lose value.
+	fastPrefillRate = 90.0
 	// boundWindow is how long the bound that a request names counts for the other requests of its service.
 	boundWindow = 10 * time.Second
 )
@@ -61,10 +63,17 @@
 	return a
 }
 
-// pacedModel returns the speeds of the servers of a service, or nil unless they announce their pace. Services without a
-// pace are scheduled by constants.
-func (c *Core) pacedModel(service string) *serverspeed.Model {
-	if m := c.models[service]; m != nil && m.Paced() {
+// pacedModel returns the speeds by which the requests of a service are scheduled, or nil if it is scheduled by constants.
+// Requests of model engines are scheduled by observed speeds if the operators ask for it, those of a plain service if its
+// servers announce their pace.
+func (c *Core) pacedModel(service *routing.Service) *serverspeed.Model {
+	if service.Engine != nil {
+		if !c.opts.ObservedLimits {
+			return nil
+		}
+		return c.modelOf(service.Name)
+	}
+	if m := c.models[service.Name]; m != nil && m.Paced() {
 		return m
 	}
 	return nil
@@ -80,20 +89,21 @@
 	return m
 }
 
-// announceLoad records the load and the pace that a server announces. It reports whether the service is scheduled by
-// observed speeds because of it.
+// announceLoad records the load and the pace that a server announces. It reports whether the servers of its service count as
+// announcing their pace since.
 func (c *Core) announceLoad(now time.Time, server *backends.Server, a serverspeed.Announcement) bool {
 	if a.Slots == 0 || c.servers.Get(server.ID) == nil {
 		return false
 	}
-	before := c.pacedModel(server.Service) != nil
-	c.modelOf(server.Service).Announce(now, server.ID, a, c.loads.Own()[server.ID].Running)
-	return !before && c.pacedModel(server.Service) != nil
+	m := c.modelOf(server.Service)
+	before := m.Paced()
+	m.Announce(now, server.ID, a, c.loads.Own()[server.ID].Running)
+	return !before && m.Paced()
 }
 
 // observeEvent records what an event of a stream shows about the speed of its server.
 func (c *Core) observeEvent(now time.Time, t *Ticket) {
-	m := c.pacedModel(t.Service.Name)
+	m := c.pacedModel(t.Service)
 	if m == nil || t.Service.Engine == nil || c.servers.Get(t.server.ID) == nil {
 		return
 	}
@@ -107,7 +117,7 @@
 
 // observeFinish records what the end of a request to a plain service shows about the speed of its server.
 func (c *Core) observeFinish(now time.Time, t *Ticket, result Result) {
-	m := c.pacedModel(t.Service.Name)
+	m := c.pacedModel(t.Service)
 	if m == nil || t.Service.Engine != nil || result != ResultOK || c.servers.Get(t.server.ID) == nil {
 		return
 	}
@@ -137,7 +147,7 @@
 		core: c, now: now, req: req, queue: c.queue(req.Service.Name), preferred: preferred, fraction: fraction,
 		speeds: c.speedsOf(req.Service.Name),
 	}
-	if m := c.pacedModel(req.Service.Name); m != nil {
+	if m := c.pacedModel(req.Service); m != nil {
 		e.paced, e.view, e.bounds = true, m.At(now), e.queue.bounds.strictest()
 	}
 	return e
@@ -153,6 +163,32 @@
 	e.core.evaluatePaced(e.now, e.req, server, &e.preferred, &e.speed, p)
 }
 
+// acceptedExtraCost returns how much more than the best server a server with free capacity may cost. For
+// engines with observed limits it grows to the cost of one without any cached part by the time at which the request is refused. It answers the load
+// pattern of full engines: a request with long shared parts would wait for the engine that has cached them, whose free places
+// go to requests without preferences.
+func (e *evaluation) acceptedExtraCost() time.Duration {
+	waited := e.now.Sub(e.req.Arrival)
+	extra := maxExtraCost + extraCostPerWait*waited
+	if !e.paced || e.req.Service.Engine == nil {
+		return extra
+	}
+	longest := pacedRefusalTime(e.req, e.core.modelOf(e.req.Service.Name)).Sub(e.req.Arrival)
+	if longest <= 0 {
+		return extra
+	}
+	fraction := min(float64(max(waited, 0))/float64(longest), 1)
+	uncached := uncachedCost(e.preferred.sharedTokens, uncachedWeight, &e.speed)
+	return extra + time.Duration(fraction*float64(uncached+e.core.crossDomainCost(e.req)))
+}
+
+// uncachedCost returns the cost of prefilling shared parts that an engine has not cached. Engines that prefill fast count as
+// engines of fastPrefillRate, since parts also take memory from others.
+func uncachedCost(tokens int, weight float64, speed *serverspeed.Speed) time.Duration {
+	atLeast := time.Duration(float64(tokens) / fastPrefillRate * float64(time.Millisecond))
+	return time.Duration(weight * float64(max(speed.PrefillTime(tokens), atLeast)))
+}
+
 // limits returns the limits of the server that was evaluated last.
 func (e *evaluation) limits(p *placement) reservation.Limits {
 	if !e.paced {
@@ -176,7 +212,7 @@
 		requests = max(requests, speed.Requests(c.loads.Own()[server.ID].Running))
 	}
 	if server.FailureDomain != c.opts.Domain {
-		p.cost += domainPenalty
+		p.cost += c.crossDomainCost(req)
 	}
 	if req.Isolated {
 		p.cost += time.Duration(p.load.Running) * isolationCost
@@ -193,7 +229,7 @@
 	p.cost += time.Duration(float64(batchPenalty) * float64(requests) / float64(slots))
 	p.cost += backlog + speed.Delay() + speed.PrefillTime(max(req.PromptTokens-preferred.sharedTokens, 0))
 	if uncached := preferred.sharedTokens - p.cachedTokens; uncached > 0 {
-		p.cost += time.Duration(preferred.weight(server) * float64(speed.PrefillTime(uncached)))
+		p.cost += uncachedCost(uncached, preferred.weight(server), speed)
 	}
 	p.permitCost = c.permitCost(now, req, server)
 	p.cost += p.permitCost
@@ -250,13 +286,14 @@
 		reserve += speed.ResponseTime(0, 1)
 	}
 	minWait := time.Duration(minWaitFraction * float64(req.Objective))
-	return req.Arrival.Add(max(req.Objective-reserve, minWait))
+	maxWait := time.Duration(maxWaitFraction * float64(req.Objective))
+	return req.Arrival.Add(min(max(req.Objective-reserve, minWait), maxWait))
 }
 
 // preparePaced records the bounds and the demand of a new request. It reports whether its service is scheduled by observed
 // speeds.
 func (c *Core) preparePaced(now time.Time, q *queue, t *Ticket) bool {
-	q.paced = c.pacedModel(t.Service.Name) != nil
+	q.paced = c.pacedModel(t.Service) != nil
 	if !q.paced {
 		return false
 	}
@@ -295,7 +332,7 @@
 	return tokens
 }
 
-// SpeedStatus describes the observed speed of the servers of one service that announce their pace.
+// SpeedStatus describes the observed speed of the servers of one service that is scheduled by it.
 type SpeedStatus struct {
 	Service string
 	// Pace is the mean pace, relative to the usual one.
@@ -308,12 +345,16 @@
 	MaxRunning int
 }
 
-// Speeds returns the speeds of the services whose servers announce their pace.
+// Speeds returns the speeds of the services that are scheduled by them.
 func (c *Core) Speeds() []SpeedStatus {
 	var list []SpeedStatus
 	for name := range c.models {
-		m, servers, q := c.pacedModel(name), c.servers.ByService(name), c.queues[name]
-		if m == nil || len(servers) == 0 || q == nil || q.service == nil {
+		servers, q := c.servers.ByService(name), c.queues[name]
+		if len(servers) == 0 || q == nil || q.service == nil {
+			continue
+		}
+		m := c.pacedModel(q.service)
+		if m == nil {
 			continue
 		}
 		speed := m.Mean()
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -29,7 +29,7 @@
 // refusalTime returns the time at which a waiting request is refused because its first event could no longer come in
 // time.
 func (c *Core) refusalTime(req *Request) time.Time {
-	if m := c.pacedModel(req.Service.Name); m != nil {
+	if m := c.pacedModel(req.Service); m != nil {
 		return pacedRefusalTime(req, m)
 	}
 	objective := req.Objective
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -145,8 +145,10 @@
 	core := admission.New(admission.Options{
 		Domain:      settings.FailureDomain,
 		DomainAware: settings.DomainAware,
-		ShareWindow: settings.Bounds.ShareWindow,
-		Seed:        randomSeed(settings.Router, n.incarnation),
+
+		ObservedLimits: settings.ObservedLimits,
+		ShareWindow:    settings.Bounds.ShareWindow,
+		Seed:           randomSeed(settings.Router, n.incarnation),
 	})
 	n.owners = newLoadOwners(n)
 	n.admission = admission.NewController(core, n.owners)
