warmup: Send cold servers no more than coldPerS from all routers together

Cause: a server that has just started has no load, so that all routers sent to it at once. Cold servers crash well above coldPerS requests a second.

Change: coordination/warmup holds which servers are cold, until when and from which source: the entry, a response, the end of an evacuation, or connections that were refused. Core.rate is the lower one of a server's limit and its warm-up rate, and replaces the rate of the limit wherever permits are asked for, granted and checked, so that owners grant permits for both. An owner that does not know that a server is cold grants none; routers tell owners of warm-ups, and owners tell the others. Services without coldPerS are served as before.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -6,6 +6,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
 )
 
 const (
@@ -24,6 +25,8 @@
 	Pause time.Duration
 	// Limit is what the response says about the rate of requests that the server takes, or nil if it says nothing valid.
 	Limit *serverlimit.Statement
+	// Cold is what the response says about the server's warm-up, or nil if it says nothing valid.
+	Cold *warmup.Statement
 }
 
 // News is what an announcement has changed.
@@ -47,6 +50,9 @@
 		h.reopensAt = later(h.reopensAt, now.Add(a.Pause))
 	}
 	news := News{Leaving: a.Leaving && c.drains.Receive(now, t.server)}
+	if a.Cold != nil {
+		c.warmups.Receive(t.server, *a.Cold)
+	}
 	if a.Limit != nil {
 		news.Limit = c.limits.Receive(t.server, *a.Limit)
 	}
@@ -54,12 +60,13 @@
 }
 
 // MaySend reports whether a granted request may be sent now: its server may have announced since that it leaves or wants
-// a pause, or may have named a limit, its failure domain may have been evacuated, or the permit may have lapsed. clock is the time on a clock that includes suspension.
+// a pause, or may have named a limit, its failure domain may have been evacuated, or the permit may have lapsed. clock is
+// the time on a clock that includes suspension.
 func (c *Core) MaySend(now time.Time, clock time.Duration, t *Ticket) bool {
 	if t.state != ticketGranted || c.excluded(t.server) || now.Before(c.healthOf(t.server.ID).reopensAt) {
 		return false
 	}
-	if _, limited := c.limits.Rate(now, t.server.ID); limited && !t.permit.valid(clock) {
+	if _, limited := c.rate(now, t.server.ID); limited && !t.permit.valid(clock) {
 		if t.permit.held() {
 			c.permitCounts.Lapsed++
 			t.permit = permit{} // its owner no longer counts it as unused
--- a/internal/coordination/admission/controller_evacuation.go
+++ b/internal/coordination/admission/controller_evacuation.go
@@ -6,7 +6,9 @@
 func (c *Controller) SetEvacuated(domains []string) []EvacuationChange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.core.SetEvacuated(time.Now(), domains)
+	changes := c.core.SetEvacuated(time.Now(), domains)
+	c.countLimits()
+	return changes
 }
 
 // Evacuations returns the evacuated failure domains.
--- a/internal/coordination/admission/controller_limit.go
+++ b/internal/coordination/admission/controller_limit.go
@@ -7,12 +7,14 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 )
 
-// AnyLimits reports whether a server has a limit of requests a second, or had one recently. While none has, responses
+// AnyLimits reports whether a server has a limit of requests a second or is cold, or was so recently. Otherwise responses
 // without a limit need not be announced.
 func (c *Controller) AnyLimits() bool { return c.limited.Load() > 0 }
 
 // countLimits updates what AnyLimits returns. The controller must be locked.
-func (c *Controller) countLimits() { c.limited.Store(int64(c.core.limits.Len())) }
+func (c *Controller) countLimits() {
+	c.limited.Store(int64(c.core.limits.Len() + c.core.warmups.Len()))
+}
 
 // MergeLimits records what another router knows of limits. It returns the changes.
 func (c *Controller) MergeLimits(entries []serverlimit.Entry) []LimitChange {
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -11,6 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -36,6 +37,7 @@
 	servers *backends.Set
 	drains  *serverdrain.Registry
 	limits  *serverlimit.Registry
+	warmups *warmup.Registry
 	// evacuations are the failure domains whose servers get no requests.
 	evacuations *evacuation.Registry
 	// allocator grants the permits of the servers that this router owns, permitStates is what it knows about those of all
@@ -71,6 +73,7 @@
 		servers:        backends.NewSet(nil),
 		drains:         serverdrain.New(),
 		limits:         serverlimit.New(),
+		warmups:        warmup.New(),
 		evacuations:    evacuation.New(),
 		allocator:      ratelimit.NewAllocator(),
 		permitStates:   make(map[string]*permitState),
@@ -102,6 +105,7 @@
 	c.servers = set
 	c.drains.SetServers(now, set)
 	c.limits.SetServers(set)
+	c.warmups.SetServers(now, set)
 	for _, s := range c.speeds {
 		s.retain(func(id string) bool { return set.Get(id) != nil })
 	}
@@ -205,6 +209,7 @@
 		return
 	}
 	c.recordResumed(now, t)
+	c.warmups.RecordResponse(now, t.server)
 	if t.firstEventSeen {
 		return
 	}
@@ -257,6 +262,7 @@
 	c.endProbe(h, t)
 	if result == ResultOK {
 		c.recordResumed(now, t)
+		c.warmups.RecordResponse(now, t.server)
 	}
 	if !t.quiet || result != ResultBroken {
 		h.record(now, result, c.meanErrorRate(now, t.Service.Name))
@@ -274,6 +280,7 @@
 func (c *Core) Advance(now time.Time) {
 	c.loads.Expire(now)
 	c.limits.Expire(now)
+	c.warmups.Expire(now)
 	c.expirePermitStates(now)
 	for _, q := range c.queues {
 		c.dispatch(now, q)
--- a/internal/coordination/admission/evacuation.go
+++ b/internal/coordination/admission/evacuation.go
@@ -23,6 +23,9 @@
 func (c *Core) SetEvacuated(now time.Time, domains []string) []EvacuationChange {
 	var changes []EvacuationChange
 	for _, change := range c.evacuations.Set(now, domains) {
+		if !change.Started {
+			c.warmups.RecordEvacuationEnd(now, change.Domain)
+		}
 		changes = append(changes, EvacuationChange{Change: change, Servers: c.serversIn(change.Domain)})
 	}
 	if len(changes) > 0 {
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -62,7 +62,7 @@
 	if now.Before(s.heldBack) {
 		return false
 	}
-	rate, limited := c.limits.Rate(now, server)
+	rate, limited := c.rate(now, server)
 	return !limited || s.requested < 1+int(rate*requestsAhead.Seconds())
 }
 
@@ -88,7 +88,7 @@
 // beginPermitRequest records that a permit for a granted request is to be asked for, if its server has a limit.
 func (c *Core) beginPermitRequest(now time.Time, t *Ticket) {
 	t.permit = permit{}
-	if _, limited := c.limits.Rate(now, t.server.ID); !limited {
+	if _, limited := c.rate(now, t.server.ID); !limited {
 		return
 	}
 	t.requestsPermit = true
@@ -145,7 +145,7 @@
 	if s := c.servers.Get(server); s != nil && c.evacuated(s) {
 		return false, unansweredHold // the asking router has not heard of the evacuation yet
 	}
-	rate, limited := c.limits.Rate(now, server)
+	rate, limited := c.rate(now, server)
 	if !limited {
 		return true, 0
 	}
@@ -183,7 +183,7 @@
 
 // takeBackPermits takes back unused permits that this router granted.
 func (c *Core) takeBackPermits(now time.Time, server string, count int) {
-	rate, limited := c.limits.Rate(now, server)
+	rate, limited := c.rate(now, server)
 	for range count {
 		if limited {
 			c.allocator.Return(now, server, rate)
@@ -210,16 +210,23 @@
 		answer.RetryMS = unansweredHold.Milliseconds()
 		return answer, change
 	}
+	if _, limited := c.rate(now, server.ID); !limited && r.Limit.NamesNone() {
+		// The asking router knows that the server is cold and this one does not yet. The router tells it.
+		answer.RetryMS, answer.Limit = unansweredHold.Milliseconds(), c.limitEntry(now, server)
+		return answer, change
+	}
 	granted, retryIn := c.takePermit(now, server.ID)
 	answer.Granted, answer.RetryMS = granted, ceilMilliseconds(retryIn)
-	answer.Limit, _ = c.limits.Entry(now, server.ID)
+	answer.Limit = c.limitEntry(now, server)
 	return answer, change
 }
 
 // LimitAnswer returns the answer to a reservation request for a server with a limit.
 func (c *Core) LimitAnswer(now time.Time, server string, a reservation.Answer) reservation.PermitAnswer {
 	answer := reservation.PermitAnswer{ID: a.ID, Granted: a.Granted, RetryMS: ceilMilliseconds(a.RetryIn), Total: a.Total}
-	answer.Limit, _ = c.limits.Entry(now, server)
+	if s := c.servers.Get(server); s != nil {
+		answer.Limit = c.limitEntry(now, s)
+	}
 	return answer
 }
 
@@ -250,12 +257,25 @@
 	return c.limits.Entries(now, servers)
 }
 
-// LimitEntry returns what is known of a server's limit. It returns false if the server has none.
+// LimitEntry returns what is known of a server's limit. It returns false if the server has neither a limit nor a warm-up.
 func (c *Core) LimitEntry(now time.Time, server string) (serverlimit.Entry, bool) {
-	if _, limited := c.limits.Rate(now, server); !limited {
+	known := c.servers.Get(server)
+	if known == nil {
 		return serverlimit.Entry{}, false
 	}
-	return c.limits.Entry(now, server)
+	if _, limited := c.limits.Rate(now, server); limited {
+		return c.limits.Entry(now, server)
+	}
+	_, cold := c.warmups.Rate(now, server)
+	return serverlimit.NoLimit(known), cold
+}
+
+// limitEntry returns what is known of the limit of a server that may have none.
+func (c *Core) limitEntry(now time.Time, server *backends.Server) serverlimit.Entry {
+	if entry, named := c.limits.Entry(now, server.ID); named {
+		return entry
+	}
+	return serverlimit.NoLimit(server)
 }
 
 // SetFleet sets the number of live routers, this one included, and the fraction of the limits that this router may grant
@@ -279,7 +299,7 @@
 	list := c.limits.List(now)
 	statuses := make([]LimitStatus, len(list))
 	for i, s := range list {
-		rate, _ := c.limits.Rate(now, s.Server)
+		rate, _ := c.rate(now, s.Server)
 		statuses[i] = LimitStatus{Status: s, Rate: rate, Used: c.allocator.Used(now, s.Server)}
 	}
 	return statuses
@@ -291,7 +311,7 @@
 func (c *Core) returnAfter(now time.Time, q *queue, service string, opensIn time.Duration) time.Duration {
 	rate := 0.0
 	for _, server := range c.servers.ByService(service) {
-		if r, limited := c.limits.Rate(now, server.ID); limited {
+		if r, limited := c.rate(now, server.ID); limited {
 			rate += r
 		}
 	}
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -33,7 +33,7 @@
 		return true
 	}
 	c.endPermitRequest(t)
-	if _, limited := c.limits.Rate(now, t.server.ID); limited || answer.Limited {
+	if _, limited := c.rate(now, t.server.ID); limited || answer.Limited {
 		// An answer that denies the request for another reason holds no news about permits.
 		denied := o == reservation.Answered && !answer.Granted && answer.RetryIn == 0
 		if !denied && !c.acquirePermit(now, clock, t, answer, o) {
@@ -94,7 +94,8 @@
 	total := c.loads.Total(r.Server)
 	answer := reservation.Answer{ID: r.ID, Total: total}
 	// A router that has not heard of the end of a limit learns it from the answer.
-	answer.Limited = c.limits.Known(r.Server)
+	_, limited := c.rate(now, r.Server)
+	answer.Limited = limited || c.limits.Known(r.Server)
 	if !r.Limits.Fit(total, r.Load) {
 		c.waiters.Add(now, r)
 		return answer
--- a/internal/coordination/reservation/permit.go
+++ b/internal/coordination/reservation/permit.go
@@ -1,10 +1,12 @@
 package reservation
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
 )
 
 // Outcome is how a reservation request ended.
@@ -69,7 +71,23 @@
 	Limits []serverlimit.Entry
 }
 
-// maxNoticeLimits is the number of limits in a notice. A datagram holds about as many.
+// WarmupNotice tells other routers which servers are cold.
+type WarmupNotice struct {
+	_       struct{} `cbor:",toarray"`
+	Router  string
+	Warmups []warmup.Report
+}
+
+// SplitWarmups returns notices with the given warm-ups.
+func SplitWarmups(router string, reports []warmup.Report) []WarmupNotice {
+	var notices []WarmupNotice
+	for part := range slices.Chunk(reports, maxNoticeLimits) {
+		notices = append(notices, WarmupNotice{Router: router, Warmups: part})
+	}
+	return notices
+}
+
+// maxNoticeLimits is the number of limits or warm-ups in a notice. A datagram holds about as many.
 const maxNoticeLimits = 20
 
 // SplitLimits returns notices with the given limits.
--- a/internal/coordination/serverlimit/message.go
+++ b/internal/coordination/serverlimit/message.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
 // maxMessageDelay is the time by which an end in a message is dated back. A message between routers takes some
@@ -30,6 +32,17 @@
 	SentAgeMS, ReceivedAgeMS int64
 }
 
+// NoLimit returns the entry of a server that has named no limit. It changes nothing where it is merged.
+func NoLimit(server *backends.Server) Entry {
+	return Entry{
+		Server: server.ID, StartedAt: server.StartedAt, Ended: true,
+		SinceAgeMS: maxAgeMS, SentAgeMS: maxAgeMS, ReceivedAgeMS: maxAgeMS,
+	}
+}
+
+// NamesNone reports whether the entry is that of a server that has named no limit.
+func (e Entry) NamesNone() bool { return e.Ended && e.ReceivedAgeMS == maxAgeMS }
+
 // Entries returns what is known of the given servers' limits, ended ones included.
 func (r *Registry) Entries(now time.Time, servers []string) []Entry {
 	var entries []Entry
--- a/internal/daemon/gateway/limits.go
+++ b/internal/daemon/gateway/limits.go
@@ -38,6 +38,9 @@
 	// lastResend is used by the flushing goroutine only.
 	lastResend time.Time
 
+	// warmupChanges counts the starts, extensions and ends of warm-ups by source.
+	warmupChanges *prometheus.CounterVec
+
 	mu sync.Mutex
 	// changed holds the servers owned by this router whose limits have changed since the last flush.
 	changed map[string]struct{}
@@ -48,6 +51,7 @@
 func newLimitExchange(n *Node, owners *loadOwners) *limitExchange {
 	e := &limitExchange{node: n, owners: owners, changed: make(map[string]struct{}), informed: make(map[netip.AddrPort]time.Time)}
 	e.registerMetrics(n.registry)
+	e.warmupChanges = newWarmupMetrics(n)
 	return e
 }
 
@@ -104,8 +108,8 @@
 	return servers
 }
 
-// flush gives unused permits back, and tells the other routers of changed limits. If it is due, it sends all limits of
-// the servers that this router owns.
+// flush gives unused permits back, and tells the other routers of changed limits and warm-ups. If it is due, it sends all
+// those of the servers that this router owns.
 func (e *limitExchange) flush(now time.Time) {
 	if !e.node.admission.AnyLimits() {
 		return
@@ -119,6 +123,7 @@
 			e.node.send(r.Message, address)
 		}
 	}
+	e.recordWarmups(table)
 	servers := e.takeChanged()
 	if table != nil && now.Sub(e.lastResend) >= limitResendPeriod {
 		e.lastResend = now
@@ -130,10 +135,12 @@
 			entries = append(entries, entry)
 		}
 	}
-	if len(entries) > 0 {
+	reports := e.node.admission.WarmupReports(servers)
+	if len(entries)+len(reports) > 0 {
 		audience := e.audience(now)
 		e.recordInformed(audience...)
 		e.send(entries, audience...)
+		e.sendReports(reports, audience...)
 	}
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -196,7 +196,7 @@
 			OnRouters:     func(list map[string]discovery.Router) { n.routers.Store(&list) },
 			OnServers:     n.onServers,
 			OnEvacuations: n.onEvacuations,
-			OnConfig:      func(t *routing.Table) { n.admission.SetCapacity(t.Limits.TokensPerSecond) },
+			OnConfig:      n.onConfig,
 			OnInvalid:     invalidEntries.Inc,
 		}),
 	})
@@ -256,6 +256,11 @@
 	n.closeIdleConnections()
 }
 
+func (n *Node) onConfig(t *routing.Table) {
+	n.admission.SetCapacity(t.Limits.TokensPerSecond)
+	n.admission.SetServices(t.Services())
+}
+
 // Run serves until the context ends, and then drains. Changed settings are reloaded from settingsPath. It returns the
 // errors of the listeners.
 func (n *Node) Run(ctx context.Context, settingsPath string) error {
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -117,6 +117,10 @@
 	case !ok:
 		return reservation.Answer{}, reservation.Unanswered
 	}
+	if limit != nil {
+		// The owner may not have heard yet that the server is cold, and would grant a permit above its rate.
+		o.limits.sendWarmups([]string{r.Server}, address)
+	}
 	answer, ok := o.pendingRequests.Call(ctx, owner, func(id uint64) {
 		if table.direct {
 			o.node.send(reservation.PermitRequest{ID: id, Router: o.node.settings.Router, Limit: *limit}, address)
@@ -298,6 +302,7 @@
 	o.node.admission.Adopt(adopted)
 	o.node.log.Debug("load owners assigned", zap.Int("candidates", len(candidates)), zap.Int("owned", len(table.owned)))
 	o.table.Store(table)
+	o.limits.tellNewOwners(previous, table)
 	return true
 }
 
@@ -412,6 +417,8 @@
 		n.admission.ReceiveReturn(m)
 	case reservation.LimitNotice:
 		n.owners.limits.handleNotice(m, from)
+	case reservation.WarmupNotice:
+		n.owners.limits.handleWarmups(m, from)
 	case reservation.CapacityNotice:
 		n.admission.HandleCapacityNotice(m)
 	case reservation.Loads:
--- a/internal/protocol/datagrams/datagrams.go
+++ b/internal/protocol/datagrams/datagrams.go
@@ -31,12 +31,13 @@
 	kindPermitAnswer
 	kindPermitReturn
 	kindLimitNotice
+	kindWarmupNotice
 )
 
 // Encode returns the datagram for a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads,
 // reservation.CapacityNotice, reservation.Denial, reservation.DrainNotice, gossip.Presence, poison.Evidence,
 // poison.TrialRequest, poison.TrialAnswer, poison.TrialEnd, reservation.PermitRequest, reservation.PermitAnswer,
-// reservation.PermitReturn or reservation.LimitNotice. Other types are an error.
+// reservation.PermitReturn, reservation.LimitNotice or reservation.WarmupNotice. Other types are an error.
 func Encode(message any) ([]byte, error) {
 	k, err := kindOf(message)
 	if err != nil {
@@ -88,6 +89,8 @@
 		return kindPermitReturn, nil
 	case reservation.LimitNotice:
 		return kindLimitNotice, nil
+	case reservation.WarmupNotice:
+		return kindWarmupNotice, nil
 	default:
 		return 0, errors.Errorf("datagrams: unsupported message type %T", message)
 	}
@@ -132,6 +135,8 @@
 		return decode[reservation.PermitReturn](body)
 	case kindLimitNotice:
 		return decode[reservation.LimitNotice](body)
+	case kindWarmupNotice:
+		return decode[reservation.WarmupNotice](body)
 	default:
 		return nil, errors.Errorf("datagrams: unknown message kind %d", data[0])
 	}
--- a/internal/protocol/datagrams/datagrams_test.go
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -11,6 +11,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/reservation"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
 )
 
 // Guards against messages that another router cannot decode or decodes to something else, and against encoding
@@ -45,6 +46,9 @@
 		reservation.PermitAnswer{ID: 7, Granted: true, RetryMS: 200, Total: load, Limit: limit},
 		reservation.PermitReturn{Server: "e", StartedAt: 5, Count: 2},
 		reservation.LimitNotice{Router: "r", Limits: []serverlimit.Entry{limit, {Server: "f", Ended: true}}},
+		reservation.WarmupNotice{Router: "r", Warmups: []warmup.Report{{
+			Server: "e", StartedAt: 5, Source: warmup.Return, LeftMS: 3000,
+		}}},
 		reservation.Loads{Router: "r", Parts: []reservation.ServerLoad{{Server: "e", Load: load}}},
 	}
 	for _, m := range messages {
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 // Server describes one incarnation of a backend server: the server from one start to the next.
@@ -19,6 +20,10 @@
 	Draining bool
 	// StartedAt is the server's start time in milliseconds since the Unix epoch, or 0 if the server does not report it.
 	StartedAt int64
+	// ColdNamed is set if the entry says whether the server is cold. ColdLeft is then for how long it was still cold when the
+	// entry was written; 0 means that it was warm.
+	ColdNamed bool
+	ColdLeft  time.Duration
 }
 
 // Key returns "ID@ADDRESS", which identifies the server at its address.
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -63,6 +63,11 @@
 	Limited      bool
 	Limit        float64
 	InvalidLimit string
+	// ColdNamed is set if the server says whether it is cold. ColdLeft is then for how long it still is; 0 means that it is
+	// warm. InvalidCold is the text of a value that is not a number of milliseconds.
+	ColdNamed   bool
+	ColdLeft    time.Duration
+	InvalidCold string
 	// WrongServer is set if another server now has the address.
 	WrongServer bool
 }
--- a/internal/state/routing/table.go
+++ b/internal/state/routing/table.go
@@ -63,6 +63,15 @@
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services returns the services, in no particular order.
+func (t *Table) Services() []Service {
+	list := make([]Service, 0, len(t.services))
+	for _, s := range t.services {
+		list = append(list, *s)
+	}
+	return list
+}
+
 // RequiresAPIKey reports whether requests on routes that are not anonymous need an API key.
 func (t *Table) RequiresAPIKey() bool { return t.requiresAPIKey }
 
--- a/internal/state/routing/types.go
+++ b/internal/state/routing/types.go
@@ -76,6 +76,10 @@
 	Name string
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// ColdPerSecond is the number of requests a second that a cold server takes from all routers together. 0 means that the
+	// servers are never cold. ColdDuration is how long a server is cold after its start.
+	ColdPerSecond float64
+	ColdDuration  time.Duration
 }
 
 // Team is a customer that shares the backend servers with others.
--- a/internal/transport/gateway/announce.go
+++ b/internal/transport/gateway/announce.go
@@ -7,14 +7,16 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
 )
 
-// maxServerPause bounds the pause that a server asks for, so that a wrong value does not take it out of use for good.
+// maxServerPause bounds the pause that a server asks for, and its warm-up, so that a wrong value does not take it out of use
+// for good.
 const maxServerPause = 5 * time.Minute
 
 // recordAnnouncement records what a response to the request says about its server: that it leaves, that it wants a pause,
-// or how many requests a second it takes. Announcements other than a pause count only if the server signed the response
-// or says that it did not run the request. A response of another server at the address does not count.
+// how many requests a second it takes, or whether it is cold. Announcements other than a pause count only if the server
+// signed the response or says that it did not run the request. A response of another server at the address does not count.
 func (a *attempt) recordAnnouncement() {
 	x := a.x
 	metadata := a.metadata
@@ -25,6 +27,7 @@
 		Leaving: metadata.Leaving && (metadata.Signed || metadata.NotExecuted),
 		Pause:   a.serverPause(),
 		Limit:   a.limitStatement(),
+		Cold:    a.coldStatement(),
 	}
 	if announcement == (admission.Announcement{}) {
 		return
@@ -65,6 +68,32 @@
 	}
 }
 
+// coldStatement returns what the response says about the warm-up of its server. It returns nil if it says nothing that
+// counts, or if the servers of the service are never cold. Only a server that has run the request can end its warm-up.
+func (a *attempt) coldStatement() *warmup.Statement {
+	x, metadata := a.x, a.metadata
+	switch {
+	case x.service.ColdPerSecond <= 0:
+		return nil
+	case metadata.InvalidCold != "":
+		a.recordInvalidWarmup()
+		return nil
+	case !metadata.ColdNamed, !metadata.Signed && (metadata.ColdLeft == 0 || !metadata.NotExecuted):
+		return nil
+	}
+	return &warmup.Statement{Left: min(metadata.ColdLeft, maxServerPause), SentAt: a.sentAt, ReceivedAt: time.Now()}
+}
+
+// recordInvalidWarmup counts and logs a warm-up time that is not valid.
+func (a *attempt) recordInvalidWarmup() {
+	x, server := a.x, a.decision.Server.ID
+	x.g.opts.Metrics.InvalidWarmups.Inc()
+	if x.g.invalidLimits.shouldLog(time.Now(), server) {
+		x.g.opts.Log.Warn("backend server names a warm-up time that is not valid", zap.String("server", server),
+			zap.String("request", x.metadata.ID), zap.String("time", a.metadata.InvalidCold))
+	}
+}
+
 // recordInvalidLimit counts and logs a limit that is not valid.
 func (a *attempt) recordInvalidLimit() {
 	x, server := a.x, a.decision.Server.ID
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -182,6 +183,9 @@
 		a.x.sends.recordNotRun()
 		result = sendUnreachable
 		a.outcome = admission.ResultUnreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.x.g.opts.Admission.RecordRefusedConnection(a.ticket)
+		}
 	}
 	switch {
 	case a.recordInvalidResponse(err):
@@ -290,6 +294,7 @@
 	}
 	if a.crashed {
 		a.outcome = admission.ResultUnreachable
+		a.x.g.opts.Admission.RecordRefusedConnection(a.ticket) // its port refuses connections
 	}
 	a.x.g.opts.Admission.Finish(a.ticket, a.outcome)
 	a.x.g.opts.Metrics.Sends.WithLabelValues(result.String()).Inc()
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -22,6 +22,8 @@
 	// that is not valid.
 	ServerLimits  *prometheus.CounterVec
 	InvalidLimits prometheus.Counter
+	// InvalidWarmups counts responses that name a warm-up time that is not valid.
+	InvalidWarmups prometheus.Counter
 	// TimeToFirst is the time to the first event, or to the response, in seconds, by kind of route.
 	TimeToFirst *prometheus.HistogramVec
 }
@@ -63,11 +65,15 @@
 			Name: "gooseberrytide_invalid_limits_total",
 			Help: "Answers of backend servers that name a limit which is not valid.",
 		}),
+		InvalidWarmups: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrytide_invalid_warmups_total",
+			Help: "Answers of backend servers that name a warm-up time which is not valid.",
+		}),
 		TimeToFirst: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "gooseberrytide_first_seconds", Help: "Time to the first event or the answer.", Buckets: timeToFirstBuckets,
 		}, []string{"kind"}),
 	}
 	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.CutResponses, m.InvalidResponses, m.LeavingServers, m.ServerPauses,
-		m.ServerLimits, m.InvalidLimits, m.TimeToFirst)
+		m.ServerLimits, m.InvalidLimits, m.InvalidWarmups, m.TimeToFirst)
 	return m
 }
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -68,6 +68,9 @@
 	retryAfter string
 	// limit is the limit of requests a second that responses name, or empty.
 	limit string
+	// coldUntil is when the engine is warm. coldNamed makes responses say for how long it is still cold.
+	coldUntil time.Time
+	coldNamed bool
 	// exchanges records the requests if recording is set.
 	recording bool
 	exchanges []Exchange
@@ -171,13 +174,23 @@
 	e.limit = text
 }
 
-// nameLimit adds the limit to the header of a response.
+// SetCold makes the engine cold for d. Its responses say for how long it still is.
+func (e *Engine) SetCold(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil, e.coldNamed = time.Now().Add(d), true
+}
+
+// nameLimit adds the limit, and for how long the engine is cold, to the header of a response.
 func (e *Engine) nameLimit(h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limit != "" {
 		h.Set("Server-Limit", e.limit)
 	}
+	if e.coldNamed {
+		h.Set("Cold-Start-Ms", strconv.FormatInt(max(time.Until(e.coldUntil).Milliseconds(), 0), 10))
+	}
 }
 
 // Exchange is one request that an engine received.
