--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -12,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverdrain"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
@@ -42,6 +43,7 @@
 	servers *backends.Set
 	drains  *serverdrain.Registry
 	limits  *serverlimit.Registry
+	warmups *warmup.Registry
 	// evacuations are the failure domains whose servers get no requests.
 	evacuations *evacuation.Registry
 	// allocator grants the permits of the servers that this router owns, permitStates is what it knows about those of all
@@ -81,6 +83,7 @@
 		servers:        backends.NewSet(nil),
 		drains:         serverdrain.New(),
 		limits:         serverlimit.New(),
+		warmups:        warmup.New(),
 		evacuations:    evacuation.New(),
 		allocator:      ratelimit.NewAllocator(),
 		permitStates:   make(map[string]*permitState),
@@ -117,6 +120,7 @@
 	c.restorePauses()
 	c.drains.SetServers(now, set)
 	c.limits.SetServers(set)
+	c.warmups.SetServers(now, set)
 	for _, s := range c.speeds {
 		s.retain(func(id string) bool { return set.Get(id) != nil })
 	}
@@ -226,6 +230,7 @@
 	}
 	c.recordResumed(now, t)
 	c.observeEvent(now, t)
+	c.warmups.RecordResponse(now, t.server)
 	if t.firstEventSeen {
 		return
 	}
@@ -279,6 +284,7 @@
 	c.endProbe(h, t)
 	if result == ResultOK {
 		c.recordResumed(now, t)
+		c.warmups.RecordResponse(now, t.server)
 	}
 	if !t.quiet || result != ResultBroken {
 		h.record(now, result, c.meanErrorRate(now, t.Service.Name))
@@ -297,6 +303,7 @@
 	c.loads.Expire(now)
 	c.limits.Expire(now)
 	c.expirePauses(now)
+	c.warmups.Expire(now)
 	c.expirePermitStates(now)
 	for _, q := range c.queues {
 		c.dispatch(now, q)
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -71,6 +71,11 @@
 	LoadSlots   int
 	// Pace says how long work takes on the server at this moment, in percent of the usual time. 0 means not announced.
 	Pace int
+	// ColdNamed is set if the server says whether it is cold. ColdLeft is then for how long it still is; 0 means that it is
+	// warm. InvalidCold is the text of a value that is not a number of milliseconds.
+	ColdNamed   bool
+	ColdLeft    time.Duration
+	InvalidCold string
 	// WrongServer is set if another server now has the address.
 	WrongServer bool
 }
--- a/test/standin/platformengine/engine.go
+++ b/test/standin/platformengine/engine.go
@@ -70,6 +70,9 @@
 	limit string
 	// load is the load that responses announce, or empty.
 	load string
+	// coldUntil is when the engine is warm. coldNamed makes responses say for how long it is still cold.
+	coldUntil time.Time
+	coldNamed bool
 	// exchanges records the requests if recording is set.
 	recording bool
 	exchanges []Exchange
@@ -180,7 +183,14 @@
 	e.load = text
 }
 
-// setAnnouncements adds the limit and the load to the header of a response.
+// SetCold makes the engine cold for d. Its responses say for how long it still is.
+func (e *Engine) SetCold(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil, e.coldNamed = time.Now().Add(d), true
+}
+
+// setAnnouncements adds the limit, the load, and for how long the engine is cold, to the header of a response.
 func (e *Engine) setAnnouncements(h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -190,6 +200,9 @@
 	if e.load != "" {
 		h.Set("Instance-Load", e.load)
 	}
+	if e.coldNamed {
+		h.Set("Cold-Start-Ms", strconv.FormatInt(max(time.Until(e.coldUntil).Milliseconds(), 0), 10))
+	}
 }
 
 // Exchange is one request that an engine received.
