poison, gateway: Count servers that restart unseen as crashed

Only a closed port, or one that closes new connections, showed the end of a server. A part of prompts that makes engines hang, or that ends engines whose port goes on to accept connections, was never found.

A server whose entry names a later start, without an announced end, now counts as crashed. The candidates are the requests of the router without a whole response that were sent before the server fell silent, however they ended. Silence without a later start is no evidence, so that failing links block nothing. The time of such a crash is known within a span, and crashes whose spans overlap count as one moment: a domain that loses power blocks nothing. Each crash in the evidence between routers has the new field Span; routers with and without it drop each other's evidence.

--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -70,7 +70,9 @@
 	StartedAt int64
 	Address   string
 	Service   string
-	At        time.Duration
+	// At is the earliest time of the end, Span the time after it in which the server ended.
+	At   time.Duration
+	Span time.Duration
 	// Requests are those on the server that had just begun.
 	Requests []Candidate
 }
@@ -268,7 +270,8 @@
 		others := without(known, request.Fingerprints...)
 		for _, fingerprint := range unproven {
 			c := crash{
-				server: r.Server, startedAt: r.StartedAt, address: r.Address, at: r.At, teams: []string{request.Team},
+				server: r.Server, startedAt: r.StartedAt, address: r.Address, at: r.At, span: r.Span,
+				teams:      []string{request.Team},
 				companions: without(unproven, fingerprint), others: others[:min(len(others), maxOthers)],
 			}
 			if !d.addCrash(now, fingerprint, r.Service, c) {
--- a/internal/coordination/poison/doc.go
+++ b/internal/coordination/poison/doc.go
@@ -26,8 +26,12 @@
 //
 // A crash is confirmed by a refused connection. If another process holds the port of a server that has ended, it is
 // confirmed by new connections that are closed at once, provided that no earlier connection of this router to the server
-// is left. A connection that is reset while its server lives, a server that falls silent, one that leaves, and a router's own
-// link are no crashes.
+// is left. A connection that is reset while its server lives, one that leaves, and a router's own link are no crashes.
+//
+// A crash that connections do not show is found when the server's entry names a later start: the server hung, or its port went
+// on to accept connections. The candidates are the requests without a whole response that were sent before it fell silent, however
+// they ended. Silence alone is no crash, since links fail in the same way. The time of such a crash is known within Span only, and
+// crashes that may be of one moment count as one.
 //
 // # States
 //
--- a/internal/coordination/poison/evidence.go
+++ b/internal/coordination/poison/evidence.go
@@ -38,7 +38,8 @@
 	startedAt int64
 	// address is the address of the server. One that ends again and again at the same address is not evidence.
 	address string
-	at      time.Duration
+	// at is the earliest time of the end. The server ended within span after it, which is 0 if the end was seen.
+	at, span time.Duration
 	// teams are the teams whose requests with the fingerprint were on the server, sorted.
 	teams []string
 	// companions are the other fingerprints without a proof that were in all of these requests, sorted.
@@ -66,6 +67,9 @@
 // merge adds what another record of the same crash knows. It reports whether that is new.
 func (c *crash) merge(other *crash) bool {
 	teams, companions, others := len(c.teams), len(c.companions), len(c.others)
+	if other.span < c.span {
+		c.span = max(other.span, other.at+other.span-c.at)
+	}
 	for _, team := range other.teams {
 		c.addTeam(team)
 	}
@@ -135,13 +139,16 @@
 func (s *suspect) suspected() bool { return len(s.crashes) >= severalCrashes || !s.provenBefore() }
 
 // moments returns the number of moments at which servers ended. Crashes are sorted by time.
+// Crashes whose times are uncertain are of as few moments as is possible.
 func moments(crashes []crash) int {
-	n, moment := 0, never
+	n, latest := 0, never
 	for _, c := range crashes {
-		if c.at-moment > sameMoment {
+		end := c.at + c.span + sameMoment
+		if c.at > latest {
 			n++
-			moment = c.at
+			latest = end
 		}
+		latest = min(latest, end)
 	}
 	return n
 }
--- a/internal/coordination/poison/guard.go
+++ b/internal/coordination/poison/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +81,8 @@
 	detector *Detector
 	servers  map[string]*serverAttempts
 	// ended holds the times of the confirmed crashes of recent incarnations.
-	ended map[incarnation]time.Duration
+	ended    map[incarnation]time.Duration
+	restarts restarts
 }
 
 // incarnation identifies a server from one start to the next. startedAt is 0 if the server does not report it.
@@ -102,6 +102,8 @@
 	lost map[*Attempt]time.Duration
 	// confirming is closed when the confirmation in progress has ended. It is nil if there is none.
 	confirming chan struct{}
+	// signAt is the time of the server's last sign of life, or 0.
+	signAt atomic.Int64
 }
 
 // Attempt is one request on one server. Its methods may be called on nil, which stands for a request that is not followed,
@@ -109,6 +111,7 @@
 type Attempt struct {
 	guard   *Guard
 	server  *backends.Server
+	state   *serverAttempts
 	request *Request
 	began   time.Duration
 	// firstEvent is the time of the first event, or 0. proven is set after the attempt's proof.
@@ -120,7 +123,7 @@
 func NewGuard(opts Options) *Guard {
 	return &Guard{
 		opts: opts, detector: NewDetector(), servers: make(map[string]*serverAttempts),
-		ended: make(map[incarnation]time.Duration),
+		ended: make(map[incarnation]time.Duration), restarts: newRestarts(),
 	}
 }
 
@@ -145,16 +148,21 @@
 		s = &serverAttempts{active: make(map[*Attempt]struct{}), lost: make(map[*Attempt]time.Duration)}
 		g.servers[server.Key()] = s
 	}
+	a.state = s
 	s.active[a] = struct{}{}
 	return a
 }
 
 // Event records an event of the response. It reports whether the attempt is proven.
 func (a *Attempt) Event() bool {
-	if a == nil || a.proven.Load() {
+	if a == nil {
 		return true
 	}
 	now := a.guard.opts.Clock()
+	a.state.sign(now)
+	if a.proven.Load() {
+		return true
+	}
 	first := a.firstEvent.Load()
 	switch {
 	case first == 0:
@@ -172,6 +180,7 @@
 	if a == nil {
 		return
 	}
+	a.Responded()
 	if !a.proven.Load() {
 		a.prove(a.guard.opts.Clock())
 	}
@@ -209,6 +218,7 @@
 	}
 	delete(s.active, a)
 	delete(s.lost, a)
+	g.restarts.expire(g.opts.Clock(), a.server.ID, s.lastSign())
 	if len(s.active) == 0 && len(s.lost) == 0 && s.confirming == nil {
 		delete(g.servers, a.server.Key())
 	}
@@ -258,10 +268,15 @@
 	case <-confirming:
 	case <-ctx.Done():
 	}
+	now := g.opts.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	ended := g.endedBefore(a, now)
+	if !ended {
+		g.keepUnanswered(a, now, true)
+	}
 	g.remove(a)
-	return g.endedBefore(a, g.opts.Clock())
+	return ended
 }
 
 // finishConfirmation records the crash of a server, or that there was none. It reports the former.
@@ -271,11 +286,13 @@
 	close(s.confirming)
 	s.confirming = nil
 	if state == ServerAlive || state == ServerClosing && s.hasSurvivor(s.lost[a]) {
+		g.keepUnanswered(a, s.lost[a], true)
 		g.remove(a)
 		g.mu.Unlock()
 		return false
 	}
 	report := s.crashReport(a.server, now)
+	delete(g.restarts.unanswered, a.server.ID)
 	g.ended[incarnationOf(a.server)] = now
 	g.remove(a)
 	changed := g.detector.RecordCrash(now, report)
@@ -415,7 +432,7 @@
 	defer g.mu.Unlock()
 	now := g.opts.Clock()
 	g.detector.Expire(now)
-	maps.DeleteFunc(g.ended, func(_ incarnation, at time.Duration) bool { return now-at > sameIncarnation })
+	g.expireRestarts(now)
 	g.countSuspects()
 	return g.detector.EvidenceOf(now, g.detector.Recent(now))
 }
--- a/internal/coordination/poison/message.go
+++ b/internal/coordination/poison/message.go
@@ -33,11 +33,13 @@
 
 // CrashEvidence is a crash that counts against a fingerprint.
 type CrashEvidence struct {
-	_          struct{} `cbor:",toarray"`
-	Server     string
-	StartedAt  int64
-	Address    string
-	Age        int64
+	_         struct{} `cbor:",toarray"`
+	Server    string
+	StartedAt int64
+	Address   string
+	Age       int64
+	// Span is the time after that in which the server ended.
+	Span       int64
 	Teams      []string
 	Companions []Fingerprint
 	Others     []Fingerprint
@@ -103,7 +105,8 @@
 	e.RequestAge = (now - s.lastRequested).Milliseconds()
 	for _, c := range s.crashes {
 		e.Crashes = append(e.Crashes, CrashEvidence{
-			Server: c.server, StartedAt: c.startedAt, Address: c.address, Age: (now - c.at).Milliseconds(), Teams: c.teams,
+			Server: c.server, StartedAt: c.startedAt, Address: c.address, Age: (now - c.at).Milliseconds(),
+			Span: c.span.Milliseconds(), Teams: c.teams,
 			Companions: c.companions, Others: c.others,
 		})
 	}
@@ -175,6 +178,7 @@
 		}
 		d.addCrash(now, e.Fingerprint, e.Service, crash{
 			server: c.Server, startedAt: c.StartedAt, address: c.Address, at: at,
+			span:       min(max(time.Duration(c.Span)*time.Millisecond, 0), maxEndSpan),
 			teams:      slices.Sorted(slices.Values(c.Teams[:min(len(c.Teams), maxTeams)])),
 			companions: c.Companions[:min(len(c.Companions), maxPartsPerRequest+1)],
 			others:     c.Others[:min(len(c.Others), maxOthers)],
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -251,6 +251,7 @@
 const storeDialTimeout = time.Second
 
 func (n *Node) onServers(set *backends.Set) {
+	n.poison.guard.SetServers(set, n.admission.Draining) // before the admission controller forgets announcements
 	n.admission.SetServers(set)
 	n.closeIdleConnections()
 }
--- a/internal/daemon/gateway/poison_test.go
+++ b/internal/daemon/gateway/poison_test.go
@@ -116,7 +116,7 @@
 		return 0
 	}
 	r.Host = "shed.example"
-	r.Header.Set("Attempt-Id", fmt.Sprintf("%d-%v", n, poison))
+	r.Header.Set("Attempt-Id", attemptID(n, poison))
 	r.Header.Set("Authorization", "Bearer farm-key")
 	r.Header.Set("Deadline-Ms", "3000")
 	r.Header.Set("Model", "m")
@@ -125,6 +125,9 @@
 	return statusOf(r)
 }
 
+// attemptID returns the ID of the n-th request.
+func attemptID(n int, poison bool) string { return fmt.Sprintf("%d-%v", n, poison) }
+
 // statusOf sends a request and returns the status; 0 if there is no whole response.
 func statusOf(r *http.Request) int {
 	resp, err := http.DefaultClient.Do(r)
--- a/internal/daemon/gateway/poisonrequest_test.go
+++ b/internal/daemon/gateway/poisonrequest_test.go
@@ -71,7 +71,9 @@
 func (k requestKind) newFleet(t *testing.T, servers, routers int, keepPort bool) *crashingFleet {
 	f := newHostFleet(t, k.service, servers, routers)
 	for i, e := range f.engines {
-		f.hosts[i].KeepPort = keepPort
+		if keepPort {
+			f.hosts[i].Port = platformengine.PortDropping
+		}
 		e.SetPoisonRequest(f.hosts[i].Crash, func(r *http.Request) bool {
 			return r.URL.Path == k.prefix+poisonTarget
 		})
@@ -145,7 +147,7 @@
 	g := NewWithT(t)
 	f := newCrashingFleet(t, 8, 1)
 	for _, h := range f.hosts {
-		h.KeepPort = true
+		h.Port = platformengine.PortDropping
 	}
 	g.Eventually(f.nodes[0].readinessStatus, "5s").Should(Equal(http.StatusOK))
 	f.starts = time.Now()
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -110,6 +110,7 @@
 		return a.handleNoResponse(err)
 	}
 	a.resp = resp
+	a.tracked.Responded()
 	a.metadata = platform.DecodeResponse(resp.StatusCode, resp.Header)
 	if a.metadata.NotExecuted && a.metadata.ID == "" && resp.Reused() {
 		a.err = errUnnamedRefusal
--- a/internal/transport/gateway/poison.go
+++ b/internal/transport/gateway/poison.go
@@ -132,6 +132,8 @@
 	case (result == sendBroken || result == sendIncomplete) && a.ctx.Err() == nil &&
 		(upstream.ConnectionLost(a.err) || errors.Is(a.err, errNoEvents)):
 		a.crashed = a.tracked.Lost(a.ctx)
+	case result.leavesRunning() && !a.sentAt.IsZero():
+		a.tracked.Unanswered()
 	default:
 		a.tracked.End()
 	}
--- a/internal/transport/gateway/result.go
+++ b/internal/transport/gateway/result.go
@@ -41,3 +41,13 @@
 
 // mayHaveRun reports whether the server may have run the request.
 func (s sendResult) mayHaveRun() bool { return s == sendError || s == sendBroken }
+
+// leavesRunning reports whether the server may still run the request, and has not completed its response.
+func (s sendResult) leavesRunning() bool {
+	switch s {
+	case sendClientDisconnected, sendBroken, sendIncomplete, sendSilent, sendDiscarded:
+		return true
+	default:
+		return false
+	}
+}
