gateway: Export the observed speeds of services

Gauges of the mean pace, the prefill rate, the pause with all slots in use, and the requests that one server may run, by service.

--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -40,6 +40,7 @@
 			return float64(n.servers.Load().Len())
 		}},
 	}
+	n.registry.MustRegister(newSpeedCollector(n.admission.Speeds))
 	for _, g := range gauges {
 		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "gooseberrytide_" + g.name, Help: g.help,
