soak: Faults for evacuated failure domains and cold engines

Cause: neither evacuations nor warm-ups were tested with real processes beside other faults.

Change: the fault "evacuation" evacuates the second failure domain of the engines, and the fault "cold" restarts the engines of a service, which are then cold and say so in their entries and responses.

--- a/test/soak/config.go
+++ b/test/soak/config.go
@@ -41,6 +41,8 @@
 	singleWeight int
 	// addedTeams is the number of teams beside the first one.
 	addedTeams int
+	// coldPerSecond is the number of requests a second that a cold engine tolerates. 0 means that none is cold.
+	coldPerSecond float64
 }
 
 var defaultSettings = settings{timeout: routeTimeout, idleTimeout: idleTimeout, tokensPerSecond: tokensPerSecond}
@@ -72,7 +74,7 @@
 	d.timeouts = append(d.timeouts, timeoutChange{time.Now(), d.settings.timeout})
 	d.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],
 "limits":{"maxBodyBytes":100000,"idleTimeoutMs":%d,"tokensPerS":%g},"tenants":[%s]}`,
-		d.version, strings.Join(d.routes(), ","), services(), d.settings.idleTimeout.Milliseconds(),
+		d.version, strings.Join(d.routes(), ","), services(d.settings.coldPerSecond), d.settings.idleTimeout.Milliseconds(),
 		d.settings.tokensPerSecond, strings.Join(d.teams(), ",")))
 }
 
@@ -105,10 +107,11 @@
 }
 
 // services returns the encoded services.
-func services() string {
+func services(coldPerSecond float64) string {
 	const engine = `"engine":{"slots":16,"kvCapacity":400000,"stride":4}`
-	return fmt.Sprintf(`{"name":%q,"maxConns":400,%s},{"name":%q,"maxConns":400,%s},{"name":%q,"maxConns":400},
-{"name":%q,"maxConns":400}`, poolService, engine, singleService, engine, appService, deskService)
+	cold := fmt.Sprintf(`"coldPerS":%g,"coldStartS":%g`, coldPerSecond, coldTime.Seconds())
+	return fmt.Sprintf(`{"name":%q,"maxConns":400,%s,%s},{"name":%q,"maxConns":400,%s},{"name":%q,"maxConns":400,%s},
+{"name":%q,"maxConns":400}`, poolService, engine, cold, singleService, engine, appService, cold, deskService)
 }
 
 // teams returns the encoded teams. The deployment must be locked.
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -72,6 +72,10 @@
 	poisoning sync.Mutex
 	// limiting is locked while engines name limits.
 	limiting sync.Mutex
+	// cooling is locked while engines are cold, evacuating while a failure domain is evacuated.
+	cooling, evacuating sync.Mutex
+	// evacuatedSince is when the operator evacuated the second domain; zero while it is not evacuated.
+	evacuatedSince time.Time
 }
 
 // engine is a stand-in engine behind a proxy.
@@ -87,6 +91,11 @@
 	breaks []span
 	// limits are the changes of the limit that the engine names.
 	limits []limitChange
+	// domain is the engine's failure domain. coldLeft is the field of its entry about its warm-up, or empty. colds are the
+	// times in which it is cold.
+	domain   string
+	coldLeft string
+	colds    []span
 	// drainingSince is when the engine was written to the store as draining; zero while it is ready.
 	drainingSince time.Time
 }
@@ -147,7 +156,7 @@
 }
 
 func (d *deployment) addEngine(i int) error {
-	e := &engine{Engine: platformengine.New(fmt.Sprintf("i-%d", i)), service: engineServices[i%len(engineServices)], born: 1}
+	e := &engine{Engine: platformengine.New(fmt.Sprintf("i-%d", i)), service: engineServices[i%len(engineServices)], born: 1, domain: domainOf(i)}
 	e.Events, e.Pause = 12, 25*time.Millisecond
 	e.Record()
 	server := httptest.NewServer(e.Engine)
@@ -168,8 +177,8 @@
 }
 
 func (d *deployment) writeEngineEntry(e *engine, state string) {
-	d.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":16,"state":%q,"born":%d}`,
-		e.service, e.proxy.address(), state, e.born))
+	d.store.Put("servers/"+e.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"slots":16,"state":%q,"born":%d%s}`,
+		e.service, e.proxy.address(), e.domain, state, e.born, e.coldLeft))
 }
 
 func (d *deployment) newRouter(name, store string) (*router, error) {
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -11,6 +11,8 @@
 //   - a draining engine gets no requests after the drain time;
 //   - an engine that has announced in an answer that it leaves gets no requests from that router after the drain time;
 //   - an engine that has asked for a pause gets at most two requests from that router in it;
+//   - an engine in an evacuated failure domain gets no requests 5 s after the operator's write;
+//   - a cold engine gets at most 23 requests in a second from all routers together;
 //   - a router's memory stays below its limit;
 //   - after all routers were killed, requests are served again.
 //
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -66,6 +66,8 @@
 	{"poison", poison},
 	{crashRequestFault, crashOnRequest},
 	{limitFault, limitEngines},
+	{evacuationFault, evacuateDomain},
+	{coldFault, restartCold},
 	{"config", func(_ context.Context, d *deployment, _ int, _ time.Duration) { d.writeConfig() }},
 	{"remove-key", removeKey},
 	{"config-timeout", changeTimeout},
@@ -168,6 +170,7 @@
 		}
 		d.writeEngineEntry(e, state)
 	}
+	d.writeEvacuationAgain()
 	d.mu.Unlock()
 	d.markAllRestored()
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -114,6 +114,7 @@
 	}
 	go d.watchVersions(clientCtx)
 	go d.watchDraining(clientCtx)
+	go d.watchEvacuation(clientCtx)
 	go d.watchMemory(clientCtx)
 	names := d.inject(ctx, selectFaults(o.fault), time.Duration(o.seconds)*time.Second)
 	d.checkRecovery(ctx)
@@ -126,6 +127,7 @@
 	d.checkPauses()
 	d.checkPoison(names)
 	d.checkLimits(log.list, names)
+	d.checkCold()
 	r := d.report
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d MiB at most, %d violations; faults %v\n",
 		seed, r.served, r.refused, r.failed, r.peakMemoryMB, len(r.violations), names)
