--- a/internal/state/routing/types.go
+++ b/internal/state/routing/types.go
@@ -89,6 +89,11 @@
 // Limits bounds what clients may send.
 type Limits struct {
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds a request line with its header, HeaderTimeout the time in which they arrive.
+	MaxHeaderBytes int64
+	HeaderTimeout  time.Duration
+	// IdleTimeout is how long a connection may be idle between two requests.
+	IdleTimeout time.Duration
 	// TokensPerSecond is the rate of all model engines together. An input token counts once, a generated token twice.
 	TokensPerSecond float64
 }
