clientconn: Limit what the clients of a port may take of memory and descriptors

Headers without end, connections that send nothing, and responses that are not read had no limit other than the fixed ones of net/http: 1 MB of header text, which takes many times its length if the lines are short. A slow reader also delayed the reading of the backend server's response, which the server then cuts. Connections now count the bytes of a header by the limits in force, bound the time for it and between requests, and bound the number of silent connections. Writes do not wait for the client; what it does not read is kept, charged to the account, and sent later. sockopt gets a writer that does not wait, and unwraps connections.

--- /dev/null
+++ b/internal/transport/clientconn/conn.go
@@ -0,0 +1,211 @@
+package clientconn
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/memory"
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+)
+
+// connectionBytes is the memory of a connection: its goroutine's stack and the two buffers of the HTTP server.
+const connectionBytes = 20 << 10
+
+// errEnded reports a connection that was ended for a limit.
+var errEnded = errors.New("client connection ended for a limit")
+
+// Conn is a connection of a client. Reads are used by one goroutine at a time, as are writes.
+type Conn struct {
+	net.Conn
+	tracker    *Tracker
+	address    string
+	acceptedAt time.Time
+	holder     *memory.Holder
+	// silent is the place among the connections that have sent nothing. The tracker's lock guards it.
+	silent *list.Element
+	// running is set while a request whose header has been read is in progress.
+	running atomic.Bool
+	// started is set while a header is being read of which some bytes have arrived.
+	started atomic.Bool
+	// header is the header that is being read, heard is set once anything was read. Only the reading goroutine uses them.
+	header header
+	heard  bool
+
+	mu sync.Mutex
+	// ended is set once the connection was ended for a limit, or closed.
+	ended bool
+	// unread is the part of responses that the client has not read. draining is set while a goroutine sends it.
+	unread   blockQueue
+	draining bool
+	// closing and closingWrite are set if the connection, or its sending side, is to be closed once all has been sent.
+	closing, closingWrite bool
+	// writeErr is the error of further writes.
+	writeErr error
+	writer   *sockopt.Writer
+}
+
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// From returns the tracked connection that conn is or wraps, or nil.
+func From(conn net.Conn) *Conn {
+	for conn != nil {
+		if c, ok := conn.(*Conn); ok {
+			return c
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+	return nil
+}
+
+type contextKey struct{}
+
+// Context implements http.Server.ConnContext. FromContext returns the connection.
+func Context(ctx context.Context, conn net.Conn) context.Context {
+	if c := From(conn); c != nil {
+		return context.WithValue(ctx, contextKey{}, c)
+	}
+	return ctx
+}
+
+// FromContext returns the tracked connection of a request, or nil.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
+
+// OnState implements http.Server.ConnState: it tells a connection when a header has been read, and when the next one is
+// expected.
+func OnState(conn net.Conn, state http.ConnState) {
+	c := From(conn)
+	switch {
+	case c == nil:
+	case state == http.StateActive:
+		c.StartRequest()
+	case state == http.StateIdle:
+		c.endRequest()
+	}
+}
+
+// StartRequest ends the limits of the header: what is read from now on is not a part of it.
+func (c *Conn) StartRequest() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running.Store(true)
+	c.holder.SetMayEnd(c.draining)
+}
+
+// endRequest starts the limits of the next request's header.
+func (c *Conn) endRequest() {
+	c.holder.Shrink(c.header.charged)
+	c.header = header{}
+	c.started.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running.Store(false)
+	c.holder.SetMayEnd(true)
+}
+
+// SetTeam charges the connection to a team. It returns false if the connection has been ended, so that its request must
+// not run.
+func (c *Conn) SetTeam(team string) bool {
+	if c == nil {
+		return true
+	}
+	c.holder.Move(team)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.ended
+}
+
+// Charge charges more memory to the connection until it is closed. It returns false if that is refused.
+func (c *Conn) Charge(bytes int64) bool { return c == nil || c.holder.Grow(bytes) }
+
+// endForMemory ends the connection for lack of memory, unless a request is in progress whose response the client reads, or
+// a request has arrived. It does not block.
+func (c *Conn) endForMemory() bool {
+	if !c.mu.TryLock() {
+		return false
+	}
+	defer c.mu.Unlock()
+	switch {
+	case c.ended:
+		return false
+	case c.draining:
+		c.failWrites(errEnded)
+		c.tracker.record(ResponseMemory, c.address)
+	case c.running.Load() || !c.started.Load() && sockopt.HasUnread(c.Conn):
+		return false
+	default:
+		c.tracker.record(ConnectionMemory, c.address)
+	}
+	go c.closeNow()
+	c.ended = true
+	return true
+}
+
+// endWith ends the connection for a limit.
+func (c *Conn) endWith(reason Reason) {
+	c.tracker.record(reason, c.address)
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.closeNow()
+}
+
+// closeNow closes the connection and releases its memory.
+func (c *Conn) closeNow() {
+	_ = c.Conn.Close()
+	c.tracker.heard(c)
+	c.holder.Close()
+}
+
+// Close implements net.Conn. If the client has not read all, the connection is closed once it has.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.ended = true
+	if c.draining {
+		c.closing = true
+		c.mu.Unlock()
+		return nil
+	}
+	c.mu.Unlock()
+	c.closeNow()
+	return nil
+}
+
+// CloseWrite closes the sending side once all has been sent.
+func (c *Conn) CloseWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		c.closingWrite = true
+		return nil
+	}
+	return closeWrite(c.Conn)
+}
+
+func closeWrite(conn net.Conn) error {
+	if tcp, ok := conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// isTimeout reports whether an error is that of a deadline.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/transport/sockopt/dial.go
+++ b/internal/transport/sockopt/dial.go
@@ -77,10 +77,22 @@
 	return &PlainListener{Listener: listener}, nil
 }
 
+// tcpConn returns the TCP connection of conn, which may be wrapped: a wrapper has a method NetConn.
+func tcpConn(conn net.Conn) (tcp *net.TCPConn, ok bool) {
+	for {
+		wrapper, wrapped := conn.(interface{ NetConn() net.Conn })
+		if !wrapped {
+			tcp, ok = conn.(*net.TCPConn)
+			return tcp, ok
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
 // Apply sets the options that close a connection whose peer stops responding. Errors are ignored: they occur only if the
 // connection is closed already.
 func Apply(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := tcpConn(conn); ok {
 		_ = tcp.SetKeepAliveConfig(KeepAlive)
 	}
 	SetUserTimeout(conn, userTimeout)
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -12,7 +13,7 @@
 // SetUserTimeout makes the system close a connection whose sent data stays unacknowledged for the time d. Without it, a
 // connection to an unresponsive peer would accept data for many minutes. Errors are ignored.
 func SetUserTimeout(conn net.Conn, d time.Duration) {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := tcpConn(conn)
 	if !ok {
 		return
 	}
@@ -27,7 +28,7 @@
 
 // IsOpen reports whether an idle connection is still open and has no unread data. It does not block.
 func IsOpen(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := tcpConn(conn)
 	if !ok {
 		return true
 	}
@@ -48,7 +49,7 @@
 // HasUnread reports whether data has arrived on a connection, or its peer has closed it, that has not been read. It
 // does not block, even while another goroutine waits to read.
 func HasUnread(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := tcpConn(conn)
 	if !ok {
 		return false
 	}
@@ -64,3 +65,55 @@
 	})
 	return err == nil && unread
 }
+
+// Writer writes to a connection without waiting.
+type Writer struct {
+	raw     syscall.RawConn
+	write   func(fd uintptr) bool
+	data    []byte
+	written int
+	err     error
+}
+
+// NewWriter returns a writer to a TCP connection, or nil if the connection is of another kind.
+func NewWriter(conn net.Conn) *Writer {
+	tcp, ok := tcpConn(conn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	w := &Writer{raw: raw}
+	w.write = w.writeOnce
+	return w
+}
+
+// TryWrite writes as much as the system's buffer takes. It must not be called concurrently.
+func (w *Writer) TryWrite(data []byte) (int, error) {
+	w.data, w.written, w.err = data, 0, nil
+	err := w.raw.Write(w.write)
+	w.data = nil
+	if err != nil {
+		return 0, err
+	}
+	return w.written, w.err
+}
+
+// writeOnce returns true, so that the runtime does not wait until more can be written.
+func (w *Writer) writeOnce(fd uintptr) bool {
+	for {
+		n, err := syscall.Write(int(fd), w.data)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err == syscall.EAGAIN:
+		case err != nil:
+			w.err = os.NewSyscallError("write", err)
+		default:
+			w.written = n
+		}
+		return true
+	}
+}
--- a/internal/transport/sockopt/user_timeout_other.go
+++ b/internal/transport/sockopt/user_timeout_other.go
@@ -15,3 +15,12 @@
 
 // HasUnread always returns false, since the state of a connection cannot be tested without blocking.
 func HasUnread(net.Conn) bool { return false }
+
+// Writer writes to a connection without waiting. It exists only on Linux.
+type Writer struct{}
+
+// NewWriter returns nil, since writes without waiting are not available.
+func NewWriter(net.Conn) *Writer { return nil }
+
+// TryWrite is never called.
+func (w *Writer) TryWrite([]byte) (int, error) { return 0, nil }
