gateway, offload, daemon: Charge clients to one memory account, and limit their connections

Requests, bodies (each buffer before it is allocated), forwarded connections and all ports' connections are now charged to one account of 35% of the memory limit, which replaces the 15% for bodies. A drain waits for responses that clients have not read. Tests: TestBodyMemoryIsReleased reads the account in place of the removed counter, as strict; the harness and owners_test set the account in place of MaxBodyBytes.

--- /dev/null
+++ b/internal/daemon/gateway/clients.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"syscall"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/memory"
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
+	"gooseberrytide.example/gooseberrytide/platform"
+)
+
+const (
+	// accountFraction is the fraction of the memory limit that connections, requests, bodies and unread responses may take.
+	// With the 17 to 25 MB of a calm router it stays below memoryLimitFraction, so that the runtime need not collect garbage
+	// all the time.
+	accountFraction = 0.35
+	// silentFraction is the fraction of the file descriptors that connections which have sent nothing may take.
+	// silentAddressFraction is the fraction of these for one address.
+	silentFraction        = 0.125
+	silentAddressFraction = 0.5
+	// maxSilent bounds the connections that have sent nothing where there are very many descriptors.
+	maxSilent = 1024
+)
+
+// clientLimits limits what clients may take of the router's memory and descriptors.
+type clientLimits struct {
+	account *memory.Account
+	// callers holds the connections of the callers' port, passed those that other routers pass on, internal those of the
+	// other ports.
+	callers, passed, internal *clientconn.Tracker
+}
+
+func newClientLimits(n *Node) *clientLimits {
+	ended := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberrytide_ended_clients_total", Help: "Connections of clients that were ended for a limit, by reason.",
+	}, []string{"reason"})
+	n.registry.MustRegister(ended)
+	l := &clientLimits{account: memory.NewAccount(int64(accountFraction * float64(n.settings.MemoryBytes)))}
+	silent := silentLimit()
+	opts := clientconn.Options{
+		Limits:    n.clientLimitsInForce,
+		Account:   l.account,
+		MaxSilent: silent,
+		Record:    func(r clientconn.Reason) { ended.WithLabelValues(string(r)).Inc() },
+		Log:       n.log.Named("clients"),
+	}
+	l.passed = clientconn.NewTracker(opts)
+	callers, internal := opts, opts
+	callers.MaxSilentPerAddress = int(silentAddressFraction * float64(silent))
+	l.callers = clientconn.NewTracker(callers)
+	internal.WaitForClients = true
+	l.internal = clientconn.NewTracker(internal)
+	return l
+}
+
+// clientLimitsInForce returns the operators' limits in force.
+func (n *Node) clientLimitsInForce() routing.Limits {
+	if table := n.routing.Load(); table != nil {
+		return table.Limits
+	}
+	return platform.DefaultLimits()
+}
+
+// silentLimit returns how many connections may have sent nothing, by the process's limit of file descriptors.
+func silentLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return maxSilent
+	}
+	return int(min(silentFraction*float64(limit.Cur), maxSilent))
+}
+
+// unread returns the number of connections with a response that has been written and not been sent completely.
+func (l *clientLimits) unread() int { return l.callers.Unread() + l.passed.Unread() }
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -99,5 +99,8 @@
 	shutdowns.Wait()
 }
 
-// activeRequests returns the number of requests in progress, those that were passed on to other routers included.
-func (n *Node) activeRequests() int { return n.gateway.Active() + n.offload.inspector.Forwarded() }
+// activeRequests returns the number of requests in progress, those that were passed on to other routers and those whose
+// clients have not read the response included.
+func (n *Node) activeRequests() int {
+	return n.gateway.Active() + n.offload.inspector.Forwarded() + n.clients.unread()
+}
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -11,15 +11,20 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
 	"gooseberrytide.example/gooseberrytide/internal/transport/relayhttp"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
-// Timeouts of the listeners. They are above the operators' limits, which clients respect.
+// Timeouts of the listeners. The connections of clients have shorter ones, which follow the operators' limits.
 const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
+	maxHeaderTimeout = time.Minute
+	maxIdleTimeout   = 10 * time.Minute
+	// bodyTimeout bounds the time to read a request of the ports on which requests have no bodies.
+	bodyTimeout = 10 * time.Second
+	// idleTimeout is how long idle connections to the store are kept.
+	idleTimeout = 90 * time.Second
 )
 
 // Names of listeners. Those of the connections that were inspected for lack of processor time have their own name.
@@ -27,6 +32,8 @@
 	callersListener   = "callers"
 	inspectedListener = "inspected callers"
 	metricsListener   = "metrics"
+	relayListener     = "relay"
+	offloadListener   = "offload"
 )
 
 // server is a listener with its handler.
@@ -60,8 +67,8 @@
 		{"readiness", n.settings.ReadinessListen, &gateway.Readiness{Ready: n.ready}},
 		{"directory", n.settings.DirectoryListen, directory},
 		{metricsListener, n.peerAddress(metricsPortOffset), n.operatorHandler()},
-		{"relay", n.peerAddress(0), &relayhttp.Handler{Relayer: n.follower}},
-		{"offload", n.peerAddress(offloadPortOffset), n.offload.handler()},
+		{relayListener, n.peerAddress(0), &relayhttp.Handler{Relayer: n.follower}},
+		{offloadListener, n.peerAddress(offloadPortOffset), n.offload.handler()},
 	}
 	var servers []*server
 	for _, e := range endpoints {
@@ -88,7 +95,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return []*server{n.newServer(name, listener, h)}, nil
+		return []*server{n.newServer(name, n.trackerOf(name).Listener(listener), h)}, nil
 	}
 	direct, inspected, err := n.offload.inspector.Listen(func() (*sockopt.PlainListener, error) {
 		return sockopt.ListenPlain(ctx, address)
@@ -99,14 +106,30 @@
 	return []*server{n.newServer(name, direct, h), n.newServer(inspectedListener, inspected, h)}, nil
 }
 
+// trackerOf returns the tracker of the connections of a listener other than the callers'.
+func (n *Node) trackerOf(name string) *clientconn.Tracker {
+	if name == offloadListener {
+		return n.clients.passed
+	}
+	return n.clients.internal
+}
+
 func (n *Node) newServer(name string, l net.Listener, h http.Handler) *server {
-	return &server{name: name, listener: l, http: &http.Server{
+	s := &http.Server{
 		Handler:           h,
 		BaseContext:       func(net.Listener) context.Context { return n.serving },
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ConnContext:       clientconn.Context,
+		ConnState:         clientconn.OnState,
+		ReadHeaderTimeout: maxHeaderTimeout,
+		IdleTimeout:       maxIdleTimeout,
 		ErrorLog:          zap.NewStdLog(n.log.Named("http")),
-	}}
+	}
+	switch name {
+	case callersListener, inspectedListener, offloadListener, relayListener:
+	default:
+		s.ReadTimeout = bodyTimeout
+	}
+	return &server{name: name, listener: l, http: s}
 }
 
 // peerAddress returns the address for other routers whose port is offset above the first internal port.
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -28,6 +28,15 @@
 		{"forwarded_connections", "Connections that are passed on to other routers.", func() float64 {
 			return float64(n.offload.inspector.Forwarded())
 		}},
+		{"client_memory_bytes", "Memory held for clients: connections, requests, bodies and unread answers.", func() float64 {
+			return float64(n.clients.account.Used())
+		}},
+		{"client_memory_limit_bytes", "Memory above which clients are refused.", func() float64 {
+			return float64(n.clients.account.Limit())
+		}},
+		{"unread_answers", "Connections with an answer that the client has not read completely.", func() float64 {
+			return float64(n.clients.unread())
+		}},
 		{"config_age_seconds", "Age of the proof that the configuration is the newest; -1 before the first.", n.configAge},
 		{"config_version", "Version of the configuration in force.", n.configVersion},
 		{"known_routers", "Routers that registered, this one included.", func() float64 {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -37,8 +37,6 @@
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as the soft memory limit of the Go
 	// runtime.
 	memoryLimitFraction = 0.6
-	// bodyMemoryFraction is the fraction of the memory limit that request bodies may take.
-	bodyMemoryFraction = 0.15
 	// revokeMargin is how much the age of the configuration up to which API keys are accepted is below the time after
 	// which a removed key must no longer be accepted. It covers the time between a client's send of a request and the
 	// router's check of the request's key.
@@ -73,6 +71,7 @@
 	pool      *upstream.Pool
 	budget    *retry.WindowBudget
 	gateway   *gateway.Gateway
+	clients   *clientLimits
 	store     *platform.Store
 	follower  *discovery.Follower
 	peers     *gossip.Peers
@@ -144,6 +143,7 @@
 		ShareWindow: settings.Bounds.ShareWindow,
 		Seed:        randomSeed(settings.Router, n.incarnation),
 	})
+	n.clients = newClientLimits(n)
 	n.owners = newLoadOwners(n)
 	n.admission = admission.NewController(core, n.owners)
 	n.poison = newPoisonGuard(n)
@@ -174,7 +174,7 @@
 		Log:             log.Named("gateway"),
 		OnServerLeaving: n.onServerLeaving,
 		OnServerLimit:   n.owners.limits.onServerLimit,
-		MaxBodyBytes:    int64(bodyMemoryFraction * float64(settings.MemoryBytes)),
+		Account:         n.clients.account,
 	})
 	n.store = platform.NewStore(settings.StoreAddress, storeTransport(), func(kind string) {
 		storeCalls.WithLabelValues(kind).Inc()
--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -69,7 +69,8 @@
 	o.inspector = offload.New(offload.Options{
 		Policy:        o,
 		Dial:          sockopt.DialFunc(offloadDialTimeout),
-		HeaderTimeout: headerTimeout,
+		HeaderTimeout: maxHeaderTimeout,
+		Track:         n.clients.callers.Track,
 	})
 	return o
 }
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -134,7 +134,7 @@
 		Pool: upstream.New(upstream.Options{Dial: func(_ context.Context, _, address string) (net.Conn, error) {
 			return p.listeners[address].dial()
 		}}),
-		Log: n.log, OnServerLeaving: n.onServerLeaving, OnServerLimit: n.owners.limits.onServerLimit, MaxBodyBytes: 1 << 20,
+		Log: n.log, OnServerLeaving: n.onServerLeaving, OnServerLimit: n.owners.limits.onServerLimit, Account: n.clients.account,
 	})
 	n.servers.Store(p.set)
 	n.onServers(p.set)
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/memory"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
@@ -50,6 +51,9 @@
 	metadata relay.Request
 	body     []byte
 	deadline time.Time
+	// memory is charged for the request. bodyEnded is set if the reading of the body was ended for lack of memory.
+	memory    *memory.Holder
+	bodyEnded atomic.Bool
 
 	// poison is the request as a possible cause of crashes. It is nil until the body has been read.
 	poison *poison.Request
@@ -94,10 +98,10 @@
 		// subtracted as well.
 		x.deadline = earlier(x.deadline, x.arrival.Add(x.metadata.Patience-deadlineMargin-delay))
 	}
-	if !x.readBody() {
+	defer func() { x.memory.Close() }()
+	if !x.reserveMemory() || !x.readBody() {
 		return
 	}
-	defer x.g.bodyBytes.Add(-int64(len(x.body)))
 	if x.g.stopping.Load() {
 		x.refuse(refusalStopping, retryAfterUnavailable)
 		return
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/memory"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
@@ -19,7 +20,7 @@
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
-// Options holds the settings of a Gateway. All fields are required.
+// Options holds the settings of a Gateway. All fields are required, but Account may be nil.
 type Options struct {
 	Routing *routing.Holder
 	Proof   *freshness.Proof
@@ -38,17 +39,15 @@
 	OnServerLeaving func(*backends.Server)
 	// OnServerLimit is called when a response changes the limit of requests a second of its server.
 	OnServerLimit func(*backends.Server)
-	// MaxBodyBytes limits the total size of the request bodies in memory.
-	MaxBodyBytes int64
+	// Account is charged for the requests and their bodies.
+	Account *memory.Account
 }
 
 // Gateway is the HTTP handler of clients' requests.
 type Gateway struct {
-	opts Options
-	// bodyBytes is the total size of the request bodies in memory.
-	bodyBytes atomic.Int64
-	active    atomic.Int64
-	total     atomic.Int64
+	opts   Options
+	active atomic.Int64
+	total  atomic.Int64
 	// draining and movingClients make each response close its connection: draining because the router is shutting down,
 	// movingClients because other routers have less load.
 	draining      atomic.Bool
@@ -115,15 +114,6 @@
 	return &exchange{g: g, w: w, r: r, arrival: time.Now(), metadata: platform.DecodeRequest(r.Header)}
 }
 
-// reserveBody reserves n bytes for a request body. It returns false if the limit would be exceeded.
-func (g *Gateway) reserveBody(n int64) bool {
-	if g.bodyBytes.Add(n) > g.opts.MaxBodyBytes {
-		g.bodyBytes.Add(-n)
-		return false
-	}
-	return true
-}
-
 // withDeadline returns a context that ends at the request's deadline with the cause errDeadline.
 func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	return context.WithDeadlineCause(ctx, deadline, errDeadline)
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -216,7 +216,7 @@
 	for range 5 {
 		h.do(h.request(http.MethodPost, "/callout/x", "counted", strings.Repeat("x", 1000)))
 	}
-	g.Eventually(h.gateway.bodyBytes.Load).Should(BeZero())
+	g.Eventually(h.account.Used).Should(BeZero())
 }
 
 // Guards against requests that are forwarded after their clients have given up: a router with an overloaded processor
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -17,6 +17,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/memory"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
@@ -42,6 +43,7 @@
 	admission *admission.Controller
 	registry  *prometheus.Registry
 	budget    *retry.WindowBudget
+	account   *memory.Account
 	// leaving is the ID of the last server that announced that it leaves.
 	leaving atomic.Pointer[string]
 	// delay is the simulated wait for the processor, in nanoseconds.
@@ -114,13 +116,14 @@
 	h.admission.SetServers(backends.NewSet(servers))
 	h.budget = retry.NewWindowBudget(10 * time.Second)
 	h.budget.SetBounds(0.2, 50)
+	h.account = memory.NewAccount(8 << 20)
 	pool := upstream.New(upstream.Options{})
 	h.gateway = New(Options{
 		Poison:  newTestGuard(pool),
 		Routing: h.routing, Proof: h.proof, MaxConfigAge: func() time.Duration { return 4 * time.Second },
 		SchedulingDelay: func() time.Duration { return time.Duration(h.delay.Load()) },
 		Admission:       h.admission, Pool: pool, RetryBudget: h.budget,
-		Metrics: NewMetrics(h.registry), Log: zap.New(core), MaxBodyBytes: 8 << 20,
+		Metrics: NewMetrics(h.registry), Log: zap.New(core), Account: h.account,
 		OnServerLeaving: func(s *backends.Server) { h.leaving.Store(&s.ID) },
 		OnServerLimit:   func(*backends.Server) {},
 	})
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -22,6 +22,8 @@
 	refusalStopping  = "stopping"
 	refusalFull      = "servers-full"
 	refusalOverload  = "processor-overload"
+	// refusalBodyTime is for a body of which nothing arrives for a while.
+	refusalBodyTime = "body-time"
 )
 
 // Times after which a refused client may retry.
@@ -59,7 +61,7 @@
 // Otherwise a client that sends many requests on one connection would load a single router.
 func shouldCloseConnection(reason string) bool {
 	return reason == string(admission.ReasonBacklog) || reason == refusalMemory || reason == refusalStopping ||
-		reason == refusalOverload
+		reason == refusalOverload || reason == refusalBodyTime
 }
 
 // reject responds that the request is not allowed.
@@ -72,6 +74,7 @@
 // writeRouterResponse writes a response without a body that comes from the router and not from a server.
 func (x *exchange) writeRouterResponse(status int) {
 	x.g.opts.Metrics.Answers.WithLabelValues(statusClass(status), "router").Inc()
+	x.limitUnreadBody()
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 }
--- a/internal/transport/offload/conn.go
+++ b/internal/transport/offload/conn.go
@@ -21,6 +21,9 @@
 	return n, nil
 }
 
+// NetConn returns the wrapped connection.
+func (c *prefixedConn) NetConn() net.Conn { return c.Conn }
+
 // queueListener is a net.Listener that returns the connections put into it.
 type queueListener struct {
 	address net.Addr
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
@@ -54,6 +55,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// HeaderTimeout is the longest time to wait for the first request's header.
 	HeaderTimeout time.Duration
+	// Track returns a connection with the limits of clients, or nil if it has refused and closed the connection.
+	Track func(net.Conn) net.Conn
 }
 
 // Inspector inspects new connections while its policy is active.
@@ -111,6 +114,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if conn = l.inspector.opts.Track(conn); conn == nil {
+			continue
+		}
 		if !l.inspector.opts.Policy.Active() {
 			sockopt.Apply(conn)
 			return conn, nil
@@ -152,6 +158,12 @@
 			i.respond(conn, r, buf, bodyBytes, i.opts.Policy.Refuse)
 		}
 	case Forward:
+		tracked := clientconn.From(conn)
+		tracked.StartRequest()
+		if !tracked.Charge(ForwardedBytes) {
+			i.refuse(conn, r, buf, bodyBytes)
+			return
+		}
 		i.forwarded.Add(1)
 		defer i.forwarded.Add(-1)
 		result, read := i.forward(conn, decision.Target, head, buf)
--- a/internal/transport/offload/offload_test.go
+++ b/internal/transport/offload/offload_test.go
@@ -43,7 +43,7 @@
 // start starts an HTTP server behind an inspector, and returns its address.
 func start(t testing.TB, p *testPolicy, h http.Handler) (string, *Inspector) {
 	t.Helper()
-	i := New(Options{Policy: p, Dial: sockopt.DialFunc(time.Second), HeaderTimeout: 2 * time.Second})
+	i := New(Options{Policy: p, Dial: sockopt.DialFunc(time.Second), HeaderTimeout: 2 * time.Second, Track: untracked})
 	address := "127.0.0.1:0"
 	direct, inspected, err := i.Listen(func() (*sockopt.PlainListener, error) {
 		return sockopt.ListenPlain(context.Background(), address)
@@ -312,3 +312,6 @@
 		})
 	}
 }
+
+// untracked is Options.Track of a port without limits.
+func untracked(conn net.Conn) net.Conn { return conn }
--- a/internal/transport/offload/respond.go
+++ b/internal/transport/offload/respond.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 )
 
 // bodyTimeout bounds the time to read the rest of a request's body after the response.
@@ -20,6 +22,7 @@
 // connection that is closed with unread bytes is reset, and the client might lose the response.
 func (i *Inspector) respond(conn net.Conn, r *http.Request, buf *buffer, read int64, handler http.HandlerFunc) {
 	defer func() { _ = conn.Close() }()
+	clientconn.From(conn).StartRequest() // what follows is the body
 	w := &bodylessResponse{header: make(http.Header)}
 	handler(w, r)
 	resp := http.Response{StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true, Request: r}
--- /dev/null
+++ b/test/overlimit/router_test.go
@@ -0,0 +1,248 @@
+package overlimit
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/platform"
+	"gooseberrytide.example/gooseberrytide/test/standin/freeports"
+	"gooseberrytide.example/gooseberrytide/test/standin/platformstore"
+)
+
+// Limits of the test's deployment. A router of it takes 17 to 25 MB while it is calm.
+const (
+	memoryMB    = 80
+	descriptors = 512
+	// responseBytes is the size of a response of the plain service on the path /lookup/large.
+	responseBytes = 4 << 20
+	host          = "shed.example"
+)
+
+const configText = `{"version":1,"routes":[
+ {"name":"lookup","host":"shed.example","pathPrefix":"/lookup/","routeKind":"safe","timeoutMs":8000,
+  "objectiveMs":300,"service":"app","maxAttempts":2}],
+ "services":[{"name":"app"}],
+ "limits":{"maxBodyBytes":4194304,"maxHeaderBytes":16384,"headerTimeoutMs":1000,"idleTimeoutMs":5000,"tokensPerS":100000},
+ "tenants":[{"name":"farm","apiKeys":["farm-key"]},{"name":"hot","apiKeys":["hot-key"]}]}`
+
+// router is a router process with a store and one backend server.
+type router struct {
+	t                        *testing.T
+	front, readiness, direct string
+	metrics, relay, offload  string
+	pid                      int
+	exited                   chan struct{}
+}
+
+// buildRouter builds the router and returns the path of the program.
+func buildRouter(t *testing.T) string {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := filepath.Join(t.TempDir(), "gooseberrytided")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "./cmd/gooseberrytided")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// startRouter starts a router with a limit on its file descriptors.
+func startRouter(t *testing.T, binary string) *router {
+	t.Helper()
+	dir := t.TempDir()
+	store := platformstore.New()
+	storeServer := httptest.NewServer(store)
+	backend := httptest.NewServer(http.HandlerFunc(serveBackend))
+	t.Cleanup(func() {
+		for _, s := range []*httptest.Server{storeServer, backend} {
+			s.CloseClientConnections()
+			s.Close()
+		}
+	})
+	store.Put("op/config", []byte(configText))
+	store.Put("servers/i-1", fmt.Appendf(nil, `{"service":"app","address":%q,"zone":"a","slots":64,"state":"ready"}`,
+		backend.Listener.Addr()))
+	r := newRouter(t, dir, storeServer.Listener.Addr().String())
+	r.start(binary, dir)
+	return r
+}
+
+func newRouter(t *testing.T, dir, store string) *router {
+	t.Helper()
+	ports, err := freeports.ForRouter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+	r := &router{
+		t: t, front: address(ports.Front), readiness: address(ports.Readiness), direct: address(ports.Directory),
+		relay: address(ports.Peer), metrics: address(ports.Peer + 1), offload: address(ports.Peer + 2), exited: make(chan struct{}),
+	}
+	text := fmt.Sprintf(`{"nodeName":"r-1","zone":"a","ip":"127.0.0.1","listen":{"front":%q,"readiness":%q,"directory":%q},
+"internalPorts":[%d,%d],"limits":{"memoryMb":%d,"cpuShare":0.4},"platform":{"address":%q},
+"bounds":{"graceS":2,"revokeMs":5000,"strictRevoke":true,"budgetSlack":20}}`,
+		r.front, r.readiness, r.direct, ports.Peer, ports.Peer+2, memoryMB, store)
+	if err := os.WriteFile(filepath.Join(dir, "node.yaml"), []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// start starts the process and waits until it is ready.
+func (r *router) start(binary, dir string) {
+	r.t.Helper()
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	cmd := exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" gateway`, "sh", strconv.Itoa(descriptors), binary)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(dir, "node.yaml"))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.pid = cmd.Process.Pid
+	go func() {
+		_ = cmd.Wait()
+		close(r.exited)
+	}()
+	r.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		<-r.exited
+		_ = log.Close()
+		if text, err := os.ReadFile(log.Name()); err == nil && r.t.Failed() {
+			r.t.Logf("log of the router, its end:\n%s", text[max(0, len(text)-4000):])
+		}
+	})
+	NewWithT(r.t).Eventually(func() int {
+		resp, err := http.Get("http://" + r.readiness + platform.PathReadiness)
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}, "20s", "50ms").Should(Equal(http.StatusOK))
+}
+
+// serveBackend is the plain service. It answers paths that end with "large" with responseBytes bytes.
+func serveBackend(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Instance-Signature", "sig-i-1")
+	if !strings.HasSuffix(r.URL.Path, "large") {
+		_, _ = io.WriteString(w, "answer")
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(responseBytes))
+	_, _ = w.Write(make([]byte, responseBytes))
+}
+
+// request returns the text of a request's header, without the line that ends it.
+func request(path, attempt, key string) string {
+	return fmt.Sprintf("POST /lookup/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 7000\r\nAuthorization: Bearer %s\r\n",
+		path, host, attempt, key)
+}
+
+// ordinaryStatus sends a request within the limits on a connection of its own and returns its status, or 0.
+func (r *router) ordinaryStatus() int {
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.front+"/lookup/x", strings.NewReader("body"))
+	if err != nil {
+		return 0
+	}
+	req.Host, req.Close = host, true
+	req.Header.Set("Attempt-Id", fmt.Sprintf("ordinary-%d", time.Now().UnixNano()))
+	req.Header.Set("Deadline-Ms", "7000")
+	req.Header.Set("Authorization", "Bearer farm-key")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// peakMemoryMB returns the largest resident memory that the process has had, in MiB.
+func (r *router) peakMemoryMB() int {
+	r.t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.pid))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		r.t.Fatal("the process has ended")
+	}
+	kib, err := strconv.Atoi(fields[0])
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return kib >> 10
+}
+
+// openDescriptors returns the number of file descriptors of the process.
+func (r *router) openDescriptors() int {
+	r.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.pid))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// crowd runs n clients for d. Each connects, calls send, and connects again when the connection has been closed.
+func crowd(n int, d time.Duration, address string, send func(ctx context.Context, conn net.Conn)) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	done := make(chan struct{})
+	for range n {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for ctx.Err() == nil {
+				sendOnce(ctx, address, send)
+			}
+		}()
+	}
+	for range n {
+		<-done
+	}
+}
+
+// reconnectPause is the time after which a client of a crowd connects again.
+const reconnectPause = 200 * time.Millisecond
+
+// sendOnce opens a connection, which is closed when the context ends, and calls send.
+func sendOnce(ctx context.Context, address string, send func(ctx context.Context, conn net.Conn)) {
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err == nil {
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		send(ctx, conn)
+		stop()
+		_ = conn.Close()
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(reconnectPause):
+	}
+}
