poison: Try sound requests beside another part that was on the server

When sound requests and requests with a poisonous part shared a sound part on a crashed server, merging their records dropped the poisonous part from what all of them had in common. The sound part was then blocked, since nothing else seemed to explain the crash. Parts that are dropped in this way are now kept as held by other requests on the server, and requests without them may be tried.

TestPartOfSoundAndPoisonousRequestsIsNotBlocked fails without the change.

--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -226,7 +226,7 @@
 
 // separable reports whether fingerprints that the request does not have may be the cause in place of a blocked one. That
 // is the case if one whole request was in all crashes, or if in each crash another part without a proof was in the same
-// request. The request then tells which of them is the cause.
+// request, or in another one on the server. The request then tells which of them is the cause.
 func (d *Detector) separable(s *suspect, fingerprints []Fingerprint) bool {
 	if s.fingerprint.Kind == KindRequest {
 		return false // equal requests have the same parts
@@ -244,7 +244,7 @@
 		return true
 	}
 	return !slices.ContainsFunc(s.crashes, func(c crash) bool {
-		return !slices.ContainsFunc(c.companions, elsewhere(KindPart))
+		return !slices.ContainsFunc(c.companions, elsewhere(KindPart)) && !slices.ContainsFunc(c.others, elsewhere(KindPart))
 	})
 }
 
--- a/internal/coordination/poison/detector_test.go
+++ b/internal/coordination/poison/detector_test.go
@@ -401,3 +401,26 @@
 	g.Expect(total).To(Equal(len(fingerprints)))
 	g.Expect(len(messages)).To(BeNumerically(">", 1))
 }
+
+// Guards against a sound part that is blocked because sound requests with it were on the servers that requests with it and a poisonous
+// part have ended: another router saw the sound ones, so that the poisonous part is not in all requests with the sound one.
+func TestPartOfSoundAndPoisonousRequestsIsNotBlocked(t *testing.T) {
+	for _, before := range []int{0, 2} {
+		t.Run(fmt.Sprintf("%d crashes before", before), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newScenario()
+			s.crashApart(before, teamA, first, bad)
+			for i := range minCrashes {
+				server := fmt.Sprint("shared-", i)
+				number := s.crashes
+				s.crashOf(server, Candidate{Team: teamA, Fingerprints: []Fingerprint{first, topic, ownPart(i)}})
+				s.crashes = number // the report of another router about the same crash
+				s.crashOf(server, Candidate{Team: teamA, Fingerprints: []Fingerprint{first, topic, bad}})
+				s.now += time.Second
+				s.prove(first)
+			}
+			g.Expect(s.state(teamA, first, topic, bad)).To(Equal(Blocked))
+			g.Expect(s.state(teamA, first, topic)).To(Equal(Suspected))
+		})
+	}
+}
--- a/internal/coordination/poison/evidence.go
+++ b/internal/coordination/poison/evidence.go
@@ -44,7 +44,7 @@
 	teams []string
 	// companions are the other fingerprints without a proof that were in all of these requests, sorted.
 	companions []Fingerprint
-	// others are suspects that other requests on the server held, those with the most crashes first.
+	// others are suspects and unproven parts that other requests on the server held.
 	others []Fingerprint
 }
 
@@ -73,13 +73,26 @@
 	for _, team := range other.teams {
 		c.addTeam(team)
 	}
-	c.companions = intersection(c.companions, other.companions)
-	for _, f := range other.others {
+	both := intersection(c.companions, other.companions)
+	c.addOthers(other.others)
+	c.addOthers(parts(without(c.companions, both...)))
+	c.addOthers(parts(without(other.companions, both...)))
+	c.companions = both
+	return len(c.teams) != teams || len(c.companions) != companions || len(c.others) != others
+}
+
+// addOthers adds suspects that requests on the server held, though not all with the fingerprint.
+func (c *crash) addOthers(fingerprints []Fingerprint) {
+	for _, f := range fingerprints {
 		if len(c.others) < maxOthers && !slices.Contains(c.others, f) {
 			c.others = append(slices.Clip(c.others), f)
 		}
 	}
-	return len(c.teams) != teams || len(c.companions) != companions || len(c.others) != others
+}
+
+// parts returns the fingerprints of parts of prompts.
+func parts(fingerprints []Fingerprint) []Fingerprint {
+	return slices.DeleteFunc(slices.Clone(fingerprints), func(f Fingerprint) bool { return f.Kind != KindPart })
 }
 
 func (c *crash) addTeam(team string) {
