--- a/internal/coordination/admission/paced.go
+++ b/internal/coordination/admission/paced.go
@@ -163,25 +163,6 @@
 	e.core.evaluatePaced(e.now, e.req, server, &e.preferred, &e.speed, p)
 }
 
-// acceptedExtraCost returns how much more than the best server a server with free capacity may cost. For
-// engines with observed limits it grows to the cost of one without any cached part by the time at which the request is refused. It answers the load
-// pattern of full engines: a request with long shared parts would wait for the engine that has cached them, whose free places
-// go to requests without preferences.
-func (e *evaluation) acceptedExtraCost() time.Duration {
-	waited := e.now.Sub(e.req.Arrival)
-	extra := maxExtraCost + extraCostPerWait*waited
-	if !e.paced || e.req.Service.Engine == nil {
-		return extra
-	}
-	longest := pacedRefusalTime(e.req, e.core.modelOf(e.req.Service.Name)).Sub(e.req.Arrival)
-	if longest <= 0 {
-		return extra
-	}
-	fraction := min(float64(max(waited, 0))/float64(longest), 1)
-	uncached := uncachedCost(e.preferred.sharedTokens, uncachedWeight, &e.speed)
-	return extra + time.Duration(fraction*float64(uncached+e.core.crossDomainCost(e.req)))
-}
-
 // uncachedCost returns the cost of prefilling shared parts that an engine has not cached. Engines that prefill fast count as
 // engines of fastPrefillRate, since parts also take memory from others.
 func uncachedCost(tokens int, weight float64, speed *serverspeed.Speed) time.Duration {
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -95,7 +95,7 @@
 		return nil, false
 	}
 	// A permit that is free is not left unused: its cost only decides between servers with free capacity.
-	if bestFree.server == nil || bestFree.cost-bestFree.permitCost > best.cost+e.acceptedExtraCost() {
+	if bestFree.server == nil || bestFree.cost-bestFree.permitCost > best.cost+maxExtraCost+extraCostPerWait*now.Sub(req.Arrival) {
 		return nil, true
 	}
 	return &bestFree, true
