--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -8,6 +8,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverlimit"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/serverspeed"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/warmup"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
 const (
@@ -105,6 +106,10 @@
 // Draining reports whether a server has announced that it leaves.
 func (c *Core) Draining(id string) bool { return c.drains.Announced(id) }
 
+// EndPlanned reports whether the end of an incarnation of a server was to be expected: it has announced that it leaves, or its
+// failure domain is evacuated.
+func (c *Core) EndPlanned(server *backends.Server) bool { return c.excluded(server) }
+
 // opening is when a service that takes no requests at present takes some again.
 type opening struct {
 	// paused is set if servers have asked for a pause, so that the time is known, limited if servers have a limit and no
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -191,6 +191,13 @@
 	return c.core.Draining(server)
 }
 
+// EndPlanned reports whether the end of an incarnation of a server was to be expected.
+func (c *Controller) EndPlanned(server *backends.Server) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.EndPlanned(server)
+}
+
 // RecordRefused counts a request that the router refused without submitting it.
 func (c *Controller) RecordRefused(req Request) {
 	c.mu.Lock()
--- a/internal/coordination/admission/controller_limit.go
+++ b/internal/coordination/admission/controller_limit.go
@@ -25,6 +25,13 @@
 	return changes
 }
 
+// LimitEntry returns what is known of a server's limit. It returns false if the server needs no permits.
+func (c *Controller) LimitEntry(server string) (serverlimit.Entry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.LimitEntry(time.Now(), server)
+}
+
 // LimitEntries returns what is known of the limits of servers, ended ones included.
 func (c *Controller) LimitEntries(servers []string) []serverlimit.Entry {
 	c.mu.Lock()
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -158,9 +158,6 @@
 // permitCost returns the cost of using a permit of a server for a request. It is 0 for a server without a rate, and for a
 // request of twice the mean size or more.
 func (c *Core) permitCost(now time.Time, req *Request, server *backends.Server) time.Duration {
-	if c.limits.Len()+c.warmups.Len() == 0 {
-		return 0
-	}
 	if _, limited := c.rate(now, server.ID); !limited {
 		return 0
 	}
--- a/internal/coordination/memory/account.go
+++ b/internal/coordination/memory/account.go
@@ -6,6 +6,10 @@
 	// overdraft is the share of the limit by which the memory may exceed it for teams that do not hold the most, and until
 	// holders that are being ended have released their memory.
 	overdraft = 0.25
+	// maxOrdinaryBytes is the size up to which a holder may take the place of idle ones of its team. Otherwise the idle
+	// connections of a team, each larger than a small request, would make its requests be refused; and one large response
+	// would end them all.
+	maxOrdinaryBytes = 256 << 10
 	// maxEndedAtOnce bounds the holders that one reservation ends.
 	maxEndedAtOnce = 64
 )
@@ -98,7 +102,13 @@
 		largest := a.largest(h.team, bytes)
 		victim := largest.largestHolder(h)
 		if largest == h.team && (victim == nil || victim.bytes <= h.bytes+bytes) {
-			return victims, false
+			victim = nil
+			if h.bytes+bytes <= maxOrdinaryBytes {
+				victim = largest.idle.firstExcept(h)
+			}
+			if victim == nil {
+				return victims, false
+			}
 		}
 		if victim == nil || len(victims) == maxEndedAtOnce {
 			return victims, largest != h.team && a.used+bytes <= a.hardLimit
--- a/internal/coordination/memory/account_test.go
+++ b/internal/coordination/memory/account_test.go
@@ -176,3 +176,29 @@
 		h.Close()
 	}
 }
+
+// Load pattern: a team has thousands of idle connections that together fill the account. Guards against its small requests
+// that are refused because each connection is smaller than a request, and against a large response that ends the connections.
+func TestRequestsTakeThePlaceOfIdleConnections(t *testing.T) {
+	g := NewWithT(t)
+	const connection = 20 << 10
+	a := NewAccount(100 * connection)
+	ended := 0
+	for range 100 {
+		var h *Holder
+		h, _ = a.Open("farm", connection, func() bool {
+			ended++
+			go h.Close()
+			return true
+		})
+		h.SetIdle()
+	}
+	request, ok := a.Open("farm", 16<<10, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(request.Grow(8 << 10)).To(BeTrue())
+	g.Expect(ended).To(BeNumerically(">=", 2))
+	before := ended
+	_, ok = a.Open("farm", 1<<20, nil)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(ended).To(Equal(before))
+}
--- a/internal/coordination/memory/holder.go
+++ b/internal/coordination/memory/holder.go
@@ -8,11 +8,11 @@
 	// The account's lock guards the remaining fields.
 	team  *team
 	bytes int64
-	// mayEnd is set while the holder may be ended, ended once it has been chosen for that.
-	mayEnd, ended, closed bool
-	// class is the size class whose list the holder is in, while listed is set.
-	class          int
-	listed         bool
+	// mayEnd is set while the holder may be ended, idle while it does no work either. ended is set once it has been chosen to
+	// be ended.
+	mayEnd, idle, ended, closed bool
+	// in is the list that the holder is in, or nil.
+	in             *holderList
 	previous, next *Holder
 }
 
@@ -51,20 +51,23 @@
 	}
 }
 
-// SetMayEnd sets whether the holder may be ended. It returns false if the holder has been chosen to be ended.
-func (h *Holder) SetMayEnd(mayEnd bool) bool {
+// SetMayEnd sets whether the holder may be ended although it does work. It returns false if the holder has been chosen to be
+// ended.
+func (h *Holder) SetMayEnd(mayEnd bool) bool { return h.setState(mayEnd, false) }
+
+// SetIdle records that the holder does no work. Ordinary requests of its team may then take its place.
+func (h *Holder) SetIdle() bool { return h.setState(true, true) }
+
+func (h *Holder) setState(mayEnd, idle bool) bool {
 	if h == nil {
 		return true
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	if h.ended {
-		return false
-	}
 	h.unlist()
-	h.mayEnd = mayEnd && h.end != nil
+	h.mayEnd, h.idle = mayEnd && h.end != nil && !h.closed, idle
 	h.list()
-	return true
+	return !h.ended
 }
 
 // Move makes another team the one that holds the memory.
@@ -108,7 +111,7 @@
 // markEnded records that the holder is being ended. The account must be locked.
 func (h *Holder) markEnded() {
 	h.unlist()
-	h.ended, h.mayEnd = true, false
+	h.ended = true
 	h.account.ending += h.bytes
 	h.team.ending += h.bytes
 }
@@ -123,4 +126,5 @@
 	h.ended = false
 	h.account.ending -= h.bytes
 	h.team.ending -= h.bytes
+	h.list()
 }
--- a/internal/coordination/poison/restart.go
+++ b/internal/coordination/poison/restart.go
@@ -145,13 +145,13 @@
 }
 
 // SetServers replaces the known servers. A server that has restarted has ended without this router's notice if its end was neither
-// confirmed nor announced. announced reports the latter by server ID.
-func (g *Guard) SetServers(set *backends.Set, announced func(id string) bool) {
+// confirmed nor planned. planned reports the latter for the incarnation that has ended.
+func (g *Guard) SetServers(set *backends.Set, planned func(*backends.Server) bool) {
 	g.mu.Lock()
 	ended := g.restarts.update(set)
 	g.mu.Unlock()
 	for _, server := range ended {
-		if announced(server.ID) {
+		if planned(server) {
 			g.dropUnanswered(server.ID)
 			continue
 		}
--- a/internal/coordination/poison/restart_test.go
+++ b/internal/coordination/poison/restart_test.go
@@ -33,7 +33,7 @@
 
 // publish makes the entries of the servers known.
 func (f *poolFixture) publish() {
-	f.SetServers(backends.NewSet(f.servers), func(id string) bool { return f.leaving[id] })
+	f.SetServers(backends.NewSet(f.servers), func(s *backends.Server) bool { return f.leaving[s.ID] })
 }
 
 // restart gives a server a new start time.
--- a/internal/coordination/serverdrain/registry.go
+++ b/internal/coordination/serverdrain/registry.go
@@ -139,17 +139,17 @@
 
 // Draining reports whether a server gets no new requests: because the store says so, or because it has announced it.
 func (r *Registry) Draining(server *backends.Server) bool {
-	return server.Draining || r.announced(server)
+	return server.Draining || r.AnnouncedBy(server)
 }
 
 // Announced reports whether the present incarnation of a server has announced that it leaves.
 func (r *Registry) Announced(id string) bool {
 	current := r.servers.Get(id)
-	return current != nil && r.announced(current)
+	return current != nil && r.AnnouncedBy(current)
 }
 
-// announced reports whether the incarnation of a server has announced that it leaves.
-func (r *Registry) announced(server *backends.Server) bool {
+// AnnouncedBy reports whether an incarnation of a server, which the store may no longer list, has announced that it leaves.
+func (r *Registry) AnnouncedBy(server *backends.Server) bool {
 	a := r.announcements[server.Incarnation()]
 	return a != nil && a.inForce
 }
--- a/internal/daemon/gateway/clients.go
+++ b/internal/daemon/gateway/clients.go
@@ -51,6 +51,7 @@
 	callers.MaxSilentPerAddress = int(silentAddressFraction * float64(silent))
 	l.callers = clientconn.NewTracker(callers)
 	internal.WaitForClients = true
+	internal.Account = nil // readiness, the directory and other routers must not depend on what clients hold
 	l.internal = clientconn.NewTracker(internal)
 	return l
 }
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -61,6 +61,7 @@
 		n.endActiveRequests(finalResponses)
 	}
 	n.shutdown(servers, connectionsClosed)
+	n.awaitSent(connectionsClosed)
 	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.activeRequests()))
 }
 
@@ -99,6 +100,13 @@
 	shutdowns.Wait()
 }
 
+// awaitSent waits until the rest of all responses has been sent, at most for the given time.
+func (n *Node) awaitSent(timeout time.Duration) {
+	for end := time.Now().Add(timeout); n.clients.unread() > 0 && time.Now().Before(end); {
+		time.Sleep(endPollPeriod)
+	}
+}
+
 // activeRequests returns the number of requests in progress, those that were passed on to other routers and those whose
 // clients have not read the response included.
 func (n *Node) activeRequests() int {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -262,7 +262,7 @@
 const storeDialTimeout = time.Second
 
 func (n *Node) onServers(set *backends.Set) {
-	n.poison.guard.SetServers(set, n.admission.Draining) // before the admission controller forgets announcements
+	n.poison.guard.SetServers(set, n.admission.EndPlanned)
 	n.admission.SetServers(set)
 	n.closeIdleConnections()
 }
--- a/internal/daemon/gateway/serverdrain.go
+++ b/internal/daemon/gateway/serverdrain.go
@@ -37,6 +37,10 @@
 
 // answerReservation returns the answer to another router's reservation request.
 func (n *Node) answerReservation(r reservation.Request, from netip.AddrPort) any {
+	if entry, limited := n.admission.LimitEntry(r.Server); limited && !n.owners.owns(r.Server) {
+		// Two routers that both granted permits would exceed the limit.
+		return reservation.PermitAnswer{ID: r.ID, RetryMS: notOwnerRetry.Milliseconds(), Limit: entry}
+	}
 	answer := n.admission.Reserve(r)
 	server := n.servers.Load().Get(r.Server)
 	switch {
--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -107,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running.Store(true)
-	c.holder.SetMayEnd(c.draining)
+	c.setMayEnd()
 }
 
 // endRequest starts the limits of the next request's header.
@@ -118,7 +118,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running.Store(false)
-	c.holder.SetMayEnd(true)
+	c.setMayEnd()
+}
+
+// setMayEnd records whether the connection may be ended for memory: while the client has not read a response, and while no
+// request is in progress. The connection must be locked.
+func (c *Conn) setMayEnd() {
+	if !c.draining && !c.running.Load() {
+		c.holder.SetIdle()
+		return
+	}
+	c.holder.SetMayEnd(c.draining)
 }
 
 // SetTeam charges the connection to a team. It returns false if the connection has been ended, so that its request must
@@ -161,15 +171,36 @@
 
 // endWith ends the connection for a limit.
 func (c *Conn) endWith(reason Reason) {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	c.tracker.record(reason, c.address)
+	c.closeNow()
+}
+
+// endSilent ends the connection because there are too many that have sent nothing, unless something has arrived meanwhile. A
+// request that is read later does not run (SetTeam).
+func (c *Conn) endSilent() {
 	c.mu.Lock()
+	if c.ended || c.running.Load() || c.started.Load() || sockopt.HasUnread(c.Conn) {
+		c.mu.Unlock()
+		return
+	}
 	c.ended = true
 	c.mu.Unlock()
+	c.tracker.record(SilentCount, c.address)
 	c.closeNow()
 }
 
-// closeNow closes the connection and releases its memory.
+// closeNow closes the connection and releases its memory. If a part of a response is dropped, the client sees a reset: a
+// response without a length would look complete otherwise.
 func (c *Conn) closeNow() {
+	c.mu.Lock()
+	incomplete := c.writeErr != nil
+	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && incomplete {
+		_ = tcp.SetLinger(0)
+	}
 	_ = c.Conn.Close()
 	c.tracker.heard(c)
 	c.holder.Close()
--- a/internal/transport/clientconn/conn_test.go
+++ b/internal/transport/clientconn/conn_test.go
@@ -190,6 +190,25 @@
 	g.Eventually(p.tracker.Unread).Should(BeZero())
 }
 
+// Guards against a response that is ended although its client reads it steadily but slowly: the system accepts further bytes
+// only once a third of its buffer is free, which took such a client more than the time for a write.
+func TestSteadySlowReaderIsNotEnded(t *testing.T) {
+	g := NewWithT(t)
+	const size = 8 << 20
+	p := startPort(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	}, func(o *Options) { o.Account = memory.NewAccount(64 << 20) })
+	conn := p.dial()
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	buf := make([]byte, 8<<10)
+	for begin := time.Now(); time.Since(begin) < writeTimeout+2*time.Second; time.Sleep(80 * time.Millisecond) {
+		_, err := io.ReadFull(conn, buf)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(p.count(ResponseTime)()).To(BeZero())
+}
+
 // Guards against a client that reads nothing and takes the memory of others: its response is ended, and no other.
 func TestUnreadResponseIsEndedForLackOfMemory(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/transport/clientconn/silent.go
+++ b/internal/transport/clientconn/silent.go
@@ -31,14 +31,23 @@
 	}
 }
 
-// removeOldest removes and returns the oldest matching connection on which nothing has arrived, or nil if there is none. A
-// connection whose request has arrived and was not read, for lack of processor time, is left alone.
+// maxSilentChecks bounds the system calls to find a connection to close.
+const maxSilentChecks = 4
+
+// removeOldest removes and returns the oldest matching connection on which nothing has arrived, or nil if it finds none.
+// Connections whose requests have arrived and were not read, for lack of processor time, are taken off the list.
 func (l *silentList) removeOldest(matches func(*Conn) bool) *Conn {
-	for e := l.order.Front(); e != nil; e = e.Next() {
-		if c, ok := e.Value.(*Conn); ok && matches(c) && !sockopt.HasUnread(c.Conn) {
+	checks := 0
+	for e := l.order.Front(); e != nil && checks < maxSilentChecks; {
+		next := e.Next()
+		if c, ok := e.Value.(*Conn); ok && matches(c) {
+			checks++
 			l.remove(c)
-			return c
+			if !sockopt.HasUnread(c.Conn) {
+				return c
+			}
 		}
+		e = next
 	}
 	return nil
 }
--- a/internal/transport/clientconn/tracker.go
+++ b/internal/transport/clientconn/tracker.go
@@ -95,12 +95,12 @@
 		return nil
 	}
 	c.holder = holder
-	holder.SetMayEnd(true)
+	holder.SetIdle()
 	t.mu.Lock()
 	victim := t.silent.add(c, t.opts.MaxSilent, t.opts.MaxSilentPerAddress)
 	t.mu.Unlock()
 	if victim != nil {
-		victim.endWith(SilentCount)
+		victim.endSilent()
 	}
 	return c
 }
--- a/internal/transport/clientconn/write.go
+++ b/internal/transport/clientconn/write.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
 const (
@@ -73,7 +75,7 @@
 	if !c.draining {
 		c.draining = true
 		c.tracker.unread.Add(1)
-		c.holder.SetMayEnd(true)
+		c.setMayEnd()
 		go c.drain()
 	}
 	return true
@@ -126,7 +128,7 @@
 	}
 	c.draining = false
 	c.tracker.unread.Add(-1)
-	c.holder.SetMayEnd(!c.running.Load())
+	c.setMayEnd()
 	switch {
 	case c.closing || c.writeErr != nil:
 		c.ended = true
@@ -145,14 +147,20 @@
 	}
 }
 
-// send sends bytes as long as the client reads some of them in time.
+// send sends bytes as long as the client reads some of them in time. The system accepts further bytes only once a large part
+// of its queue is free, so a client that reads slowly is one whose queue gets shorter.
 func (c *Conn) send(data []byte) error {
+	queued, known := sockopt.SendQueue(c.Conn)
 	for len(data) > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
 		}
 		n, err := c.Conn.Write(data)
 		data = data[n:]
+		before := queued
+		if queued, known = sockopt.SendQueue(c.Conn); err != nil && isTimeout(err) && known && queued < before {
+			continue
+		}
 		if err != nil && (n == 0 || !isTimeout(err)) {
 			if isTimeout(err) {
 				c.tracker.record(ResponseTime, c.address)
--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -19,8 +19,8 @@
 	requestBytes = 16 << 10
 	// firstChunkedBytes is the first buffer for a body without a length. It is doubled as long as the body goes on.
 	firstChunkedBytes = 4 << 10
-	// bodyStallTimeout is the time in which a part of a body must arrive.
-	bodyStallTimeout = 5 * time.Second
+	// bodyStallTimeout is the time in which a part of a body must arrive. Mobile clients may be out of reach for some seconds.
+	bodyStallTimeout = 10 * time.Second
 	// bodyDeadlinePeriod is how often the time for the next part of a body starts again.
 	bodyDeadlinePeriod = time.Second
 )
@@ -153,7 +153,7 @@
 func (r *bodyReader) Read(b []byte) (int, error) {
 	if now := time.Now(); !now.Before(r.extendAt) {
 		r.extendAt = now.Add(bodyDeadlinePeriod)
-		_ = r.controller.SetReadDeadline(earlier(r.x.deadline, now.Add(bodyStallTimeout))) // recorders have no deadlines
+		_ = r.controller.SetReadDeadline(earlier(r.x.deadline, r.extendAt.Add(bodyStallTimeout))) // recorders have no deadlines
 	}
 	if r.x.bodyEnded.Load() {
 		return 0, errNoMemory
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall does not define.
@@ -117,3 +118,22 @@
 		return true
 	}
 }
+
+// SendQueue returns the number of bytes that were written to a connection and that its peer has not acknowledged. It returns
+// false if that is not known.
+func SendQueue(conn net.Conn) (int, bool) {
+	tcp, ok := tcpConn(conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var queued int32
+	var errno syscall.Errno
+	err = raw.Control(func(fd uintptr) {
+		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&queued)))
+	})
+	return int(queued), err == nil && errno == 0
+}
--- a/internal/transport/sockopt/user_timeout_other.go
+++ b/internal/transport/sockopt/user_timeout_other.go
@@ -24,3 +24,6 @@
 
 // TryWrite is never called.
 func (w *Writer) TryWrite([]byte) (int, error) { return 0, nil }
+
+// SendQueue returns false, since the length of the queue is not known.
+func SendQueue(net.Conn) (int, bool) { return 0, false }
