check: Add a command that checks the platform's configuration

Routers take every configuration that they can decode, so a misspelt field, a service that does not exist or a shadowed route shows only when requests fail.

--- a/cmd/gooseberrytide/main.go
+++ b/cmd/gooseberrytide/main.go
@@ -69,7 +69,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), applyCommand(), diffCommand(), getCommand(),
 			drainCommand(), statusCommand(), timelineCommand(), explainCommand(), suspectsCommand(), limitsCommand(),
-			evacuationsCommand(),
+			evacuationsCommand(), checkCommand(),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if name := c.Args().First(); name != "" {
