--- a/cmd/gooseberrytide/check_test.go
+++ b/cmd/gooseberrytide/check_test.go
@@ -138,6 +138,8 @@
 	if code != 2 {
 		t.Errorf("exit code for a lower version is %d", code)
 	}
+	out, _ = runCheck(t, "", "--against", checkData+"good.json", checkData+"warnings.json")
+	expectContains(t, out, "warnings.json:2:14: warning: version: is that of the configuration in force")
 	out, _ = runCheck(t, "", "--against", checkData+"good.json", checkData+"good.json")
 	expectLines(t, out, "no change to the version in force", "errors: 0, warnings: 0")
 }
