Make comments and names of the new packages plainer

Some comments still said that every service whose servers announce a pace is scheduled by observed speeds. Services of model engines are so only with Options.ObservedLimits. Behaviour and assertions are unchanged.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -38,7 +38,8 @@
 	Leaving bool
 	// Limit is the change of the server's limit.
 	Limit serverlimit.Change
-	// Paced is set if the service of the server is scheduled by observed speeds from now on.
+	// Paced is set if the servers of the service count as announcing their pace from now on. A plain service is then
+	// scheduled by observed speeds.
 	Paced bool
 }
 
--- a/internal/coordination/admission/announce_test.go
+++ b/internal/coordination/admission/announce_test.go
@@ -219,8 +219,8 @@
 	g.Expect(ticket.server.ID).To(Equal("i-1"), "it is placed elsewhere, though this router has not heard of the leaving")
 }
 
-// Guards against requests to a server that has asked for a pause, does not reach the store, and comes back there with the same
-// start; and against a pause that binds the next incarnation.
+// Guards against requests to a server that has asked for a pause, does not reach the store, and comes back there with the
+// same start; and against a pause that binds the next incarnation.
 func TestPauseHoldsWhileTheEntryHasLapsed(t *testing.T) {
 	g := NewWithT(t)
 	a := newAnnounceTest(1)
--- a/internal/coordination/admission/controller_speed.go
+++ b/internal/coordination/admission/controller_speed.go
@@ -1,6 +1,6 @@
 package admission
 
-// Speeds returns the observed speeds of the services whose servers announce their pace.
+// Speeds returns the observed speeds of the services that are scheduled by them.
 func (c *Controller) Speeds() []SpeedStatus {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -23,8 +23,8 @@
 	Domain string
 	// DomainAware makes requests stay in the router's failure domain as long as that costs their callers little.
 	DomainAware bool
-	// ObservedLimits makes the limits of model engines, the order of a team's kinds, and refusal times follow from what the
-	// engines are seen to do instead of constants.
+	// ObservedLimits makes the limits of model engines, the order of a team's kinds, and refusal times follow from the
+	// observed speeds of the engines instead of constants.
 	ObservedLimits bool
 	// ShareWindow is the time window over which each team is to receive its share.
 	ShareWindow time.Duration
@@ -63,7 +63,8 @@
 	pauses         map[backends.Incarnation]time.Time
 	meanErrorRates map[string]meanErrorRate
 	speeds         map[string]*prefillSpeeds
-	// models are the observed speeds of the servers by service, for services whose servers announce their load.
+	// models are the observed speeds of the servers by service, for services whose servers announce their load and for
+	// those of model engines with Options.ObservedLimits.
 	models map[string]*serverspeed.Model
 	queues map[string]*queue
 	// waiters are the routers whose reservations on servers owned by this router were denied.
--- a/internal/coordination/admission/kinds.go
+++ b/internal/coordination/admission/kinds.go
@@ -12,10 +12,10 @@
 // recordAsked adds a new request to the observed demand of its flow.
 func (q *queue) recordAsked(now time.Time, t *Ticket) { addToFlow(now, q.askedByFlow, t) }
 
-// heads returns the first request of each kind of a team in the order in which they are to be granted. If the servers
-// announce their pace, the kinds share the team's service in proportion to what each of them asked for. It answers the
-// load pattern of a team with long and short prompts: with equal tokens for each kind, long prompts were served 0.43 to
-// 0.7 times as often as they asked, short ones 0.9 to 1 times.
+// heads returns the first request of each kind of a team in the order in which they are to be granted. If the service is
+// scheduled by observed speeds, the kinds share the team's service in proportion to what each of them asked for. It
+// answers the load pattern of a team with long and short prompts: with equal tokens for each kind, long prompts were
+// served 0.43 to 0.7 times as often as they asked, short ones 0.9 to 1 times.
 func (q *queue) heads(now time.Time, team *teamQueue) []*Ticket {
 	if !q.paced {
 		return team.heads(now, q.grantedByFlow)
@@ -54,9 +54,9 @@
 	return q.askedRate(now, flow{team, kind}) / asked
 }
 
-// loadOf returns the load of a request on a server that has cached the given number of its prompt tokens. If the servers
-// announce their pace, the request counts in an engine's memory with the most tokens that it may have, because an engine
-// crashes if its requests exceed its memory.
+// loadOf returns the load of a request on a server that has cached the given number of its prompt tokens. If the service
+// is scheduled by observed speeds, the request counts in an engine's memory with the most tokens that it may have,
+// because an engine crashes if its requests exceed its memory.
 func (q *queue) loadOf(req *Request, cachedTokens int) engineload.Load {
 	l := loadOf(req, cachedTokens)
 	if q.paced && req.Service.Engine != nil {
--- a/internal/coordination/admission/paced.go
+++ b/internal/coordination/admission/paced.go
@@ -17,8 +17,8 @@
 	// maxPacedBacklog bounds that prefill for services with long objectives. Requests in an engine's queue are served in
 	// order of arrival, so a long one would undo the shares of teams.
 	maxPacedBacklog = 500 * time.Millisecond
-	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load, for the
-	// transfer to the server, and for what other routers send there meanwhile.
+	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load,
+	// for the transfer to the server, and for what other routers send there meanwhile.
 	pacedSendReserve = 80 * time.Millisecond
 	// pacedMemoryFill is the fraction of an engine's memory that the requests on it may fill if each of them has the most
 	// output that it may have.
@@ -47,7 +47,7 @@
 	b.current.maxPause = strictest(b.current.maxPause, req.MaxPause)
 }
 
-// strictest returns the bounds in force.
+// strictest returns the strictest bounds of the current and the previous window.
 func (b *serviceBounds) strictest() requestBounds {
 	return requestBounds{
 		objective: strictest(b.current.objective, b.previous.objective),
@@ -64,7 +64,7 @@
 }
 
 // pacedModel returns the speeds by which the requests of a service are scheduled, or nil if it is scheduled by constants.
-// Requests of model engines are scheduled by observed speeds if the operators ask for it, those of a plain service if its
+// A service of model engines is scheduled by observed speeds only with Options.ObservedLimits, a plain service if its
 // servers announce their pace.
 func (c *Core) pacedModel(service *routing.Service) *serverspeed.Model {
 	if service.Engine != nil {
@@ -89,8 +89,8 @@
 	return m
 }
 
-// announceLoad records the load and the pace that a server announces. It reports whether the servers of its service count as
-// announcing their pace since.
+// announceLoad records the load and the pace that a server announces. It reports whether the servers of its service count
+// as announcing their pace from this announcement on.
 func (c *Core) announceLoad(now time.Time, server *backends.Server, a serverspeed.Announcement) bool {
 	if a.Slots == 0 || c.servers.Get(server.ID) == nil {
 		return false
@@ -134,8 +134,8 @@
 	// fraction is the fraction of an engine's capacity that the request's team may fill.
 	fraction float64
 	speeds   *prefillSpeeds
-	// paced is set if the servers announce their pace. view then shows their speeds, and speed is that of the server that
-	// was evaluated last.
+	// paced is set if the service is scheduled by observed speeds. view then shows those of its servers, and speed is that
+	// of the server that was evaluated last.
 	paced  bool
 	view   serverspeed.View
 	speed  serverspeed.Speed
@@ -180,7 +180,7 @@
 	return limits
 }
 
-// evaluatePaced sets the placement of a request on a server that announces its pace, with its cost and without limits.
+// evaluatePaced sets the placement of a request on a server by its observed speed, with its cost and without limits.
 // The cost is the expected time to the first event or the response, so that a server in a slow moment is avoided. It
 // answers the load pattern of servers that share their machines: their speed changes many times a second.
 func (c *Core) evaluatePaced(
@@ -216,7 +216,7 @@
 	p.cost += p.permitCost
 }
 
-// pacedLimits returns the limits of a server that announces its pace, before any request's own. fraction is the fraction of
+// pacedLimits returns the limits of a server by its observed speed, before any request's own. fraction is the fraction of
 // an engine's capacity that may be filled. An engine may run as many requests as pauses permit, and may have as much
 // prefill queued as first events can wait for.
 func pacedLimits(
--- a/internal/coordination/admission/paced_test.go
+++ b/internal/coordination/admission/paced_test.go
@@ -342,7 +342,7 @@
 	g.Expect(c.pacedModel(service)).To(BeNil(), "the servers are gone")
 }
 
-// BenchmarkSubmitPaced guards against decisions that take longer if the servers announce their pace.
+// BenchmarkSubmitPaced guards against decisions that take longer if the service is scheduled by observed speeds.
 func BenchmarkSubmitPaced(b *testing.B) {
 	sim := newSimulationOf(smallBatchProfile(180), 1, 140, 1_000_000, reportPeriod)
 	core, now := sim.cores[0], sim.now
--- a/internal/coordination/admission/pause.go
+++ b/internal/coordination/admission/pause.go
@@ -6,10 +6,9 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 )
 
-// A pause that a server has asked for holds for the incarnation of the server, also while its entry in the store has lapsed
-// or was overwritten. Load pattern: a busy server asks for a pause and does not reach the store for some seconds.
-
-// recordPause records that an incarnation of a server wants no requests before a time.
+// recordPause records that an incarnation of a server wants no requests before a time. The pause holds for the incarnation,
+// also while its entry in the store has lapsed or was overwritten. Load pattern: a busy server asks for a pause and does not
+// reach the store for some seconds.
 func (c *Core) recordPause(server *backends.Server, until time.Time) {
 	if incarnation := server.Incarnation(); !c.servers.Has(incarnation) {
 		c.pauses[incarnation] = later(c.pauses[incarnation], until)
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -27,7 +27,7 @@
 	permits    grantRate
 	lastReturn time.Time
 	// askedByFlow is the recent rate of service that each flow asked for. bounds are the strictest bounds of the recent
-	// requests. paced is set if the servers announce their pace.
+	// requests. paced is set if the service is scheduled by observed speeds.
 	askedByFlow map[flow]*grantRate
 	bounds      serviceBounds
 	paced       bool
@@ -232,8 +232,8 @@
 
 // expectedWait returns the time in which the waiting requests of a team's kind are granted if the given number of teams
 // share the observed rate of grants equally. The kinds of a team share the team's part equally, or in proportion to what
-// they asked for if the servers announce their pace, until they have no more requests. It returns false if no request of
-// the kind waits or the rate is not known.
+// they asked for if the service is scheduled by observed speeds, until they have no more requests. It returns false if no
+// request of the kind waits or the rate is not known.
 func (q *queue) expectedWait(now time.Time, f flow, teams int) (time.Duration, bool) {
 	team := q.teams[f.team]
 	rate := q.granted.current(now)
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -120,7 +120,7 @@
 	server         *backends.Server
 	load           engineload.Load
 	firstEventSeen bool
-	// lastEvent is the time of the last event, if the service's servers announce their pace.
+	// lastEvent is the time of the last event, if the service is scheduled by observed speeds.
 	lastEvent time.Time
 	// runningAhead is the number of requests on the server when this one was granted.
 	runningAhead int
--- a/internal/coordination/balance/offload.go
+++ b/internal/coordination/balance/offload.go
@@ -45,8 +45,8 @@
 type Targets struct {
 	// Near are in the same failure domain, Far in others. The directory names them.
 	Near, Far []Candidate
-	// Reserve are in the same failure domain and the directory does not name them. They are used if traffic between domains is
-	// scarce.
+	// Reserve are in the same failure domain and the directory does not name them. They are used if traffic between
+	// domains is scarce.
 	Reserve []Candidate
 }
 
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -21,8 +21,8 @@
 	// maxPollWait is the longest time for which the store holds a poll without changes. Each answer renews the proof of
 	// freshness, whose age must stay well below the time in which a removed API key must stop working.
 	maxPollWait = 1800 * time.Millisecond
-	// minPollWait is the lower bound of the time for which the store holds a poll while a short bound on the age of the proof
-	// requires frequent polls. pollReserve is the time for calls within that bound.
+	// minPollWait is the lower bound of the time for which the store holds a poll while a short bound on the age of the
+	// proof requires frequent polls. pollReserve is the time for calls within that bound.
 	minPollWait = 100 * time.Millisecond
 	pollReserve = 200 * time.Millisecond
 	// pollJitter is the share of the wait that is random. A change ends the polls of all routers at once; with jitter
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -79,8 +79,8 @@
 	revisions map[string]kv.Revision
 	// invalidLogged holds when an entry that cannot be decoded was last logged, by key.
 	invalidLogged map[string]time.Time
-	// startsKnown is set once an entry of a server has had a start time. An entry without one is then that of another writer.
-	// Before, it is that of a deployment whose servers never state it.
+	// startsKnown is set once an entry of a server has had a start time. An entry without one is then that of another
+	// writer. Before, it is that of a deployment whose servers never state it.
 	startsKnown bool
 }
 
--- a/internal/coordination/gossip/peers.go
+++ b/internal/coordination/gossip/peers.go
@@ -41,7 +41,8 @@
 }
 
 // accepts reports whether a report is newer than the latest one: it is of the same start with a higher number, of a start
-// with a higher incarnation, or of one with a lower incarnation after the start known has fallen silent.
+// with a higher incarnation, or of one with a lower incarnation once no report of the known start has arrived for
+// overtakenTime.
 func (e *entry) accepts(now time.Time, r *Report) bool {
 	switch {
 	case r.Incarnation == e.Incarnation:
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -39,8 +39,8 @@
 	maxPartsPerRequest = 16
 	// maxPathBytes bounds the path of a request that is kept for operators.
 	maxPathBytes = 128
-	// maxRetryAfter is the longest time after which a client with a blocked fingerprint is told to return, and trialRetryAfter
-	// the time for a fingerprint whose trial is in progress.
+	// maxRetryAfter is the longest time after which a client with a blocked fingerprint is told to return, and
+	// trialRetryAfter the time for a fingerprint whose trial is in progress.
 	maxRetryAfter   = 30 * time.Second
 	trialRetryAfter = time.Second
 )
@@ -55,8 +55,8 @@
 	// Alone is set if no other fingerprint of the request has severalCrashes, so that a trial of the request says much about
 	// this one.
 	Alone bool
-	// Crashes is the number of crashes that count against the fingerprint, Servers the servers that ended, Since the time since
-	// the first crash.
+	// Crashes is the number of crashes that count against the fingerprint, Servers the servers that ended, Since the time
+	// since the first crash.
 	Crashes int
 	Servers []string
 	Since   time.Duration
@@ -248,8 +248,8 @@
 	})
 }
 
-// retrialAt returns the time from which a request with a blocked fingerprint is sent as a trial. separable is set for a request
-// without the other fingerprints that may be the cause.
+// retrialAt returns the time from which a request with a blocked fingerprint is sent as a trial. separable is set for a
+// request without the other fingerprints that may be the cause.
 func (s *suspect) retrialAt(separable bool) time.Duration {
 	retrials := s.retrials()
 	if retrials >= maxRetrials {
--- a/internal/coordination/poison/detector_test.go
+++ b/internal/coordination/poison/detector_test.go
@@ -8,7 +8,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Fingerprints of the prompts in the tests. first is common to all requests, bad crashes servers, own fingerprints are above 1000.
+// Fingerprints of the prompts in the tests. first is common to all requests, bad crashes servers, own fingerprints are
+// above 1000.
 var (
 	first = PartFingerprint(1)
 	topic = PartFingerprint(2)
@@ -97,7 +98,8 @@
 	g.Expect(s.Len()).To(BeZero())
 }
 
-// Guards against suspicion of a fingerprint in use because of one crash, and against a fingerprint that was sound and is no longer.
+// Guards against suspicion of a fingerprint in use because of one crash, and against a fingerprint that was sound and is
+// no longer.
 func TestPartThatTurnsPoisonousIsBlocked(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -227,8 +229,8 @@
 	g.Expect(s.state(teamA, topic)).To(Equal(Clear))
 }
 
-// Guards against a team that gets another team's fingerprint, or the common first fingerprint, blocked by adding it to requests that
-// crash servers.
+// Guards against a team that gets another team's fingerprint, or the common first fingerprint, blocked by adding it to
+// requests that crash servers.
 func TestTeamCannotBlockPartsOfOthers(t *testing.T) {
 	g := NewWithT(t)
 	s := newScenario()
@@ -402,8 +404,9 @@
 	g.Expect(len(messages)).To(BeNumerically(">", 1))
 }
 
-// Guards against a sound part that is blocked because sound requests with it were on the servers that requests with it and a poisonous
-// part have ended: another router saw the sound ones, so that the poisonous part is not in all requests with the sound one.
+// Guards against a sound part that is blocked because sound requests with it were on the servers that requests with it
+// and a poisonous part have ended: another router saw the sound ones, so that the poisonous part is not in all requests
+// with the sound one.
 func TestPartOfSoundAndPoisonousRequestsIsNotBlocked(t *testing.T) {
 	for _, before := range []int{0, 2} {
 		t.Run(fmt.Sprintf("%d crashes before", before), func(t *testing.T) {
--- a/internal/coordination/poison/doc.go
+++ b/internal/coordination/poison/doc.go
@@ -28,10 +28,10 @@
 // confirmed by new connections that are closed at once, provided that no earlier connection of this router to the server
 // is left. A connection that is reset while its server lives, one that leaves, and a router's own link are no crashes.
 //
-// A crash that connections do not show is found when the server's entry names a later start: the server hung, or its port went
-// on to accept connections. The candidates are the requests without a whole response that were sent before it fell silent, however
-// they ended. Silence alone is no crash, since links fail in the same way. The time of such a crash is known within Span only, and
-// crashes that may be of one moment count as one.
+// A crash that connections do not show is found when the server's entry names a later start: the server hung, or its port
+// went on to accept connections. The candidates are the requests without a whole response that were sent before it fell
+// silent, however they ended. Silence alone is no crash, since links fail in the same way. The time of such a crash is
+// known within Span only, and crashes that may be of one moment count as one.
 //
 // # States
 //
--- a/internal/coordination/poison/evidence.go
+++ b/internal/coordination/poison/evidence.go
@@ -18,12 +18,13 @@
 	// sameIncarnation is that for a server with one. A router that was suspended reports late.
 	sameCrash       = 500 * time.Millisecond
 	sameIncarnation = 5 * time.Second
-	// minCrashes is the number of crashes after which a fingerprint is blocked. A fingerprint that was proven before needs one more.
+	// minCrashes is the number of crashes after which a fingerprint is blocked. A fingerprint that was proven before
+	// needs one more.
 	minCrashes = 3
 	// severalCrashes is the number of crashes from which on chance is an unlikely explanation.
 	severalCrashes = 2
-	// manyCrashes is the number of crashes that count although nothing else is proven at the service or other fingerprints may be
-	// the cause, and manyMoments the number of moments that count although all were at one address.
+	// manyCrashes is the number of crashes that count although nothing else is proven at the service or other
+	// fingerprints may be the cause, and manyMoments the number of moments that count although all were at one address.
 	manyCrashes = 5
 	manyMoments = 4
 	// maxCrashes, maxTeams and maxOthers bound what is kept for a fingerprint.
--- a/internal/coordination/poison/guard.go
+++ b/internal/coordination/poison/guard.go
@@ -437,8 +437,8 @@
 	return g.detector.EvidenceOf(now, g.detector.Recent(now))
 }
 
-// Merge adds another router's evidence. It returns the fingerprints that it cleared, and those for which the sender lacks a proof
-// of this router.
+// Merge adds another router's evidence. It returns the fingerprints that it cleared, and those for which the sender lacks
+// a proof of this router.
 func (g *Guard) Merge(list []FingerprintEvidence) (cleared, refuted []Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/poison/message.go
+++ b/internal/coordination/poison/message.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Evidence tells another router what the sender knows about some fingerprints. Ages are in milliseconds at the time of sending.
+// Evidence tells another router what the sender knows about some fingerprints. Ages are in milliseconds at the time of
+// sending.
 type Evidence struct {
 	_            struct{} `cbor:",toarray"`
 	Router       string
@@ -70,8 +71,8 @@
 }
 
 const (
-	// gossipAge is the age of the last crash up to which a suspected fingerprint is sent again and again. Blocked fingerprints are sent
-	// as long as they are blocked.
+	// gossipAge is the age of the last crash up to which a suspected fingerprint is sent again and again. Blocked
+	// fingerprints are sent as long as they are blocked.
 	gossipAge = 20 * time.Second
 	// maxGossiped is the number of fingerprints that are sent again and again, those with the most crashes first.
 	maxGossiped = 16
@@ -137,8 +138,8 @@
 	return fingerprints
 }
 
-// Merge adds another router's evidence. It returns the fingerprints that it cleared, and the fingerprints for which this router has a
-// proof that the sender lacks.
+// Merge adds another router's evidence. It returns the fingerprints that it cleared, and the fingerprints for which this
+// router has a proof that the sender lacks.
 func (d *Detector) Merge(now time.Duration, list []FingerprintEvidence) (cleared, refuted []Fingerprint) {
 	for i := range list {
 		e := &list[i]
--- a/internal/coordination/poison/restart.go
+++ b/internal/coordination/poison/restart.go
@@ -11,12 +11,13 @@
 const (
 	// restartWindow is the time after the end of an unanswered attempt in which a restart of its server is evidence.
 	restartWindow = 30 * time.Second
-	// registrationTime is the time for which a server that has restarted may respond before its entry is seen. A later sign of
-	// life shows that the server has survived an attempt.
+	// registrationTime is the time for which a server that has restarted may respond before its entry is seen. A later
+	// sign of life shows that the server has survived an attempt.
 	registrationTime = 2 * time.Second
 	// beginWindow is the time after the last sign of life in which a request that ends a server may have begun.
 	beginWindow = time.Second
-	// maxEndSpan bounds the time in which a silent server may have ended: with requests on it, it would have written earlier.
+	// maxEndSpan bounds the time in which a silent server may have ended: with requests on it, it would have written
+	// earlier.
 	maxEndSpan = time.Second
 	// maxUnanswered bounds the unanswered attempts that are kept for one server, maxKnownServers the servers whose start
 	// time is known.
@@ -34,8 +35,8 @@
 	lost bool
 }
 
-// restarts finds the servers that ended unseen: they fell silent, or their port went on to accept connections, and their entry
-// then names a later start. A link that fails does not change the entry. The Guard's lock guards it.
+// restarts finds the servers that ended unseen: they fell silent, or their port went on to accept connections, and their
+// entry then names a later start. A link that fails does not change the entry. The Guard's lock guards it.
 type restarts struct {
 	// servers holds the newest incarnation that is known of each server, by ID.
 	servers map[string]*backends.Server
@@ -47,8 +48,8 @@
 	return restarts{servers: make(map[string]*backends.Server), unanswered: make(map[string][]unanswered)}
 }
 
-// update replaces the known servers. It returns the earlier incarnations of those that have restarted without an announcement
-// of their end. An older start time is that of a late write.
+// update replaces the known servers. It returns the earlier incarnations of those that have restarted without an
+// announcement of their end. An older start time is that of a late write.
 func (r *restarts) update(set *backends.Set) []*backends.Server {
 	var ended []*backends.Server
 	for id, server := range set.All() {
@@ -117,8 +118,8 @@
 	}
 }
 
-// Unanswered ends an attempt that was sent and did not get a whole response, though its connection did not break. Its server may have
-// fallen silent.
+// Unanswered ends an attempt that was sent and did not get a whole response, though its connection did not break. Its
+// server may have fallen silent.
 func (a *Attempt) Unanswered() {
 	if a == nil {
 		return
@@ -144,8 +145,8 @@
 	})
 }
 
-// SetServers replaces the known servers. A server that has restarted has ended without this router's notice if its end was neither
-// confirmed nor announced. announced reports the latter by server ID.
+// SetServers replaces the known servers. A server that has restarted has ended without this router's notice if its end
+// was neither confirmed nor announced. announced reports the latter by server ID.
 func (g *Guard) SetServers(set *backends.Set, announced func(id string) bool) {
 	g.mu.Lock()
 	ended := g.restarts.update(set)
@@ -199,8 +200,9 @@
 	return list
 }
 
-// restartReport returns the crash of a server that has restarted. It was alive when it last showed a sign of life, and when the first
-// of the unanswered requests was sent. Requests that began later than beginWindow after that reached a server that had ended.
+// restartReport returns the crash of a server that has restarted. It was alive when it last showed a sign of life, and
+// when the first of the unanswered requests was sent. Requests that began later than beginWindow after that reached a
+// server that had ended.
 func restartReport(now time.Duration, server *backends.Server, list []unanswered) CrashReport {
 	began, sign, end := list[0].began, list[0].lastSign, now
 	for _, u := range list {
--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -69,8 +69,8 @@
 	return n
 }
 
-// Guards against routers that each use the whole slack: in a fleet of many, a service that turns requests away was sent up to
-// twice the retries that all routers together are allowed.
+// Guards against routers that each use the whole slack: in a fleet of many, a service that turns requests away was sent
+// up to twice the retries that all routers together are allowed.
 func TestRoutersTogetherKeepTheRetryBound(t *testing.T) {
 	for _, routers := range []int{1, 3, 8, 33, 72} {
 		for _, rate := range []int{5, 100, 1000} {
--- a/internal/coordination/serverlimit/registry.go
+++ b/internal/coordination/serverlimit/registry.go
@@ -104,7 +104,9 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: backends.NewSet(nil), limits: make(map[string]*limit), absent: make(map[backends.Incarnation]*absentLimit)}
+	return &Registry{
+		servers: backends.NewSet(nil), limits: make(map[string]*limit), absent: make(map[backends.Incarnation]*absentLimit),
+	}
 }
 
 // SetServers replaces the known servers. The limits of servers that are gone or have restarted are set aside, and hold
--- a/internal/coordination/warmup/doc.go
+++ b/internal/coordination/warmup/doc.go
@@ -9,6 +9,6 @@
 // After its warm-up a server takes requests at a rate that is doubled in steps, as after the end of a limit (package
 // serverlimit).
 //
-// Routers tell each other of warm-ups, with the time left in place of the end. They do not tell each other that a server is
-// warm: a warm-up ends by itself.
+// Routers report warm-ups to each other, with the time left in place of the end. They do not report that a server is warm: a
+// warm-up ends by itself.
 package warmup
--- a/internal/coordination/warmup/registry.go
+++ b/internal/coordination/warmup/registry.go
@@ -13,7 +13,7 @@
 	recoveryStep = 400 * time.Millisecond
 	// recoverySteps is the number of steps after which a server has no rate any more.
 	recoverySteps = 4
-	// minExtension is the time by which another router's word must extend a warm-up to count. The same statement reaches
+	// minExtension is the time by which another router's report must extend a warm-up to count. The same statement reaches
 	// the routers at slightly different times.
 	minExtension = 100 * time.Millisecond
 	// departureRetention is how long a server is remembered whose entry is gone, so that a restart under its ID is noticed.
@@ -129,13 +129,11 @@
 			known = r.departed[id].server
 			delete(r.departed, id)
 		}
-		restarted := known != nil && !known.SameStart(server)
 		switch {
-		case restarted:
+		case known != nil && !known.SameStart(server):
 			delete(r.states, id)
 			r.applyRestart(now, server)
-		case known == nil && server.ColdNamed,
-			known != nil && server.ColdNamed && (!known.ColdNamed || known.ColdLeft != server.ColdLeft):
+		case namesNewWarmup(known, server):
 			r.apply(now, server, Entry, server.ColdLeft)
 		}
 		if s := r.states[id]; s != nil {
@@ -144,6 +142,12 @@
 	}
 }
 
+// namesNewWarmup reports whether a server's entry says something about a warm-up that its known entry did not. known may
+// be nil.
+func namesNewWarmup(known, server *backends.Server) bool {
+	return server.ColdNamed && (known == nil || !known.ColdNamed || known.ColdLeft != server.ColdLeft)
+}
+
 // applyRestart records that a server has restarted under its ID.
 func (r *Registry) applyRestart(now time.Time, server *backends.Server) {
 	left := server.ColdLeft
@@ -208,7 +212,7 @@
 // RecordResponse records that a server has responded. If it had refused connections, it is cold from now on.
 func (r *Registry) RecordResponse(now time.Time, server *backends.Server) {
 	if s := r.states[server.ID]; s != nil && s.down && s.server.SameStart(server) {
-		s.until = now // so that the extension is told
+		s.until = now // so that the extension is reported
 		r.apply(now, s.server, Return, r.services[s.server.Service].Duration)
 	}
 }
--- a/internal/daemon/gateway/clients.go
+++ b/internal/daemon/gateway/clients.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// accountFraction is the fraction of the memory limit that connections, requests, bodies and unread responses may take.
-	// With the 17 to 25 MB of a calm router it stays below memoryLimitFraction, so that the runtime need not collect garbage
-	// all the time.
+	// accountFraction is the fraction of the memory limit that connections, requests, bodies and unread responses may
+	// take. With the 17 to 25 MB of a router without load it stays below memoryLimitFraction, so that the runtime need
+	// not collect garbage all the time.
 	accountFraction = 0.35
 	// silentFraction is the fraction of the file descriptors that connections which have sent nothing may take.
 	// silentAddressFraction is the fraction of these for one address.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -142,9 +142,8 @@
 	}
 	n.serving, n.endRequests = context.WithCancelCause(context.Background())
 	core := admission.New(admission.Options{
-		Domain:      settings.FailureDomain,
-		DomainAware: settings.DomainAware,
-
+		Domain:         settings.FailureDomain,
+		DomainAware:    settings.DomainAware,
 		ObservedLimits: settings.ObservedLimits,
 		ShareWindow:    settings.Bounds.ShareWindow,
 		Seed:           randomSeed(settings.Router, n.incarnation),
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -303,7 +303,7 @@
 	o.node.admission.Adopt(adopted)
 	o.node.log.Debug("load owners assigned", zap.Int("candidates", len(candidates)), zap.Int("owned", len(table.owned)))
 	o.table.Store(table)
-	o.limits.tellNewOwners(previous, table)
+	o.limits.notifyNewOwners(previous, table)
 	return true
 }
 
--- a/internal/daemon/gateway/register.go
+++ b/internal/daemon/gateway/register.go
@@ -52,8 +52,8 @@
 type registration struct {
 	lease kv.LeaseID
 	era   kv.Era
-	// writtenAt is when the entry was last written. It is zero if that has not succeeded: the lease is then used for the next
-	// attempt, so that a write which is executed late does not put the entry under a lease that is not renewed.
+	// writtenAt is when the entry was last written. It is zero if that has not succeeded: the lease is then used for the
+	// next attempt, so that a write which is executed late does not put the entry under a lease that is not renewed.
 	writtenAt time.Time
 }
 
@@ -80,8 +80,8 @@
 	}
 }
 
-// renewOrRegister renews the lease. If there is none or it has expired, it requests a new one. It writes the entry if that is
-// not the one in the store.
+// renewOrRegister renews the lease. If there is none or it has expired, it requests a new one. It writes the entry if
+// that is not the one in the store.
 func (n *Node) renewOrRegister(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/internal/daemon/gateway/register_test.go
+++ b/internal/daemon/gateway/register_test.go
@@ -16,8 +16,8 @@
 
 const routersKeys = "gooseberrytide/routers/"
 
-// Guards against leases that are left behind by writes without a response: one of these writes may be executed seconds later,
-// and take the entry away with the end of its lease.
+// Guards against leases that are left behind by writes without a response: one of these writes may be executed seconds
+// later, and take the entry away with the end of its lease.
 func TestLeaseOfAFailedWriteIsUsedAgain(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFleet(t, 2)
@@ -56,8 +56,8 @@
 	}
 }
 
-// Guards against a router that routers which start later do not know, because another writer has overwritten its entry with a
-// value that cannot be decoded.
+// Guards against a router that routers which start later do not know, because another writer has overwritten its entry
+// with a value that cannot be decoded.
 func TestRouterRegistersAgainWhenItsEntryIsOverwritten(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFleet(t, 2)
@@ -91,8 +91,8 @@
 	}
 }
 
-// Guards against two owners of one server for as long as a router cannot write its entry again: the others, which do not hear
-// from it, have replaced it.
+// Guards against two owners of one server for as long as a router cannot write its entry again: the others, which do not
+// hear from it, have replaced it.
 func TestRouterWithoutAnEntryOwnsNothing(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFleet(t, 2)
--- a/internal/daemon/gateway/reporter.go
+++ b/internal/daemon/gateway/reporter.go
@@ -47,8 +47,8 @@
 	// relays are the relays as of relaysAt.
 	relays   map[string]bool
 	relaysAt time.Time
-	// lastRemote is when the routers in other failure domains last got a whole report. remoteParts are the newly cached prompt
-	// parts since then. They are sent once: a lost report is made up for when the parts are used again.
+	// lastRemote is when the routers in other failure domains last got a whole report. remoteParts are the newly cached
+	// prompt parts since then. They are sent once: a lost report is made up for when the parts are used again.
 	lastRemote  time.Time
 	remoteParts []admission.CachedPart
 	// others are the routers of registered, without this one.
@@ -137,7 +137,7 @@
 // AnnouncePeriod.
 func (s *reporter) sendRelayed(r *gossip.Report, now time.Time, others []otherRouter, active map[string]bool) {
 	idle := r.Idle()
-	// Those that know the loads of a router that has become idle hear of that.
+	// The routers that know this router's loads get one more report when it has become idle.
 	loadsDue := !idle || !s.last.idle
 	if r.Ready != s.last.ready || !now.Before(s.nextAnnouncement) || s.isolated(now) {
 		clear(s.announced)
@@ -197,8 +197,8 @@
 	return to
 }
 
-// sendRemote sends a report to routers in other failure domains, if it is due. It has all prompt parts that were cached since
-// the last one.
+// sendRemote sends a report to routers in other failure domains, if it is due. It has all prompt parts that were cached
+// since the last one.
 func (s *reporter) sendRemote(r *gossip.Report, now time.Time, to recipients) {
 	s.remoteParts = append(s.remoteParts, s.node.lastCachedParts...)
 	s.remoteParts = s.remoteParts[max(len(s.remoteParts)-maxRemoteParts, 0):]
--- a/internal/daemon/gateway/silence_test.go
+++ b/internal/daemon/gateway/silence_test.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// crashesUntilKnown is the number of crashes, and evidenceTime the time after the last of them, after which hardly any request
-	// with the part may reach engines; maxLateArrivals is how many may.
+	// crashesUntilKnown is the number of crashes, and evidenceTime the time after the last of them, after which hardly
+	// any request with the part may reach engines; maxLateArrivals is how many may.
 	crashesUntilKnown = 5
 	evidenceTime      = 3 * time.Second
 	maxLateArrivals   = 3
@@ -30,8 +30,8 @@
 	times map[string]time.Time
 }
 
-// playSilent sends sound requests, 20 a second, and has one caller for each router who sends requests with the part, each one 200 ms
-// after the last has ended.
+// playSilent sends sound requests, 20 a second, and has one caller for each router who sends requests with the part, each
+// one 200 ms after the last has ended.
 func (f *crashingFleet) playSilent(d time.Duration) *poisonSends {
 	sends := &poisonSends{times: make(map[string]time.Time)}
 	end := time.Now().Add(d)
@@ -81,8 +81,8 @@
 	f.starts = time.Now()
 }
 
-// Guards against a part of prompts that is not found because the engines that it ends do not refuse connections: they hang, or their
-// port accepts connections and resets, drops or ignores them.
+// Guards against a part of prompts that is not found because the engines that it ends do not refuse connections: they
+// hang, or their port accepts connections and resets, drops or ignores them.
 func TestPoisonPartSilencesServerAfterServer(t *testing.T) {
 	ports := []platformengine.PortMode{
 		platformengine.PortClosed, platformengine.PortDropping, platformengine.PortResetting, platformengine.PortSilent,
@@ -113,8 +113,8 @@
 	}
 }
 
-// Guards against sound requests that are blocked because links to servers, to the servers of a domain or to all servers fail again and
-// again, while the servers live.
+// Guards against sound requests that are blocked because links to servers, to the servers of a domain or to all servers
+// fail again and again, while the servers live.
 func TestFailingLinksBlockNothing(t *testing.T) {
 	const interruption = 1500 * time.Millisecond
 	for name, failed := range map[string]int{"one server": 1, "a domain": 4, "the router's own network": 12} {
--- a/internal/daemon/gateway/speeds.go
+++ b/internal/daemon/gateway/speeds.go
@@ -6,7 +6,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 )
 
-// speedCollector exports the observed speeds of the services whose servers announce their pace.
+// speedCollector exports the observed speeds of the services that are scheduled by them.
 type speedCollector struct {
 	speeds                               func() []admission.SpeedStatus
 	pace, prefillRate, pause, maxRunning *prometheus.Desc
--- a/internal/daemon/gateway/warmups.go
+++ b/internal/daemon/gateway/warmups.go
@@ -67,8 +67,9 @@
 	}
 }
 
-// tellNewOwners tells the new owners of cold servers of the warm-ups. The earlier owner may have ended. previous may be nil.
-func (e *limitExchange) tellNewOwners(previous, table *ownerTable) {
+// notifyNewOwners sends the warm-ups of cold servers to their new owners. The earlier owner may have ended. previous may
+// be nil.
+func (e *limitExchange) notifyNewOwners(previous, table *ownerTable) {
 	for _, w := range e.node.admission.Warmups() {
 		owner, address, ok := table.ownerOf(w.Server)
 		if ok && owner != e.node.settings.Router && (previous == nil || previous.owner[w.Server] != owner) {
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -20,8 +20,8 @@
 	Draining bool
 	// StartedAt is the server's start time in milliseconds since the Unix epoch, or 0 if the server does not report it.
 	StartedAt int64
-	// ColdNamed is set if the entry says whether the server is cold. ColdLeft is then for how long it was still cold when the
-	// entry was written; 0 means that it was warm.
+	// ColdNamed is set if the entry says whether the server is cold. ColdLeft is then for how long it was still cold when
+	// the entry was written; 0 means that it was warm.
 	ColdNamed bool
 	ColdLeft  time.Duration
 }
--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -35,9 +35,9 @@
 	running atomic.Bool
 	// started is set while a header is being read of which some bytes have arrived.
 	started atomic.Bool
-	// header is the header that is being read, heard is set once anything was read. Only the reading goroutine uses them.
-	header header
-	heard  bool
+	// header is the header that is being read, received is set once anything was read. Only the reading goroutine uses them.
+	header   header
+	received bool
 
 	mu sync.Mutex
 	// ended is set once the connection was ended for a limit, or closed.
@@ -86,8 +86,8 @@
 	return c
 }
 
-// OnState implements http.Server.ConnState: it tells a connection when a header has been read, and when the next one is
-// expected.
+// OnState implements http.Server.ConnState. It ends the limits of a header when the header has been read, and starts them
+// when the next one is expected.
 func OnState(conn net.Conn, state http.ConnState) {
 	c := From(conn)
 	switch {
@@ -171,7 +171,7 @@
 // closeNow closes the connection and releases its memory.
 func (c *Conn) closeNow() {
 	_ = c.Conn.Close()
-	c.tracker.heard(c)
+	c.tracker.removeSilent(c)
 	c.holder.Close()
 }
 
--- a/internal/transport/clientconn/header.go
+++ b/internal/transport/clientconn/header.go
@@ -72,9 +72,9 @@
 	if !c.started.Load() {
 		c.started.Store(true)
 		h.startedAt = time.Now()
-		if !c.heard {
-			c.heard = true
-			c.tracker.heard(c)
+		if !c.received {
+			c.received = true
+			c.tracker.removeSilent(c)
 		}
 	}
 	if i := bytes.Index(b, headerEnd); i > 0 {
@@ -96,9 +96,9 @@
 // refuseHeader ends the connection because of its header.
 func (c *Conn) refuseHeader(reason Reason) {
 	c.mu.Lock()
-	inTurn := !c.draining
+	nothingUnsent := !c.draining
 	c.mu.Unlock()
-	if inTurn && reason == HeaderBytes && c.writer != nil {
+	if nothingUnsent && reason == HeaderBytes && c.writer != nil {
 		_, _ = c.writer.TryWrite([]byte(headerTooLarge)) // the connection is closed whether or not it is received
 	}
 	c.endWith(reason)
@@ -109,7 +109,7 @@
 	switch {
 	case c.started.Load():
 		c.tracker.record(HeaderTime, c.address)
-	case !c.heard:
+	case !c.received:
 		c.tracker.record(SilentTime, c.address)
 	}
 }
@@ -132,7 +132,7 @@
 	case c.started.Load():
 		c.header.bounded = true
 		return c.header.startedAt.Add(limits.HeaderTimeout + headerMargin)
-	case !c.heard:
+	case !c.received:
 		return c.acceptedAt.Add(max(limits.HeaderTimeout+headerMargin, silentTimeout))
 	default:
 		return time.Now().Add(limits.IdleTimeout)
--- a/internal/transport/clientconn/tracker.go
+++ b/internal/transport/clientconn/tracker.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// heard removes a connection from those that have sent nothing.
-func (t *Tracker) heard(c *Conn) {
+// removeSilent removes a connection from those that have sent nothing.
+func (t *Tracker) removeSilent(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.silent.remove(c)
--- a/internal/transport/gateway/announce.go
+++ b/internal/transport/gateway/announce.go
@@ -16,9 +16,9 @@
 const maxServerPause = 5 * time.Minute
 
 // recordAnnouncement records what a response to the request says about its server: that it leaves, that it wants a pause,
-// how many requests a second it takes, its load and its pace, or whether it is cold. Announcements other than a pause count
-// only if the server signed the response or says that it did not run the request. A response of another server at the address
-// does not count.
+// how many requests a second it takes, its load and its pace, or whether it is cold. Announcements other than a pause
+// count only if the server signed the response or says that it did not run the request. A response of another server at
+// the address does not count.
 func (a *attempt) recordAnnouncement() {
 	x := a.x
 	metadata := a.metadata
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -35,8 +35,8 @@
 // errUnsigned reports a response without the server's signature.
 var errUnsigned = errors.New("response lacks the server's signature")
 
-// errUnnamedRefusal reports a refusal that does not name its request, on a connection that was used before. It may be that of
-// an earlier request.
+// errUnnamedRefusal reports a refusal that does not name its request, on a connection that was used before. It may be
+// that of an earlier request.
 var errUnnamedRefusal = errors.New("refusal on a reused connection does not name its request")
 
 // attempt is one send of the request to a server, and the response. One goroutine uses it at a time.
--- a/internal/transport/gateway/path.go
+++ b/internal/transport/gateway/path.go
@@ -8,8 +8,8 @@
 // encodedSlash is a slash within a segment of a path.
 const encodedSlash = "%2F"
 
-// routePath returns the path that routes are matched on: the decoded path, in which encoded slashes stay encoded. They do not
-// separate segments, so that "/a%2Fb" does not begin with "/a/".
+// routePath returns the path that routes are matched on: the decoded path, in which encoded slashes stay encoded. They do
+// not separate segments, so that "/a%2Fb" does not begin with "/a/".
 func routePath(u *url.URL) string {
 	if u.RawPath == "" {
 		return u.Path
--- a/internal/transport/gateway/path_test.go
+++ b/internal/transport/gateway/path_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a request that gets the route of another path: an encoded slash does not separate segments, and other encoded
-// characters are the same as the plain ones.
+// Guards against a request that gets the route of another path: an encoded slash does not separate segments, and other
+// encoded characters are the same as the plain ones.
 func TestRoutesAreMatchedBySegments(t *testing.T) {
 	for target, want := range map[string]string{
 		"/callout/x":           "/callout/x",
--- a/internal/transport/gateway/speed_test.go
+++ b/internal/transport/gateway/speed_test.go
@@ -12,7 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/test/standin/platformengine"
 )
 
-// observeLimits makes the limits of engines follow from what they are seen to do.
+// observeLimits makes the limits of engines follow from their observed speeds.
 func observeLimits(o *admission.Options) { o.ObservedLimits = true }
 
 // speedOf returns the observed speed of a service, or a zero value if it is not scheduled by it.
--- a/test/overlimit/router_test.go
+++ b/test/overlimit/router_test.go
@@ -23,7 +23,7 @@
 	"gooseberrytide.example/gooseberrytide/test/standin/platformstore"
 )
 
-// Limits of the test's deployment. A router of it takes 17 to 25 MB while it is calm.
+// Limits of the test's deployment. A router of it takes 17 to 25 MB without load.
 const (
 	memoryMB    = 80
 	descriptors = 512
--- a/test/soak/evacuation.go
+++ b/test/soak/evacuation.go
@@ -14,7 +14,9 @@
 	firstDomain, secondDomain = "a", "b"
 	// evacuateTime is the time from the operator's write after which no router in touch may send requests to the domain.
 	evacuateTime = 5 * time.Second
-	evacuateKey  = "op/evacuate/" + secondDomain
+	// arrivalTolerance is the time by which a request that was sent in time may arrive later.
+	arrivalTolerance = 200 * time.Millisecond
+	evacuateKey      = "op/evacuate/" + secondDomain
 )
 
 // domainOf returns the failure domain of the engine with a number. Each service with more than one engine has some in
@@ -56,14 +58,14 @@
 	}
 }
 
-// watchEvacuation reports requests that engines of the evacuated domain get later than evacuateTime plus 200 ms after the
-// operator's write. Engines are checked only while all routers are undisturbed.
+// watchEvacuation reports requests that engines of the evacuated domain get later than evacuateTime and arrivalTolerance
+// after the operator's write. Engines are checked only while all routers are undisturbed.
 func (d *deployment) watchEvacuation(ctx context.Context) {
 	counted := make(map[*engine]int)
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		now, since := time.Now(), d.evacuatedSince
-		late := !since.IsZero() && now.Sub(since) > evacuateTime+200*time.Millisecond && d.allUndisturbed(since, now)
+		late := !since.IsZero() && now.Sub(since) > evacuateTime+arrivalTolerance && d.allUndisturbed(since, now)
 		for i, e := range d.engines {
 			if domainOf(i) != secondDomain {
 				continue
