--- a/internal/coordination/admission/core.go
+++ b/internal/coordination/admission/core.go
@@ -184,8 +184,8 @@
 	if !t.Repeat {
 		q.recordArrival(t.cost)
 	}
-	paced := c.preparePaced(now, q, t)
-	if paced && exceedsMemory(&t.Request) {
+	observed := c.prepareObserved(now, q, t)
+	if observed && exceedsMemory(&t.Request) {
 		c.refuse(t, ReasonTooLarge, maxRetryAfter)
 		return t
 	}
--- a/internal/coordination/admission/kinds.go
+++ b/internal/coordination/admission/kinds.go
@@ -17,7 +17,7 @@
 // answers the load pattern of a team with long and short prompts: with equal tokens for each kind, long prompts were
 // served 0.43 to 0.7 times as often as they asked, short ones 0.9 to 1 times.
 func (q *queue) heads(now time.Time, team *teamQueue) []*Ticket {
-	if !q.paced {
+	if !q.observed {
 		return team.heads(now, q.grantedByFlow)
 	}
 	for _, kind := range team.kinds {
@@ -44,7 +44,7 @@
 
 // shareRatio returns how many tokens one kind of a team gets for each token of another kind.
 func (q *queue) shareRatio(now time.Time, team, kind, of string) float64 {
-	if !q.paced {
+	if !q.observed {
 		return 1
 	}
 	asked := q.askedRate(now, flow{team, of})
@@ -59,7 +59,7 @@
 // because an engine crashes if its requests exceed its memory.
 func (q *queue) loadOf(req *Request, cachedTokens int) engineload.Load {
 	l := loadOf(req, cachedTokens)
-	if q.paced && req.Service.Engine != nil {
+	if q.observed && req.Service.Engine != nil {
 		l.ContextTokens = contextTokens(req)
 	}
 	return l
@@ -67,11 +67,11 @@
 
 // limitsAt returns a function that returns the limits of each server of a service at a time.
 func (c *Core) limitsAt(now time.Time, service *routing.Service) func(*backends.Server) reservation.Limits {
-	if m := c.pacedModel(service); m != nil {
+	if m := c.speedModel(service); m != nil {
 		view, bounds := m.At(now), c.queue(service.Name).bounds.strictest()
 		return func(s *backends.Server) reservation.Limits {
 			speed := view.Server(s.ID)
-			return pacedLimits(service, s, &speed, bounds, 1)
+			return observedLimits(service, s, &speed, bounds, 1)
 		}
 	}
 	speeds := c.speedsOf(service.Name)
--- a/internal/coordination/admission/paced.go
+++ b/internal/coordination/admission/observed.go
@@ -14,15 +14,15 @@
 const (
 	// backlogFraction is the fraction of the shortest objective of a service that the prefill queued at an engine may take.
 	backlogFraction = 0.4
-	// maxPacedBacklog bounds that prefill for services with long objectives. Requests in an engine's queue are served in
+	// maxObservedBacklog bounds that prefill for services with long objectives. Requests in an engine's queue are served in
 	// order of arrival, so a long one would undo the shares of teams.
-	maxPacedBacklog = 500 * time.Millisecond
-	// pacedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load,
+	maxObservedBacklog = 500 * time.Millisecond
+	// observedSendReserve is the part of the objective that is reserved for the messages to the owner of a server's load,
 	// for the transfer to the server, and for what other routers send there meanwhile.
-	pacedSendReserve = 80 * time.Millisecond
-	// pacedMemoryFill is the fraction of an engine's memory that the requests on it may fill if each of them has the most
+	observedSendReserve = 80 * time.Millisecond
+	// observedMemoryFill is the fraction of an engine's memory that the requests on it may fill if each of them has the most
 	// output that it may have.
-	pacedMemoryFill = 0.95
+	observedMemoryFill = 0.95
 	// fastPrefillRate, in prompt tokens per millisecond, is the rate above which cached parts do not lose value.
 	fastPrefillRate = 90.0
 	// boundWindow is how long the bound that a request names counts for the other requests of its service.
@@ -63,10 +63,10 @@
 	return a
 }
 
-// pacedModel returns the speeds by which the requests of a service are scheduled, or nil if it is scheduled by constants.
+// speedModel returns the speeds by which the requests of a service are scheduled, or nil if it is scheduled by constants.
 // A service of model engines is scheduled by observed speeds only with Options.ObservedLimits, a plain service if its
 // servers announce their pace.
-func (c *Core) pacedModel(service *routing.Service) *serverspeed.Model {
+func (c *Core) speedModel(service *routing.Service) *serverspeed.Model {
 	if service.Engine != nil {
 		if !c.opts.ObservedLimits {
 			return nil
@@ -103,7 +103,7 @@
 
 // observeEvent records what an event of a stream shows about the speed of its server.
 func (c *Core) observeEvent(now time.Time, t *Ticket) {
-	m := c.pacedModel(t.Service)
+	m := c.speedModel(t.Service)
 	if m == nil || t.Service.Engine == nil || c.servers.Get(t.server.ID) == nil {
 		return
 	}
@@ -117,7 +117,7 @@
 
 // observeFinish records what the end of a request to a plain service shows about the speed of its server.
 func (c *Core) observeFinish(now time.Time, t *Ticket, result Result) {
-	m := c.pacedModel(t.Service)
+	m := c.speedModel(t.Service)
 	if m == nil || t.Service.Engine != nil || result != ResultOK || c.servers.Get(t.server.ID) == nil {
 		return
 	}
@@ -134,12 +134,12 @@
 	// fraction is the fraction of an engine's capacity that the request's team may fill.
 	fraction float64
 	speeds   *prefillSpeeds
-	// paced is set if the service is scheduled by observed speeds. view then shows those of its servers, and speed is that
+	// observed is set if the service is scheduled by observed speeds. view then shows those of its servers, and speed is that
 	// of the server that was evaluated last.
-	paced  bool
-	view   serverspeed.View
-	speed  serverspeed.Speed
-	bounds requestBounds
+	observed bool
+	view     serverspeed.View
+	speed    serverspeed.Speed
+	bounds   requestBounds
 }
 
 func (c *Core) newEvaluation(now time.Time, req *Request, preferred preferredEngines, fraction float64) *evaluation {
@@ -147,20 +147,20 @@
 		core: c, now: now, req: req, queue: c.queue(req.Service.Name), preferred: preferred, fraction: fraction,
 		speeds: c.speedsOf(req.Service.Name),
 	}
-	if m := c.pacedModel(req.Service); m != nil {
-		e.paced, e.view, e.bounds = true, m.At(now), e.queue.bounds.strictest()
+	if m := c.speedModel(req.Service); m != nil {
+		e.observed, e.view, e.bounds = true, m.At(now), e.queue.bounds.strictest()
 	}
 	return e
 }
 
 // evaluate sets the placement of the request on a server with its cost, without limits.
 func (e *evaluation) evaluate(server *backends.Server, p *placement) {
-	if !e.paced {
+	if !e.observed {
 		e.core.evaluate(e.now, e.req, server, &e.preferred, e.speeds, p)
 		return
 	}
 	e.view.SetServer(server.ID, &e.speed)
-	e.core.evaluatePaced(e.now, e.req, server, &e.preferred, &e.speed, p)
+	e.core.evaluateObserved(e.now, e.req, server, &e.preferred, &e.speed, p)
 }
 
 // uncachedCost returns the cost of prefilling shared parts that an engine has not cached. Engines that prefill fast count as
@@ -172,18 +172,18 @@
 
 // limits returns the limits of the server that was evaluated last.
 func (e *evaluation) limits(p *placement) reservation.Limits {
-	if !e.paced {
+	if !e.observed {
 		return limitsOf(e.req.Service, p.server, e.speeds.slowdownOf(p.server.ID), e.fraction)
 	}
-	limits := pacedLimits(e.req.Service, p.server, &e.speed, e.bounds, e.fraction)
+	limits := observedLimits(e.req.Service, p.server, &e.speed, e.bounds, e.fraction)
 	e.limitBacklog(p, &limits)
 	return limits
 }
 
-// evaluatePaced sets the placement of a request on a server by its observed speed, with its cost and without limits.
+// evaluateObserved sets the placement of a request on a server by its observed speed, with its cost and without limits.
 // The cost is the expected time to the first event or the response, so that a server in a slow moment is avoided. It
 // answers the load pattern of servers that share their machines: their speed changes many times a second.
-func (c *Core) evaluatePaced(
+func (c *Core) evaluateObserved(
 	now time.Time, req *Request, server *backends.Server, preferred *preferredEngines, speed *serverspeed.Speed, p *placement,
 ) {
 	*p = placement{server: server, load: c.loads.Total(server.ID)}
@@ -216,10 +216,10 @@
 	p.cost += p.permitCost
 }
 
-// pacedLimits returns the limits of a server by its observed speed, before any request's own. fraction is the fraction of
+// observedLimits returns the limits of a server by its observed speed, before any request's own. fraction is the fraction of
 // an engine's capacity that may be filled. An engine may run as many requests as pauses permit, and may have as much
 // prefill queued as first events can wait for.
-func pacedLimits(
+func observedLimits(
 	service *routing.Service, server *backends.Server, speed *serverspeed.Speed, bounds requestBounds, fraction float64,
 ) reservation.Limits {
 	slots := server.Slots
@@ -235,12 +235,12 @@
 	}
 	backlog := maxPrefillBacklog
 	if bounds.objective > 0 {
-		backlog = min(time.Duration(backlogFraction*float64(bounds.objective)), maxPacedBacklog)
+		backlog = min(time.Duration(backlogFraction*float64(bounds.objective)), maxObservedBacklog)
 	}
 	return reservation.Limits{
 		Running:       max(int(fraction*float64(running)), 1),
 		PendingTokens: max(speed.PrefillTokens(time.Duration(fraction*float64(backlog))), 1),
-		ContextTokens: int(pacedMemoryFill * float64(service.Engine.CacheTokens)),
+		ContextTokens: int(observedMemoryFill * float64(service.Engine.CacheTokens)),
 	}
 }
 
@@ -255,11 +255,11 @@
 	limits.PendingTokens = min(limits.PendingTokens, max(e.speed.PrefillTokens(left), 1))
 }
 
-// pacedRefusalTime returns the time at which a waiting request is refused: when an idle engine of the mean speed could no
+// observedRefusalTime returns the time at which a waiting request is refused: when an idle engine of the mean speed could no
 // longer send its first event in time.
-func pacedRefusalTime(req *Request, m *serverspeed.Model) time.Time {
+func observedRefusalTime(req *Request, m *serverspeed.Model) time.Time {
 	speed := m.Mean()
-	reserve := pacedSendReserve
+	reserve := observedSendReserve
 	if req.Service.Engine != nil {
 		ownTokens := max(req.PromptTokens-tokensOf(relay.SharedParts(req.Parts)), 0)
 		reserve += speed.PrefillTime(ownTokens) + speed.Delay()
@@ -271,11 +271,11 @@
 	return req.Arrival.Add(min(max(req.Objective-reserve, minWait), maxWait))
 }
 
-// preparePaced records the bounds and the demand of a new request. It reports whether its service is scheduled by observed
+// prepareObserved records the bounds and the demand of a new request. It reports whether its service is scheduled by observed
 // speeds.
-func (c *Core) preparePaced(now time.Time, q *queue, t *Ticket) bool {
-	q.paced = c.pacedModel(t.Service) != nil
-	if !q.paced {
+func (c *Core) prepareObserved(now time.Time, q *queue, t *Ticket) bool {
+	q.observed = c.speedModel(t.Service) != nil
+	if !q.observed {
 		return false
 	}
 	q.bounds.record(now, &t.Request)
@@ -334,14 +334,14 @@
 		if len(servers) == 0 || q == nil || q.service == nil {
 			continue
 		}
-		m := c.pacedModel(q.service)
+		m := c.speedModel(q.service)
 		if m == nil {
 			continue
 		}
 		speed := m.Mean()
 		status := SpeedStatus{Service: name, Pace: speed.Pace, PrefillRate: speed.PrefillRate() * speed.Pace}
 		status.Pause, _ = speed.Pause(servers[0].Slots)
-		status.MaxRunning = pacedLimits(q.service, servers[0], &speed, q.bounds.strictest(), 1).Running
+		status.MaxRunning = observedLimits(q.service, servers[0], &speed, q.bounds.strictest(), 1).Running
 		list = append(list, status)
 	}
 	return list
--- a/internal/coordination/admission/paced_test.go
+++ b/internal/coordination/admission/observed_test.go
@@ -264,7 +264,7 @@
 	view := c.models[service.Name].At(now)
 	speed := view.Server("s0")
 	pending := func(objective time.Duration) int {
-		return pacedLimits(service, c.servers.Get("s0"), &speed, requestBounds{objective: objective}, 1).PendingTokens
+		return observedLimits(service, c.servers.Get("s0"), &speed, requestBounds{objective: objective}, 1).PendingTokens
 	}
 	g.Expect(pending(30*time.Second)).To(Equal(22_500), "500 ms at 45 tokens per ms")
 	g.Expect(pending(400 * time.Millisecond)).To(Equal(7200))
@@ -313,7 +313,7 @@
 	g.Expect(heads()).To(Equal([]*Ticket{short, long}), "equal tokens without a pace")
 	wait, _ := q.expectedWait(now, flow{"t", "short"}, 1)
 	g.Expect(wait).To(BeNumerically("~", 2*time.Second/3, time.Millisecond))
-	q.paced = true
+	q.observed = true
 	g.Expect(heads()).To(Equal([]*Ticket{long, short}), "0.4 and 1 of the demand")
 	wait, _ = q.expectedWait(now, flow{"t", "short"}, 1)
 	g.Expect(wait).To(BeNumerically("~", 2*time.Second, time.Millisecond), "5000 and 1000 tokens at 3000 per second")
@@ -339,7 +339,7 @@
 	g.Expect(announceTo(c, now, "s0", 50, 100).Paced).To(BeTrue())
 	g.Expect(announceTo(c, now, "s0", 50, 100).Paced).To(BeFalse(), "already known")
 	c.SetServers(now, backends.NewSet(nil))
-	g.Expect(c.pacedModel(service)).To(BeNil(), "the servers are gone")
+	g.Expect(c.speedModel(service)).To(BeNil(), "the servers are gone")
 }
 
 // BenchmarkSubmitPaced guards against decisions that take longer if the service is scheduled by observed speeds.
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -27,10 +27,10 @@
 	permits    grantRate
 	lastReturn time.Time
 	// askedByFlow is the recent rate of service that each flow asked for. bounds are the strictest bounds of the recent
-	// requests. paced is set if the service is scheduled by observed speeds.
+	// requests. observed is set if the service is scheduled by observed speeds.
 	askedByFlow map[flow]*grantRate
 	bounds      serviceBounds
-	paced       bool
+	observed    bool
 	// meanCost is a moving average of the cost of new requests, in tokens.
 	meanCost float64
 }
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -29,8 +29,8 @@
 // refusalTime returns the time at which a waiting request is refused because its first event could no longer come in
 // time.
 func (c *Core) refusalTime(req *Request) time.Time {
-	if m := c.pacedModel(req.Service); m != nil {
-		return pacedRefusalTime(req, m)
+	if m := c.speedModel(req.Service); m != nil {
+		return observedRefusalTime(req, m)
 	}
 	objective := req.Objective
 	reserve := sendReserve
