--- a/internal/transport/clientconn/write.go
+++ b/internal/transport/clientconn/write.go
@@ -150,15 +150,17 @@
 // send sends bytes as long as the client reads some of them in time. The system accepts further bytes only once a large part
 // of its queue is free, so a client that reads slowly is one whose queue gets shorter.
 func (c *Conn) send(data []byte) error {
-	queued, known := sockopt.SendQueue(c.Conn)
+	queued, _ := sockopt.SendQueue(c.Conn)
 	for len(data) > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
 		}
 		n, err := c.Conn.Write(data)
 		data = data[n:]
-		before := queued
-		if queued, known = sockopt.SendQueue(c.Conn); err != nil && isTimeout(err) && known && queued < before {
+		left, known := sockopt.SendQueue(c.Conn)
+		reads := known && left < queued
+		queued = left
+		if isTimeout(err) && reads {
 			continue
 		}
 		if err != nil && (n == 0 || !isTimeout(err)) {
