cmd, admission, gateway: Make one piece of what stood twice

The lists of evacuations, limits and suspects have one action, both refusal times one bound with the two reserves apart, both evaluations of a server one cost of its place, and both waits of a drain one loop. Behaviour is unchanged.

--- a/cmd/gooseberrytide/evacuations.go
+++ b/cmd/gooseberrytide/evacuations.go
@@ -1,38 +1,22 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
 func evacuationsCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "evacuations",
-		Usage: "list the evacuated failure domains (--router is the metrics address)",
-		Flags: []cli.Flag{jsonFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
-			if err != nil {
-				return err
-			}
-			list, err := client.Evacuations(ctx)
-			if err != nil {
-				return errors.Wrap(err, "evacuations")
-			}
-			if c.Bool("json") {
-				return json.NewEncoder(c.Root().Writer).Encode(list)
-			}
-			renderEvacuations(c.Root().Writer, list)
-			return nil
-		},
+		Name:   "evacuations",
+		Usage:  "list the evacuated failure domains (--router is the metrics address)",
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: listAction("evacuations", (*adminhttp.Client).Evacuations, renderEvacuations),
 	}
 }
 
--- a/cmd/gooseberrytide/limits.go
+++ b/cmd/gooseberrytide/limits.go
@@ -1,38 +1,22 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
 func limitsCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "limits",
-		Usage: "list the limits that backend servers name, and the warm-ups of cold servers (--router is the metrics address)",
-		Flags: []cli.Flag{jsonFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
-			if err != nil {
-				return err
-			}
-			limits, err := client.Limits(ctx)
-			if err != nil {
-				return errors.Wrap(err, "limits")
-			}
-			if c.Bool("json") {
-				return json.NewEncoder(c.Root().Writer).Encode(limits)
-			}
-			renderLimits(c.Root().Writer, limits)
-			return nil
-		},
+		Name:   "limits",
+		Usage:  "list the limits that backend servers name, and the warm-ups of cold servers (--router is the metrics address)",
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: listAction("limits", (*adminhttp.Client).Limits, renderLimits),
 	}
 }
 
--- a/cmd/gooseberrytide/suspects.go
+++ b/cmd/gooseberrytide/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"gooseberrytide.example/gooseberrytide/internal/protocol/admin"
+	"gooseberrytide.example/gooseberrytide/internal/transport/adminhttp"
 )
 
 func suspectsCommand() *cli.Command {
@@ -21,21 +21,7 @@
 		Aliases: []string{"parts"},
 		Usage:   "list the requests and parts of prompts that crash backend servers (--router is the metrics address)",
 		Flags:   []cli.Flag{jsonFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
-			if err != nil {
-				return err
-			}
-			suspects, err := client.Suspects(ctx)
-			if err != nil {
-				return errors.Wrap(err, "suspects")
-			}
-			if c.Bool("json") {
-				return json.NewEncoder(c.Root().Writer).Encode(suspects)
-			}
-			renderSuspects(c.Root().Writer, suspects)
-			return nil
-		},
+		Action:  listAction("suspects", (*adminhttp.Client).Suspects, renderSuspects),
 		Commands: []*cli.Command{{
 			Name:      "lift",
 			Usage:     "end the suspicion of a part or a request on all routers",
--- a/internal/coordination/admission/observed.go
+++ b/internal/coordination/admission/observed.go
@@ -192,12 +192,7 @@
 	if speed.LoadKnown() {
 		requests = max(requests, speed.Requests(c.loads.Own()[server.ID].Running))
 	}
-	if server.FailureDomain != c.opts.Domain {
-		p.cost += c.crossDomainCost(req)
-	}
-	if req.Isolated {
-		p.cost += time.Duration(p.load.Running) * isolationCost
-	}
+	p.cost = c.locationCost(req, server, p.load)
 	if req.Service.Engine == nil {
 		p.firstEvent = speed.ResponseTime(requests, slots)
 		p.cost += p.firstEvent + speed.Work()*time.Duration(requests)/time.Duration(slots)
@@ -255,20 +250,14 @@
 	limits.PendingTokens = min(limits.PendingTokens, max(e.speed.PrefillTokens(left), 1))
 }
 
-// observedRefusalTime returns the time at which a waiting request is refused: when an idle engine of the mean speed could no
-// longer send its first event in time.
-func observedRefusalTime(req *Request, m *serverspeed.Model) time.Time {
+// observedReserve returns the part of a request's objective that it needs after its grant: for an idle server of the mean
+// speed.
+func observedReserve(req *Request, m *serverspeed.Model) time.Duration {
 	speed := m.Mean()
-	reserve := observedSendReserve
-	if req.Service.Engine != nil {
-		ownTokens := max(req.PromptTokens-tokensOf(relay.SharedParts(req.Parts)), 0)
-		reserve += speed.PrefillTime(ownTokens) + speed.Delay()
-	} else {
-		reserve += speed.ResponseTime(0, 1)
+	if req.Service.Engine == nil {
+		return observedSendReserve + speed.ResponseTime(0, 1)
 	}
-	minWait := time.Duration(minWaitFraction * float64(req.Objective))
-	maxWait := time.Duration(maxWaitFraction * float64(req.Objective))
-	return req.Arrival.Add(min(max(req.Objective-reserve, minWait), maxWait))
+	return observedSendReserve + speed.PrefillTime(ownTokens(req)) + speed.Delay()
 }
 
 // prepareObserved records the bounds and the demand of a new request. It reports whether its service is scheduled by observed
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -123,12 +123,7 @@
 	*p = placement{server: server, load: c.loads.Total(server.ID)}
 	slots := max(server.Slots, 1)
 	p.cost = time.Duration(float64(batchPenalty) * float64(p.load.Running) / float64(slots))
-	if server.FailureDomain != c.opts.Domain {
-		p.cost += c.crossDomainCost(req)
-	}
-	if req.Isolated {
-		p.cost += time.Duration(p.load.Running) * isolationCost
-	}
+	p.cost += c.locationCost(req, server, p.load)
 	if req.Service.Engine == nil {
 		p.cost += time.Duration(float64(maxTieBreak) * tieBreak(req.ID, server.ID))
 		return
@@ -146,6 +141,18 @@
 	p.cost += p.permitCost
 }
 
+// locationCost returns the cost of a server's failure domain and, for an isolated request, of the other requests there.
+func (c *Core) locationCost(req *Request, server *backends.Server, load engineload.Load) time.Duration {
+	var cost time.Duration
+	if server.FailureDomain != c.opts.Domain {
+		cost += c.crossDomainCost(req)
+	}
+	if req.Isolated {
+		cost += time.Duration(load.Running) * isolationCost
+	}
+	return cost
+}
+
 // crossDomainCost returns the cost of a server in another failure domain. It answers load that is uneven between domains:
 // traffic between them stays low while a domain has capacity, and spills over once its own servers are slower by that cost.
 func (c *Core) crossDomainCost(req *Request) time.Duration {
--- a/internal/coordination/admission/refuse.go
+++ b/internal/coordination/admission/refuse.go
@@ -29,18 +29,26 @@
 // refusalTime returns the time at which a waiting request is refused because its first event could no longer come in
 // time.
 func (c *Core) refusalTime(req *Request) time.Time {
+	reserve := constantReserve(req)
 	if m := c.speedModel(req.Service); m != nil {
-		return observedRefusalTime(req, m)
+		reserve = observedReserve(req, m)
 	}
-	objective := req.Objective
-	reserve := sendReserve
-	if req.Service.Engine != nil {
-		ownTokens := max(req.PromptTokens-tokensOf(relay.SharedParts(req.Parts)), 0)
-		reserve += time.Duration(float64(ownTokens) / initialPrefillRate * float64(time.Millisecond))
+	minWait := time.Duration(minWaitFraction * float64(req.Objective))
+	maxWait := time.Duration(maxWaitFraction * float64(req.Objective))
+	return req.Arrival.Add(min(max(req.Objective-reserve, minWait), maxWait))
+}
+
+// constantReserve returns the part of a request's objective that it needs after its grant, at a server of the assumed speed.
+func constantReserve(req *Request) time.Duration {
+	if req.Service.Engine == nil {
+		return sendReserve
 	}
-	minWait := time.Duration(minWaitFraction * float64(objective))
-	maxWait := time.Duration(maxWaitFraction * float64(objective))
-	return req.Arrival.Add(min(max(objective-reserve, minWait), maxWait))
+	return sendReserve + time.Duration(float64(ownTokens(req))/initialPrefillRate*float64(time.Millisecond))
+}
+
+// ownTokens returns the number of prompt tokens that a request shares with no other.
+func ownTokens(req *Request) int {
+	return max(req.PromptTokens-tokensOf(relay.SharedParts(req.Parts)), 0)
 }
 
 // waitsTooLong predicts whether a new request would wait too long behind those of its team and kind. It returns the
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -61,7 +61,7 @@
 		n.endActiveRequests(finalResponses)
 	}
 	n.shutdown(servers, connectionsClosed)
-	n.awaitSent(connectionsClosed)
+	awaitZero(n.clients.unread, connectionsClosed) // the rest of responses that clients have not read
 	n.log.Info("stopped", zap.Duration("took", time.Since(startedAt)), zap.Int("active", n.activeRequests()))
 }
 
@@ -80,7 +80,12 @@
 	n.admission.StopSends()
 	n.endRequests(gateway.ErrStopping)
 	n.offload.inspector.EndForwarding()
-	for endAt := time.Now().Add(timeout); n.activeRequests() > 0 && time.Now().Before(endAt); {
+	awaitZero(n.activeRequests, timeout)
+}
+
+// awaitZero waits until a count is zero, at most for the given time.
+func awaitZero(count func() int, timeout time.Duration) {
+	for end := time.Now().Add(timeout); count() > 0 && time.Now().Before(end); {
 		time.Sleep(endPollPeriod)
 	}
 }
@@ -100,13 +105,6 @@
 	shutdowns.Wait()
 }
 
-// awaitSent waits until the rest of all responses has been sent, at most for the given time.
-func (n *Node) awaitSent(timeout time.Duration) {
-	for end := time.Now().Add(timeout); n.clients.unread() > 0 && time.Now().Before(end); {
-		time.Sleep(endPollPeriod)
-	}
-}
-
 // activeRequests returns the number of requests in progress, those that were passed on to other routers and those whose
 // clients have not read the response included.
 func (n *Node) activeRequests() int {
