--- /dev/null
+++ b/review/drive2/unframed_test.go
@@ -0,0 +1,115 @@
+//go:build review
+
+package drive2
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["stream-of-leaving-engine"] = streamOfLeavingEngine
+	cases["body-of-crashed-engine"] = bodyOfCrashedEngine
+}
+
+// engineCount is the number of engines. One of six crashes, which is 17 in 100.
+const engineCount = 6
+
+func (r *run) startEngines(service, mode string) (map[string]*engine, error) {
+	engines := make(map[string]*engine)
+	for i := range engineCount {
+		e, err := r.startEngine(fmt.Sprintf("i-%d", i+1), service, mode)
+		if err != nil {
+			return nil, err
+		}
+		engines["sig-"+e.id] = e
+	}
+	return engines, nil
+}
+
+// crashAfter is the number of events after which an engine crashes, leaveAfter the number after which it reports that it
+// drains.
+const (
+	leaveAfter = 2
+	crashAfter = 14
+)
+
+// streamOfLeavingEngine: an engine whose stream has neither a length nor chunks drains, and crashes during the stream.
+func streamOfLeavingEngine(r *run) (bool, error) {
+	r.putConfig(7)
+	engines, err := r.startEngines("pool", "unframed-stream")
+	if err != nil {
+		return false, err
+	}
+	rt, err := r.startRouter("r-1", 134)
+	if err != nil {
+		return false, err
+	}
+	left, crashed := false, false
+	onBody := func(h http.Header, soFar string) {
+		e, events := engines[h.Get("Instance-Signature")], strings.Count(soFar, "\n\n")
+		if e != nil && !left && events >= leaveAfter {
+			left = true
+			e.register("draining")
+		}
+		if e != nil && r.trouble && !crashed && events >= crashAfter {
+			crashed = true
+			time.Sleep(eventPause / 2)
+			e.signal(syscall.SIGKILL)
+			r.log("%s is killed, half a pause after event %d", e.id, events)
+		}
+	}
+	r.log("client: POST /digest/1 as a-1")
+	a := send(rt.front, "POST", "/digest/1", "a-1", 12*time.Second, "Model: m\r\nToken-Usage: 400,140\r\nPrefix-Hash: 5c1e07a2:300,91bd3f06:100\r\n", "Summarise the month", onBody)
+	events := strings.Count(a.body, "\n\n")
+	r.log("client: a-1 got status %d, %s, %d of %d events, complete: %v, error: %v", a.status, a.header.Get("Instance-Signature"),
+		events, streamEvents, a.complete, a.err)
+	if !left || crashed != r.trouble || a.status != http.StatusOK {
+		return false, fmt.Errorf("the stream did not get as far as the disruption")
+	}
+	if !r.trouble && events != streamEvents {
+		return true, nil
+	}
+	return a.complete && events < streamEvents, nil
+}
+
+// bodyOfCrashedEngine: a plain service's engine crashes half way through a response with neither a length nor chunks.
+func bodyOfCrashedEngine(r *run) (bool, error) {
+	r.putConfig(7)
+	engines, err := r.startEngines("app", "unframed-body")
+	if err != nil {
+		return false, err
+	}
+	rt, err := r.startRouter("r-1", 134)
+	if err != nil {
+		return false, err
+	}
+	broken := false
+	for _, c := range []struct{ method, path, attempt string }{{"POST", "/credit/1", "a-1"}} {
+		running := make(chan string, 1)
+		r.awaitRun = func(id string) { running <- id }
+		if r.trouble {
+			go func() {
+				id := <-running
+				time.Sleep(bodyPause / 2)
+				engines["sig-"+id].signal(syscall.SIGKILL)
+				r.log("%s is killed, half way through its response", id)
+			}()
+		}
+		r.log("client: %s %s as %s", c.method, c.path, c.attempt)
+		a := send(rt.front, c.method, c.path, c.attempt, 2500*time.Millisecond, "", "credit 12 cups", nil)
+		signature := a.header.Get("Instance-Signature")
+		whole := wholeBody(strings.TrimPrefix(signature, "sig-"), c.attempt)
+		r.log("client: %s got status %d, %q, %d of %d bytes, complete: %v, error: %v", c.attempt, a.status, signature, len(a.body), bodyBytes, a.complete, a.err)
+		if a.status == http.StatusOK && a.complete && a.body != whole {
+			broken = true
+		}
+		if !r.trouble && (a.status != http.StatusOK || a.body != whole) {
+			return true, nil
+		}
+	}
+	return broken, nil
+}
