--- a/review/drive2/engine_test.go
+++ b/review/drive2/engine_test.go
@@ -21,6 +21,10 @@
 	// bodyBytes is the size of a response of the plain service, bodyPause the time between its two halves.
 	bodyBytes = 800
 	bodyPause = time.Second
+	// denseEvents is the number of events of a framed stream, denseBytes the text of each and densePause the time between them.
+	denseEvents = 60
+	denseBytes  = 370
+	densePause  = 5 * time.Millisecond
 )
 
 // wholeBody is the body of the response to an attempt.
@@ -85,6 +89,8 @@
 			time.Sleep(eventPause)
 		}
 		return false
+	case "stream":
+		return sendStream(conn, head) == nil
 	case "unframed-body":
 		_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\n"+text[:bodyBytes/2])
 		time.Sleep(bodyPause)
@@ -95,3 +101,17 @@
 		return err == nil
 	}
 }
+
+// sendStream sends a stream in chunks.
+func sendStream(conn net.Conn, head string) error {
+	_, err := io.WriteString(conn, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for event := 1; event <= denseEvents && err == nil; event++ {
+		text := fmt.Sprintf("id: %d\ndata: %s\n\n", event, strings.Repeat("t", denseBytes))
+		_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		time.Sleep(densePause)
+	}
+	if err == nil {
+		_, err = io.WriteString(conn, "0\r\n\r\n")
+	}
+	return err
+}
