--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
 [ -x "$root/target/gooseberrytided" ] && [ -x ../bin/drive2 ] || { echo "build first: the build of deploy/system.toml, review/build-2.sh"; exit 2; }
-DRIVE2=heads-without-end TROUBLE="${TROUBLE:-1}" ROUTER="$root/target/gooseberrytided" RECORD="$PWD/record.txt" exec ../bin/drive2
+DRIVE2=slow-readers-at-a-stop TROUBLE="${TROUBLE:-1}" ROUTER="$root/target/gooseberrytided" RECORD="$PWD/record.txt" exec ../bin/drive2
