--- a/review/drive2/engine_test.go
+++ b/review/drive2/engine_test.go
@@ -21,6 +21,8 @@
 	// bodyBytes is the size of a response of the plain service, bodyPause the time between its two halves.
 	bodyBytes = 800
 	bodyPause = time.Second
+	// workTime is how long the plain service works on a request in mode work.
+	workTime = 200 * time.Millisecond
 	// denseEvents is the number of events of a framed stream, denseBytes the text of each and densePause the time between them.
 	denseEvents = 60
 	denseBytes  = 370
@@ -96,6 +98,9 @@
 		time.Sleep(bodyPause)
 		_, _ = io.WriteString(conn, text[bodyBytes/2:])
 		return false
+	case "work":
+		time.Sleep(workTime)
+		fallthrough
 	default:
 		_, err := io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n"+text)
 		return err == nil
--- a/review/drive2/run_test.go
+++ b/review/drive2/run_test.go
@@ -43,8 +43,9 @@
 	record    *os.File
 	begin     time.Time
 	processes []*process
-	// awaitRun, if it is set, is called with the ID of each backend server that begins to run a request.
-	awaitRun func(id string)
+	// awaitRun, if it is set, is called with the ID of each backend server that begins to run a request, onEngineRun with the
+	// ID of the attempt.
+	awaitRun, onEngineRun func(id string)
 }
 
 // process is a process that the run started.
@@ -175,6 +176,9 @@
 	*process
 	name                      string
 	front, readiness, resolve string
+	// command returns the command that starts the process, with the environment variable env.
+	command func() *exec.Cmd
+	env     string
 }
 
 // startRouter starts a router with the command of the deploy file and waits until it is ready.
@@ -213,9 +217,13 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command("sh", "-c", `ulimit -n 4100 && exec "$1" gateway`, "sh", r.router)
-	cmd.Stdout, cmd.Stderr = output, output
-	if rt.process, err = r.start(cmd, "GOOSEBERRYTIDE_NODE_FILE="+file); err != nil {
+	rt.env = "GOOSEBERRYTIDE_NODE_FILE=" + file
+	rt.command = func() *exec.Cmd {
+		cmd := exec.Command("sh", "-c", `ulimit -n 4100 && exec "$1" gateway`, "sh", r.router)
+		cmd.Stdout, cmd.Stderr = output, output
+		return cmd
+	}
+	if rt.process, err = r.start(rt.command(), rt.env); err != nil {
 		return nil, err
 	}
 	if !rt.awaitReady(20 * time.Second) {
@@ -301,9 +309,14 @@
 func (o engineOutput) Write(b []byte) (int, error) {
 	for line := range strings.Lines(string(b)) {
 		o.run.log("%s: %s", o.id, strings.TrimSpace(line))
-		if o.run.awaitRun != nil && strings.HasPrefix(line, "runs ") {
+		attempt, runs := strings.CutPrefix(line, "runs ")
+		if runs && o.run.awaitRun != nil {
 			o.run.awaitRun(o.id)
 		}
+		if runs && o.run.onEngineRun != nil {
+			attempt, _, _ = strings.Cut(attempt, " ")
+			o.run.onEngineRun(attempt)
+		}
 	}
 	return len(b), nil
 }
