--- a/review/drive2/run_test.go
+++ b/review/drive2/run_test.go
@@ -219,7 +219,7 @@
 	}
 	rt.env = "GOOSEBERRYTIDE_NODE_FILE=" + file
 	rt.command = func() *exec.Cmd {
-		cmd := exec.Command("sh", "-c", `ulimit -n 4100 && exec "$1" gateway`, "sh", r.router)
+		cmd := exec.Command(r.router, "gateway")
 		cmd.Stdout, cmd.Stderr = output, output
 		return cmd
 	}
