sockopt: Keep connections to peers that are alive and read slowly

Cause: TCP_USER_TIMEOUT (3 s) ends a connection whose window stays closed although its peer acknowledges each probe. Found on the way: Linux keeps the start of the first pause while a large segment waits, so that the short pauses of a kept connection add up. A client that paused for 0.9 s in each of four responses was reset in the fourth one, 200 ms after its window had closed.

Change: where TCP_INFO tells what the peer has acknowledged, the option is not set. A connection with unacknowledged data is checked every 500 ms: it is reset if the peer acknowledges nothing for 3 s, whether data or two checks of probes. TCP_RTO_MAX_MS keeps the probes one second apart, so that a slow peer that goes is noticed as well. Elsewhere the option stays. One missed keep-alive probe ends an idle connection after 3 s; the user timeout did the same.

TestSlowPeerKeepsItsConnection failed before in both cases.

--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -198,10 +198,11 @@
 	c.mu.Lock()
 	incomplete := c.writeErr != nil
 	c.mu.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && incomplete {
-		_ = tcp.SetLinger(0)
+	if incomplete {
+		sockopt.Reset(c.Conn)
+	} else {
+		_ = c.Conn.Close()
 	}
-	_ = c.Conn.Close()
 	c.tracker.removeSilent(c)
 	c.holder.Close()
 }
--- /dev/null
+++ b/internal/transport/sockopt/conn.go
@@ -0,0 +1,55 @@
+package sockopt
+
+import "net"
+
+// Conn is a TCP connection that stays open while its peer is alive, also if the peer reads slowly.
+type Conn struct {
+	net.Conn
+	peer peer
+}
+
+// newConn returns a Conn. Apply starts to watch its peer.
+func newConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
+	c.peer.conn = conn
+	return c
+}
+
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.peer.recordWrite()
+	return c.Conn.Write(b)
+}
+
+// CloseWrite closes the sending side.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := tcpConn(c.Conn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Reset closes a connection with a reset, so that its peer cannot take what it has received for complete.
+func Reset(conn net.Conn) {
+	if tcp, ok := tcpConn(conn); ok {
+		_ = tcp.SetLinger(0) // the only error is that the connection is closed already
+	}
+	_ = conn.Close()
+}
+
+// peerOf returns the peer of the Conn that conn is or wraps, or nil.
+func peerOf(conn net.Conn) *peer {
+	for {
+		if c, ok := conn.(*Conn); ok {
+			return &c.peer
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
--- a/internal/transport/sockopt/dial.go
+++ b/internal/transport/sockopt/dial.go
@@ -6,34 +6,35 @@
 	"time"
 )
 
-// Settings that determine when a connection to an unresponsive peer is considered broken. An idle connection is closed
-// after three missed probes, one second apart.
+// Settings that determine when a connection to an unresponsive peer is considered broken.
 const (
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-	userTimeout       = 3 * time.Second
+	// keepAliveCount is the number of missed probes. The user timeout ends an idle connection after the first one, too.
+	keepAliveCount = 3
+	// watchedKeepAliveCount is that of a connection without a user timeout.
+	watchedKeepAliveCount = 1
+	// userTimeout is the time in which a peer must acknowledge data or a probe.
+	userTimeout = 3 * time.Second
 )
 
-// KeepAlive is the keep-alive configuration of all connections.
-var KeepAlive = net.KeepAliveConfig{
-	Enable:   true,
-	Idle:     keepAliveIdle,
-	Interval: keepAliveInterval,
-	Count:    keepAliveCount,
+// keepAlive returns the keep-alive configuration with a number of missed probes.
+func keepAlive(count int) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: count}
 }
 
 // DialFunc returns a function that opens TCP connections which are closed when their peer stops responding. The timeout
 // bounds the time to open a connection.
 func DialFunc(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive}
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		SetUserTimeout(conn, userTimeout)
-		return conn, nil
+		c := newConn(conn)
+		Apply(c)
+		return c, nil
 	}
 }
 
@@ -67,6 +68,15 @@
 	net.Listener
 }
 
+// Accept implements net.Listener.
+func (l *PlainListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(conn), nil
+}
+
 // ListenPlain opens a TCP listener. Apply sets the options on those of its connections that last.
 func ListenPlain(ctx context.Context, address string) (*PlainListener, error) {
 	config := net.ListenConfig{KeepAlive: -1}
@@ -89,11 +99,16 @@
 	}
 }
 
-// Apply sets the options that close a connection whose peer stops responding. Errors are ignored: they occur only if the
+// Apply makes sure that a connection whose peer stops responding is closed. Errors are ignored: they occur only if the
 // connection is closed already.
 func Apply(conn net.Conn) {
-	if tcp, ok := tcpConn(conn); ok {
-		_ = tcp.SetKeepAliveConfig(KeepAlive)
+	tcp, ok := tcpConn(conn)
+	switch p := peerOf(conn); {
+	case !ok:
+	case p != nil && p.startWatch():
+		_ = tcp.SetKeepAliveConfig(keepAlive(watchedKeepAliveCount))
+	default:
+		_ = tcp.SetKeepAliveConfig(keepAlive(keepAliveCount))
+		SetUserTimeout(conn, userTimeout)
 	}
-	SetUserTimeout(conn, userTimeout)
 }
--- a/internal/transport/sockopt/pending_linux.go
+++ b/internal/transport/sockopt/pending_linux.go
@@ -44,5 +44,5 @@
 	if err != nil {
 		return nil
 	}
-	return conn
+	return newConn(conn)
 }
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -5,25 +5,15 @@
 	"os"
 	"syscall"
 	"time"
-	"unsafe"
-)
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall does not define.
-const tcpUserTimeout = 18
+	"golang.org/x/sys/unix"
+)
 
 // SetUserTimeout makes the system close a connection whose sent data stays unacknowledged for the time d. Without it, a
 // connection to an unresponsive peer would accept data for many minutes. Errors are ignored.
 func SetUserTimeout(conn net.Conn, d time.Duration) {
-	tcp, ok := tcpConn(conn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	_ = control(conn, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
 
@@ -69,6 +59,7 @@
 
 // Writer writes to a connection without waiting.
 type Writer struct {
+	peer    *peer
 	raw     syscall.RawConn
 	write   func(fd uintptr) bool
 	data    []byte
@@ -86,13 +77,14 @@
 	if err != nil {
 		return nil
 	}
-	w := &Writer{raw: raw}
+	w := &Writer{raw: raw, peer: peerOf(conn)}
 	w.write = w.writeOnce
 	return w
 }
 
 // TryWrite writes as much as the system's buffer takes. It must not be called concurrently.
 func (w *Writer) TryWrite(data []byte) (int, error) {
+	w.peer.recordWrite()
 	w.data, w.written, w.err = data, 0, nil
 	err := w.raw.Write(w.write)
 	w.data = nil
@@ -122,18 +114,11 @@
 // SendQueue returns the number of bytes that were written to a connection and that its peer has not acknowledged. It returns
 // false if that is not known.
 func SendQueue(conn net.Conn) (int, bool) {
-	tcp, ok := tcpConn(conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	var queued int32
-	var errno syscall.Errno
-	err = raw.Control(func(fd uintptr) {
-		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&queued)))
+	queued := 0
+	err := control(conn, func(fd int) error {
+		var err error
+		queued, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
 	})
-	return int(queued), err == nil && errno == 0
+	return queued, err == nil
 }
