clientconn, gateway: Leave clients the time of their request to read the response

Callers that paused for longer than 5 s lost the rest of a response that the router had kept for them, also before their deadline; a connection that was to be closed or had been idle for the limit was closed with a response that the system had not sent; and a stopping router didn't wait for what the system had accepted and not sent.

Cause: the time for a write (5 s) was the only limit of an unread response, and what the system had accepted counted as read.

Change: a response may be read until the deadline of its request or the end of its route's timeout; after it the limit of 5 s without any progress holds as before. A connection is closed once the system has sent the rest, and a stop waits for that too. A connection that is to be closed can be ended for memory like others: it could not.

--- a/internal/daemon/gateway/clients.go
+++ b/internal/daemon/gateway/clients.go
@@ -73,5 +73,9 @@
 	return int(min(silentFraction*float64(limit.Cur), maxSilent))
 }
 
-// unread returns the number of connections with a response that has been written and not been sent completely.
+// unread returns the number of connections with a response that has been written and that the system has not accepted
+// completely.
 func (l *clientLimits) unread() int { return l.callers.Unread() + l.passed.Unread() }
+
+// unsent returns the number of connections with a response that the system has accepted and not sent completely.
+func (l *clientLimits) unsent() int { return l.callers.Unsent() + l.passed.Unsent() }
--- a/internal/daemon/gateway/drain.go
+++ b/internal/daemon/gateway/drain.go
@@ -46,7 +46,7 @@
 		if now.After(acceptUntil) {
 			n.gateway.StopAccepting()
 		}
-		if n.activeRequests() > 0 || idleSince.IsZero() {
+		if idleSince.IsZero() || n.activeRequests() > 0 || n.clients.unsent() > 0 {
 			idleSince = now
 		}
 		if now.After(acceptUntil) && now.Sub(idleSince) > maxAddressLifetime/2 {
--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -47,6 +47,8 @@
 	draining bool
 	// closing and closingWrite are set if the connection, or its sending side, is to be closed once all has been sent.
 	closing, closingWrite bool
+	// readUntil is the end of the time that the client has to read the response of its last request.
+	readUntil time.Time
 	// writeErr is the error of further writes.
 	writeErr error
 	writer   *sockopt.Writer
@@ -154,12 +156,10 @@
 	}
 	defer c.mu.Unlock()
 	switch {
-	case c.ended:
-		return false
-	case c.draining:
+	case c.draining && c.writeErr == nil:
 		c.failWrites(errEnded)
 		c.tracker.record(ResponseMemory, c.address)
-	case c.running.Load() || !c.started.Load() && sockopt.HasUnread(c.Conn):
+	case c.ended, c.running.Load(), !c.started.Load() && sockopt.HasUnread(c.Conn):
 		return false
 	default:
 		c.tracker.record(ConnectionMemory, c.address)
@@ -203,7 +203,7 @@
 	} else {
 		_ = c.Conn.Close()
 	}
-	c.tracker.removeSilent(c)
+	c.tracker.remove(c)
 	c.holder.Close()
 }
 
@@ -211,6 +211,9 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.ended = true
+	if !c.draining && c.writer != nil && c.writeErr == nil && sockopt.Unsent(c.Conn) > 0 {
+		c.startDraining()
+	}
 	if c.draining {
 		c.closing = true
 		c.mu.Unlock()
@@ -221,6 +224,17 @@
 	return nil
 }
 
+// SetReadUntil sets until when the client may take its time to read the response of a request. Later, it must read a part
+// of it now and then.
+func (c *Conn) SetReadUntil(t time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readUntil = t
+}
+
 // CloseWrite closes the sending side once all has been sent.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
--- a/internal/transport/clientconn/conn_test.go
+++ b/internal/transport/clientconn/conn_test.go
@@ -16,6 +16,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/memory"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
 // port is an HTTP server with limited clients.
@@ -42,7 +43,7 @@
 		change(&opts)
 	}
 	p.tracker = NewTracker(opts)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := sockopt.Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/clientconn/tracker.go
+++ b/internal/transport/clientconn/tracker.go
@@ -1,7 +1,9 @@
 package clientconn
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +61,7 @@
 	unread atomic.Int64
 
 	mu     sync.Mutex
+	conns  map[*Conn]struct{}
 	silent silentList
 	// logged is when a line was logged for a reason last, suppressed how many were not since.
 	logged     map[Reason]time.Time
@@ -68,13 +71,29 @@
 // NewTracker returns a tracker without connections.
 func NewTracker(opts Options) *Tracker {
 	return &Tracker{
-		opts: opts, silent: newSilentList(), logged: make(map[Reason]time.Time), suppressed: make(map[Reason]int),
+		opts: opts, conns: make(map[*Conn]struct{}), silent: newSilentList(),
+		logged: make(map[Reason]time.Time), suppressed: make(map[Reason]int),
 	}
 }
 
 // Unread returns the number of connections with a response that has been written and not been sent completely.
 func (t *Tracker) Unread() int { return int(t.unread.Load()) }
 
+// Unsent returns the number of connections with a response of which the system has not sent all, since the client does not
+// read. It takes a system call for each connection.
+func (t *Tracker) Unsent() int {
+	t.mu.Lock()
+	conns := slices.Collect(maps.Keys(t.conns))
+	t.mu.Unlock()
+	count := 0
+	for _, c := range conns {
+		if sockopt.Unsent(c.Conn) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Track returns a connection with the limits, or nil if there is no memory for it. It then has been closed.
 func (t *Tracker) Track(conn net.Conn) net.Conn {
 	if c := t.track(conn); c != nil {
@@ -97,6 +116,7 @@
 	c.holder = holder
 	holder.SetIdle()
 	t.mu.Lock()
+	t.conns[c] = struct{}{}
 	victim := t.silent.add(c, t.opts.MaxSilent, t.opts.MaxSilentPerAddress)
 	t.mu.Unlock()
 	if victim != nil {
@@ -126,6 +146,14 @@
 	}
 }
 
+// remove removes a connection that is closed.
+func (t *Tracker) remove(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+	t.silent.remove(c)
+}
+
 // removeSilent removes a connection from those that have sent nothing.
 func (t *Tracker) removeSilent(c *Conn) {
 	t.mu.Lock()
--- a/internal/transport/clientconn/write.go
+++ b/internal/transport/clientconn/write.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,10 +12,16 @@
 const (
 	// blockBytes is the unit in which unread responses are kept and charged.
 	blockBytes = 16 << 10
-	// writeTimeout is the time after which a client that reads nothing counts as gone.
+	// writeTimeout is the time after which the response to a client that reads nothing is ended, if the time for the
+	// response has passed.
 	writeTimeout = 5 * time.Second
+	// unsentPollPeriod is the time between checks whether a client reads the end of a response.
+	unsentPollPeriod = 50 * time.Millisecond
 )
 
+// errUnread reports a response that the client has not read in time.
+var errUnread = errors.New("the client reads nothing")
+
 // block is a part of a response. data is what has not been sent.
 type block struct {
 	data []byte
@@ -73,14 +80,19 @@
 		b = b[n:]
 	}
 	if !c.draining {
-		c.draining = true
-		c.tracker.unread.Add(1)
-		c.setMayEnd()
-		go c.drain()
+		c.startDraining()
 	}
 	return true
 }
 
+// startDraining sends in the background what is kept. The connection must be locked.
+func (c *Conn) startDraining() {
+	c.draining = true
+	c.tracker.unread.Add(1)
+	c.setMayEnd()
+	go c.drain()
+}
+
 // push adds an empty block.
 func (q *blockQueue) push() {
 	b := &block{data: make([]byte, 0, blockBytes)}
@@ -105,26 +117,55 @@
 	return b
 }
 
-// drain sends what is kept until there is nothing more.
+// drain sends what is kept until there is nothing more. A connection that is to be closed is closed once the system has
+// sent the rest: the system drops what a closed connection has not sent when the client pauses for too long.
 func (c *Conn) drain() {
-	for b := c.nextBlock(); b != nil; b = c.nextBlock() {
-		if err := c.send(b.data); err != nil {
+	for {
+		for b := c.nextBlock(); b != nil; b = c.nextBlock() {
+			c.recordWriteError(c.send(b.data))
 			c.mu.Lock()
-			c.failWrites(err)
+			c.releaseBlock()
 			c.mu.Unlock()
 		}
-		c.mu.Lock()
-		c.releaseBlock()
-		c.mu.Unlock()
+		if c.isClosing() {
+			c.recordWriteError(c.awaitSent())
+		}
+		if c.endDraining() {
+			return
+		}
 	}
 }
 
-// nextBlock returns the next block to send. If there is none, it ends the draining and returns nil.
+// nextBlock returns the next block to send, or nil.
 func (c *Conn) nextBlock() *block {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if b := c.unread.pop(); b != nil {
-		return b
+	return c.unread.pop()
+}
+
+// recordWriteError drops what is kept after an error.
+func (c *Conn) recordWriteError(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failWrites(err)
+}
+
+// isClosing reports whether the connection is to be closed.
+func (c *Conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing && c.writeErr == nil
+}
+
+// endDraining ends the draining unless there is more to send.
+func (c *Conn) endDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unread.first != nil {
+		return false
 	}
 	c.draining = false
 	c.tracker.unread.Add(-1)
@@ -136,7 +177,7 @@
 	case c.closingWrite:
 		_ = closeWrite(c.Conn)
 	}
-	return nil
+	return true
 }
 
 // releaseBlock releases the memory of a block that has been sent. The connection must be locked.
@@ -147,30 +188,69 @@
 	}
 }
 
-// send sends bytes as long as the client reads some of them in time. The system accepts further bytes only once a large part
-// of its queue is free, so a client that reads slowly is one whose queue gets shorter.
+// send sends bytes. The system accepts further bytes only once a large part of its queue is free, so a client that reads
+// slowly is one whose queue gets shorter.
 func (c *Conn) send(data []byte) error {
-	queued, _ := sockopt.SendQueue(c.Conn)
+	queue := c.newSendQueue()
 	for len(data) > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
 		}
 		n, err := c.Conn.Write(data)
 		data = data[n:]
-		left, known := sockopt.SendQueue(c.Conn)
-		reads := known && left < queued
-		queued = left
-		if isTimeout(err) && reads {
+		shorter := queue.gotShorter()
+		if err == nil || isTimeout(err) && (n > 0 || shorter || c.hasTimeToRead()) {
 			continue
 		}
-		if err != nil && (n == 0 || !isTimeout(err)) {
-			if isTimeout(err) {
+		if isTimeout(err) {
+			c.tracker.record(ResponseTime, c.address)
+		}
+		return err
+	}
+	return c.Conn.SetWriteDeadline(time.Time{})
+}
+
+// awaitSent waits until the system has sent all, or the connection is closed.
+func (c *Conn) awaitSent() error {
+	queue := c.newSendQueue()
+	checkAt := time.Now().Add(writeTimeout)
+	for sockopt.Unsent(c.Conn) > 0 {
+		if now := time.Now(); now.After(checkAt) {
+			checkAt = now.Add(writeTimeout)
+			if !queue.gotShorter() && !c.hasTimeToRead() {
 				c.tracker.record(ResponseTime, c.address)
+				return errUnread
 			}
-			return err
 		}
+		time.Sleep(unsentPollPeriod)
 	}
-	return c.Conn.SetWriteDeadline(time.Time{})
+	return nil
+}
+
+// hasTimeToRead reports whether the time for the response has not passed.
+func (c *Conn) hasTimeToRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.readUntil)
+}
+
+// sendQueue is what the system has accepted and the client has not acknowledged.
+type sendQueue struct {
+	conn   net.Conn
+	length int
+}
+
+func (c *Conn) newSendQueue() *sendQueue {
+	length, _ := sockopt.SendQueue(c.Conn)
+	return &sendQueue{conn: c.Conn, length: length}
+}
+
+// gotShorter reports whether the queue is shorter than at the last call.
+func (q *sendQueue) gotShorter() bool {
+	before := q.length
+	length, known := sockopt.SendQueue(q.conn)
+	q.length = length
+	return known && length < before
 }
 
 // failWrites drops what is kept and makes further writes fail. The connection must be locked.
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
 
@@ -92,12 +93,8 @@
 		x.refuseUnsubmitted(refusalOverload, spread(retryAfterOverload))
 		return
 	}
-	x.deadline = x.arrival.Add(x.route.Timeout)
-	if x.metadata.Patience > 0 {
-		// The client's timeout started when it sent the request, so the time that the request waited for the processor is
-		// subtracted as well.
-		x.deadline = earlier(x.deadline, x.arrival.Add(x.metadata.Patience-deadlineMargin-delay))
-	}
+	x.setDeadline(delay)
+	clientconn.FromContext(x.r.Context()).SetReadUntil(x.deadline)
 	defer func() { x.memory.Close() }()
 	if !x.reserveMemory() || !x.readBody() {
 		return
@@ -113,6 +110,15 @@
 	x.sendWithRetries(ctx)
 }
 
+// setDeadline sets the request's deadline: that of the client, or the end of the route's timeout. The client's timeout
+// started when it sent the request, so the time that the request waited for the processor is subtracted as well.
+func (x *exchange) setDeadline(schedulingDelay time.Duration) {
+	x.deadline = x.arrival.Add(x.route.Timeout)
+	if x.metadata.Patience > 0 {
+		x.deadline = earlier(x.deadline, x.arrival.Add(x.metadata.Patience-deadlineMargin-schedulingDelay))
+	}
+}
+
 // resolve finds the route, the team and the service. If one is missing, it writes the response and returns false.
 func (x *exchange) resolve() bool {
 	x.table = x.g.opts.Routing.Load()
