gateway: Count the time for admission from the end of the body

Callers that sent a long body slowly were refused as late (503) as soon as it had arrived, each time anew, although a server was free.

Cause: the objective was counted from the header; Request.Arrival is documented as the time at which the whole request had been read. Change: it is that now. The deadline still begins with the header.

--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -48,6 +48,8 @@
 	nodes     []*testNode
 	// revokeMS is the time after which a removed key must no longer be accepted, in milliseconds.
 	revokeMS int
+	// graceS is the grace period of routers, in seconds.
+	graceS int
 }
 
 // testNode is a router that runs in the test's process.
@@ -63,7 +65,7 @@
 
 func newTestFleet(t *testing.T, engineCount int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: platformstore.New(), revokeMS: 2500}
+	f := &testFleet{t: t, store: platformstore.New(), revokeMS: 2500, graceS: 2}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -118,9 +120,9 @@
 	ports := routerPorts(f.t)
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","region":"north","ip":"127.0.0.1",
 "listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":%v},
-"bounds":{"graceS":2,"revokeMs":%d,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
+"bounds":{"graceS":%d,"revokeMs":%d,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
 		name, loopbackAddress(ports.Front), loopbackAddress(ports.Readiness), loopbackAddress(ports.Directory),
-		ports.Peer, ports.Peer+2, cores, f.revokeMS, f.storeAddress)
+		ports.Peer, ports.Peer+2, cores, f.graceS, f.revokeMS, f.storeAddress)
 	n := &testNode{t: f.t, path: filepath.Join(f.t.TempDir(), name+".yaml"), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
 	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -43,7 +43,9 @@
 	w http.ResponseWriter
 	r *http.Request
 
+	// arrival is when the header had been read, and received when the body had been read, too.
 	arrival  time.Time
+	received time.Time
 	table    *routing.Table
 	route    *routing.Route
 	service  *routing.Service
@@ -99,6 +101,7 @@
 	if !x.reserveMemory() || !x.readBody() {
 		return
 	}
+	x.received = time.Now()
 	if x.g.stopping.Load() {
 		x.refuse(refusalStopping, retryAfterUnavailable)
 		return
@@ -242,7 +245,7 @@
 
 // admissionRequest returns the request's description for the admission controller.
 func (x *exchange) admissionRequest() admission.Request {
-	arrival := x.arrival
+	arrival := x.received
 	tried := x.sends.tried()
 	if len(tried) > 0 {
 		arrival = time.Now() // the waiting time starts again for each further server
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -111,7 +111,8 @@
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	return &exchange{g: g, w: w, r: r, arrival: time.Now(), metadata: platform.DecodeRequest(r.Header)}
+	now := time.Now()
+	return &exchange{g: g, w: w, r: r, arrival: now, received: now, metadata: platform.DecodeRequest(r.Header)}
 }
 
 // withDeadline returns a context that ends at the request's deadline with the cause errDeadline.
