gateway: Give a body the time of its request, and read the rest of one that is refused

Callers whose body came in with a pause of 12 s were refused before their deadline. Callers that paused for 2 s while they sent the body of a request that had been refused, with 512 KB left of it and on a kept connection, found the connection reset, which promises nothing.

Cause: limits of their own (10 s without a part, 1 s for the rest) where the deadline, the route's timeout and the account of memory bound what is held. Change: the body may come until the request's deadline; the rest is read until then as well, and more than the limit of bodies for a second only. The end of a stop ends the reading of a body with a refusal.

--- a/internal/daemon/gateway/slowpeer_test.go
+++ b/internal/daemon/gateway/slowpeer_test.go
@@ -21,9 +21,11 @@
 const (
 	// peerPause is how long a slow peer reads or writes nothing. It is longer than the user timeout of connections.
 	peerPause = 4500 * time.Millisecond
+	// uploadPause is how long a client that is out of reach interrupts a body.
+	uploadPause = 12 * time.Second
 	// slowGraceS is the grace period of routers with slow peers, in seconds, slowTimeoutMS the timeout of their routes.
 	slowGraceS    = 8
-	slowTimeoutMS = 12_000
+	slowTimeoutMS = 15_000
 	// uploadBytes is the size of a long body, longEvents the number of events of a long stream and eventBytes their size.
 	uploadBytes = 900_000
 	longEvents  = 400
@@ -69,7 +71,8 @@
 }
 
 // slowClient sends a request with a long body for a stream and reads the response. kind is the end of the path: a client
-// pauses within its body for "client-writes", and before it reads the response for "client-reads".
+// pauses within its body for "client-writes", for longer for "client-interrupts", and before it reads the response for
+// "client-reads".
 func slowClient(conn net.Conn, kind, attempt string) (events int, err error) {
 	body := strings.Repeat("b", uploadBytes)
 	fmt.Fprintf(conn, "POST /digest/%s HTTP/1.1\r\nHost: shed.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"+
@@ -79,8 +82,11 @@
 	if _, err := io.WriteString(conn, half); err != nil {
 		return 0, err
 	}
-	if kind == "client-writes" {
+	switch kind {
+	case "client-writes":
 		time.Sleep(peerPause)
+	case "client-interrupts":
+		time.Sleep(uploadPause)
 	}
 	if _, err := io.WriteString(conn, half); err != nil {
 		return 0, err
@@ -118,8 +124,12 @@
 					first = f.startRouter("r-a")
 					g.Eventually(first.readinessStatus, "5s").Should(Equal(http.StatusOK))
 				}
-				results := make(chan string, 4)
-				for _, kind := range []string{"client-reads", "client-writes", "engine-reads", "engine-writes"} {
+				kinds := []string{"client-reads", "client-writes", "engine-reads", "engine-writes"}
+				if stopping == "none" {
+					kinds = append(kinds, "client-interrupts")
+				}
+				results := make(chan string, len(kinds))
+				for _, kind := range kinds {
 					conn := slowpeer.Dial(t, first.settings.CallerListen)
 					go func() {
 						events, err := slowClient(conn, kind, "slow-"+kind)
@@ -130,14 +140,14 @@
 				if passedOn {
 					serving = second
 				}
-				g.Eventually(serving.gateway.Active, "2s").Should(BeNumerically(">=", 3), "all but the one that is answered")
+				g.Eventually(serving.gateway.Active, "2s").Should(BeNumerically(">=", len(kinds)-1), "all but the one that is answered")
 				switch stopping {
 				case "first":
 					first.stop()
 				case "second":
 					second.stop()
 				}
-				for range 4 {
+				for range kinds {
 					var result string
 					g.Eventually(results, 2*slowTimeoutMS*time.Millisecond).Should(Receive(&result))
 					whole := HaveSuffix(": %d events, <nil>", longEvents)
--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -11,6 +12,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
+	"gooseberrytide.example/gooseberrytide/platform"
 )
 
 const (
@@ -19,10 +21,10 @@
 	requestBytes = 16 << 10
 	// firstChunkedBytes is the first buffer for a body without a length. It is doubled as long as the body goes on.
 	firstChunkedBytes = 4 << 10
-	// bodyStallTimeout is the time in which a part of a body must arrive. Mobile clients may be out of reach for some seconds.
-	bodyStallTimeout = 10 * time.Second
-	// bodyDeadlinePeriod is how often the time for the next part of a body starts again.
-	bodyDeadlinePeriod = time.Second
+	// maxServerDiscard is how much of a body that is not needed the HTTP server reads itself.
+	maxServerDiscard = 256 << 10
+	// discardBodyTimeout bounds the time to read the rest of a body that is not needed, if the request has no deadline.
+	discardBodyTimeout = time.Second
 )
 
 // errNoMemory reports a body for which there is no memory.
@@ -47,12 +49,12 @@
 // endBody ends the reading of the body for lack of memory. The request is then refused.
 func (x *exchange) endBody() bool {
 	x.bodyEnded.Store(true)
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // without deadlines, the next part ends the reading
+	x.setReadDeadline(time.Now()) // without deadlines, the next part ends the reading
 	return true
 }
 
-// readBody reads the complete body. If the body exceeds a limit, it writes the response and returns false. It aborts
-// the connection if the body cannot be read.
+// readBody reads the complete body, until the request's deadline at the latest. If the body exceeds a limit, it writes the
+// response and returns false. It aborts the connection if the body cannot be read.
 func (x *exchange) readBody() bool {
 	limit := x.table.Limits.MaxBodyBytes
 	if x.r.ContentLength > limit {
@@ -63,18 +65,21 @@
 		return true
 	}
 	x.memory.SetMayEnd(true)
-	reader := x.newBodyReader(limit)
+	x.setReadDeadline(x.deadline)
+	stopAfterFunc := context.AfterFunc(x.r.Context(), func() { x.setReadDeadline(time.Now()) })
+	reader := &bodyReader{x: x, body: http.MaxBytesReader(x.w, x.r.Body, limit)}
 	var err error
 	if x.r.ContentLength > 0 {
 		err = x.readSized(reader)
 	} else {
 		err = x.readChunked(reader, limit)
 	}
+	stopAfterFunc()
 	if !x.memory.SetMayEnd(false) {
 		err = errNoMemory
 	}
 	if err == nil {
-		_ = reader.controller.SetReadDeadline(time.Time{})
+		x.setReadDeadline(time.Time{})
 		return true
 	}
 	x.body = nil
@@ -82,6 +87,11 @@
 	return false
 }
 
+// setReadDeadline bounds the reading of the body. The response recorders of tests have no deadlines.
+func (x *exchange) setReadDeadline(t time.Time) {
+	_ = http.NewResponseController(x.w).SetReadDeadline(t)
+}
+
 // failBody responds to a request whose body was not read.
 func (x *exchange) failBody(err error) {
 	var tooLarge *http.MaxBytesError
@@ -90,10 +100,10 @@
 		x.refuseUnsubmitted(refusalMemory, retryAfterShortage)
 	case errors.As(err, &tooLarge):
 		x.reject(http.StatusRequestEntityTooLarge, "body too large")
-	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(x.deadline):
-		x.refuse(string(admission.ReasonDeadline), 0)
+	case errors.Is(context.Cause(x.r.Context()), ErrStopping):
+		x.refuse(refusalStopping, retryAfterUnavailable)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.refuse(refusalBodyTime, retryAfterUnavailable)
+		x.refuse(string(admission.ReasonDeadline), 0)
 	default:
 		x.log("incomplete", logfield.Error(err))
 		panic(http.ErrAbortHandler)
@@ -136,34 +146,62 @@
 	}
 }
 
-// bodyReader reads a body as long as parts of it arrive in time and the request's deadline has not passed.
+// bodyReader reads a body unless the request is ended for lack of memory.
 type bodyReader struct {
-	x          *exchange
-	body       io.Reader
-	controller *http.ResponseController
-	// extendAt is when the time for the next part starts again.
-	extendAt time.Time
-}
-
-func (x *exchange) newBodyReader(limit int64) *bodyReader {
-	return &bodyReader{x: x, body: http.MaxBytesReader(x.w, x.r.Body, limit), controller: http.NewResponseController(x.w)}
+	x    *exchange
+	body io.Reader
 }
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(b []byte) (int, error) {
-	if now := time.Now(); !now.Before(r.extendAt) {
-		r.extendAt = now.Add(bodyDeadlinePeriod)
-		_ = r.controller.SetReadDeadline(earlier(r.x.deadline, r.extendAt.Add(bodyStallTimeout))) // recorders have no deadlines
-	}
 	if r.x.bodyEnded.Load() {
 		return 0, errNoMemory
 	}
-	return r.body.Read(b)
+	n, err := r.body.Read(b)
+	if r.x.bodyEnded.Load() {
+		err = errNoMemory
+	}
+	return n, err
+}
+
+// discardUntil returns until when the rest of a body is read that is not needed.
+func (x *exchange) discardUntil() time.Time {
+	if x.deadline.IsZero() {
+		return time.Now().Add(discardBodyTimeout)
+	}
+	return x.deadline
 }
 
 // limitUnreadBody bounds the time in which the HTTP server reads the rest of a body that is not needed.
 func (x *exchange) limitUnreadBody() {
 	if x.r.ContentLength != 0 && x.body == nil {
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(discardBodyTimeout))
+		x.setReadDeadline(x.discardUntil())
+	}
+}
+
+// discardBody sends the response and reads the rest of a body that is not needed, more than the limit of bodies for a short time
+// only. The HTTP server reads the rest only if it is short and the client keeps the connection. Otherwise it closes the
+// connection with unread bytes, which resets it, and the client might lose the response.
+func (x *exchange) discardBody() {
+	length := x.r.ContentLength
+	unread := length != 0 && x.body == nil
+	if !unread || !x.r.Close && length >= 0 && length <= maxServerDiscard {
+		return
+	}
+	if http.NewResponseController(x.w).Flush() != nil {
+		return
+	}
+	x.setReadDeadline(x.discardUntil())
+	limit := platform.DefaultLimits().MaxBodyBytes
+	if x.table != nil {
+		limit = x.table.Limits.MaxBodyBytes
+	}
+	begin := time.Now()
+	for discarded := int64(0); discarded < limit || time.Since(begin) < discardBodyTimeout; {
+		n, err := io.CopyN(io.Discard, x.r.Body, maxServerDiscard)
+		if err != nil {
+			return // all is read, or the client has disconnected or is too slow
+		}
+		discarded += n
 	}
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -91,23 +90,7 @@
 	x := g.newExchange(w, r)
 	defer x.recordPanic()
 	x.serve()
-	if r.Close && r.ContentLength != 0 && x.body == nil {
-		discardBody(w, r)
-	}
-}
-
-// discardBodyTimeout bounds the time to read the rest of a body that is not needed.
-const discardBodyTimeout = time.Second
-
-// discardBody sends the response and reads the rest of the request's body. The HTTP server does this only if the client
-// keeps the connection. Otherwise it closes the connection with unread bytes, which resets it, and the client might
-// lose the response.
-func discardBody(w http.ResponseWriter, r *http.Request) {
-	controller := http.NewResponseController(w)
-	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(discardBodyTimeout)) != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body) // an error means that the client has disconnected or is too slow
+	x.discardBody()
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/internal/transport/gateway/refuse.go
+++ b/internal/transport/gateway/refuse.go
@@ -24,8 +24,6 @@
 	refusalStopping    = "stopping"
 	refusalFull        = "servers-full"
 	refusalOverload    = "processor-overload"
-	// refusalBodyTime is for a body of which nothing arrives for a while.
-	refusalBodyTime = "body-time"
 )
 
 // Times after which a refused client may retry.
@@ -63,7 +61,7 @@
 // Otherwise a client that sends many requests on one connection would load a single router.
 func shouldCloseConnection(reason string) bool {
 	return reason == string(admission.ReasonBacklog) || reason == refusalMemory || reason == refusalStopping ||
-		reason == refusalOverload || reason == refusalBodyTime
+		reason == refusalOverload
 }
 
 // reject responds that the request is not allowed.
