daemon/gateway: Bound the time to read the responses of the internal ports

A client of the directory, the readiness, the metrics or the relay port that sends requests and reads no response was ended by the user timeout after 3 s. Since that no longer ends a client that is alive, such a client would hold a goroutine and a response for ever, in no account of memory. They have 10 s now, which is more than the longest wait of the relay port.

TestUnreadResponsesOfInternalPortsEnd failed for the relay port before this had a limit of its own.

--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -21,8 +21,10 @@
 const (
 	maxHeaderTimeout = time.Minute
 	maxIdleTimeout   = 10 * time.Minute
-	// bodyTimeout bounds the time to read a request of the ports on which requests have no bodies.
-	bodyTimeout = 10 * time.Second
+	// bodyTimeout bounds the time to read a request of the ports on which requests have no bodies, and responseTimeout the
+	// time until the client has read the response.
+	bodyTimeout     = 10 * time.Second
+	responseTimeout = 10 * time.Second
 	// idleTimeout is how long idle connections to the store are kept.
 	idleTimeout = 90 * time.Second
 )
@@ -125,9 +127,11 @@
 		ErrorLog:          zap.NewStdLog(n.log.Named("http")),
 	}
 	switch name {
-	case callersListener, inspectedListener, offloadListener, relayListener:
+	case callersListener, inspectedListener, offloadListener:
+	case relayListener:
+		s.WriteTimeout = responseTimeout // it is longer than the wait for changes
 	default:
-		s.ReadTimeout = bodyTimeout
+		s.ReadTimeout, s.WriteTimeout = bodyTimeout, responseTimeout
 	}
 	return &server{name: name, listener: l, http: s}
 }
--- a/internal/daemon/gateway/slowpeer_test.go
+++ b/internal/daemon/gateway/slowpeer_test.go
@@ -15,6 +15,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"gooseberrytide.example/gooseberrytide/internal/transport/relayhttp"
+	"gooseberrytide.example/gooseberrytide/platform"
 	"gooseberrytide.example/gooseberrytide/test/standin/slowpeer"
 )
 
@@ -30,6 +32,8 @@
 	uploadBytes = 900_000
 	longEvents  = 400
 	eventBytes  = 500
+	// pipelinedRequests are more than the system's buffers hold.
+	pipelinedRequests = 400_000
 )
 
 // newSlowFleet starts a fleet with long timeouts whose engine has a small window. An engine pauses before it reads the body
@@ -160,3 +164,29 @@
 		}
 	}
 }
+
+// Guards against clients of the internal ports that read nothing and hold goroutines and responses for ever: their memory is
+// in no account.
+func TestUnreadResponsesOfInternalPortsEnd(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	n := newTestFleet(t, 2).startRouter("r-a")
+	g.Eventually(n.readinessStatus, "5s").Should(Equal(http.StatusOK))
+	requests := map[string]string{
+		n.settings.DirectoryListen:       "GET " + platform.PathDirectory + "?name=shed.example&zone=a",
+		n.settings.ReadinessListen:       "GET " + platform.PathReadiness,
+		n.peerAddress(metricsPortOffset): "GET /metrics",
+		n.peerAddress(0):                 "GET " + relayhttp.Path + "?after=0&wait_ms=0",
+	}
+	written := make(chan string, len(requests))
+	for address, line := range requests {
+		conn := slowpeer.Dial(t, address)
+		go func() {
+			_, err := io.WriteString(conn, strings.Repeat(line+" HTTP/1.1\r\nHost: r-a\r\n\r\n", pipelinedRequests))
+			written <- fmt.Sprintf("%s: %v", line, err)
+		}()
+	}
+	for range requests {
+		g.Eventually(written, responseTimeout+5*time.Second).Should(Receive(Not(HaveSuffix("<nil>"))))
+	}
+}
