offload, gateway: End passed-on requests at their deadline, and pass a reset on

A caller whose request had been passed on to a router that is alive and does not respond (suspended, say) waited without end; the user timeout ended only requests whose bytes were not acknowledged.

Change: the other router gets 200 ms beyond the request's deadline; the client then gets 502, since the request may have run.

--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -94,7 +94,7 @@
 	if !ok {
 		return offload.Decision{Action: offload.Serve}
 	}
-	return offload.Decision{Action: offload.Forward, Target: target.OffloadAddress}
+	return offload.Decision{Action: offload.Forward, Target: target.OffloadAddress, Deadline: o.node.gateway.Deadline(r)}
 }
 
 // refusalProbability returns the fraction of requests to refuse while goroutines wait for the processor.
--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -47,6 +47,8 @@
 	draining bool
 	// closing and closingWrite are set if the connection, or its sending side, is to be closed once all has been sent.
 	closing, closingWrite bool
+	// incomplete is set if a response has been broken off that might look complete.
+	incomplete bool
 	// readUntil is the end of the time that the client has to read the response of its last request.
 	readUntil time.Time
 	// writeErr is the error of further writes.
@@ -192,11 +194,11 @@
 	c.closeNow()
 }
 
-// closeNow closes the connection and releases its memory. If a part of a response is dropped, the client sees a reset: a
-// response without a length would look complete otherwise.
+// closeNow closes the connection and releases its memory. If a response is incomplete, the client sees a reset: one without
+// a length would look complete otherwise.
 func (c *Conn) closeNow() {
 	c.mu.Lock()
-	incomplete := c.writeErr != nil
+	incomplete := c.incomplete || c.writeErr != nil
 	c.mu.Unlock()
 	if incomplete {
 		sockopt.Reset(c.Conn)
@@ -224,6 +226,16 @@
 	return nil
 }
 
+// SetIncomplete makes the client see a reset when the connection is closed.
+func (c *Conn) SetIncomplete() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incomplete = true
+}
+
 // SetReadUntil sets until when the client may take its time to read the response of a request. Later, it must read a part
 // of it now and then.
 func (c *Conn) SetReadUntil(t time.Time) {
--- a/internal/transport/gateway/offload.go
+++ b/internal/transport/gateway/offload.go
@@ -24,6 +24,19 @@
 	return false
 }
 
+// Deadline returns the end of the time for a request that has just been read. It must be for a known route.
+func (g *Gateway) Deadline(r *http.Request) time.Time {
+	x := g.newExchange(nil, r)
+	if x.table = g.opts.Routing.Load(); x.table != nil {
+		x.route = x.table.Route(r.Host, routePath(r.URL))
+	}
+	if x.route == nil {
+		return x.arrival
+	}
+	x.setDeadline(0)
+	return x.deadline
+}
+
 // RefuseOverloaded refuses a request because this router lacks processor time. Its body need not be read.
 func (g *Gateway) RefuseOverloaded(w http.ResponseWriter, r *http.Request) {
 	x := g.newExchange(w, r)
--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -9,12 +10,16 @@
 
 	"github.com/pkg/errors"
 
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
 // bufferBytes is the size of a buffer. Most requests fit into one.
 const bufferBytes = 16 << 10
 
+// deadlineMargin is added to the time for a response, since the other router ends requests at their deadline.
+const deadlineMargin = 200 * time.Millisecond
+
 // ForwardedBytes is the approximate memory of a forwarded connection.
 const ForwardedBytes = 2*bufferBytes + 16<<10
 
@@ -35,10 +40,10 @@
 )
 
 // forward passes a connection on to another router, beginning with the bytes that were read from it, until one side
-// closes it. The client's connection is closed only if the result is forwardEnded. buf contains head. It returns how
-// many bytes were read from the client meanwhile.
-func (i *Inspector) forward(client net.Conn, target string, head []byte, buf *buffer) (forwardResult, int64) {
-	router, err := i.opts.Dial(context.Background(), "tcp4", target)
+// closes it or the time for the response has passed. The client's connection is closed only if the result is forwardEnded.
+// buf contains head. It returns how many bytes were read from the client meanwhile.
+func (i *Inspector) forward(client net.Conn, decision Decision, head []byte, buf *buffer) (forwardResult, int64) {
+	router, err := i.opts.Dial(context.Background(), "tcp4", decision.Target)
 	if err != nil {
 		return forwardUnreachable, 0
 	}
@@ -48,17 +53,28 @@
 	}
 	i.opts.Policy.Record(Forward)
 	sockopt.Apply(client)
-	removeStop := context.AfterFunc(i.stopping, func() { _ = router.Close() })
+	ctx, cancel := context.WithDeadline(i.stopping, decision.Deadline.Add(deadlineMargin))
+	defer cancel()
+	removeStop := context.AfterFunc(ctx, func() { _ = router.Close() })
 	defer removeStop()
 	request := startRequestCopy(router, client)
 	response := copyBytes(client, router, buf)
 	if response.copied == 0 && !request.stop(client) {
 		return forwardNoResponse, request.copied
 	}
-	_ = client.Close()
+	closeClient(client, response.readErr)
 	return forwardEnded, 0
 }
 
+// closeClient closes a client's connection as the other router has closed its own: a response without a length that ends
+// with a reset is not complete.
+func closeClient(client net.Conn, readErr error) {
+	if readErr != nil && readErr != io.EOF {
+		clientconn.From(client).SetIncomplete()
+	}
+	_ = client.Close()
+}
+
 // requestCopy copies the rest of a request to the other router.
 type requestCopy struct {
 	done chan struct{}
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -30,8 +30,9 @@
 // Decision is the decision about one connection.
 type Decision struct {
 	Action Action
-	// Target is the address to which a connection is forwarded.
-	Target string
+	// Target is the address to which a connection is forwarded, Deadline the end of the time for the response.
+	Target   string
+	Deadline time.Time
 }
 
 // Policy decides about connections. It must be safe for concurrent use.
@@ -160,13 +161,14 @@
 	case Forward:
 		tracked := clientconn.From(conn)
 		tracked.StartRequest()
+		tracked.SetReadUntil(decision.Deadline)
 		if !tracked.Charge(ForwardedBytes) {
 			i.refuse(conn, r, buf, bodyBytes)
 			return
 		}
 		i.forwarded.Add(1)
 		defer i.forwarded.Add(-1)
-		result, read := i.forward(conn, decision.Target, head, buf)
+		result, read := i.forward(conn, decision, head, buf)
 		switch result {
 		case forwardUnreachable:
 			i.refuse(conn, r, buf, bodyBytes)
--- a/internal/transport/offload/noresponse_test.go
+++ b/internal/transport/offload/noresponse_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
 // Guards against a client that gets a closed connection because the other router closed its own without a response, as
@@ -49,6 +52,56 @@
 	g.Eventually(i.Forwarded, "2s").Should(BeZero())
 }
 
+// Guards against a client that waits for a router which accepts its request and does not respond, and against its request
+// being told not to have run.
+func TestForwardedRequestEndsAtItsDeadline(t *testing.T) {
+	g := NewWithT(t)
+	suspended, err := net.Listen("tcp4", "127.0.0.1:0") // its system accepts connections
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = suspended.Close() })
+	p := &testPolicy{decision: Decision{Action: Forward, Target: suspended.Addr().String()}, timeout: time.Second}
+	address, _ := start(t, p, http.HandlerFunc(echo))
+	begin := time.Now()
+	for _, body := range []string{"x", strings.Repeat("long", 2<<20)} {
+		g.Expect(statusOf(t, address, requestText(body))).To(Equal(http.StatusBadGateway))
+	}
+	g.Expect(time.Since(begin)).To(BeNumerically("<", 2*(p.timeout+2*deadlineMargin)))
+}
+
+// statusOf sends a request while it reads the response, and returns its status.
+func statusOf(t *testing.T, address, text string) int {
+	t.Helper()
+	conn := dial(t, address)
+	go func() { _, _ = io.WriteString(conn, text) }()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// Guards against a response without a length that the other router has broken off with a reset, and that looks complete.
+func TestResetOfTheOtherRouterReachesTheClient(t *testing.T) {
+	g := NewWithT(t)
+	other := startRouter(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nhalf")
+		time.Sleep(100 * time.Millisecond) // the half arrives before the reset
+		sockopt.Reset(conn)
+	})
+	address, _ := start(t, &testPolicy{decision: Decision{Action: Forward, Target: other}}, http.HandlerFunc(echo))
+	conn := dial(t, address)
+	_, err := io.WriteString(conn, requestText("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	text, err := io.ReadAll(conn)
+	g.Expect(string(text)).To(HaveSuffix("half"))
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+}
+
 // Guards against a response that the client loses because its connection is reset while it still sends the body.
 func TestEarlyResponseOfTheOtherRouterReachesTheClient(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/transport/offload/offload_test.go
+++ b/internal/transport/offload/offload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,7 +15,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
@@ -22,12 +26,19 @@
 type testPolicy struct {
 	inactive bool
 	decision Decision
-	counts   [Refuse + 1]atomic.Int64
+	// timeout is the time for a response. The default is a minute.
+	timeout time.Duration
+	counts  [Refuse + 1]atomic.Int64
 }
 
-func (p *testPolicy) Active() bool                  { return !p.inactive }
-func (p *testPolicy) Decide(*http.Request) Decision { return p.decision }
-func (p *testPolicy) Record(a Action)               { p.counts[a].Add(1) }
+func (p *testPolicy) Active() bool    { return !p.inactive }
+func (p *testPolicy) Record(a Action) { p.counts[a].Add(1) }
+
+func (p *testPolicy) Decide(*http.Request) Decision {
+	d := p.decision
+	d.Deadline = time.Now().Add(cmp.Or(p.timeout, time.Minute))
+	return d
+}
 
 func (p *testPolicy) Refuse(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
@@ -43,7 +54,7 @@
 // start starts an HTTP server behind an inspector, and returns its address.
 func start(t testing.TB, p *testPolicy, h http.Handler) (string, *Inspector) {
 	t.Helper()
-	i := New(Options{Policy: p, Dial: sockopt.DialFunc(time.Second), HeaderTimeout: 2 * time.Second, Track: untracked})
+	i := New(Options{Policy: p, Dial: sockopt.DialFunc(time.Second), HeaderTimeout: 2 * time.Second, Track: newTracker().Track})
 	address := "127.0.0.1:0"
 	direct, inspected, err := i.Listen(func() (*sockopt.PlainListener, error) {
 		return sockopt.ListenPlain(context.Background(), address)
@@ -52,7 +63,7 @@
 		t.Fatal(err)
 	}
 	address = direct.Addr().String()
-	s := &http.Server{Handler: h}
+	s := &http.Server{Handler: h, ConnContext: clientconn.Context, ConnState: clientconn.OnState}
 	go func() { _ = s.Serve(direct) }()
 	go func() { _ = s.Serve(inspected) }()
 	t.Cleanup(func() { _ = s.Close() })
@@ -313,5 +324,10 @@
 	}
 }
 
-// untracked is Options.Track of a port without limits.
-func untracked(conn net.Conn) net.Conn { return conn }
+// newTracker returns a tracker with wide limits.
+func newTracker() *clientconn.Tracker {
+	limits := routing.Limits{MaxHeaderBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	return clientconn.NewTracker(clientconn.Options{
+		Limits: func() routing.Limits { return limits }, Record: func(clientconn.Reason) {}, Log: zap.NewNop(),
+	})
+}
