test/overlimit: Try servers that send without end at every place of a response

A report of other operators: a faulty server sent bytes without end, and the machine that had called it ran out of memory. The platform's interface calls neither reports nor health probes of servers.

--- a/test/overlimit/router_test.go
+++ b/test/overlimit/router_test.go
@@ -34,8 +34,12 @@
 
 const configText = `{"version":1,"routes":[
  {"name":"lookup","host":"shed.example","pathPrefix":"/lookup/","routeKind":"safe","timeoutMs":8000,
-  "objectiveMs":300,"service":"app","maxAttempts":2}],
- "services":[{"name":"app"}],
+  "objectiveMs":300,"service":"app","maxAttempts":2},
+ {"name":"faulty-calls","host":"shed.example","pathPrefix":"/faulty/","routeKind":"safe","timeoutMs":2000,
+  "objectiveMs":300,"service":"faulty","maxAttempts":2},
+ {"name":"faulty-streams","host":"shed.example","pathPrefix":"/faultystream/","routeKind":"streaming","timeoutMs":2000,
+  "objectiveMs":300,"service":"faulty","maxAttempts":2,"resumable":true,"gapTargetMs":500}],
+ "services":[{"name":"app"},{"name":"faulty"}],
  "limits":{"maxBodyBytes":4194304,"maxHeaderBytes":16384,"headerTimeoutMs":1000,"idleTimeoutMs":5000,"tokensPerS":100000},
  "tenants":[{"name":"farm","apiKeys":["farm-key"]},{"name":"hot","apiKeys":["hot-key"]}]}`
 
@@ -46,6 +50,7 @@
 	metrics, relay, offload  string
 	pid                      int
 	exited                   chan struct{}
+	store                    *platformstore.Store
 }
 
 // buildRouter builds the router and returns the path of the program.
@@ -80,6 +85,7 @@
 	store.Put("servers/i-1", fmt.Appendf(nil, `{"service":"app","address":%q,"zone":"a","slots":64,"state":"ready"}`,
 		backend.Listener.Addr()))
 	r := newRouter(t, dir, storeServer.Listener.Addr().String())
+	r.store = store
 	r.start(binary, dir)
 	return r
 }
@@ -156,7 +162,12 @@
 
 // request returns the text of a request's header, without the line that ends it.
 func request(path, attempt, key string) string {
-	return fmt.Sprintf("POST /lookup/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 7000\r\nAuthorization: Bearer %s\r\n",
+	return requestTo("/lookup/"+path, attempt, key)
+}
+
+// requestTo returns the same for a whole path.
+func requestTo(path, attempt, key string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 7000\r\nAuthorization: Bearer %s\r\n",
 		path, host, attempt, key)
 }
 
