gateway: Charge the responses that are read before they are passed on

Up to 128 KB for each request in progress were in no account, so that enough slow or endless bodies could end a small router, and the requests of others with it. No process has ended in a test.

Cause: the first 64 KB of a body are read into a buffer that was never charged. Change: the buffer grows in charged steps, to 64 KB at most; if the account refuses a step, the response is passed on as it comes.

TestBufferedResponsesAreCharged failed before (with room). test/overlimit has the slow body as a kind of its own.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -23,6 +22,10 @@
 // all requests that a small router has in progress must fit its memory.
 const maxBufferedBytes = 64 << 10
 
+// firstBufferBytes is the first buffer for a body, which is part of the memory of a request. It is doubled as long as the
+// body goes on.
+const firstBufferBytes = 2 << 10
+
 // errReplaced is the cancellation cause of an attempt after a substitute has delivered.
 var errReplaced = errors.New("another server has responded first")
 
@@ -276,14 +279,13 @@
 // readBody reads a response completely, up to maxBufferedBytes. A server's failure is kept in failureResponse, so that
 // the request can be sent to another server.
 func (a *attempt) readBody() (part, sendResult) {
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(a.resp, maxBufferedBytes))
+	data, complete, err := a.bufferBody()
 	if err != nil {
 		a.err = err
 		return part{}, sendBroken
 	}
 	status := a.metadata.Status
-	body := &bufferedResponse{status: status, header: a.resp.Header, body: buf.Bytes(), complete: n < maxBufferedBytes}
+	body := &bufferedResponse{status: status, header: a.resp.Header, body: data, complete: complete}
 	if status < http.StatusInternalServerError && !impliesNotExecuted(status) && !a.position.started {
 		return part{body: body}, 0
 	}
@@ -295,6 +297,28 @@
 	return part{}, sendError
 }
 
+// bufferBody reads a body, up to maxBufferedBytes or until there is no memory for more. It reports whether that is all of it.
+func (a *attempt) bufferBody() (data []byte, complete bool, err error) {
+	data = make([]byte, 0, firstBufferBytes)
+	for {
+		if len(data) == cap(data) {
+			size := 2 * cap(data)
+			if size > maxBufferedBytes || !a.x.memory.Grow(int64(size)) {
+				return data, false, nil
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := a.resp.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
 // finish ends the attempt with a result: it closes or keeps the connection and reports to the admission controller.
 func (a *attempt) finish(result sendResult) {
 	if a.resp != nil {
--- a/internal/transport/gateway/bodymemory_test.go
+++ b/internal/transport/gateway/bodymemory_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/test/standin/endless"
 )
 
 // openBody sends a header, and a part of a chunked body that it does not end.
@@ -84,3 +87,49 @@
 	g.Expect(h.totalRuns("slow")).To(BeZero())
 	g.Eventually(h.account.Used).Should(BeZero())
 }
+
+// Guards against responses that are read completely before they are passed on, and whose memory is in no account: faulty
+// servers that send many of them slowly took more memory than a small router has. Without memory they are passed on as they come.
+func TestBufferedResponsesAreCharged(t *testing.T) {
+	const requests, size = 40, maxBufferedBytes - 1
+	for _, room := range []bool{true, false} {
+		t.Run(fmt.Sprintf("room %v", room), func(t *testing.T) {
+			g := NewWithT(t)
+			begin, rest := make(chan struct{}), make(chan struct{})
+			address := endless.Serve(t, func(c net.Conn) {
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				<-begin
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+					r.Header.Get("Attempt-Id"), size, strings.Repeat("b", size-1))
+				<-rest
+				_, _ = io.WriteString(c, "b")
+			})
+			h := newGatewayHarness(t, slices.Repeat([]string{address}, requests/4))
+			bodies := make(chan int, requests)
+			for i := range requests {
+				go func() { bodies <- len(h.do(h.request(http.MethodGet, "/lookup/x", fmt.Sprintf("a-%d", i), "")).body) }()
+			}
+			g.Eventually(h.gateway.Active, "2s").Should(Equal(requests))
+			if !room {
+				filler, ok := h.account.Open("other", h.account.Limit()-h.account.Used(), nil)
+				g.Expect(ok).To(BeTrue())
+				defer filler.Close()
+			}
+			before := h.account.Used()
+			close(begin)
+			if room {
+				g.Eventually(func() int64 { return h.account.Used() - before }, "2s").Should(BeNumerically(">", requests*size))
+			}
+			time.Sleep(200 * time.Millisecond)
+			g.Expect(h.account.Used()).To(BeNumerically("<=", h.account.Limit()+h.account.Limit()/4))
+			close(rest)
+			for range requests {
+				g.Eventually(bodies, "5s").Should(Receive(Equal(size)))
+			}
+			g.Eventually(h.account.Used).Should(Equal(before - requests*requestBytes))
+		})
+	}
+}
--- a/test/overlimit/endless_test.go
+++ b/test/overlimit/endless_test.go
@@ -43,6 +43,7 @@
 		"trailer":         {Start: chunked + "1\r\nx\r\n0\r\n", Repeated: "A: b\r\n"},
 		"trailer-line":    {Start: chunked + "1\r\nx\r\n0\r\nA: ", Repeated: "b"},
 		"body":            {Start: signed("200 OK"), Repeated: "body"},
+		"slow-body":       {Start: signed("200 OK") + strings.Repeat("b", 30<<10), Repeated: "b", Pause: 2 * time.Second},
 		"failure":         {Start: signed("500 Failed"), Repeated: "body"},
 		"refusal":         {Start: signed("503 Full", "Not-Executed: 1\r\n"), Repeated: "body"},
 		"misdirected":     {Start: signed("421 Misdirected"), Repeated: "body"},
