--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -117,20 +117,9 @@
 
 func (f *testFleet) startRouterWithCores(name string, cores float64) *testNode {
 	f.t.Helper()
-	ports := routerPorts(f.t)
-	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","region":"north","ip":"127.0.0.1",
-"listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":%v},
-"bounds":{"graceS":%d,"revokeMs":%d,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
-		name, loopbackAddress(ports.Front), loopbackAddress(ports.Readiness), loopbackAddress(ports.Directory),
-		ports.Peer, ports.Peer+2, cores, f.graceS, f.revokeMS, f.storeAddress)
-	n := &testNode{t: f.t, path: filepath.Join(f.t.TempDir(), name+".yaml"), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
-	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
-	settings, err := platform.ReadSettings(n.path)
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	n := &testNode{t: f.t, path: f.writeSettings(name, cores), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
+	settings := f.readSettings(n.path)
+	var err error
 	if n.Node, err = New(settings, zap.NewNop()); err != nil {
 		f.t.Fatal(err)
 	}
@@ -144,8 +133,36 @@
 	return n
 }
 
-func (n *testNode) readinessStatus() int {
-	resp, err := http.Get("http://" + n.settings.ReadinessListen + platform.PathReadiness)
+// writeSettings writes the settings of a router with free ports and returns their path.
+func (f *testFleet) writeSettings(name string, cores float64) string {
+	f.t.Helper()
+	ports := routerPorts(f.t)
+	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","region":"north","ip":"127.0.0.1",
+"listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":400,"cpuShare":%v},
+"bounds":{"graceS":%d,"revokeMs":%d,"strictRevoke":true,"budgetSlack":20},"platform":{"address":%q}}`,
+		name, loopbackAddress(ports.Front), loopbackAddress(ports.Readiness), loopbackAddress(ports.Directory),
+		ports.Peer, ports.Peer+2, cores, f.graceS, f.revokeMS, f.storeAddress)
+	path := filepath.Join(f.t.TempDir(), name+".yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+func (f *testFleet) readSettings(path string) *platform.Settings {
+	f.t.Helper()
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return settings
+}
+
+func (n *testNode) readinessStatus() int { return readinessStatus(n.settings) }
+
+// readinessStatus returns the status of the readiness port of the router with the settings, or 0.
+func readinessStatus(settings *platform.Settings) int {
+	resp, err := http.Get("http://" + settings.ReadinessListen + platform.PathReadiness)
 	if err != nil {
 		return 0
 	}
