daemon/gateway: Charge the connections of the internal ports to an account

Cause: those ports had no account, so that only the bytes of one head were bounded, and a decoded line takes many times its bytes. Change: they have an account of their own with 12% of the memory; readiness and the directory still don't depend on what callers hold.

--- a/internal/daemon/gateway/clients.go
+++ b/internal/daemon/gateway/clients.go
@@ -16,6 +16,9 @@
 	// take. With the 17 to 25 MB of a router without load it stays below memoryLimitFraction, so that the runtime need
 	// not collect garbage all the time.
 	accountFraction = 0.35
+	// internalAccountFraction is the same for the connections of the ports that are not the callers'. They have an account of
+	// their own: readiness, the directory and other routers must not depend on what callers hold.
+	internalAccountFraction = 0.12
 	// silentFraction is the fraction of the file descriptors that connections which have sent nothing may take.
 	// silentAddressFraction is the fraction of these for one address.
 	silentFraction        = 0.125
@@ -27,6 +30,8 @@
 // clientLimits limits what clients may take of the router's memory and descriptors.
 type clientLimits struct {
 	account *memory.Account
+	// internalAccount is charged for the connections of internal.
+	internalAccount *memory.Account
 	// callers holds the connections of the callers' port, passed those that other routers pass on, internal those of the
 	// other ports.
 	callers, passed, internal *clientconn.Tracker
@@ -37,7 +42,10 @@
 		Name: "gooseberrytide_ended_clients_total", Help: "Connections of clients that were ended for a limit, by reason.",
 	}, []string{"reason"})
 	n.registry.MustRegister(ended)
-	l := &clientLimits{account: memory.NewAccount(int64(accountFraction * float64(n.settings.MemoryBytes)))}
+	newAccount := func(fraction float64) *memory.Account {
+		return memory.NewAccount(int64(fraction * float64(n.settings.MemoryBytes)))
+	}
+	l := &clientLimits{account: newAccount(accountFraction), internalAccount: newAccount(internalAccountFraction)}
 	silent := silentLimit()
 	opts := clientconn.Options{
 		Limits:    n.clientLimitsInForce,
@@ -51,7 +59,7 @@
 	callers.MaxSilentPerAddress = int(silentAddressFraction * float64(silent))
 	l.callers = clientconn.NewTracker(callers)
 	internal.WaitForClients = true
-	internal.Account = nil // readiness, the directory and other routers must not depend on what clients hold
+	internal.Account = l.internalAccount
 	l.internal = clientconn.NewTracker(internal)
 	return l
 }
--- a/test/overlimit/overlimit_test.go
+++ b/test/overlimit/overlimit_test.go
@@ -20,6 +20,10 @@
 	crowdTime = 3 * time.Second
 	// longBytes is the size of a header or body of such a client.
 	longBytes = 1 << 20
+	// heldBytes is the size of a header that does not end and is within the limit, and heldCrowdSize the number of clients that
+	// hold one.
+	heldBytes     = 18 << 10
+	heldCrowdSize = 400
 )
 
 var attempts atomic.Int64
@@ -66,6 +70,7 @@
 	binary := buildRouter(t)
 	front := func(r *router) string { return r.front }
 	hot, get := request("x", "a", "hot-key"), "GET /x HTTP/1.1\r\nX: "
+	held := sendAndHold(get+"y\r\n", differentLines()[:heldBytes], 1)
 	cases := []struct {
 		name    string
 		address func(r *router) string
@@ -84,6 +89,10 @@
 		{"long header to the readiness port", func(r *router) string { return r.readiness }, crowdSize, sendAndHold(get, "x", longBytes)},
 		{"long header to the metrics", func(r *router) string { return r.metrics }, crowdSize, sendAndHold(get, "x", longBytes)},
 		{"long header to the relay", func(r *router) string { return r.relay }, crowdSize, sendAndHold(get, "x", longBytes)},
+		{"held header to the directory", func(r *router) string { return r.direct }, heldCrowdSize, held},
+		{"held header to the readiness port", func(r *router) string { return r.readiness }, heldCrowdSize, held},
+		{"held header to the metrics", func(r *router) string { return r.metrics }, heldCrowdSize, held},
+		{"held header to the relay", func(r *router) string { return r.relay }, heldCrowdSize, held},
 		{"long header to the offload port", func(r *router) string { return r.offload }, crowdSize, sendAndHold(hot+"X: ", "x", longBytes)},
 	}
 	for _, c := range cases {
