platform, discovery: List again when the changes exceed a response of the store

Cause: an answer of the store above 8 MiB was cut, could not be decoded and was asked for again from the same position. PROTOCOL bounds the pages of a listing, but no answer to a watch. Change: such an answer is an error of its own, after which the keys are listed again.

--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -152,8 +152,8 @@
 	defer cancel()
 	sent := f.opts.Proof.Now()
 	changes, position, err := f.opts.Feed.Changes(ctx, "", f.position, wait)
-	if errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrRestored) {
-		f.opts.Log.Info("history discarded, listing again", f.revisionField())
+	if mustList(err) {
+		f.opts.Log.Info("changes not available, listing again", f.revisionField(), logfield.Error(err))
 		f.listed = false
 		return nil
 	}
@@ -169,6 +169,11 @@
 	return nil
 }
 
+// mustList reports whether the changes after the present position cannot be read.
+func mustList(err error) bool {
+	return errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrTooManyChanges) || errors.Is(err, kv.ErrRestored)
+}
+
 // batchDelay returns the pause after a poll with changes.
 func (f *Follower) batchDelay() time.Duration {
 	f.mu.Lock()
--- a/internal/state/kv/feed.go
+++ b/internal/state/kv/feed.go
@@ -9,6 +9,10 @@
 // ErrCompacted reports that the store has discarded the requested changes. The caller must list the keys again.
 var ErrCompacted = errors.New("kv: history discarded")
 
+// ErrTooManyChanges reports that the requested changes exceed what one response may hold. The caller must list the keys
+// again: the same request would fail for as long as the store keeps the changes.
+var ErrTooManyChanges = errors.New("kv: changes exceed a response")
+
 // ErrRestored reports that the store came back from an older copy: the era of the position that was asked for has ended.
 // The caller must list the keys again.
 var ErrRestored = errors.New("kv: store restored from an older copy")
@@ -27,7 +31,7 @@
 	// ListStale is like List, but the state may be some seconds old. It costs the store less.
 	ListStale(ctx context.Context, prefix string) ([]Entry, Position, error)
 	// Changes waits up to wait for changes after a position and returns them with the position for the next call.
-	// Errors: ErrCompacted, ErrRestored, ErrUnavailable, ErrThrottled.
+	// Errors: ErrCompacted, ErrTooManyChanges, ErrRestored, ErrUnavailable, ErrThrottled.
 	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
