--- a/internal/transport/clientconn/doc.go
+++ b/internal/transport/clientconn/doc.go
@@ -6,5 +6,7 @@
 // new one.
 //
 // A response that the client does not read at once is kept in memory, so that the backend server's response is read in
-// time. It is charged to the memory account; if the account refuses more, this response is ended and no other.
+// time. It is charged to the memory account; if the account refuses more, this response is ended and no other. The client
+// may take until its request's deadline to read it, and longer as long as it reads on. A connection is closed once the
+// system has sent the rest.
 package clientconn
--- a/internal/transport/clientconn/tracker.go
+++ b/internal/transport/clientconn/tracker.go
@@ -114,11 +114,11 @@
 		return nil
 	}
 	c.holder = holder
-	holder.SetIdle()
 	t.mu.Lock()
 	t.conns[c] = struct{}{}
 	victim := t.silent.add(c, t.opts.MaxSilent, t.opts.MaxSilentPerAddress)
 	t.mu.Unlock()
+	holder.SetIdle() // it may be ended from now on
 	if victim != nil {
 		victim.endSilent()
 	}
--- a/internal/transport/sockopt/peer_linux.go
+++ b/internal/transport/sockopt/peer_linux.go
@@ -51,7 +51,7 @@
 	infoUnknown
 )
 
-// systemInfo tells whether the system fills in the state of a connection (TCP_INFO). Some simulated networks fill in a part of it.
+// systemInfo tells whether the system fills in the state of a connection (TCP_INFO) completely. A simulated one may not.
 var systemInfo atomic.Int32
 
 // startWatch returns false if the system does not tell what the peer has acknowledged.
