gateway: Take a body without a length for broken off if its server has ended

Cause: the end of the connection was taken for that of the body. A killed server closes in order, but its port refuses connections from then on, which only streams asked for. Change: bodies ask too. The request may have run: 502 if it may not be repeated.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -32,8 +32,8 @@
 // errNoEvents reports a stream that ended with its connection before its first event.
 var errNoEvents = errors.New("stream ended with its connection before its first event")
 
-// errServerEnded reports a stream that ended with its connection between two events, in the same moment as its server.
-var errServerEnded = errors.New("stream ended with its connection, and its server has ended")
+// errServerEnded reports a response without a length that ended in the same moment as its server.
+var errServerEnded = errors.New("response ended with its connection, and its server has ended")
 
 // errUnsigned reports a response without the server's signature.
 var errUnsigned = errors.New("response lacks the server's signature")
@@ -269,13 +269,29 @@
 	if !a.responded {
 		return errNoEvents
 	}
-	a.crashed = a.tracked.Lost(a.ctx)
-	if a.crashed {
-		return errServerEnded
+	if err := a.checkServerAtEnd(); err != nil {
+		return err
 	}
 	return io.EOF
 }
 
+// checkServerAtEnd returns an error if the end of the connection, with which the response has ended, is that of its server. A
+// server that drains counts as alive: it ends its last responses just before it ends.
+func (a *attempt) checkServerAtEnd() error {
+	if a.crashed = a.tracked.Lost(a.ctx); a.crashed {
+		return errServerEnded
+	}
+	return nil
+}
+
+// endOfBody returns an error if a body has ended only because its server has.
+func (a *attempt) endOfBody() error {
+	if !a.resp.EndsWithConnection() {
+		return nil
+	}
+	return a.checkServerAtEnd()
+}
+
 // readBody reads a response completely, up to maxBufferedBytes. A server's failure is kept in failureResponse, so that
 // the request can be sent to another server.
 func (a *attempt) readBody() (part, sendResult) {
@@ -311,7 +327,7 @@
 		n, err := a.resp.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if err == io.EOF {
-			return data, true, nil
+			return data, true, a.endOfBody()
 		}
 		if err != nil {
 			return nil, false, err
--- a/internal/transport/gateway/framing_test.go
+++ b/internal/transport/gateway/framing_test.go
@@ -159,3 +159,38 @@
 		g.Expect(response.body).To(Or(Equal(delivered), Equal(delivered+"id: 3\ndata: c\n\n")))
 	}
 }
+
+// serveHalfAndEnd starts a server that ends, with its port and its connections, within a body without a length.
+func serveHalfAndEnd(t *testing.T, half string) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: sig\r\nConnection: close\r\n\r\n%s",
+			r.Header.Get("Attempt-Id"), half)
+		_ = listener.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against half a body without a length that looks whole although its server was killed, with a length that the router
+// has added, or after a long part that was passed on.
+func TestBodyOfAServerThatEnds(t *testing.T) {
+	for _, length := range []int{400, 2 * maxBufferedBytes} {
+		g := NewWithT(t)
+		h := newGatewayHarness(t, []string{serveHalfAndEnd(t, strings.Repeat("h", length))})
+		response := h.do(h.request(http.MethodPost, "/callout/x", "a", "body"))
+		g.Expect(response.err != nil || response.status == http.StatusBadGateway).To(BeTrue(), "%d bytes with status %d", len(response.body), response.status)
+	}
+}
--- a/internal/transport/gateway/response.go
+++ b/internal/transport/gateway/response.go
@@ -18,7 +18,11 @@
 		return sendClientDisconnected
 	}
 	if !body.complete {
-		if _, err := io.Copy(x.w, a.resp); err != nil {
+		_, err := io.Copy(x.w, a.resp)
+		if err == nil {
+			err = a.endOfBody()
+		}
+		if err != nil {
 			a.err = err
 			return sendIncomplete
 		}
