gateway, sockopt: Make one piece of what stood twice

Seen on reading the change: two stand-ins of a server that ends differed only in what they send; whether a body is unread was worked out in two places; HasUnread took the descriptor by itself beside control; a test cut the last element of a path by hand. No behaviour changes.

--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -172,9 +172,12 @@
 	return x.deadline
 }
 
+// bodyUnread reports whether a part of the body may not have been read.
+func (x *exchange) bodyUnread() bool { return x.r.ContentLength != 0 && x.body == nil }
+
 // limitUnreadBody bounds the time in which the HTTP server reads the rest of a body that is not needed.
 func (x *exchange) limitUnreadBody() {
-	if x.r.ContentLength != 0 && x.body == nil {
+	if x.bodyUnread() {
 		x.setReadDeadline(x.discardUntil())
 	}
 }
@@ -184,8 +187,7 @@
 // connection with unread bytes, which resets it, and the client might lose the response.
 func (x *exchange) discardBody() {
 	length := x.r.ContentLength
-	unread := length != 0 && x.body == nil
-	if !unread || !x.r.Close && length >= 0 && length <= maxServerDiscard {
+	if !x.bodyUnread() || !x.r.Close && length >= 0 && length <= maxServerDiscard {
 		return
 	}
 	if http.NewResponseController(x.w).Flush() != nil {
--- a/internal/transport/gateway/framing_test.go
+++ b/internal/transport/gateway/framing_test.go
@@ -114,8 +114,9 @@
 	g.Expect(response.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
 }
 
-// serveAndEnd starts a server that ends, with its port and its connections, between two events of a stream without a length.
-func serveAndEnd(t *testing.T) string {
+// serveAndEnd starts a server that ends, with its port and its connections, after the parts of a response without a length. The
+// request is not suspected of having ended the server if there are several parts.
+func serveAndEnd(t *testing.T, parts ...string) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -131,10 +132,14 @@
 		if err != nil {
 			return
 		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: sig\r\nConnection: close\r\n\r\n%s",
-			r.Header.Get("Attempt-Id"), "id: 1\ndata: a\n\n")
-		time.Sleep(minProof + 100*time.Millisecond) // the request is not suspected of having ended the server
-		_, _ = io.WriteString(c, "id: 2\ndata: b\n\n")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: sig\r\nConnection: close\r\n\r\n",
+			r.Header.Get("Attempt-Id"))
+		for i, part := range parts {
+			if i > 0 {
+				time.Sleep(minProof + 100*time.Millisecond)
+			}
+			_, _ = io.WriteString(c, part)
+		}
 		_ = listener.Close()
 	}()
 	return listener.Addr().String()
@@ -143,8 +148,9 @@
 // Guards against a stream that looks complete to the client although its server was killed between two events.
 func TestStreamOfAServerThatEndsBetweenTwoEvents(t *testing.T) {
 	g := NewWithT(t)
-	const delivered = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-	h := newGatewayHarness(t, []string{serveAndEnd(t)})
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	delivered := strings.Join(events, "")
+	h := newGatewayHarness(t, []string{serveAndEnd(t, events...)})
 	response := h.do(h.stream("/chat/x", "once"))
 	g.Expect(response.err).To(HaveOccurred())
 	g.Expect(response.body).To(Equal(delivered))
@@ -153,43 +159,19 @@
 		return map[string]string{"": delivered, "2": "id: 3\ndata: c\n\n"}[lastEvent]
 	}
 	for range 4 { // the first server is chosen at random
-		h = newGatewayHarness(t, []string{serveAndEnd(t), serveUnframed(t, closed, rest)})
+		h = newGatewayHarness(t, []string{serveAndEnd(t, events...), serveUnframed(t, closed, rest)})
 		response = h.do(h.stream("/digest/x", "resumable"))
 		g.Expect(response.err).NotTo(HaveOccurred())
 		g.Expect(response.body).To(Or(Equal(delivered), Equal(delivered+"id: 3\ndata: c\n\n")))
 	}
 }
 
-// serveHalfAndEnd starts a server that ends, with its port and its connections, within a body without a length.
-func serveHalfAndEnd(t *testing.T, half string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nInstance-Signature: sig\r\nConnection: close\r\n\r\n%s",
-			r.Header.Get("Attempt-Id"), half)
-		_ = listener.Close()
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against half a body without a length that looks whole although its server was killed, with a length that the router
 // has added, or after a long part that was passed on.
 func TestBodyOfAServerThatEnds(t *testing.T) {
 	for _, length := range []int{400, 2 * maxBufferedBytes} {
 		g := NewWithT(t)
-		h := newGatewayHarness(t, []string{serveHalfAndEnd(t, strings.Repeat("h", length))})
+		h := newGatewayHarness(t, []string{serveAndEnd(t, strings.Repeat("h", length))})
 		response := h.do(h.request(http.MethodPost, "/callout/x", "a", "body"))
 		g.Expect(response.err != nil || response.status == http.StatusBadGateway).To(BeTrue(), "%d bytes with status %d", len(response.body), response.status)
 	}
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -40,19 +40,12 @@
 // HasUnread reports whether data has arrived on a connection, or its peer has closed it, that has not been read. It
 // does not block, even while another goroutine waits to read.
 func HasUnread(conn net.Conn) bool {
-	tcp, ok := tcpConn(conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
 	unread := false
-	err = raw.Control(func(fd uintptr) {
+	err := control(conn, func(fd int) error {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		unread = err != syscall.EAGAIN && err != syscall.EINTR
+		return nil
 	})
 	return err == nil && unread
 }
--- a/test/overlimit/endless_test.go
+++ b/test/overlimit/endless_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"path"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -66,8 +67,8 @@
 		return
 	}
 	served.Add(1)
-	name, _ := strings.CutPrefix(r.URL.Path[strings.LastIndex(r.URL.Path, "/"):], "/")
-	endlessResponses(r.Header.Get("Attempt-Id"))[strings.ReplaceAll(name, "_", " ")].Send(c)
+	name := strings.ReplaceAll(path.Base(r.URL.Path), "_", " ")
+	endlessResponses(r.Header.Get("Attempt-Id"))[name].Send(c)
 }
 
 // faultyClient returns a client of faulty servers. reads tells whether it reads its response.
@@ -92,9 +93,9 @@
 	for _, name := range slices.Sorted(maps.Keys(endlessResponses(""))) {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			path := strings.ReplaceAll(name, " ", "_")
+			element := strings.ReplaceAll(name, " ", "_")
 			for i := range faultyServers { // new ones, since servers that failed get few requests for a while
-				r.store.Put(fmt.Sprintf("servers/f-%s-%d", path, i), fmt.Appendf(nil,
+				r.store.Put(fmt.Sprintf("servers/f-%s-%d", element, i), fmt.Appendf(nil,
 					`{"service":"faulty","address":%q,"zone":"a","slots":64,"state":"ready"}`, endless.Serve(t, serveWithoutEnd)))
 			}
 			served.Store(0)
@@ -103,7 +104,7 @@
 				defer close(done)
 				crowd(crowdSize, faultyTime, r.front, func(ctx context.Context, conn net.Conn) {
 					prefix := []string{"/faulty/", "/faultystream/"}[attempts.Load()%2]
-					faultyClient(prefix+path, attempts.Load()%4 < 2)(ctx, conn)
+					faultyClient(prefix+element, attempts.Load()%4 < 2)(ctx, conn)
 				})
 			}()
 			g.Eventually(r.ordinaryStatus, "5s", "50ms").Should(Equal(http.StatusOK), "beside the faulty servers")
