--- a/internal/daemon/gateway/reporter_test.go
+++ b/internal/daemon/gateway/reporter_test.go
@@ -293,6 +293,7 @@
 		f := newReportFleet(g, 60)
 		defer f.killAll()
 		time.Sleep(settleTime)
+		synctest.Wait() // the router's own reporter may be due now, too
 		busy := f.nodes["r-050"]
 		for _, p := range busy.peers.Live(time.Now()) {
 			ready := *p.Report
