sockopt: Watch the peer of a write that the system gets late

A peer that is gone was not noticed within 3 s, if the watcher checked its connection between the call of a write and the moment at which the system had the bytes: the check found nothing unacknowledged and ended the watch.

Change: a write is recorded once the system has the bytes, and one that may wait before that, too.

--- a/internal/transport/sockopt/conn.go
+++ b/internal/transport/sockopt/conn.go
@@ -18,9 +18,10 @@
 // NetConn returns the wrapped connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It may wait for the peer, and the peer may have been checked before the system had the bytes.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.peer.recordWrite()
+	defer c.peer.recordWrite()
 	return c.Conn.Write(b)
 }
 
--- a/internal/transport/sockopt/peer_linux.go
+++ b/internal/transport/sockopt/peer_linux.go
@@ -72,7 +72,7 @@
 	return known
 }
 
-// recordWrite is called before data is written to the peer.
+// recordWrite is called when data has been written to the peer, and before that by a write that may wait.
 func (p *peer) recordWrite() {
 	if p != nil && p.watchable.Load() && !p.watched.Swap(true) {
 		p.progressAt.Store(int64(time.Since(processStart)))
--- a/internal/transport/sockopt/peer_test.go
+++ b/internal/transport/sockopt/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -98,3 +99,28 @@
 		})
 	}
 }
+
+// lateConn gives its bytes to the system some time after the call.
+type lateConn struct{ net.Conn }
+
+func (c lateConn) NetConn() net.Conn { return c.Conn }
+
+func (c lateConn) Write(b []byte) (int, error) {
+	time.Sleep(2 * checkPeriod)
+	return c.Conn.Write(b)
+}
+
+// Guards against a peer that is gone and not noticed, because it was checked between the call of a write and the write.
+func TestWriteAfterACheckIsWatched(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	server, client := connect(t)
+	late := newConn(lateConn{server.(*Conn).Conn})
+	Apply(late)
+	slowpeer.Vanish(t, client)
+	write(late, 1)
+	_ = server.SetReadDeadline(time.Now().Add(2*checkPeriod + noticeTimeout))
+	_, err := server.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
+}
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -77,10 +77,10 @@
 
 // TryWrite writes as much as the system's buffer takes. It must not be called concurrently.
 func (w *Writer) TryWrite(data []byte) (int, error) {
-	w.peer.recordWrite()
 	w.data, w.written, w.err = data, 0, nil
 	err := w.raw.Write(w.write)
 	w.data = nil
+	w.peer.recordWrite()
 	if err != nil {
 		return 0, err
 	}
