hedge: Wait only shortly once more after a late timer

A safe request got 504 although a second server was free: its first server hung, the router was without a processor when the time for a substitute had come, and the whole limit started again, a half of the time that was left. That ended at the deadline.

Change: the wait after a late timer is as long as the delay that makes it late, and half as long each further time. TestLateTimersLeaveTimeForASubstitute failed before.

--- a/internal/coordination/hedge/hedge.go
+++ b/internal/coordination/hedge/hedge.go
@@ -56,8 +56,9 @@
 	stopping bool
 	position P
 	limit    time.Duration
-	// due is when timer is to fire. If onTimer runs earlier, the timer was restarted while it fired.
+	// due is when timer is to fire after wait. If onTimer runs earlier, the timer was restarted while it fired.
 	due   time.Time
+	wait  time.Duration
 	timer *time.Timer
 	// substitutes are those in progress. It is nil before the first one, since most attempts get none.
 	substitutes map[*substitution]struct{}
@@ -74,7 +75,7 @@
 	if h.limit > 0 {
 		h.mu.Lock() // the timer may fire before the field is set
 		defer h.mu.Unlock()
-		h.due = time.Now().Add(h.limit)
+		h.due, h.wait = time.Now().Add(h.limit), h.limit
 		h.timer = time.AfterFunc(h.limit, h.onTimer)
 	}
 	return h
@@ -110,7 +111,7 @@
 	defer h.mu.Unlock()
 	if h.state == Delivering {
 		h.state = Waiting
-		h.restart()
+		h.restart(h.limit)
 	}
 }
 
@@ -136,13 +137,13 @@
 	return none, false
 }
 
-// restart starts the timer with the current limit. The hedge must be locked.
-func (h *Hedge[A, P]) restart() {
+// restart starts the timer if substitutes may be made. The hedge must be locked.
+func (h *Hedge[A, P]) restart(wait time.Duration) {
 	if h.timer == nil || h.limit <= 0 {
 		return
 	}
-	h.due = time.Now().Add(h.limit)
-	h.timer.Reset(h.limit)
+	h.due, h.wait = time.Now().Add(wait), wait
+	h.timer.Reset(wait)
 }
 
 // cancelSubstitutes cancels the substitutes in progress. The hedge must be locked.
@@ -191,9 +192,13 @@
 	if !h.mayBegin() || now.Before(h.due) {
 		return nil, h.position, false
 	}
-	late := now.Sub(h.due) > maxTimerDelay
-	h.restart()
-	if late || h.opts.Unread() {
+	if now.Sub(h.due) > maxTimerDelay {
+		// What has arrived meanwhile is read soon. The whole limit once more might last until the deadline.
+		h.restart(min(h.wait/2, maxTimerDelay))
+		return nil, h.position, false
+	}
+	h.restart(h.limit)
+	if h.opts.Unread() {
 		return nil, h.position, false
 	}
 	h.state = Hedged
@@ -230,7 +235,7 @@
 	case len(h.substitutes) == 0:
 		s.cancel()
 		h.state = Waiting
-		h.restart()
+		h.restart(h.limit)
 	default:
 		s.cancel()
 		return false
--- a/internal/coordination/hedge/hedge_test.go
+++ b/internal/coordination/hedge/hedge_test.go
@@ -254,6 +254,25 @@
 	})
 }
 
+// Guards against a request that waits until its deadline, of which the limit is a half, because its process was inactive when a
+// timer fired, also several times.
+func TestLateTimersLeaveTimeForASubstitute(t *testing.T) {
+	s := &substitutes{ok: true}
+	run(t, s, func(g Gomega, h *Hedge[string, int]) {
+		wait := firstLimit
+		for range 3 {
+			h.mu.Lock()
+			h.due = h.due.Add(-2 * maxTimerDelay)
+			h.mu.Unlock()
+			sleep(wait)
+			g.Expect(s.started.Load()).To(BeZero())
+			wait = min(wait/2, maxTimerDelay)
+		}
+		sleep(wait)
+		g.Expect(s.started.Load()).To(BeEquivalentTo(1))
+	})
+}
+
 // Guards against a second run of a request that may run only once.
 func TestNoSubstituteWithoutLimit(t *testing.T) {
 	s := &substitutes{ok: true}
