upstream: Read a connection's state before it goes back to the pool

A send that was withdrawn read whether its connection had been used before after it had put it back, while another send may have taken it: a data race, and the wrong value in the error.

--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -103,13 +103,14 @@
 	if err != nil {
 		return nil, &SendError{Stage: NotSent, DialFailed: true, Err: err}
 	}
+	reused := c.reused // another send may take the connection as soon as it is back
 	if r.MaySend != nil && !r.MaySend() {
 		p.put(c, unusedIdleTimeout(c))
-		return nil, &SendError{Stage: NotSent, Reused: c.reused, Err: ErrWithdrawn}
+		return nil, &SendError{Stage: NotSent, Reused: reused, Err: ErrWithdrawn}
 	}
 	if ctx.Err() != nil {
 		p.put(c, unusedIdleTimeout(c))
-		return nil, &SendError{Stage: NotSent, Reused: c.reused, Err: context.Cause(ctx)}
+		return nil, &SendError{Stage: NotSent, Reused: reused, Err: context.Cause(ctx)}
 	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Monitor != nil {
@@ -123,7 +124,7 @@
 	if err != nil {
 		stopAfterFunc()
 		_ = c.Close()
-		return nil, &SendError{Stage: w.stage(), Reused: c.reused, Err: contextCause(ctx, err)}
+		return nil, &SendError{Stage: w.stage(), Reused: reused, Err: contextCause(ctx, err)}
 	}
 	return &Response{
 		Response: resp, pool: p, conn: c, stopAfterFunc: stopAfterFunc, writer: w, idleTimeout: serverIdleTimeout(resp),
