--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -126,21 +126,23 @@
 
 // Guards against a claim that cannot be used again after a call that did not run, and against two holders of it.
 func TestNotRunRecordIsClaimedAgainOnce(t *testing.T) {
-	store := newFakeStore()
-	first := mustBegin(t, newManager(t, store, "r1"), testCall)
-	if err := first.Abandon(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	second := mustBegin(t, newManager(t, store, "r2"), testCall)
-	if second.FencingNumber() <= first.FencingNumber() {
-		t.Fatalf("fence %d after %d", second.FencingNumber(), first.FencingNumber())
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
-	defer cancel()
-	var open *OpenError
-	if _, _, err := newManager(t, store, "r3").Begin(ctx, testCall); !errors.As(err, &open) {
-		t.Fatalf("third: %v", err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		first := mustBegin(t, newManager(t, store, "r1"), testCall)
+		if err := first.Abandon(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		second := mustBegin(t, newManager(t, store, "r2"), testCall)
+		if second.FencingNumber() <= first.FencingNumber() {
+			t.Fatalf("fence %d after %d", second.FencingNumber(), first.FencingNumber())
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		var open *OpenError
+		if _, _, err := newManager(t, store, "r3").Begin(ctx, testCall); !errors.As(err, &open) {
+			t.Fatalf("third: %v", err)
+		}
+	})
 }
 
 // Guards against repeated requests that are answered before the holder has ended, or that wait beyond their own
