gateway: Do not send a request whose client has left

The HTTP server looks for the end in a goroutine of its own once the body has been read, and the request is sent without waiting for it. Change: just before a request is sent, the router asks the system whether the client has closed (one system call). Not covered: a request that another router has passed on, and whose end that router has not read yet.

--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -226,6 +226,10 @@
 	return nil
 }
 
+// HasLeft reports whether the client has closed the connection, or its sending side, after a request. The HTTP server notices
+// that too, but only when its goroutine gets a processor.
+func (c *Conn) HasLeft() bool { return c != nil && sockopt.PeerClosed(c.Conn) }
+
 // SetIncomplete makes the client see a reset when the connection is closed.
 func (c *Conn) SetIncomplete() {
 	if c == nil {
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -165,7 +165,7 @@
 		Monitor: &a.monitor,
 		MaySend: func() bool {
 			a.sentAt = time.Now()
-			return x.g.opts.Admission.MaySend(a.ticket) && a.mayStillSend()
+			return !x.clientHasLeft() && x.g.opts.Admission.MaySend(a.ticket) && a.mayStillSend()
 		},
 		Matches: func(resp *http.Response) bool {
 			metadata := platform.DecodeResponse(resp.StatusCode, resp.Header)
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -58,6 +58,8 @@
 	memory    *memory.Holder
 	bodyEnded atomic.Bool
 
+	// cancel ends the request without a response. It is nil until the body has been read.
+	cancel context.CancelFunc
 	// poison is the request as a possible cause of crashes. It is nil until the body has been read.
 	poison *poison.Request
 	// proven is set once a response has shown that the request does not crash servers.
@@ -108,6 +110,7 @@
 	}
 	ctx, cancel := withDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	x.cancel = cancel
 	x.poison = x.newPoisonRequest()
 	x.g.opts.RetryBudget.Deposit(time.Now(), x.service.Name)
 	x.sendWithRetries(ctx)
@@ -237,6 +240,15 @@
 	}
 }
 
+// clientHasLeft reports whether the client has closed its connection. It then ends the request.
+func (x *exchange) clientHasLeft() bool {
+	if !clientconn.FromContext(x.r.Context()).HasLeft() {
+		return false
+	}
+	x.cancel()
+	return true
+}
+
 // mayHaveRun reports whether a server may have run the request.
 func (x *exchange) mayHaveRun() bool {
 	_, possibleRuns := x.sends.total()
--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -50,6 +50,19 @@
 	return err == nil && unread
 }
 
+// PeerClosed reports whether the peer has closed its side of a connection and all that it sent has been read. It does not
+// block, even while another goroutine waits to read.
+func PeerClosed(conn net.Conn) bool {
+	closed := false
+	err := control(conn, func(fd int) error {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err == syscall.ECONNRESET
+		return nil
+	})
+	return err == nil && closed
+}
+
 // Writer writes to a connection without waiting.
 type Writer struct {
 	peer    *peer
--- a/internal/transport/sockopt/user_timeout_other.go
+++ b/internal/transport/sockopt/user_timeout_other.go
@@ -16,6 +16,9 @@
 // HasUnread always returns false, since the state of a connection cannot be tested without blocking.
 func HasUnread(net.Conn) bool { return false }
 
+// PeerClosed always returns false for the same reason.
+func PeerClosed(net.Conn) bool { return false }
+
 // Writer writes to a connection without waiting. It exists only on Linux.
 type Writer struct{}
 
