sockopt, clientconn: Make one piece of what stood twice

A harness of a test was called got. No behaviour changes.

Race tests of sockopt, clientconn, offload, upstream and transport/gateway passed.

--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -61,17 +61,8 @@
 
 // From returns the tracked connection that conn is or wraps, or nil.
 func From(conn net.Conn) *Conn {
-	for conn != nil {
-		if c, ok := conn.(*Conn); ok {
-			return c
-		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		conn = wrapper.NetConn()
-	}
-	return nil
+	c, _ := sockopt.As[*Conn](conn)
+	return c
 }
 
 type contextKey struct{}
--- a/internal/transport/gateway/brokenhead_test.go
+++ b/internal/transport/gateway/brokenhead_test.go
@@ -69,8 +69,8 @@
 						g.Expect(broken).To(BeTrue(), "%s after %q: %+v", path, response.text[:n], got)
 					}
 					if end == closed && !response.unframed {
-						got := newGatewayHarness(t, []string{serveBeginning(t, response.text, end)})
-						whole := got.do(got.stream(path, "a"))
+						h := newGatewayHarness(t, []string{serveBeginning(t, response.text, end)})
+						whole := h.do(h.stream(path, "a"))
 						g.Expect(whole.err).NotTo(HaveOccurred())
 						g.Expect(whole.body).To(Equal(brokenEvents))
 					}
--- a/internal/transport/sockopt/conn.go
+++ b/internal/transport/sockopt/conn.go
@@ -27,7 +27,7 @@
 
 // CloseWrite closes the sending side.
 func (c *Conn) CloseWrite() error {
-	if tcp, ok := tcpConn(c.Conn); ok {
+	if tcp, ok := As[*net.TCPConn](c.Conn); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
@@ -35,22 +35,31 @@
 
 // Reset closes a connection with a reset, so that its peer cannot take what it has received for complete.
 func Reset(conn net.Conn) {
-	if tcp, ok := tcpConn(conn); ok {
+	if tcp, ok := As[*net.TCPConn](conn); ok {
 		_ = tcp.SetLinger(0) // the only error is that the connection is closed already
 	}
 	_ = conn.Close()
 }
 
-// peerOf returns the peer of the Conn that conn is or wraps, or nil.
-func peerOf(conn net.Conn) *peer {
-	for {
-		if c, ok := conn.(*Conn); ok {
-			return &c.peer
+// As returns the first connection of type T among conn and those that it wraps: a wrapper has a method NetConn.
+func As[T net.Conn](conn net.Conn) (found T, ok bool) {
+	for conn != nil {
+		if found, ok = conn.(T); ok {
+			return found, true
 		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
+		wrapper, wrapped := conn.(interface{ NetConn() net.Conn })
+		if !wrapped {
+			break
 		}
 		conn = wrapper.NetConn()
 	}
+	return found, false
+}
+
+// peerOf returns the peer of the Conn that conn is or wraps, or nil.
+func peerOf(conn net.Conn) *peer {
+	if c, ok := As[*Conn](conn); ok {
+		return &c.peer
+	}
+	return nil
 }
--- a/internal/transport/sockopt/dial.go
+++ b/internal/transport/sockopt/dial.go
@@ -87,22 +87,10 @@
 	return &PlainListener{Listener: listener}, nil
 }
 
-// tcpConn returns the TCP connection of conn, which may be wrapped: a wrapper has a method NetConn.
-func tcpConn(conn net.Conn) (tcp *net.TCPConn, ok bool) {
-	for {
-		wrapper, wrapped := conn.(interface{ NetConn() net.Conn })
-		if !wrapped {
-			tcp, ok = conn.(*net.TCPConn)
-			return tcp, ok
-		}
-		conn = wrapper.NetConn()
-	}
-}
-
 // Apply makes sure that a connection whose peer stops responding is closed. Errors are ignored: they occur only if the
 // connection is closed already.
 func Apply(conn net.Conn) {
-	tcp, ok := tcpConn(conn)
+	tcp, ok := As[*net.TCPConn](conn)
 	switch p := peerOf(conn); {
 	case !ok:
 	case p != nil && p.startWatch():
--- a/internal/transport/sockopt/peer_linux.go
+++ b/internal/transport/sockopt/peer_linux.go
@@ -198,7 +198,7 @@
 
 // control calls f with the descriptor of a TCP connection.
 func control(conn net.Conn, f func(fd int) error) error {
-	tcp, ok := tcpConn(conn)
+	tcp, ok := As[*net.TCPConn](conn)
 	if !ok {
 		return syscall.ENOTSOCK
 	}
