admission, discovery, gateway: Show why a granted request is not sent, and how long the store was away

A request that was granted a server and is not sent to it is counted by reason (gooseberrytide_withdrawals_total), and its log line names the reason. The line 'store reached' says for how long the router had no answer, and 'entry did not come back' by how much the end of the grace was late.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -63,24 +63,6 @@
 	return news
 }
 
-// MaySend reports whether a granted request may be sent now: its server may have announced since that it leaves or wants
-// a pause, or may have named a limit, its failure domain may have been evacuated, or the permit may have lapsed. clock is
-// the time on a clock that includes suspension.
-func (c *Core) MaySend(now time.Time, clock time.Duration, t *Ticket) bool {
-	if t.state != ticketGranted || c.excluded(t.server) || now.Before(c.reopensAt(t.server)) {
-		return false
-	}
-	if _, limited := c.rate(now, t.server.ID); limited && !t.permit.valid(clock) {
-		if t.permit.held() {
-			c.permitCounts.Lapsed++
-			t.permit = permit{} // its owner no longer counts it as unused
-		}
-		return false
-	}
-	t.sent = true
-	return true
-}
-
 // SkipSuspended shortens the pauses of servers by a time for which the VM was suspended, which the clock of the other
 // methods does not count. What servers have said about limits is as much older.
 func (c *Core) SkipSuspended(d time.Duration) {
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -142,6 +142,8 @@
 	sent           bool
 	// permitsDenied counts the permits that were denied.
 	permitsDenied int
+	// withdrawal is why the request was not sent.
+	withdrawal Withdrawal
 }
 
 type ticketState uint8
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -103,9 +103,11 @@
 	// readerIndex selects the reader in use. avoidUntil holds, by address, when a reader that failed may be used again.
 	readerIndex int
 	avoidUntil  map[string]time.Time
-	// reachable is set if the store answered the last call; restoredAt is when it last became reachable.
+	// reachable is set if the store answered the last call; restoredAt is when it last became reachable, answeredAt when it
+	// last answered.
 	reachable  bool
 	restoredAt time.Time
+	answeredAt time.Time
 }
 
 // New returns a follower.
@@ -374,12 +376,15 @@
 
 func (f *Follower) recordSuccess() {
 	f.backoff.Reset()
+	now := time.Now()
+	unanswered := now.Sub(f.answeredAt)
+	f.answeredAt = now
 	if f.reachable {
 		return
 	}
 	f.reachable = true
-	f.restoredAt = time.Now()
-	f.opts.Log.Info("store reached", f.revisionField())
+	f.restoredAt = now
+	f.opts.Log.Info("store reached", f.revisionField(), zap.Duration("unanswered", unanswered))
 }
 
 func (f *Follower) recordFailure(err error) {
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -230,7 +230,8 @@
 		if now.Before(at) {
 			continue
 		}
-		s.opts.Log.Info("backend server gone", zap.String("server", id), zap.String("cause", "entry did not come back"))
+		s.opts.Log.Info("backend server gone", zap.String("server", id), zap.String("cause", "entry did not come back"),
+			zap.Duration("late", now.Sub(at)))
 		changed = s.dropServer(id, now) || changed
 	}
 	for id, at := range s.expiringRouters {
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -178,6 +178,7 @@
 func (a *attempt) handleNoResponse(err error) sendResult {
 	a.err = err
 	if errors.Is(err, upstream.ErrWithdrawn) {
+		a.recordWithdrawal()
 		a.x.sends.recordNotRun()
 		a.outcome = admission.ResultCancelled
 		return sendWithdrawn
@@ -209,6 +210,16 @@
 	return result
 }
 
+// recordWithdrawal counts a request that was not sent, by the reason of the admission controller.
+func (a *attempt) recordWithdrawal() {
+	reason := a.ticket.Withdrawal()
+	if reason == "" {
+		return // its client has left, or it is suspected of crashing servers
+	}
+	a.err = errors.Wrap(a.err, string(reason))
+	a.x.g.opts.Metrics.Withdrawals.WithLabelValues(string(reason)).Inc()
+}
+
 // replaced reports whether a substitute has delivered in place of the attempt.
 func (a *attempt) replaced() bool { return errors.Is(context.Cause(a.ctx), errReplaced) }
 
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -10,6 +10,8 @@
 	Refusals *prometheus.CounterVec
 	// Sends counts sends to backend servers by result.
 	Sends *prometheus.CounterVec
+	// Withdrawals counts requests that were granted a server and not sent to it, by reason.
+	Withdrawals *prometheus.CounterVec
 	// CutResponses counts requests whose connection was closed without a complete response, by cause.
 	CutResponses *prometheus.CounterVec
 	// InvalidResponses counts responses that exceed the limits of the protocol.
@@ -43,6 +45,10 @@
 		Sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrytide_sends_total", Help: "Sends to backend servers by result.",
 		}, []string{"result"}),
+		Withdrawals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrytide_withdrawals_total",
+			Help: "Requests that were granted a backend server and not sent to it, because of what became known meanwhile, by reason.",
+		}, []string{"reason"}),
 		CutResponses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrytide_cut_responses_total",
 			Help: "Requests whose connection was closed without a complete answer, by cause.",
@@ -73,7 +79,7 @@
 			Name: "gooseberrytide_first_seconds", Help: "Time to the first event or the answer.", Buckets: timeToFirstBuckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.CutResponses, m.InvalidResponses, m.LeavingServers, m.ServerPauses,
+	r.MustRegister(m.Answers, m.Refusals, m.Sends, m.Withdrawals, m.CutResponses, m.InvalidResponses, m.LeavingServers, m.ServerPauses,
 		m.ServerLimits, m.InvalidLimits, m.InvalidWarmups, m.TimeToFirst)
 	return m
 }
