--- /dev/null
+++ b/internal/coordination/discovery/contact_test.go
@@ -0,0 +1,88 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+)
+
+// cutFeed is the store as seen by a router whose link to it can be cut: calls get no answer until they are given up.
+type cutFeed struct {
+	kv.Feed
+	cut atomic.Bool
+}
+
+func (f *cutFeed) Changes(
+	ctx context.Context, prefix string, after kv.Position, wait time.Duration,
+) ([]kv.Change, kv.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+headerTimeout)
+	defer cancel()
+	if !f.cut.Load() {
+		changes, position, err := f.Feed.Changes(ctx, prefix, after, wait)
+		if !f.cut.Load() {
+			return changes, position, err
+		}
+	}
+	<-ctx.Done()
+	return nil, kv.Position{}, ctx.Err()
+}
+
+// headerTimeout is how long the client of the store waits for an answer, beyond the wait that it asks for.
+const headerTimeout = 800 * time.Millisecond
+
+// newCutFollower returns a follower with a server that has run for a while, and its link to the store.
+func newCutFollower(t *testing.T, age time.Duration) (*testFollower, *cutFeed, *kv.FakeFeed) {
+	t.Helper()
+	feed := kv.NewFakeFeed()
+	feed.Put("s/a", []byte(serverJSON))
+	link := &cutFeed{Feed: feed}
+	f := newTestFollower(t, link, nil)
+	time.Sleep(age)
+	return f, link, feed
+}
+
+// Guards against requests to a server that left while this router was cut off from the store: the router may use it until it
+// counts as in touch again, 3 s after the cut.
+func TestServerThatLeftDuringACutIsDroppedInTime(t *testing.T) {
+	const touchTime = 3 * time.Second
+	for phase := range 40 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, link, feed := newCutFollower(t, 3*time.Second+time.Duration(phase)*50*time.Millisecond)
+				link.cut.Store(true)
+				time.Sleep(3*time.Second + time.Duration(phase)*70*time.Millisecond)
+				feed.Remove("s/a")
+				link.cut.Store(false)
+				time.Sleep(touchTime - 100*time.Millisecond)
+				NewWithT(t).Expect(f.hasServer("a")).To(BeFalse())
+			})
+		})
+	}
+}
+
+// Guards against a server that stays in use beyond its grace because the router waits for an answer of the store.
+func TestGraceEndsWhileACallHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, link, feed := newCutFollower(t, 3*time.Second)
+		feed.SetDown(true)
+		time.Sleep(3 * time.Second)
+		feed.Remove("s/a")
+		feed.SetDown(false)
+		time.Sleep(longestRetryDelay)
+		synctest.Wait()
+		end := f.graceEnd()
+		time.Sleep(time.Until(end) - 50*time.Millisecond)
+		g.Expect(f.hasServer("a")).To(BeTrue())
+		link.cut.Store(true)
+		time.Sleep(time.Until(end) + 50*time.Millisecond)
+		g.Expect(f.hasServer("a")).To(BeFalse())
+	})
+}
--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -53,14 +53,14 @@
 
 // testFollower is a running follower of a fake store, with the state that it maintains.
 type testFollower struct {
-	feed    *kv.FakeFeed
+	feed    kv.Feed
 	proof   *freshness.Proof
 	servers *backends.Holder
 	routing *routing.Holder
 	*Follower
 }
 
-func newTestFollower(t *testing.T, feed *kv.FakeFeed, peers Peers) *testFollower {
+func newTestFollower(t *testing.T, feed kv.Feed, peers Peers) *testFollower {
 	t.Helper()
 	return startFollower(t, feed, peers, func(int64) FleetConfig { return FleetConfig{Heard: true} })
 }
@@ -73,7 +73,7 @@
 }
 
 func startFollower(
-	t *testing.T, feed *kv.FakeFeed, peers Peers, fleetConfig func(own int64) FleetConfig,
+	t *testing.T, feed kv.Feed, peers Peers, fleetConfig func(own int64) FleetConfig,
 ) *testFollower {
 	t.Helper()
 	begin := time.Now()
