admission: Check what is known of the server when a request is sent

Callers: a request reached a server that had left, up to the second that a connection may take to open after the router had learnt of it.

Cause: the check just before the send looked at the ticket's copy of the server, which is as old as the grant. What responses announced was looked up; what the store says was not, nor a restart, a move to another service or an ejection.

--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -48,6 +48,11 @@
 	return !h.suspect || !h.probing
 }
 
+// ejectedFor reports whether the server is ejected for a request that was granted before, which may be its probe.
+func (h *health) ejectedFor(now time.Time, probe bool) bool {
+	return h != nil && h.suspect && (!probe || now.Before(h.pausedUntil))
+}
+
 // record updates the health with the result of a request. meanErrorRate is the mean over the service's servers.
 func (h *health) record(now time.Time, result Result, meanErrorRate float64) {
 	switch result {
--- a/internal/coordination/admission/send.go
+++ b/internal/coordination/admission/send.go
@@ -8,6 +8,12 @@
 const (
 	// WithdrawalEnded means that the request is no longer granted.
 	WithdrawalEnded Withdrawal = "ended"
+	// WithdrawalGone means that the server's service no longer has it.
+	WithdrawalGone Withdrawal = "gone"
+	// WithdrawalReplaced means that the server has started again.
+	WithdrawalReplaced Withdrawal = "replaced"
+	// WithdrawalEjected means that the server has been ejected since the grant.
+	WithdrawalEjected Withdrawal = "ejected"
 	// WithdrawalLeaving means that the server drains or has announced that it leaves.
 	WithdrawalLeaving Withdrawal = "leaving"
 	// WithdrawalEvacuated means that the server's failure domain is evacuated.
@@ -29,17 +35,26 @@
 	return true
 }
 
-// withdrawal returns why a request may not be sent now.
+// withdrawal returns why a request may not be sent now. It goes by what is known of the server now and not by the ticket's
+// copy, which is as old as the grant.
 func (c *Core) withdrawal(now time.Time, clock time.Duration, t *Ticket) Withdrawal {
-	switch {
-	case t.state != ticketGranted:
+	if t.state != ticketGranted {
 		return WithdrawalEnded
-	case c.drains.Draining(t.server):
+	}
+	server := c.servers.InService(t.server.Service, t.server.ID)
+	switch {
+	case server == nil:
+		return WithdrawalGone
+	case !server.SameStart(t.server):
+		return WithdrawalReplaced
+	case c.drains.Draining(server):
 		return WithdrawalLeaving
-	case c.evacuated(t.server):
+	case c.evacuated(server):
 		return WithdrawalEvacuated
-	case now.Before(c.reopensAt(t.server)):
+	case now.Before(c.reopensAt(server)):
 		return WithdrawalPaused
+	case c.health[server.ID].ejectedFor(now, t.probe):
+		return WithdrawalEjected
 	case !c.permitted(now, clock, t):
 		return WithdrawalPermit
 	default:
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -91,6 +91,16 @@
 // ByService returns a service's servers, ordered by ID. The slice must not be modified.
 func (s *Set) ByService(service string) []*Server { return s.byService[service] }
 
+// InService returns the server of a service with an ID, or nil if the service has none.
+func (s *Set) InService(service, id string) *Server {
+	servers := s.byService[service]
+	i, found := slices.BinarySearchFunc(servers, id, func(s *Server, id string) int { return cmp.Compare(s.ID, id) })
+	if !found {
+		return nil
+	}
+	return servers[i]
+}
+
 // Len returns the number of servers.
 func (s *Set) Len() int { return len(s.byID) }
 
