discovery: Reach the store soon after a cut, and end the grace of lapsed entries on time

Cause: after a cut a router waited for a poll that hung (0.8 s) and then paused (up to 1.2 s) before the next one.

Change: while the store does not answer, polls begin at most 0.75 s apart, whether the last one hangs or has failed; the grace ends by a timer. The sum is now 0.75 + 1.8 s.

--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -41,10 +41,10 @@
 	// minRetryDelay and maxRetryDelay bound the exponential backoff between failed calls. The backoff library's default
 	// jitter of 50 % in either direction spreads the retries of routers that lost the store at the same time.
 	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
+	maxRetryDelay = 500 * time.Millisecond
 )
 
-// Sink receives the entries and changes that were read. Its methods are called by one goroutine.
+// Sink receives the entries and changes that were read. Its methods are called one after another.
 type Sink interface {
 	// Replace replaces the state of all keys. Servers whose entries are missing are kept until graceEnd if that is after
 	// now, and dropped at once otherwise.
@@ -79,7 +79,9 @@
 
 // Follower watches all keys of the store and passes their state and changes to a Sink.
 type Follower struct {
-	opts     Options
+	opts Options
+	// sinkMu is held while the sink is called.
+	sinkMu   sync.Mutex
 	position kv.Position
 	// appliedPosition is a copy of position that other goroutines may read.
 	appliedPosition atomic.Pointer[kv.Position]
@@ -131,8 +133,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.step(ctx)
-		now := time.Now()
-		f.opts.Sink.Expire(now)
+		f.expire()
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
@@ -141,7 +142,20 @@
 	}
 }
 
-// step makes one call: a listing, a poll of another router, or a poll of the store.
+// updateSink calls the sink.
+func (f *Follower) updateSink(update func(Sink)) {
+	f.sinkMu.Lock()
+	defer f.sinkMu.Unlock()
+	update(f.opts.Sink)
+}
+
+// expire drops what has passed its grace.
+func (f *Follower) expire() {
+	f.updateSink(func(s Sink) { s.Expire(time.Now()) })
+}
+
+// step makes one call: a listing, a poll of another router, or a poll of the store. Without contact to the store it polls
+// until the store answers.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
@@ -149,26 +163,10 @@
 	if address := f.reader(time.Now()); address != "" && !f.stale && f.pollPeer(ctx, address) {
 		return nil
 	}
-	wait := f.nextPollWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
-	sent := f.opts.Proof.Now()
-	changes, position, err := f.opts.Feed.Changes(ctx, "", f.position, wait)
-	if mustList(err) {
-		f.opts.Log.Info("changes not available, listing again", f.revisionField(), logfield.Error(err))
-		f.listed = false
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	f.recordSuccess()
-	f.stale = false
-	f.applyChanges(changes, position, sent)
-	if len(changes) > 0 {
-		periodic.Sleep(ctx, f.batchDelay())
+	if !f.reachable {
+		return f.regain(ctx)
 	}
-	return nil
+	return f.handlePoll(ctx, f.poll(ctx, f.position, f.nextPollWait()))
 }
 
 // mustList reports whether the changes after the present position cannot be read.
@@ -312,7 +310,7 @@
 	if position.Era > f.position.Era && !f.position.IsZero() {
 		f.restore(entries, position)
 	} else {
-		f.opts.Sink.Replace(entries, time.Now(), f.graceEnd())
+		f.replace(entries)
 	}
 	f.setPosition(position)
 	f.listed, f.stale = true, false
@@ -329,7 +327,7 @@
 		return err
 	}
 	f.recordSuccess()
-	f.opts.Sink.Replace(entries, time.Now(), f.graceEnd())
+	f.replace(entries)
 	f.setPosition(position)
 	f.listed, f.stale = true, true
 	f.history.reset(position)
@@ -338,6 +336,11 @@
 	return nil
 }
 
+// replace applies a listing of the store.
+func (f *Follower) replace(entries []kv.Entry) {
+	f.updateSink(func(s Sink) { s.Replace(entries, time.Now(), f.graceEnd()) })
+}
+
 // settlePeriod is how long the operators may take to write the newest configuration again after the store came back from
 // an older copy.
 const settlePeriod = 2 * time.Second
@@ -345,7 +348,7 @@
 // restore applies the entries of a store that came back from an older copy.
 func (f *Follower) restore(entries []kv.Entry, position kv.Position) {
 	now := time.Now()
-	f.restoredAt = now
+	f.beginGrace(now)
 	f.settledAt = now.Add(settlePeriod)
 	f.mu.Lock()
 	f.unconfirmed = 0 // it is that of another era
@@ -353,7 +356,7 @@
 	f.opts.Log.Warn("store restored from an older copy",
 		zap.Int64("era", int64(position.Era)), zap.Int64("previous_era", int64(f.position.Era)),
 		zap.Int64("revision", int64(position.Revision)), zap.Int64("previous_revision", int64(f.position.Revision)))
-	f.opts.Sink.Restore(entries, now, f.graceEnd())
+	f.updateSink(func(s Sink) { s.Restore(entries, now, f.graceEnd()) })
 	f.opts.OnRestored()
 }
 
@@ -374,17 +377,27 @@
 	return f.restoredAt.Add(removalGrace)
 }
 
+// beginGrace begins the period in which entries may be missing because of an outage. It ends on time whatever call the router
+// waits for then.
+func (f *Follower) beginGrace(now time.Time) {
+	f.restoredAt = now
+	time.AfterFunc(removalGrace, f.expire)
+}
+
 func (f *Follower) recordSuccess() {
 	f.backoff.Reset()
-	now := time.Now()
-	unanswered := now.Sub(f.answeredAt)
+	now, previous := time.Now(), f.answeredAt
 	f.answeredAt = now
 	if f.reachable {
 		return
 	}
 	f.reachable = true
-	f.restoredAt = now
-	f.opts.Log.Info("store reached", f.revisionField(), zap.Duration("unanswered", unanswered))
+	f.beginGrace(now)
+	unanswered := zap.Skip()
+	if !previous.IsZero() {
+		unanswered = zap.Duration("unanswered", now.Sub(previous))
+	}
+	f.opts.Log.Info("store reached", f.revisionField(), unanswered)
 }
 
 func (f *Follower) recordFailure(err error) {
--- /dev/null
+++ b/internal/coordination/discovery/poll.go
@@ -0,0 +1,84 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"gooseberrytide.example/gooseberrytide/internal/state/kv"
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
+	"gooseberrytide.example/gooseberrytide/internal/state/periodic"
+)
+
+// pollAnswer is the answer to a poll of the store, or its error.
+type pollAnswer struct {
+	changes  []kv.Change
+	position kv.Position
+	// sent is when the poll was sent, on the proof's clock.
+	sent time.Duration
+	err  error
+}
+
+// poll asks the store for the changes after a position. The store may hold the poll until there are some.
+func (f *Follower) poll(ctx context.Context, after kv.Position, wait time.Duration) pollAnswer {
+	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
+	defer cancel()
+	a := pollAnswer{sent: f.opts.Proof.Now()}
+	a.changes, a.position, a.err = f.opts.Feed.Changes(ctx, "", after, wait)
+	return a
+}
+
+// handlePoll applies the answer to a poll.
+func (f *Follower) handlePoll(ctx context.Context, a pollAnswer) error {
+	if mustList(a.err) {
+		f.opts.Log.Info("changes not available, listing again", f.revisionField(), logfield.Error(a.err))
+		f.listed = false
+		return nil
+	}
+	if a.err != nil {
+		return a.err
+	}
+	f.recordSuccess()
+	f.stale = false
+	f.applyChanges(a.changes, a.position, a.sent)
+	if len(a.changes) > 0 {
+		periodic.Sleep(ctx, f.batchDelay())
+	}
+	return nil
+}
+
+// regain polls the store until it answers, or until another router may be polled instead. A poll that hangs does not delay the
+// next one: it hangs until it is given up even if the store is back, since what was sent to a lost store is lost.
+func (f *Follower) regain(ctx context.Context) error {
+	polls, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan pollAnswer)
+	for ctx.Err() == nil && f.reader(time.Now()) == "" {
+		position := f.position
+		go func() {
+			select {
+			case answers <- f.poll(polls, position, 0):
+			case <-polls.Done():
+			}
+		}()
+		if a, ok := firstAnswer(ctx, answers, f.backoff.NextBackOff()); ok {
+			return f.handlePoll(ctx, a)
+		}
+	}
+	return nil
+}
+
+// firstAnswer returns the first answer of the store within a time. It waits for all of that time if polls fail.
+func firstAnswer(ctx context.Context, answers <-chan pollAnswer, wait time.Duration) (pollAnswer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		select {
+		case a := <-answers:
+			if a.err == nil || mustList(a.err) {
+				return a, true
+			}
+		case <-ctx.Done():
+			return pollAnswer{}, false
+		}
+	}
+}
