discovery, gossip: Keep removed entries only after an outage of the store, not after a cut of this router

Cause: each failed call of one router, a watch that was cut too, counted as an outage of the store, after which entries may be missing because they lapsed, so that the removal of an entry took effect 1.8 s later.

Change: routers tell each other since when no call of the store has failed and when it last answered. A router whose contact was lost while another one had it throughout drops what is missing at once; after an outage, which all routers see, and after a restore nothing changes.

--- a/internal/coordination/discovery/contact_test.go
+++ b/internal/coordination/discovery/contact_test.go
@@ -78,7 +78,7 @@
 		feed.SetDown(false)
 		time.Sleep(longestRetryDelay)
 		synctest.Wait()
-		end := f.graceEnd()
+		end := f.contact.graceEnd()
 		time.Sleep(time.Until(end) - 50*time.Millisecond)
 		g.Expect(f.hasServer("a")).To(BeTrue())
 		link.cut.Store(true)
@@ -86,3 +86,35 @@
 		g.Expect(f.hasServer("a")).To(BeFalse())
 	})
 }
+
+// Guards against servers that are dropped after an outage of the store, in which their entries lapsed, on the word of a router that
+// had no contact itself or has not noticed the outage yet.
+func TestOnlyContactDuringTheLossEndsTheGrace(t *testing.T) {
+	const loss = 4 * time.Second
+	for name, c := range map[string]struct {
+		other    Contact
+		restored bool
+		ended    bool
+	}{
+		"had contact":             {other: Contact{Began: loss + time.Second, Answered: 1900 * time.Millisecond}, ended: true},
+		"lost contact too":        {other: Contact{Began: loss / 2}},
+		"has not noticed it":      {other: Contact{Began: loss + time.Second, Answered: loss - time.Second}},
+		"the store was restored":  {other: Contact{Began: loss + time.Second}, restored: true},
+		"contact began meanwhile": {other: Contact{Began: loss - time.Millisecond}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Now()
+			var contact storeContact
+			contact.recordAnswer(now)
+			g.Expect(contact.recordFailure()).To(BeTrue())
+			now = now.Add(loss)
+			contact.recordAnswer(now)
+			if c.restored {
+				contact.recordRestore(now)
+			}
+			g.Expect(contact.hear(now, c.other)).To(Equal(c.ended))
+			g.Expect(contact.graceEnd().IsZero()).To(Equal(c.ended))
+		})
+	}
+}
--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -209,7 +209,7 @@
 func TestPollWaitsAreJittered(t *testing.T) {
 	g := NewWithT(t)
 	f := New(Options{})
-	f.reachable = true
+	f.contact.answering = true
 	waits := make(map[time.Duration]bool)
 	for range 20 {
 		wait := f.nextPollWait()
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -57,6 +57,8 @@
 	Restore(entries []kv.Entry, now, graceEnd time.Time)
 	// Expire drops the servers and routers whose grace period has ended.
 	Expire(now time.Time)
+	// EndGrace drops those whose grace period has not ended, too.
+	EndGrace(now time.Time)
 }
 
 // Options configure a Follower.
@@ -105,11 +107,7 @@
 	// readerIndex selects the reader in use. avoidUntil holds, by address, when a reader that failed may be used again.
 	readerIndex int
 	avoidUntil  map[string]time.Time
-	// reachable is set if the store answered the last call; restoredAt is when it last became reachable, answeredAt when it
-	// last answered.
-	reachable  bool
-	restoredAt time.Time
-	answeredAt time.Time
+	contact     storeContact
 }
 
 // New returns a follower.
@@ -163,7 +161,7 @@
 	if address := f.reader(time.Now()); address != "" && !f.stale && f.pollPeer(ctx, address) {
 		return nil
 	}
-	if !f.reachable {
+	if !f.contact.isAnswering() {
 		return f.regain(ctx)
 	}
 	return f.handlePoll(ctx, f.poll(ctx, f.position, f.nextPollWait()))
@@ -188,9 +186,9 @@
 // the proof is renewed without delay.
 func (f *Follower) nextPollWait() time.Duration {
 	switch {
-	case !f.reachable, f.stale:
+	case !f.contact.isAnswering(), f.stale:
 		return 0
-	case time.Now().Before(f.graceEnd()), time.Now().Before(f.settledAt):
+	case time.Now().Before(f.contact.graceEnd()), time.Now().Before(f.settledAt):
 		return gracePollWait
 	case f.isRelaying():
 		return f.boundPollWait(relayingPollWait, peerPollWait)
@@ -338,7 +336,7 @@
 
 // replace applies a listing of the store.
 func (f *Follower) replace(entries []kv.Entry) {
-	f.updateSink(func(s Sink) { s.Replace(entries, time.Now(), f.graceEnd()) })
+	f.updateSink(func(s Sink) { s.Replace(entries, time.Now(), f.contact.graceEnd()) })
 }
 
 // settlePeriod is how long the operators may take to write the newest configuration again after the store came back from
@@ -348,7 +346,8 @@
 // restore applies the entries of a store that came back from an older copy.
 func (f *Follower) restore(entries []kv.Entry, position kv.Position) {
 	now := time.Now()
-	f.beginGrace(now)
+	f.contact.recordRestore(now)
+	f.endGraceOnTime()
 	f.settledAt = now.Add(settlePeriod)
 	f.mu.Lock()
 	f.unconfirmed = 0 // it is that of another era
@@ -356,54 +355,43 @@
 	f.opts.Log.Warn("store restored from an older copy",
 		zap.Int64("era", int64(position.Era)), zap.Int64("previous_era", int64(f.position.Era)),
 		zap.Int64("revision", int64(position.Revision)), zap.Int64("previous_revision", int64(f.position.Revision)))
-	f.updateSink(func(s Sink) { s.Restore(entries, now, f.graceEnd()) })
+	f.updateSink(func(s Sink) { s.Restore(entries, now, f.contact.graceEnd()) })
 	f.opts.OnRestored()
 }
 
-const (
-	// removalGrace is how long after an outage entries may be missing only because their servers have not written them
-	// again. Servers need about two seconds; the rest of that time passes until the removal takes effect.
-	removalGrace = 1800 * time.Millisecond
-	// gracePollWait is the wait of polls in that period and in settlePeriod, so that servers that do not come back are
-	// dropped, and the state is confirmed, when it ends.
-	gracePollWait = 200 * time.Millisecond
-)
+// gracePollWait is the wait of polls in the grace after an outage and in settlePeriod, so that the state is confirmed soon when
+// it ends.
+const gracePollWait = 200 * time.Millisecond
 
-// graceEnd returns the end of the period in which entries may be missing because of an outage.
-func (f *Follower) graceEnd() time.Time {
-	if f.restoredAt.IsZero() {
-		return time.Time{}
-	}
-	return f.restoredAt.Add(removalGrace)
-}
+// endGraceOnTime makes the grace that begins now end on time, whatever call the router waits for then.
+func (f *Follower) endGraceOnTime() { time.AfterFunc(removalGrace, f.expire) }
+
+// Contact returns this router's contact with the store. It returns false if there is none.
+func (f *Follower) Contact() (Contact, bool) { return f.contact.current(time.Now()) }
 
-// beginGrace begins the period in which entries may be missing because of an outage. It ends on time whatever call the router
-// waits for then.
-func (f *Follower) beginGrace(now time.Time) {
-	f.restoredAt = now
-	time.AfterFunc(removalGrace, f.expire)
+// HearContact takes note of another router's contact with the store. If that shows that the store was not away while this router
+// had no contact, the entries that are missing have been removed and not lapsed.
+func (f *Follower) HearContact(other Contact) {
+	if !f.contact.hear(time.Now(), other) {
+		return
+	}
+	f.opts.Log.Info("store was not away, another router had contact", zap.Duration("began", other.Began),
+		zap.Duration("answered", other.Answered))
+	f.updateSink(func(s Sink) { s.EndGrace(time.Now()) })
 }
 
 func (f *Follower) recordSuccess() {
 	f.backoff.Reset()
-	now, previous := time.Now(), f.answeredAt
-	f.answeredAt = now
-	if f.reachable {
+	regained, unanswered := f.contact.recordAnswer(time.Now())
+	if !regained {
 		return
 	}
-	f.reachable = true
-	f.beginGrace(now)
-	unanswered := zap.Skip()
-	if !previous.IsZero() {
-		unanswered = zap.Duration("unanswered", now.Sub(previous))
-	}
-	f.opts.Log.Info("store reached", f.revisionField(), unanswered)
+	f.endGraceOnTime()
+	f.opts.Log.Info("store reached", f.revisionField(), zap.Duration("unanswered", unanswered))
 }
 
 func (f *Follower) recordFailure(err error) {
-	if !f.reachable {
-		return
+	if f.contact.recordFailure() {
+		f.opts.Log.Warn("store lost", logfield.Error(err), f.revisionField())
 	}
-	f.reachable = false
-	f.opts.Log.Warn("store lost", logfield.Error(err), f.revisionField())
 }
--- a/internal/coordination/discovery/relay.go
+++ b/internal/coordination/discovery/relay.go
@@ -91,7 +91,7 @@
 	fresh := slices.DeleteFunc(slices.Clone(changes), func(c kv.Change) bool {
 		return f.position.Includes(f.position.At(c.Revision))
 	})
-	f.updateSink(func(s Sink) { s.Apply(fresh, time.Now(), f.graceEnd()) })
+	f.updateSink(func(s Sink) { s.Apply(fresh, time.Now(), f.contact.graceEnd()) })
 	if slices.ContainsFunc(fresh, func(c kv.Change) bool { return f.opts.IsConfig(c.Key) }) {
 		f.settledAt = time.Time{}
 	}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -235,12 +235,10 @@
 		changed = s.dropServer(id, now) || changed
 	}
 	for id, at := range s.expiringRouters {
-		if now.Before(at) {
-			continue
+		if !now.Before(at) {
+			s.dropRouter(id)
+			changed = true
 		}
-		delete(s.expiringRouters, id)
-		delete(s.routers, id)
-		changed = true
 	}
 	for id, d := range s.departed {
 		if now.Sub(d.at) > departureRetention {
@@ -251,6 +249,26 @@
 	s.publish(changed)
 }
 
+// EndGrace implements Sink.
+func (s *State) EndGrace(now time.Time) {
+	changed := false
+	for id := range s.expiring {
+		s.opts.Log.Info("backend server gone", zap.String("server", id), zap.String("cause", "entry removed, no outage"))
+		changed = s.dropServer(id, now) || changed
+	}
+	for id := range s.expiringRouters {
+		s.dropRouter(id)
+		changed = true
+	}
+	s.publish(changed)
+}
+
+// dropRouter removes a router whose entry has lapsed.
+func (s *State) dropRouter(id string) {
+	delete(s.expiringRouters, id)
+	delete(s.routers, id)
+}
+
 // publish stores the set of servers and calls the callbacks if servers or routers changed, or evacuations. Servers that
 // register in an evacuated domain are thereby known to be evacuated before they are used.
 func (s *State) publish(changed bool) {
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -55,6 +55,16 @@
 	Draining []serverdrain.Incarnation `cbor:"20,keyasint,omitempty"`
 	// ConfirmedEra is the store's era in which the sender last confirmed its state.
 	ConfirmedEra int64 `cbor:"24,keyasint,omitempty"`
+	// StoreContact is the sender's contact with the store, or nil if its last call failed.
+	StoreContact *StoreContact `cbor:"25,keyasint,omitempty"`
+}
+
+// StoreContact states that no call of the store has failed for BeganMS milliseconds and that the store last answered AnsweredMS
+// milliseconds ago.
+type StoreContact struct {
+	_          struct{} `cbor:",toarray"`
+	BeganMS    int64
+	AnsweredMS int64
 }
 
 // Position returns the position of the store that the proof states. The report must have a proof.
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -8,6 +8,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/admission"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/balance"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/discovery"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/engineload"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/fairshare"
 	"gooseberrytide.example/gooseberrytide/internal/coordination/freshness"
@@ -29,6 +30,7 @@
 	if table := n.routing.Load(); table != nil {
 		r.ConfigVersion = table.Version
 	}
+	r.StoreContact = n.storeContact()
 	if r.Totals, r.Owned = n.owners.totals(); !r.Owned {
 		r.Loads = sortedLoads(n.admission.OwnLoads())
 	}
@@ -113,6 +115,7 @@
 	}
 	n.exchange.RecordReceived(r.Router, r.Seq)
 	n.handleClaim(r)
+	n.handleStoreContact(r.StoreContact)
 	if r.Owned {
 		n.owners.handleTotals(r.Router, r.Totals)
 	} else {
@@ -161,6 +164,27 @@
 	return parts
 }
 
+// storeContact returns this router's contact with the store for a report, or nil if there is none. The ages are rounded so that
+// less is stated than there was.
+func (n *Node) storeContact() *gossip.StoreContact {
+	c, ok := n.follower.Contact()
+	if !ok {
+		return nil
+	}
+	return &gossip.StoreContact{BeganMS: c.Began.Milliseconds(), AnsweredMS: c.Answered.Milliseconds() + 1}
+}
+
+// handleStoreContact handles another router's statement about its contact with the store.
+func (n *Node) handleStoreContact(c *gossip.StoreContact) {
+	if c == nil || c.BeganMS < 0 || c.AnsweredMS < 0 {
+		return
+	}
+	n.follower.HearContact(discovery.Contact{
+		Began:    time.Duration(c.BeganMS) * time.Millisecond,
+		Answered: time.Duration(c.AnsweredMS) * time.Millisecond,
+	})
+}
+
 // addFreshnessClaim adds this router's freshness claim to a report, unless no state of the store is confirmed.
 func (n *Node) addFreshnessClaim(r *gossip.Report) {
 	c, ok := n.exchange.Claim(n.proof, n.follower.Position)
