--- a/internal/coordination/discovery/contact_test.go
+++ b/internal/coordination/discovery/contact_test.go
@@ -118,3 +118,33 @@
 		})
 	}
 }
+
+// Guards against requests to a server that leaves just after the readers of a large fleet were cut off: the routers that read
+// through them are in touch.
+func TestRemovalIsLearntWhileReadersAreCutOff(t *testing.T) {
+	const drainTime = 3 * time.Second
+	for phase := range 20 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				feed := kv.NewFakeFeed()
+				feed.Put("s/a", []byte(serverJSON))
+				var links []*cutFeed
+				peers := &fakePeers{}
+				for range 2 {
+					link := &cutFeed{Feed: feed}
+					links = append(links, link)
+					peers.readers = append(peers.readers, newTestFollower(t, link, nil).Follower)
+				}
+				time.Sleep(time.Second)
+				f := newTestFollower(t, feed, peers)
+				time.Sleep(10*time.Second + time.Duration(phase)*37*time.Millisecond)
+				for _, link := range links {
+					link.cut.Store(true)
+				}
+				feed.Remove("s/a")
+				time.Sleep(drainTime - 200*time.Millisecond)
+				NewWithT(t).Expect(f.hasServer("a")).To(BeFalse())
+			})
+		})
+	}
+}
--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -219,19 +220,26 @@
 	g.Expect(len(waits)).To(BeNumerically(">", 10))
 }
 
-// fakePeers lets a follower read the store through another follower.
+// fakePeers lets a follower read the store through other followers.
 type fakePeers struct {
-	reader *Follower
-	fail   bool
+	readers []*Follower
+	fail    bool
 }
 
-func (p *fakePeers) Readers() []string { return []string{"reader"} }
+func (p *fakePeers) Readers() []string {
+	addresses := make([]string, len(p.readers))
+	for i := range p.readers {
+		addresses[i] = strconv.Itoa(i)
+	}
+	return addresses
+}
 
-func (p *fakePeers) Changes(ctx context.Context, _ string, after kv.Position, wait time.Duration) (Relayed, error) {
-	if p.fail {
+func (p *fakePeers) Changes(ctx context.Context, address string, after kv.Position, wait time.Duration) (Relayed, error) {
+	i, err := strconv.Atoi(address)
+	if err != nil || p.fail {
 		return Relayed{}, errors.New("unreachable")
 	}
-	return p.reader.Relay(ctx, after, wait)
+	return p.readers[i].Relay(ctx, after, wait)
 }
 
 // Guards against a number of store calls that grows with the fleet, and against a router that takes its state for fresh
@@ -245,7 +253,7 @@
 		}
 		reader := newTestFollower(t, readerFeed, nil)
 		time.Sleep(10 * time.Millisecond)
-		peers := &fakePeers{reader: reader.Follower}
+		peers := &fakePeers{readers: []*Follower{reader.Follower}}
 		f := newTestFollower(t, ownFeed, peers)
 		time.Sleep(20 * time.Second)
 		g.Expect(ownFeed.Calls()).To(BeNumerically("<=", 2), "only the first listing goes to the store")
--- a/internal/coordination/discovery/restore_test.go
+++ b/internal/coordination/discovery/restore_test.go
@@ -130,7 +130,7 @@
 		}
 		reader := newTestFollower(t, readerFeed, nil)
 		time.Sleep(10 * time.Millisecond)
-		f := newTestFollower(t, ownFeed, &fakePeers{reader: reader.Follower})
+		f := newTestFollower(t, ownFeed, &fakePeers{readers: []*Follower{reader.Follower}})
 		time.Sleep(2 * time.Second)
 		older := readerFeed.Copy()
 		readerFeed.Restore(older)
