discovery: Keep a server out of use for the rest of its incarnation once it drains

Cause: each entry replaced what was known of the incarnation. Only while an older copy of the store was applied did 'draining' hold.

Evidence: TestServerThatDrainsIsNotReadyAgain failed before. A server that goes without 'draining' and whose entry is written late cannot be told from one whose entry had lapsed; that stays open.

--- a/internal/coordination/discovery/restore_test.go
+++ b/internal/coordination/discovery/restore_test.go
@@ -174,3 +174,28 @@
 	g.Expect(known).To(HaveLen(1))
 	g.Expect(known).To(HaveKey("back"))
 }
+
+// Guards against requests to a server that drains and whose earlier entry is written again: the store may execute a write
+// seconds late.
+func TestServerThatDrainsIsNotReadyAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		feed := kv.NewFakeFeed()
+		const ready = `{"Service":"app","Address":"10.0.0.1:80","StartedAt":7}`
+		feed.Put("s/a", []byte(ready))
+		f := newTestFollower(t, feed, nil)
+		time.Sleep(3 * time.Second)
+		write := func(entry string) bool {
+			feed.Put("s/a", []byte(entry))
+			time.Sleep(restoreTime)
+			return f.servers.Load().Get("a").Draining
+		}
+		g.Expect(write(`{"Service":"app","Address":"10.0.0.1:80","StartedAt":7,"Draining":true}`)).To(BeTrue())
+		g.Expect(write(ready)).To(BeTrue())
+		feed.Remove("s/a")
+		time.Sleep(restoreTime)
+		g.Expect(f.hasServer("a")).To(BeFalse())
+		g.Expect(write(ready)).To(BeTrue(), "after the removal of its entry")
+		g.Expect(write(`{"Service":"app","Address":"10.0.0.1:80","StartedAt":8}`)).To(BeFalse(), "the next incarnation")
+	})
+}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -334,9 +334,7 @@
 		return s.dropServer(s.opts.Schema.ServerID(e.Key), now)
 	}
 	previous := s.servers[server.ID]
-	if bound := s.bound[server.ID]; bound != nil && bound.SameIncarnation(server) {
-		server.Draining = true
-	}
+	server.Draining = server.Draining || s.knownToDrain(server)
 	delete(s.expiring, server.ID)
 	delete(s.departed, server.ID)
 	s.servers[server.ID] = server
@@ -348,6 +346,20 @@
 	return previous == nil || *previous != *server
 }
 
+// knownToDrain reports whether an incarnation of a server is known to drain. It does not become ready again: an entry that says so
+// was written before, and reached the store late or is that of an older copy. Without a start time incarnations cannot be told
+// apart, so that only entries of an older copy count as such.
+func (s *State) knownToDrain(server *backends.Server) bool {
+	known := s.bound[server.ID]
+	if server.StartedAt != 0 {
+		known = s.servers[server.ID]
+		if known == nil {
+			known = s.departed[server.ID].server
+		}
+	}
+	return known != nil && known.Draining && known.SameIncarnation(server)
+}
+
 // recordInvalid counts an entry that cannot be decoded, and logs it unless that was done lately.
 func (s *State) recordInvalid(message string, e kv.Entry, err error, now time.Time) {
 	s.opts.OnInvalid()
