discovery: Do not let a short loss of contact hide an outage of the store before it

Found on reading the change: a router that lost contact once more in the grace after an outage took the contact that others had had since that outage for contact all the while, and dropped the servers whose entries had lapsed. The case of TestOnlyContactDuringTheLossEndsTheGrace failed before. Also names and a condition that never holds.

--- a/internal/coordination/discovery/contact.go
+++ b/internal/coordination/discovery/contact.go
@@ -46,7 +46,11 @@
 		return false, 0
 	}
 	c.answering = true
-	c.beganAt, c.lostAfter, c.graceFrom = now, previous, now
+	// A loss in the grace after an outage does not hide that outage.
+	if c.graceFrom.IsZero() || previous.After(c.graceFrom.Add(removalGrace)) {
+		c.lostAfter = previous
+	}
+	c.beganAt, c.graceFrom = now, now
 	if previous.IsZero() {
 		return true, 0
 	}
--- a/internal/coordination/discovery/contact_test.go
+++ b/internal/coordination/discovery/contact_test.go
@@ -94,18 +94,22 @@
 	for name, c := range map[string]struct {
 		other    Contact
 		restored bool
-		ended    bool
+		// lostAgain is set if contact is lost once more in the grace after the first loss.
+		lostAgain bool
+		ended     bool
 	}{
-		"had contact":             {other: Contact{Began: loss + time.Second, Answered: 1900 * time.Millisecond}, ended: true},
-		"lost contact too":        {other: Contact{Began: loss / 2}},
-		"has not noticed it":      {other: Contact{Began: loss + time.Second, Answered: loss - time.Second}},
-		"the store was restored":  {other: Contact{Began: loss + time.Second}, restored: true},
-		"contact began meanwhile": {other: Contact{Began: loss - time.Millisecond}},
+		"had contact":                      {other: Contact{Began: loss + time.Second, Answered: 1900 * time.Millisecond}, ended: true},
+		"lost contact too":                 {other: Contact{Began: loss / 2}},
+		"has not noticed it":               {other: Contact{Began: loss + time.Second, Answered: loss - time.Second}},
+		"the store was restored":           {other: Contact{Began: loss + time.Second}, restored: true},
+		"contact began meanwhile":          {other: Contact{Began: loss - time.Millisecond}},
+		"contact began between two losses": {other: Contact{Began: 3 * time.Second}, lostAgain: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			now := time.Now()
 			var contact storeContact
+			contact.recordAnswer(now.Add(-2 * removalGrace)) // the start of the router
 			contact.recordAnswer(now)
 			g.Expect(contact.recordFailure()).To(BeTrue())
 			now = now.Add(loss)
@@ -113,6 +117,12 @@
 			if c.restored {
 				contact.recordRestore(now)
 			}
+			if c.lostAgain {
+				contact.recordAnswer(now.Add(removalGrace / 2))
+				contact.recordFailure()
+				now = now.Add(removalGrace)
+				contact.recordAnswer(now)
+			}
 			g.Expect(contact.hear(now, c.other)).To(Equal(c.ended))
 			g.Expect(contact.graceEnd().IsZero()).To(Equal(c.ended))
 		})
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -182,11 +182,11 @@
 	return startBatchDelay
 }
 
-// nextPollWait returns how long the store may hold the next poll. It is 0 for the first poll after an outage, so that
+// nextPollWait returns how long the store may hold the next poll. It is 0 for the first poll after a stale listing, so that
 // the proof is renewed without delay.
 func (f *Follower) nextPollWait() time.Duration {
 	switch {
-	case !f.contact.isAnswering(), f.stale:
+	case f.stale:
 		return 0
 	case time.Now().Before(f.contact.graceEnd()), time.Now().Before(f.settledAt):
 		return gracePollWait
@@ -347,7 +347,7 @@
 func (f *Follower) restore(entries []kv.Entry, position kv.Position) {
 	now := time.Now()
 	f.contact.recordRestore(now)
-	f.endGraceOnTime()
+	f.scheduleExpiry()
 	f.settledAt = now.Add(settlePeriod)
 	f.mu.Lock()
 	f.unconfirmed = 0 // it is that of another era
@@ -363,8 +363,8 @@
 // it ends.
 const gracePollWait = 200 * time.Millisecond
 
-// endGraceOnTime makes the grace that begins now end on time, whatever call the router waits for then.
-func (f *Follower) endGraceOnTime() { time.AfterFunc(removalGrace, f.expire) }
+// scheduleExpiry makes a grace that begins now end on time, whatever call the router waits for then.
+func (f *Follower) scheduleExpiry() { time.AfterFunc(removalGrace, f.expire) }
 
 // Contact returns this router's contact with the store. It returns false if there is none.
 func (f *Follower) Contact() (Contact, bool) { return f.contact.current(time.Now()) }
@@ -386,7 +386,7 @@
 	if !regained {
 		return
 	}
-	f.endGraceOnTime()
+	f.scheduleExpiry()
 	f.opts.Log.Info("store reached", f.revisionField(), zap.Duration("unanswered", unanswered))
 }
 
