discovery: Count a poll that hung as the pause before the next one, in place of polls that overlap

Polls that overlap while the store's answer is large are each answered with up to 8 MB, which delays the first one and takes memory that a small router does not have.

Now a poll begins at once after one that hung, 0.8 s, and up to 0.75 s after the beginning of one that failed.

--- a/internal/coordination/discovery/discovery_test.go
+++ b/internal/coordination/discovery/discovery_test.go
@@ -210,6 +210,7 @@
 func TestPollWaitsAreJittered(t *testing.T) {
 	g := NewWithT(t)
 	f := New(Options{})
+	f.contact.answering = true
 	waits := make(map[time.Duration]bool)
 	for range 20 {
 		wait := f.nextPollWait()
--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -38,7 +38,7 @@
 	// startBatchDelay is that pause while the router waits for reports of the others after its start. If all routers start
 	// at once, their entries are one long burst of changes.
 	startBatchDelay = 400 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the exponential backoff between failed calls. The backoff library's default
+	// minRetryDelay and maxRetryDelay bound the exponential backoff between the beginnings of failed calls. The backoff library's default
 	// jitter of 50 % in either direction spreads the retries of routers that lost the store at the same time.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -130,13 +130,15 @@
 // Run watches the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := f.step(ctx)
 		f.expire()
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
 		f.recordFailure(err)
-		periodic.Sleep(ctx, f.backoff.NextBackOff())
+		// A call that hung has already been the pause: what was sent to a lost store is lost, even if the store is back since.
+		periodic.Sleep(ctx, f.backoff.NextBackOff()-time.Since(began))
 	}
 }
 
@@ -152,8 +154,7 @@
 	f.updateSink(func(s Sink) { s.Expire(time.Now()) })
 }
 
-// step makes one call: a listing, a poll of another router, or a poll of the store. Without contact to the store it polls
-// until the store answers.
+// step makes one call: a listing, a poll of another router, or a poll of the store.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
@@ -161,9 +162,6 @@
 	if address := f.reader(time.Now()); address != "" && !f.stale && f.pollPeer(ctx, address) {
 		return nil
 	}
-	if !f.contact.isAnswering() {
-		return f.regain(ctx)
-	}
 	return f.handlePoll(ctx, f.poll(ctx, f.position, f.nextPollWait()))
 }
 
@@ -182,11 +180,11 @@
 	return startBatchDelay
 }
 
-// nextPollWait returns how long the store may hold the next poll. It is 0 for the first poll after a stale listing, so that
+// nextPollWait returns how long the store may hold the next poll. It is 0 for the first poll after an outage, so that
 // the proof is renewed without delay.
 func (f *Follower) nextPollWait() time.Duration {
 	switch {
-	case f.stale:
+	case !f.contact.isAnswering(), f.stale:
 		return 0
 	case time.Now().Before(f.contact.graceEnd()), time.Now().Before(f.settledAt):
 		return gracePollWait
