--- a/internal/coordination/discovery/follower.go
+++ b/internal/coordination/discovery/follower.go
@@ -38,8 +38,8 @@
 	// startBatchDelay is that pause while the router waits for reports of the others after its start. If all routers start
 	// at once, their entries are one long burst of changes.
 	startBatchDelay = 400 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the exponential backoff between the beginnings of failed calls. The backoff library's default
-	// jitter of 50 % in either direction spreads the retries of routers that lost the store at the same time.
+	// minRetryDelay and maxRetryDelay bound the exponential backoff between the beginnings of failed calls. The backoff
+	// library's default jitter of 50 % in either direction spreads the retries of routers that lost the store at the same time.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
 )
