admission: Send trials of one moment to different servers

Callers saw: after a request that crashes servers, nearly all requests that share parts of its prompt were refused, until the parts were blocked for minutes.

Cause, from a trace of a failed run: the first crash takes a sound and the poisonous request along. Their common part and the poisonous request as a whole are suspected, each with an owner that grants its trials. Both grant in the same millisecond, to requests at different routers; a trial goes to the emptiest server and, of these, to the engine preferred for the prompt, which is the same for all routers. The crash ends both trials, both wait for the same time, and it happens again: five crashes of five held both, so the part was never proven, and it was blocked.

A trial now goes to a random one of the emptiest servers. TestTrialsOfSeveralRoutersDoNotMeetOnOneEngine failed before (200 of 200 pairs of trials met, 50 allowed). After: 96 of 96 runs of the subtest that failed passed, with six runs of all cases.

--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -30,6 +30,8 @@
 	// objective.
 	domainFraction = 0.1
 	// isolationCost is the cost, for an isolated request, of each other request on the server. It exceeds all other costs.
+	// A pseudo-random part of it is added for the server itself: routers that sent their trials of one moment to the engine
+	// that they all prefer for a prompt would learn nothing from its crash.
 	isolationCost = 10 * time.Second
 	// maxPermitCost is the cost, for a small request, of using a permit of a server with a limit of requests a second. The
 	// places of such a server are scarce in requests and not in tokens, so they are for the large ones.
@@ -141,14 +143,15 @@
 	p.cost += p.permitCost
 }
 
-// locationCost returns the cost of a server's failure domain and, for an isolated request, of the other requests there.
+// locationCost returns the cost of a server's failure domain and, for an isolated request, of the other requests there and
+// of the server itself.
 func (c *Core) locationCost(req *Request, server *backends.Server, load engineload.Load) time.Duration {
 	var cost time.Duration
 	if server.FailureDomain != c.opts.Domain {
 		cost += c.crossDomainCost(req)
 	}
 	if req.Isolated {
-		cost += time.Duration(load.Running) * isolationCost
+		cost += time.Duration((float64(load.Running) + tieBreak(req.ID, server.ID)) * float64(isolationCost))
 	}
 	return cost
 }
--- a/internal/coordination/poison/doc.go
+++ b/internal/coordination/poison/doc.go
@@ -36,9 +36,10 @@
 // # States
 //
 // A fingerprint with a crash and no later proof is suspected. Requests with it are sent one at a time in the whole fleet,
-// each as a trial: to the server with the fewest other requests, and without a substitute. A trial ends with a proof or with
-// the next crash, so it distinguishes a sound fingerprint from a poisonous one within one request. Requests that come
-// meanwhile wait for a short time for its outcome.
+// each as a trial: to a random one of the servers with the fewest other requests, without a substitute. A trial ends with
+// a proof or with the next crash, so it distinguishes a sound fingerprint from a poisonous one within one request. Trials of
+// two fingerprints may be sent at the same moment by two routers; on one server they would tell nothing. Requests that come
+// meanwhile wait for a short time for the outcome of a trial.
 //
 // A fingerprint is blocked after minCrashes crashes. To exclude other causes of crashes, they must
 //
