--- a/internal/transport/upstream/guard.go
+++ b/internal/transport/upstream/guard.go
@@ -48,6 +48,8 @@
 // guardedReader reads from a connection and bounds the heads of responses.
 type guardedReader struct {
 	src io.Reader
+	// received is the number of bytes read.
+	received int64
 	// err is the last error of src.
 	err error
 	// reading is set while a head is read. bytesLeft and linesLeft are what is left of its limits, and exceeded is the
@@ -88,6 +90,7 @@
 		p = p[:min(len(p), g.bytesLeft)]
 	}
 	n, err := g.src.Read(p)
+	g.received += int64(n)
 	if err != nil {
 		g.err = err
 	}
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
 )
 
 const (
@@ -89,7 +91,9 @@
 	stopAfterFunc func() bool
 	writer        *requestWriter
 	idleTimeout   time.Duration
-	complete      bool
+	// bodyBytes is the number of bytes of the body that were read.
+	bodyBytes int64
+	complete  bool
 	once          sync.Once
 }
 
@@ -285,6 +289,7 @@
 // still written: a server that refuses a request may do so, one that runs it has read it.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
+	r.bodyBytes += int64(n)
 	if err == io.EOF && r.EndsWithConnection() && r.StatusCode < http.StatusBadRequest {
 		if uploadErr := r.writer.endOfUpload(); uploadErr != nil {
 			return n, uploadErr
@@ -302,6 +307,12 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
+// BodyBytes returns the number of bytes of the body that were read.
+func (r *Response) BodyBytes() int64 { return r.bodyBytes }
+
+// ConnectionEnd tells how the connection has ended, after the end of a response that ends with it was read.
+func (r *Response) ConnectionEnd() sockopt.End { return sockopt.EndOf(r.conn.Conn, r.conn.guard.received) }
+
 // Reused reports whether the connection had carried other requests before.
 func (r *Response) Reused() bool { return r.conn.reused }
 
