sockopt: Look at a connection without taking its error from the goroutine that reads it

Callers saw a part of a response without a length as a whole one, with the length of the part (MIXED). The system reports the error of a connection (a reset, or the timeout of a silent peer) once, to the call that asks first; later reads see an orderly end. HasUnread, with which a hedge looks before it makes a substitute, PeerClosed and IsOpen asked with recv and took the error away.

--- a/internal/transport/sockopt/user_timeout_linux.go
+++ b/internal/transport/sockopt/user_timeout_linux.go
@@ -17,51 +17,6 @@
 	})
 }
 
-// IsOpen reports whether an idle connection is still open and has no unread data. It does not block.
-func IsOpen(conn net.Conn) bool {
-	tcp, ok := As[*net.TCPConn](conn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
-
-// HasUnread reports whether data has arrived on a connection, or its peer has closed it, that has not been read. It
-// does not block, even while another goroutine waits to read.
-func HasUnread(conn net.Conn) bool {
-	return peek(conn, func(_ int, err error) bool { return err != syscall.EAGAIN && err != syscall.EINTR })
-}
-
-// PeerClosed reports whether the peer has closed its side of a connection and all that it sent has been read. It does not
-// block either.
-func PeerClosed(conn net.Conn) bool {
-	return peek(conn, func(n int, err error) bool { return n == 0 && err == nil || err == syscall.ECONNRESET })
-}
-
-// peek looks for a byte that has not been read and returns what holds makes of the result. It returns false if conn is not an
-// open TCP connection.
-func peek(conn net.Conn, holds func(n int, err error) bool) bool {
-	result := false
-	err := control(conn, func(fd int) error {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		result = holds(n, err)
-		return nil
-	})
-	return err == nil && result
-}
-
 // Writer writes to a connection without waiting.
 type Writer struct {
 	peer    *peer
