upstream: Take the end of a connection for the end of a response only if the server closed it in order

For the writer this was mended below status 400 only, and took a whole response for a broken one if its server closed in order and reset the connection after that.

The reader now asks the system how the connection has ended (TCP_INFO): a reset leaves the state TCP_CLOSE, an orderly close does not, and counts as a received byte if a reset follows it. That does not depend on who has seen the error. Only where the system does not tell, the writer of the upload is asked as before.

--- a/internal/transport/sockopt/end_linux.go
+++ b/internal/transport/sockopt/end_linux.go
@@ -8,10 +8,12 @@
 func EndOf(conn net.Conn, received int64) End {
 	info, ok := tcpInfo(conn)
 	switch {
-	case !ok || !isComplete(info):
+	case !ok:
 		return EndUnknown
-	case info.State != tcpClosed, info.Bytes_received > uint64(received): // the peer's close counts as one byte
+	case info.State != tcpClosed:
 		return EndOrderly
+	case info.Bytes_received > uint64(received):
+		return EndOrderly // the peer's orderly close counts as a byte; the reset came after it
 	default:
 		return EndBroken
 	}
--- a/internal/transport/sockopt/peer_linux.go
+++ b/internal/transport/sockopt/peer_linux.go
@@ -62,7 +62,7 @@
 			return false
 		}
 		known := infoUnknown
-		if isComplete(info) {
+		if info.Rcv_space > 0 {
 			known = infoKnown
 		}
 		systemInfo.Store(known)
@@ -72,9 +72,6 @@
 	return known
 }
 
-// isComplete reports whether the system has filled in the state of an open or closed connection completely.
-func isComplete(info *unix.TCPInfo) bool { return info.Rcv_space > 0 }
-
 // recordWrite is called when data has been written to the peer, and before that by a write that may wait.
 func (p *peer) recordWrite() {
 	if p != nil && p.watchable.Load() && !p.watched.Swap(true) {
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,7 +26,8 @@
 	maxDiscardedBytes = 16 << 10
 	maxDiscardTime    = 100 * time.Millisecond
 	// maxUploadWait bounds how long the end of a response that ends with its connection waits for the end of the request's
-	// body. A reset reaches the writer of the body in the time of a round trip.
+	// body, on a system that does not tell how a connection has ended. A reset reaches the writer of the body in the time of
+	// a round trip.
 	maxUploadWait = 100 * time.Millisecond
 )
 
@@ -94,7 +96,7 @@
 	// bodyBytes is the number of bytes of the body that were read.
 	bodyBytes int64
 	complete  bool
-	once          sync.Once
+	once      sync.Once
 }
 
 // ErrWithdrawn reports a request that was not sent because its MaySend returned false.
@@ -186,8 +188,7 @@
 }
 
 // endOfUpload returns nil if the whole request has been written, and otherwise why it has not. The end of a connection on
-// which a body is still written may be a reset: the system reports that once, to the writer or to the reader, and the other
-// one sees the end.
+// which a body is still written may be a reset that the system has reported to the writer only.
 func (w *requestWriter) endOfUpload() error {
 	timer := time.NewTimer(maxUploadWait)
 	defer timer.Stop()
@@ -285,14 +286,13 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, and an *InvalidResponseError if the body is
-// not encoded correctly. A body that ends with its connection is complete unless the connection ends while the request is
-// still written: a server that refuses a request may do so, one that runs it has read it.
+// not encoded correctly. A body that ends with its connection is complete only if the server has closed it in order.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
 	r.bodyBytes += int64(n)
-	if err == io.EOF && r.EndsWithConnection() && r.StatusCode < http.StatusBadRequest {
-		if uploadErr := r.writer.endOfUpload(); uploadErr != nil {
-			return n, uploadErr
+	if err == io.EOF && r.EndsWithConnection() {
+		if endErr := r.checkConnectionEnd(); endErr != nil {
+			return n, endErr
 		}
 	}
 	if err == io.EOF {
@@ -301,6 +301,18 @@
 	return n, r.conn.guard.classify(err)
 }
 
+// checkConnectionEnd returns an error unless the server has closed the connection in order.
+func (r *Response) checkConnectionEnd() error {
+	switch r.ConnectionEnd() {
+	case sockopt.EndOrderly:
+		return nil
+	case sockopt.EndBroken:
+		return errors.Wrapf(syscall.ECONNRESET, "response without a length, after %d bytes", r.bodyBytes)
+	default:
+		return r.writer.endOfUpload()
+	}
+}
+
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that its end looks like that of the
 // server.
 func (r *Response) EndsWithConnection() bool {
@@ -311,7 +323,9 @@
 func (r *Response) BodyBytes() int64 { return r.bodyBytes }
 
 // ConnectionEnd tells how the connection has ended, after the end of a response that ends with it was read.
-func (r *Response) ConnectionEnd() sockopt.End { return sockopt.EndOf(r.conn.Conn, r.conn.guard.received) }
+func (r *Response) ConnectionEnd() sockopt.End {
+	return sockopt.EndOf(r.conn.Conn, r.conn.guard.received)
+}
 
 // Reused reports whether the connection had carried other requests before.
 func (r *Response) Reused() bool { return r.conn.reused }
