upstream: Do not take a response without a body for one that ends with its connection

A response to HEAD without a length has no body, and its connection stays open. It counted as a body without a length, so that its server was probed at its end. TestResponsesWithoutABodyAreComplete failed before.

--- a/internal/transport/upstream/ends_test.go
+++ b/internal/transport/upstream/ends_test.go
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// Guards against a response that has no body by its status or its method, and is taken for one that ends with its
+// connection.
+func TestResponsesWithoutABodyAreComplete(t *testing.T) {
+	g := NewWithT(t)
+	address := rawServer(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n\r\n", r.Header.Get("Attempt-Id"))
+		}
+	})
+	r := testRequest(address, "a", "")
+	r.Method = http.MethodHead
+	resp, err := New(Options{}).Do(t.Context(), r)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Close()
+	g.Expect(resp.EndsWithConnection()).To(BeFalse())
+	_, err = io.ReadAll(resp)
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -313,10 +313,10 @@
 	}
 }
 
-// EndsWithConnection reports whether the response has neither a length nor chunks, so that its end looks like that of the
-// server.
+// EndsWithConnection reports whether the response has a body with neither a length nor chunks, so that its end looks like
+// that of the server.
 func (r *Response) EndsWithConnection() bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
 // BodyBytes returns the number of bytes of the body that were read.
