--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -62,17 +62,11 @@
 	if response.copied == 0 && !request.stop(client) {
 		return forwardNoResponse, request.copied
 	}
-	closeClient(client, response.readErr)
-	return forwardEnded, 0
-}
-
-// closeClient closes a client's connection as the other router has closed its own: a response without a length that ends
-// with a reset is not complete.
-func closeClient(client net.Conn, readErr error) {
-	if readErr != nil && readErr != io.EOF {
-		clientconn.From(client).SetIncomplete()
+	if response.readErr != io.EOF || sockopt.EndOf(router, response.copied) == sockopt.EndBroken {
+		clientconn.From(client).SetIncomplete() // a response without a length would look complete
 	}
 	_ = client.Close()
+	return forwardEnded, 0
 }
 
 // requestCopy copies the rest of a request to the other router.
--- a/internal/transport/offload/noresponse_test.go
+++ b/internal/transport/offload/noresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+	"gooseberrytide.example/gooseberrytide/test/standin/connend"
+	"gooseberrytide.example/gooseberrytide/test/standin/endless"
 )
 
 // Guards against a client that gets a closed connection because the other router closed its own without a response, as
@@ -102,6 +105,59 @@
 	g.Expect(err).To(MatchError(syscall.ECONNRESET))
 }
 
+// lateReader is a connection whose errors another call than that of the reader sees first.
+type lateReader struct {
+	*net.TCPConn
+	t testing.TB
+}
+
+// Read implements net.Conn.
+func (c lateReader) Read(b []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	connend.TakeError(c.t, c.TCPConn)
+	return c.TCPConn.Read(b)
+}
+
+// NetConn returns the wrapped connection.
+func (c lateReader) NetConn() net.Conn { return c.TCPConn }
+
+// Guards against a passed-on response without a length that looks complete because the writer of the request was told of the
+// reset, and against a whole one that looks broken off because a reset followed its end.
+func TestResetThatTheRequestsWriterHasSeenReachesTheClient(t *testing.T) {
+	for way, want := range map[connend.Way]error{
+		connend.Close: nil, connend.CloseThenReset: nil, connend.Reset: syscall.ECONNRESET,
+	} {
+		t.Run(string(way), func(t *testing.T) {
+			g := NewWithT(t)
+			other := endless.Serve(t, func(c net.Conn) {
+				_, _ = c.Read(make([]byte, 4<<10))
+				_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n\r\nbody")
+				way.End(c)
+			})
+			dialLate := func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := sockopt.DialFunc(time.Second)(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				tcp, _ := sockopt.As[*net.TCPConn](conn)
+				return lateReader{TCPConn: tcp, t: t}, nil
+			}
+			p := &testPolicy{decision: Decision{Action: Forward, Target: other}}
+			address, _ := startWithDial(t, p, http.HandlerFunc(echo), dialLate)
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, requestText("x"))
+			g.Expect(err).NotTo(HaveOccurred())
+			text, err := io.ReadAll(conn)
+			g.Expect(string(text)).To(HaveSuffix("body"))
+			if want == nil {
+				g.Expect(err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(err).To(MatchError(want))
+			}
+		})
+	}
+}
+
 // Guards against a response that the client loses because its connection is reset while it still sends the body.
 func TestEarlyResponseOfTheOtherRouterReachesTheClient(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/transport/offload/offload_test.go
+++ b/internal/transport/offload/offload_test.go
@@ -54,7 +54,15 @@
 // start starts an HTTP server behind an inspector, and returns its address.
 func start(t testing.TB, p *testPolicy, h http.Handler) (string, *Inspector) {
 	t.Helper()
-	i := New(Options{Policy: p, Dial: sockopt.DialFunc(time.Second), HeaderTimeout: 2 * time.Second, Track: newTracker().Track})
+	return startWithDial(t, p, h, sockopt.DialFunc(time.Second))
+}
+
+// startWithDial is start with connections to other routers that dial opens.
+func startWithDial(
+	t testing.TB, p *testPolicy, h http.Handler, dial func(context.Context, string, string) (net.Conn, error),
+) (string, *Inspector) {
+	t.Helper()
+	i := New(Options{Policy: p, Dial: dial, HeaderTimeout: 2 * time.Second, Track: newTracker().Track})
 	address := "127.0.0.1:0"
 	direct, inspected, err := i.Listen(func() (*sockopt.PlainListener, error) {
 		return sockopt.ListenPlain(context.Background(), address)
