gateway: Log each response without a length that was passed on, with how its end is known

The lines of answered requests are sampled, so that most of these responses left no trace. They have a logger of their own, which is not sampled: request, route, server, status, bytes, and how the connection ended.

--- a/internal/daemon/gateway/logwriter.go
+++ b/internal/daemon/gateway/logwriter.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"gooseberrytide.example/gooseberrytide/internal/transport/gateway"
 )
 
 // logBufferLines is the capacity of the log buffer in lines. At about 400 bytes a line it holds 800 KB.
@@ -128,18 +130,44 @@
 	<-w.done
 }
 
+// gatewayLogger is the name of the gateway's logger.
+const gatewayLogger = "gateway"
+
+// unsampledLogger is the full name of the logger whose lines are all written.
+const unsampledLogger = gatewayLogger + "." + gateway.UnframedLogger
+
+// sampledCore samples the lines of all loggers but one.
+type sampledCore struct {
+	zapcore.Core
+	all zapcore.Core
+}
+
+// With implements zapcore.Core.
+func (c sampledCore) With(fields []zapcore.Field) zapcore.Core {
+	return sampledCore{Core: c.Core.With(fields), all: c.all.With(fields)}
+}
+
+// Check implements zapcore.Core.
+func (c sampledCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if entry.LoggerName == unsampledLogger {
+		return c.all.Check(entry, checked)
+	}
+	return c.Core.Check(entry, checked)
+}
+
 // newLogger returns a logger that writes JSON lines, with sampling.
 func newLogger(w *logWriter) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.EpochMillisTimeEncoder
 	config.EncodeDuration = zapcore.MillisDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zap.InfoLevel)
-	return zap.New(zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleThereafter,
+	sampler := zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleThereafter,
 		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 			if d&zapcore.LogDropped != 0 {
 				w.dropped.Add(1)
 			}
-		})))
+		}))
+	return zap.New(sampledCore{Core: sampler, all: core})
 }
 
 // Sampling of log lines. Of the lines with the same level and message, the first sampleFirst in each sampleTick are
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -176,7 +176,7 @@
 		Poison:          n.poison.guard,
 		RetryBudget:     n.budget,
 		Metrics:         gateway.NewMetrics(n.registry),
-		Log:             log.Named("gateway"),
+		Log:             log.Named(gatewayLogger),
 		OnServerLeaving: n.onServerLeaving,
 		OnServerLimit:   n.owners.limits.onServerLimit,
 		Account:         n.clients.account,
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -52,7 +52,8 @@
 func (x *exchange) deliverEnd(a *attempt) sendResult {
 	x.writeStreamHeader(a)
 	extendWriteDeadline(http.NewResponseController(x.w))
-	x.recordAnswered(http.StatusOK, a.endFields()...)
+	x.recordAnswered(http.StatusOK)
+	a.logUnframed()
 	return sendAnswered
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -44,9 +44,11 @@
 
 // Gateway is the HTTP handler of clients' requests.
 type Gateway struct {
-	opts   Options
-	active atomic.Int64
-	total  atomic.Int64
+	opts Options
+	// unframed is the logger of responses without a length.
+	unframed *zap.Logger
+	active   atomic.Int64
+	total    atomic.Int64
 	// draining and movingClients make each response close its connection: draining because the router is shutting down,
 	// movingClients because other routers have less load.
 	draining      atomic.Bool
@@ -62,7 +64,9 @@
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+func New(opts Options) *Gateway {
+	return &Gateway{opts: opts, unframed: opts.Log.Named(UnframedLogger)}
+}
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
--- a/internal/transport/gateway/response.go
+++ b/internal/transport/gateway/response.go
@@ -27,7 +27,8 @@
 			return sendIncomplete
 		}
 	}
-	x.recordAnswered(body.status, a.endFields()...)
+	x.recordAnswered(body.status)
+	a.logUnframed()
 	return sendAnswered
 }
 
@@ -69,17 +70,9 @@
 }
 
 // recordAnswered records in metrics and log that a server's response was sent to the client.
-func (x *exchange) recordAnswered(status int, fields ...zap.Field) {
+func (x *exchange) recordAnswered(status int) {
 	x.g.opts.Metrics.Answers.WithLabelValues(statusClass(status), "server").Inc()
 	timeToFirst := time.Duration(x.timeToFirst.Load())
 	x.g.opts.Metrics.TimeToFirst.WithLabelValues(x.route.Kind.String()).Observe(timeToFirst.Seconds())
-	x.log("answered", append(fields, zap.Int("status", status))...)
-}
-
-// endFields returns the log fields that tell how the end of a response without a length is known.
-func (a *attempt) endFields() []zap.Field {
-	if !a.resp.EndsWithConnection() {
-		return nil
-	}
-	return []zap.Field{zap.Int64("bytes", a.resp.BodyBytes()), zap.Stringer("connection_end", a.resp.ConnectionEnd())}
+	x.log("answered", zap.Int("status", status))
 }
