--- a/test/overlimit/endless_test.go
+++ b/test/overlimit/endless_test.go
@@ -102,7 +102,7 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				crowd(crowdSize, faultyTime, r.front, func(ctx context.Context, conn net.Conn) {
+				crowd(crowdSize, faultyTime, r.Front, func(ctx context.Context, conn net.Conn) {
 					prefix := []string{"/faulty/", "/faultystream/"}[attempts.Load()%2]
 					faultyClient(prefix+element, attempts.Load()%4 < 2)(ctx, conn)
 				})
@@ -110,7 +110,7 @@
 			g.Eventually(r.ordinaryStatus, "5s", "50ms").Should(Equal(http.StatusOK), "beside the faulty servers")
 			<-done
 			select {
-			case <-r.exited:
+			case <-r.Exited:
 				t.Fatal("the router has ended")
 			default:
 			}
--- a/test/overlimit/overlimit_test.go
+++ b/test/overlimit/overlimit_test.go
@@ -68,7 +68,7 @@
 // With headers of 1 MB on 300 connections, a router went from 17 MB to 284 MB.
 func TestClientsOutsideTheLimits(t *testing.T) {
 	binary := buildRouter(t)
-	front := func(r *router) string { return r.front }
+	front := func(r *router) string { return r.Front }
 	hot, get := request("x", "a", "hot-key"), "GET /x HTTP/1.1\r\nX: "
 	held := sendAndHold(get+"y\r\n", differentLines()[:heldBytes], 1)
 	cases := []struct {
@@ -85,15 +85,15 @@
 		{"silent connections", front, 2 * descriptors, sendAndHold("", "", 0)},
 		{"bodies in chunks", front, crowdSize, sendChunks},
 		{"responses that are not read", front, crowdSize, readNothing},
-		{"long header to the directory", func(r *router) string { return r.direct }, crowdSize, sendAndHold(get, "x", longBytes)},
-		{"long header to the readiness port", func(r *router) string { return r.readiness }, crowdSize, sendAndHold(get, "x", longBytes)},
-		{"long header to the metrics", func(r *router) string { return r.metrics }, crowdSize, sendAndHold(get, "x", longBytes)},
-		{"long header to the relay", func(r *router) string { return r.relay }, crowdSize, sendAndHold(get, "x", longBytes)},
-		{"held header to the directory", func(r *router) string { return r.direct }, heldCrowdSize, held},
-		{"held header to the readiness port", func(r *router) string { return r.readiness }, heldCrowdSize, held},
-		{"held header to the metrics", func(r *router) string { return r.metrics }, heldCrowdSize, held},
-		{"held header to the relay", func(r *router) string { return r.relay }, heldCrowdSize, held},
-		{"long header to the offload port", func(r *router) string { return r.offload }, crowdSize, sendAndHold(hot+"X: ", "x", longBytes)},
+		{"long header to the directory", func(r *router) string { return r.Directory }, crowdSize, sendAndHold(get, "x", longBytes)},
+		{"long header to the readiness port", func(r *router) string { return r.Readiness }, crowdSize, sendAndHold(get, "x", longBytes)},
+		{"long header to the metrics", func(r *router) string { return r.Metrics }, crowdSize, sendAndHold(get, "x", longBytes)},
+		{"long header to the relay", func(r *router) string { return r.Relay }, crowdSize, sendAndHold(get, "x", longBytes)},
+		{"held header to the directory", func(r *router) string { return r.Directory }, heldCrowdSize, held},
+		{"held header to the readiness port", func(r *router) string { return r.Readiness }, heldCrowdSize, held},
+		{"held header to the metrics", func(r *router) string { return r.Metrics }, heldCrowdSize, held},
+		{"held header to the relay", func(r *router) string { return r.Relay }, heldCrowdSize, held},
+		{"long header to the offload port", func(r *router) string { return r.Offload }, crowdSize, sendAndHold(hot+"X: ", "x", longBytes)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -101,7 +101,7 @@
 			r := startRouter(t, binary)
 			crowd(c.clients, crowdTime, c.address(r), c.send)
 			select {
-			case <-r.exited:
+			case <-r.Exited:
 				t.Fatal("the router has ended")
 			default:
 			}
@@ -129,7 +129,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		crowd(2*descriptors, 2*crowdTime, r.front, sendAndHold("", "", 0))
+		crowd(2*descriptors, 2*crowdTime, r.Front, sendAndHold("", "", 0))
 	}()
 	time.Sleep(crowdTime / 2)
 	g.Eventually(r.ordinaryStatus, "30s", "100ms").Should(Equal(http.StatusOK))
--- a/test/overlimit/router_test.go
+++ b/test/overlimit/router_test.go
@@ -8,19 +8,14 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
-	. "github.com/onsi/gomega"
-
-	"gooseberrytide.example/gooseberrytide/platform"
-	"gooseberrytide.example/gooseberrytide/test/standin/freeports"
 	"gooseberrytide.example/gooseberrytide/test/standin/platformstore"
+	"gooseberrytide.example/gooseberrytide/test/standin/routerprocess"
 )
 
 // Limits of the test's deployment. A router of it takes 17 to 25 MB without load.
@@ -45,33 +40,20 @@
 
 // router is a router process with a store and one backend server.
 type router struct {
-	t                        *testing.T
-	front, readiness, direct string
-	metrics, relay, offload  string
-	pid                      int
-	exited                   chan struct{}
-	store                    *platformstore.Store
+	*routerprocess.Router
+	t     *testing.T
+	store *platformstore.Store
 }
 
 // buildRouter builds the router and returns the path of the program.
 func buildRouter(t *testing.T) string {
 	t.Helper()
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	binary := filepath.Join(t.TempDir(), "gooseberrytided")
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "./cmd/gooseberrytided")
-	build.Dir = filepath.Join("..", "..")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return binary
+	return routerprocess.Build(t, filepath.Join("..", ".."))
 }
 
 // startRouter starts a router with a limit on its file descriptors.
 func startRouter(t *testing.T, binary string) *router {
 	t.Helper()
-	dir := t.TempDir()
 	store := platformstore.New()
 	storeServer := httptest.NewServer(store)
 	backend := httptest.NewServer(http.HandlerFunc(serveBackend))
@@ -84,67 +66,9 @@
 	store.Put("op/config", []byte(configText))
 	store.Put("servers/i-1", fmt.Appendf(nil, `{"service":"app","address":%q,"zone":"a","slots":64,"state":"ready"}`,
 		backend.Listener.Addr()))
-	r := newRouter(t, dir, storeServer.Listener.Addr().String())
-	r.store = store
-	r.start(binary, dir)
-	return r
-}
-
-func newRouter(t *testing.T, dir, store string) *router {
-	t.Helper()
-	ports, err := freeports.ForRouter()
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-	r := &router{
-		t: t, front: address(ports.Front), readiness: address(ports.Readiness), direct: address(ports.Directory),
-		relay: address(ports.Peer), metrics: address(ports.Peer + 1), offload: address(ports.Peer + 2), exited: make(chan struct{}),
-	}
-	text := fmt.Sprintf(`{"nodeName":"r-1","zone":"a","ip":"127.0.0.1","listen":{"front":%q,"readiness":%q,"directory":%q},
-"internalPorts":[%d,%d],"limits":{"memoryMb":%d,"cpuShare":0.4},"platform":{"address":%q},
-"bounds":{"graceS":2,"revokeMs":5000,"strictRevoke":true,"budgetSlack":20}}`,
-		r.front, r.readiness, r.direct, ports.Peer, ports.Peer+2, memoryMB, store)
-	if err := os.WriteFile(filepath.Join(dir, "node.yaml"), []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return r
-}
-
-// start starts the process and waits until it is ready.
-func (r *router) start(binary, dir string) {
-	r.t.Helper()
-	log, err := os.Create(filepath.Join(dir, "log"))
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	cmd := exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" gateway`, "sh", strconv.Itoa(descriptors), binary)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(dir, "node.yaml"))
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		r.t.Fatal(err)
-	}
-	r.pid = cmd.Process.Pid
-	go func() {
-		_ = cmd.Wait()
-		close(r.exited)
-	}()
-	r.t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		<-r.exited
-		_ = log.Close()
-		if text, err := os.ReadFile(log.Name()); err == nil && r.t.Failed() {
-			r.t.Logf("log of the router, its end:\n%s", text[max(0, len(text)-4000):])
-		}
-	})
-	NewWithT(r.t).Eventually(func() int {
-		resp, err := http.Get("http://" + r.readiness + platform.PathReadiness)
-		if err != nil {
-			return 0
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode
-	}, "20s", "50ms").Should(Equal(http.StatusOK))
+	return &router{t: t, store: store, Router: routerprocess.Start(t, binary, routerprocess.Options{
+		Name: "r-1", Store: storeServer.Listener.Addr().String(), MemoryMB: memoryMB, Descriptors: descriptors,
+	})}
 }
 
 // serveBackend is the plain service. It answers paths that end with "large" with responseBytes bytes.
@@ -175,7 +99,7 @@
 func (r *router) ordinaryStatus() int {
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.front+"/lookup/x", strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Front+"/lookup/x", strings.NewReader("body"))
 	if err != nil {
 		return 0
 	}
@@ -195,7 +119,7 @@
 // peakMemoryMB returns the largest resident memory that the process has had, in MiB.
 func (r *router) peakMemoryMB() int {
 	r.t.Helper()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.PID()))
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -214,7 +138,7 @@
 // openDescriptors returns the number of file descriptors of the process.
 func (r *router) openDescriptors() int {
 	r.t.Helper()
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.pid))
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.PID()))
 	if err != nil {
 		r.t.Fatal(err)
 	}
