gateway, clientconn, offload: Keep a response to HTTP/1.0 marked as incomplete until its end is proven

A client of HTTP/1.0 took a part of a response without a length for a whole one where the router was killed, where its handler panicked, and where a write to the client had failed: the connection was closed in order unless a list of other ends asked for a reset. It is now reset, by the system too if the process is killed, unless the response has been passed on to its end. The same holds for connections that are passed on.

--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -47,7 +47,7 @@
 	draining bool
 	// closing and closingWrite are set if the connection, or its sending side, is to be closed once all has been sent.
 	closing, closingWrite bool
-	// incomplete is set if a response has been broken off that might look complete.
+	// incomplete is set while a response is not complete that looks complete if the connection is closed in order.
 	incomplete bool
 	// readUntil is the end of the time that the client has to read the response of its last request.
 	readUntil time.Time
@@ -221,14 +221,16 @@
 // that too, but only when its goroutine gets a processor.
 func (c *Conn) HasLeft() bool { return c != nil && sockopt.PeerClosed(c.Conn) }
 
-// SetIncomplete makes the client see a reset when the connection is closed.
-func (c *Conn) SetIncomplete() {
+// SetIncomplete sets whether the client sees a reset when the connection is closed. While it does, the system also resets the
+// connection if this process is killed.
+func (c *Conn) SetIncomplete(incomplete bool) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.incomplete = true
+	c.incomplete = incomplete
+	sockopt.SetResetOnClose(c.Conn, incomplete)
 }
 
 // SetReadUntil sets until when the client may take its time to read the response of a request. Later, it must read a part
--- a/internal/transport/gateway/cut.go
+++ b/internal/transport/gateway/cut.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
-	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 )
 
 // cutCause is the cause for which a connection is closed without a complete response.
@@ -37,13 +36,9 @@
 		zap.String("retry_denied", string(x.retryDenied)), logfield.Error(x.lastErr))
 }
 
-// abort closes the connection of a response that has been sent in part, so that the client cannot take it for complete. The
-// response to a client of HTTP/1.0 has no chunks.
+// abort closes the connection of a response that has been sent in part, so that the client cannot take it for complete.
 func (x *exchange) abort(cause cutCause) {
 	x.recordCut(cause)
-	if !x.r.ProtoAtLeast(1, 1) {
-		clientconn.FromContext(x.r.Context()).SetIncomplete()
-	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
+	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
@@ -93,7 +94,15 @@
 	}
 	x := g.newExchange(w, r)
 	defer x.recordPanic()
-	x.serve()
+	if r.ProtoAtLeast(1, 1) {
+		x.serve()
+	} else {
+		// The response has no chunks. Without a length, it ends with the connection.
+		conn := clientconn.FromContext(r.Context())
+		conn.SetIncomplete(true)
+		x.serve()
+		conn.SetIncomplete(x.disconnected)
+	}
 	x.discardBody()
 }
 
--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -58,12 +58,15 @@
 	removeStop := context.AfterFunc(ctx, func() { _ = router.Close() })
 	defer removeStop()
 	request := startRequestCopy(router, client)
+	tracked := clientconn.From(client)
+	tracked.SetIncomplete(true) // the response may have no length
 	response := copyBytes(client, router, buf)
 	if response.copied == 0 && !request.stop(client) {
+		tracked.SetIncomplete(false)
 		return forwardNoResponse, request.copied
 	}
-	if response.readErr != io.EOF || sockopt.EndOf(router, response.copied) == sockopt.EndBroken {
-		clientconn.From(client).SetIncomplete() // a response without a length would look complete
+	if response.readErr == io.EOF && sockopt.EndOf(router, response.copied) != sockopt.EndBroken {
+		tracked.SetIncomplete(false)
 	}
 	_ = client.Close()
 	return forwardEnded, 0
--- a/internal/transport/sockopt/conn.go
+++ b/internal/transport/sockopt/conn.go
@@ -35,12 +35,26 @@
 
 // Reset closes a connection with a reset, so that its peer cannot take what it has received for complete.
 func Reset(conn net.Conn) {
-	if tcp, ok := As[*net.TCPConn](conn); ok {
-		_ = tcp.SetLinger(0) // the only error is that the connection is closed already
-	}
+	SetResetOnClose(conn, true)
 	_ = conn.Close()
 }
 
+// systemLinger is the argument of SetLinger for a close in order.
+const systemLinger = -1
+
+// SetResetOnClose sets whether the system resets a connection that is closed, also at the end of the process.
+func SetResetOnClose(conn net.Conn, reset bool) {
+	tcp, ok := As[*net.TCPConn](conn)
+	if !ok {
+		return
+	}
+	linger := systemLinger
+	if reset {
+		linger = 0
+	}
+	_ = tcp.SetLinger(linger) // the only error is that the connection is closed already
+}
+
 // As returns the first connection of type T among conn and those that it wraps: a wrapper has a method NetConn.
 func As[T net.Conn](conn net.Conn) (found T, ok bool) {
 	for conn != nil {
--- a/test/earlyend/server_test.go
+++ b/test/earlyend/server_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"path"
 	"strings"
 	"sync"
 	"testing"
@@ -94,8 +95,8 @@
 		if err != nil {
 			return
 		}
-		kind := responses[r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]]
-		if kind.faulty() && rand.Float64() >= brokenShare {
+		kind, known := responses[path.Base(r.URL.Path)]
+		if !known || kind.faulty() && rand.Float64() >= brokenShare { // health checks have another path
 			kind = response{status: http.StatusOK, framed: true}
 		}
 		if !kind.early {
