--- a/test/earlyend/earlyend_test.go
+++ b/test/earlyend/earlyend_test.go
@@ -32,11 +32,16 @@
 	inFlight = 160
 	// uploadBytes is the length of the body of a request that is answered before it is read.
 	uploadBytes = 3 << 20
+	// memoryMB is the memory limit of a router, descriptors that of its open files.
+	memoryMB, descriptors = 1024, 4096
 	// minWholeShare is the least share of whole responses that must reach the clients.
 	minWholeShare = 0.9
 )
 
-const configText = `{"version":1,"routes":[%s],"services":[{"name":"faulty"},{"name":"sound"}],
+// root is the path of the repository.
+var root = filepath.Join("..", "..")
+
+const configText = `{"version":1,"routes":[%[1]s],"services":[{"name":"faulty"%[2]s},{"name":"sound"%[2]s}],
  "limits":{"maxBodyBytes":4194304,"maxHeaderBytes":16384,"headerTimeoutMs":2000,"idleTimeoutMs":5000,"tokensPerS":100000}}`
 
 // routeKinds are the kinds of routes by name, as in a configuration.
@@ -47,20 +52,32 @@
 	"digest":  `"routeKind":"streaming","gapTargetMs":500,"resumable":true`,
 }
 
-// config returns a configuration with a route of each kind to each service.
-func config() []byte {
+// modelEngine is the field of services of model engines.
+const modelEngine = `,"maxConns":2000,"engine":{"slots":64,"kvCapacity":1000000,"stride":4}`
+
+// config returns a configuration with a route of each kind to each service. service holds further fields of the services.
+func config(service string) []byte {
 	var routes []string
-	for _, service := range []string{"faulty", "sound"} {
+	for _, target := range []string{"faulty", "sound"} {
 		for name, kind := range routeKinds {
 			routes = append(routes, fmt.Sprintf(`{"name":"%[1]s-%[2]s","host":%[3]q,"pathPrefix":"/%[1]s/%[2]s/",%[4]s,"timeoutMs":%[5]d,
-"objectiveMs":300,"service":%[1]q,"maxAttempts":2}`, service, name, host, kind, routeTimeout.Milliseconds()))
+"objectiveMs":300,"service":%[1]q,"maxAttempts":2}`, target, name, host, kind, routeTimeout.Milliseconds()))
 		}
 	}
-	return fmt.Appendf(nil, configText, strings.Join(routes, ","))
+	return fmt.Appendf(nil, configText, strings.Join(routes, ","), service)
 }
 
 // startRouter starts a router with its servers.
 func startRouter(t *testing.T) *routerprocess.Router {
+	t.Helper()
+	return routerprocess.Start(t, routerprocess.Build(t, root), routerprocess.Options{
+		Name: "r-1", Store: startStore(t, ""), MemoryMB: memoryMB, Descriptors: descriptors,
+	})
+}
+
+// startStore starts a store with the configuration and the servers, and returns its address. service holds further fields of
+// the services.
+func startStore(t *testing.T, service string) string {
 	t.Helper()
 	store := platformstore.New()
 	storeServer := httptest.NewServer(store)
@@ -68,29 +85,44 @@
 		storeServer.CloseClientConnections()
 		storeServer.Close()
 	})
-	store.Put("op/config", config())
+	store.Put("op/config", config(service))
 	for i := range 2 * servers {
 		store.Put(fmt.Sprintf("servers/i-%d", i), fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":64,"state":"ready"}`,
 			[]string{"faulty", "sound"}[i%2], startServer(t)))
 	}
-	return routerprocess.Start(t, routerprocess.Build(t, filepath.Join("..", "..")), routerprocess.Options{
-		Name: "r-1", Store: storeServer.Listener.Addr().String(), MemoryMB: 1024, Descriptors: 4096,
-	})
+	return storeServer.Listener.Addr().String()
 }
 
 // disturbance stops and continues a process over and over.
 type disturbance struct{ stopped, running time.Duration }
 
-// run disturbs a router until the context ends.
-func (d disturbance) run(ctx context.Context, r *routerprocess.Router) {
+// run disturbs routers until the context ends.
+func (d disturbance) run(ctx context.Context, routers ...*routerprocess.Router) {
 	for d.stopped > 0 && ctx.Err() == nil {
-		r.Signal(syscall.SIGSTOP)
+		for _, r := range routers {
+			r.Signal(syscall.SIGSTOP)
+		}
 		time.Sleep(d.stopped)
-		r.Signal(syscall.SIGCONT)
+		for _, r := range routers {
+			r.Signal(syscall.SIGCONT)
+		}
 		time.Sleep(d.running)
 	}
 }
 
+// during disturbs routers while f runs.
+func (d disturbance) during(ctx context.Context, f func(), routers ...*routerprocess.Router) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.run(ctx, routers...)
+	}()
+	f()
+	cancel()
+	<-done
+}
+
 // call is a request for one kind of response on one kind of route.
 type call struct{ route, kind string }
 
@@ -185,19 +217,8 @@
 		{120 * time.Millisecond, 80 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%v of %v", d.stopped, d.stopped+d.running), func(t *testing.T) {
-			results := make(map[call]*tally)
-			for _, c := range calls {
-				results[c] = new(tally)
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			disturbed := make(chan struct{})
-			go func() {
-				defer close(disturbed)
-				d.run(ctx, r)
-			}()
-			sendAll(client, r.Front, calls, results)
-			cancel()
-			<-disturbed
+			results := newTallies(calls)
+			d.during(t.Context(), func() { sendAll(client, r.Front, calls, results) }, r)
 			check(t, results)
 			for c, result := range results {
 				if strings.HasPrefix(c.kind, "whole") {
@@ -209,6 +230,14 @@
 	checkLog(t, r, unframed)
 }
 
+func newTallies(calls []call) map[call]*tally {
+	results := make(map[call]*tally)
+	for _, c := range calls {
+		results[c] = new(tally)
+	}
+	return results
+}
+
 // sendAll sends the requests of all kinds.
 func sendAll(client *http.Client, front string, calls []call, results map[call]*tally) {
 	var wg sync.WaitGroup
@@ -248,14 +277,22 @@
 	}
 }
 
-// check checks the results and logs them.
+// checkNoneMixed checks that no response looked whole and was not, and logs the results.
+func checkNoneMixed(t *testing.T, results map[call]*tally) {
+	t.Helper()
+	for c, result := range results {
+		t.Logf("%s: %d whole, %d failed", c.path(), result.whole, result.failed)
+		NewWithT(t).Expect(result.mixed).To(BeEmpty(), c.path())
+	}
+}
+
+// check checks the results and that whole responses reach the clients.
 func check(t *testing.T, results map[call]*tally) {
 	t.Helper()
 	g := NewWithT(t)
+	checkNoneMixed(t, results)
 	whole, all := 0, 0
 	for c, result := range results {
-		t.Logf("%s: %d whole, %d failed", c.path(), result.whole, result.failed)
-		g.Expect(result.mixed).To(BeEmpty(), c.path())
 		if !responses[c.kind].faulty() {
 			whole += result.whole
 			all += result.whole + result.failed
--- a/test/standin/routerprocess/routerprocess.go
+++ b/test/standin/routerprocess/routerprocess.go
@@ -2,6 +2,7 @@
 package routerprocess
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -32,8 +33,12 @@
 	Store string
 	// MemoryMB is the memory limit in MiB, Descriptors the limit of open files.
 	MemoryMB, Descriptors int
+	// CPUShare is the share of a core that the router may use by its settings. The default is defaultCPUShare.
+	CPUShare float64
 }
 
+const defaultCPUShare = 0.4
+
 // Router is a router process.
 type Router struct {
 	Front, Readiness, Directory string
@@ -75,9 +80,10 @@
 		LogPath: filepath.Join(dir, "log"), Exited: make(chan struct{}),
 	}
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":"127.0.0.1","listen":{"front":%q,"readiness":%q,"directory":%q},
-"internalPorts":[%d,%d],"limits":{"memoryMb":%d,"cpuShare":0.4},"platform":{"address":%q},
+"internalPorts":[%d,%d],"limits":{"memoryMb":%d,"cpuShare":%g},"platform":{"address":%q},
 "bounds":{"graceS":2,"revokeMs":5000,"strictRevoke":true,"budgetSlack":20}}`,
-		opts.Name, r.Front, r.Readiness, r.Directory, ports.Peer, ports.Peer+2, opts.MemoryMB, opts.Store)
+		opts.Name, r.Front, r.Readiness, r.Directory, ports.Peer, ports.Peer+2, opts.MemoryMB,
+		cmp.Or(opts.CPUShare, defaultCPUShare), opts.Store)
 	settings := filepath.Join(dir, "node.yaml")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
