callerhttp: Reset the connection of a response to HTTP/1.0 that is not complete

A caller of HTTP/1.0 took a part of a response for a whole one: its responses have no chunks, and streams and the responses of services that have a trailer have no length, so they end with the connection. That was closed in order where a write to the caller had failed, where the handler panicked, where the server was closed, and by the system where the router was killed. The connection now resets when it is closed, by the system too, unless the handler has returned and no write has failed. Callers of HTTP/1.1 get chunks and saw such an end before.

--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -83,7 +83,8 @@
 		metrics:   sharedMetrics(),
 	}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           markIncomplete(s.routes()),
+		ConnContext:       withConn,
 		ReadHeaderTimeout: readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    caller.MaxHeaderBytes,
@@ -96,7 +97,7 @@
 func (s *Server) Handler() http.Handler { return s.http.Handler }
 
 // Serve accepts connections until Shutdown is called.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&callerListener{l}) }
 
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int { return s.requests.count() }
