backend: Take a response that ends within its last chunk for a broken one, not for an invalid one

A caller's idempotent call failed with an invalid response where the server's connection had ended after the "0" of the last chunk, or within the trailer: net/http reports these ends with errors of its own, which were taken for a violation of the protocol, and such calls are not sent again. The client knows that a read from the connection has failed, and now counts that as a broken response, as it did for the header. TestEachPartOfAResponseIsBroken cuts responses after each byte, with an orderly end and with a reset that another call has seen; it failed at 14 of these cuts before, with either end, all in the last chunk or the trailer. No part was taken for the whole. TestEachPartOfAStreamIsBroken checks the same for streams of engines and passed before.

--- a/internal/transport/backend/call.go
+++ b/internal/transport/backend/call.go
@@ -37,7 +37,7 @@
 	if isRefusal(resp) {
 		return nil, sendError(server, execute.SendRefused, resp.StatusCode, errRefused)
 	}
-	return c.readResponse(ctx, server, resp, call.MaxResponseBytes)
+	return c.readResponse(ctx, server, tracker, resp, call.MaxResponseBytes)
 }
 
 // callTransport returns the pooled transport for idempotent calls that net/http cannot send again by itself, and the
@@ -74,7 +74,7 @@
 // readResponse reads the whole response. The body may have at most limit bytes, or Options.MaxResponseBytes if limit is
 // not positive.
 func (c *Client) readResponse(
-	ctx context.Context, server *object.BackendServer, resp *http.Response, limit int64,
+	ctx context.Context, server *object.BackendServer, tracker *sendTracker, resp *http.Response, limit int64,
 ) (*execute.Response, error) {
 	if limit <= 0 {
 		limit = c.opts.MaxResponseBytes
@@ -91,7 +91,7 @@
 	var body bytes.Buffer
 	n, err := body.ReadFrom(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return nil, bodyError(ctx, server, resp.StatusCode, err)
+		return nil, bodyError(ctx, server, tracker, resp.StatusCode, err)
 	}
 	if n > limit {
 		return nil, sendError(server, execute.SendInvalid, resp.StatusCode, errTooLarge)
--- a/internal/transport/backend/classify.go
+++ b/internal/transport/backend/classify.go
@@ -44,9 +44,12 @@
 	return resp.Header.Get(engine.HeaderNotRun) == engine.NotRunTrue
 }
 
-// bodyError classifies an error that occurred while the body was read.
-func bodyError(ctx context.Context, server *object.BackendServer, status int, err error) *execute.SendError {
-	if isConnectionError(ctx, err) {
+// bodyError classifies an error that occurred while the body was read. net/http has errors of its own for connections that
+// end within the last chunk.
+func bodyError(
+	ctx context.Context, server *object.BackendServer, s *sendTracker, status int, err error,
+) *execute.SendError {
+	if s.readFailed() || isConnectionError(ctx, err) {
 		return sendError(server, execute.SendBroken, status, contextCause(ctx, err))
 	}
 	return sendError(server, execute.SendInvalid, status, err)
--- a/internal/transport/backend/send_tracker.go
+++ b/internal/transport/backend/send_tracker.go
@@ -89,6 +89,11 @@
 
 // invalidResponse reports whether the server sent at least one byte and no read from the connection failed.
 func (s *sendTracker) invalidResponse() bool {
+	return s.gotFirstByte.Load() && s.conn.Load() != nil && !s.readFailed()
+}
+
+// readFailed reports whether a read from the connection returned an error, such as its end.
+func (s *sendTracker) readFailed() bool {
 	conn := s.conn.Load()
-	return s.gotFirstByte.Load() && conn != nil && !conn.readFailed.Load()
+	return conn != nil && conn.readFailed.Load()
 }
