peerlink: Log a link that ends after the length of a record as one that ended within it

Operators saw no log line for a link that broke after the length of a record: the read of the rest returned io.EOF, which means an end between two records, and such ends are not logged. It returns io.ErrUnexpectedEOF now. No part of a record was delivered, since each has its length and a MAC. TestEndWithinARecordIsLogged failed in one of its two cases before.

--- a/internal/transport/peerlink/fault_test.go
+++ b/internal/transport/peerlink/fault_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -179,6 +180,29 @@
 	}
 }
 
+// Guards against a connection that ends within a record and is taken for one that was closed in order. In particular, a read
+// after the length finds nothing.
+func TestEndWithinARecordIsLogged(t *testing.T) {
+	for part, bytesSent := range map[string]int{"length": 1, "length and payload": 6} {
+		t.Run(part, func(t *testing.T) {
+			g := NewWithT(t)
+			a, b, p, logs := startProxied(t)
+			a.Send("b", cancelMessage("a", 1, 1))
+			eventually(t, "message", func() bool { return b.messageCount() == 1 })
+			p.mu.Lock()
+			_, err := p.target.Write(bytes.Repeat([]byte{9}, bytesSent))
+			_ = p.target.Close()
+			p.mu.Unlock()
+			g.Expect(err).NotTo(HaveOccurred())
+			eventually(t, "end of the link", func() bool { return b.Stats().Links == 0 })
+			ends := func() []observer.LoggedEntry { return logs.FilterMessage("peerlink: link ended").All() }
+			g.Eventually(ends, time.Second).Should(HaveLen(1))
+			g.Expect(ends()[0].ContextMap()["error"]).To(Equal(io.ErrUnexpectedEOF.Error()))
+			g.Expect(b.messageCount()).To(Equal(1))
+		})
+	}
+}
+
 // Guards against a replay of all bytes of an earlier connection.
 func TestReplayedConnection(t *testing.T) {
 	a, b, p, _ := startProxied(t)
--- a/internal/transport/peerlink/record.go
+++ b/internal/transport/peerlink/record.go
@@ -84,7 +84,9 @@
 		return nil, 0, ErrTooLarge
 	}
 	data := make([]byte, int(length)+macSize)
-	if _, err := io.ReadFull(c.reader, data); err != nil {
+	if _, err := io.ReadFull(c.reader, data); err == io.EOF {
+		return nil, 0, io.ErrUnexpectedEOF // the length was read
+	} else if err != nil {
 		return nil, 0, err
 	}
 	payload := data[:length]
