--- a/internal/transport/backend/ends_test.go
+++ b/internal/transport/backend/ends_test.go
@@ -1,12 +1,10 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,27 +13,15 @@
 	"github.com/pkg/errors"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/internal/coordination/scheduler"
 	protocol "gooseberrytide.example/gooseberrytide/internal/protocol/engine"
 	"gooseberrytide.example/gooseberrytide/internal/state/object"
 	"gooseberrytide.example/gooseberrytide/test/standin/connend"
-	"gooseberrytide.example/gooseberrytide/test/standin/endless"
+	"gooseberrytide.example/gooseberrytide/test/standin/cutserver"
 )
 
-// startCutServer starts a server that answers each request with a text and then ends the connection.
-func startCutServer(t *testing.T, answer string, way connend.Way) *object.BackendServer {
-	t.Helper()
-	address := endless.Serve(t, func(c net.Conn) {
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		if _, err := io.WriteString(c, answer); err == nil {
-			way.End(c)
-		}
-	})
+// cutServer returns the backend server at the address of a cutserver.
+func cutServer(address string) *object.BackendServer {
 	return &object.BackendServer{Name: "cut", Address: address}
 }
 
@@ -55,18 +41,6 @@
 	return hiddenResetConn{conn}, err
 }
 
-// forEachCut calls check with a server for each part of an answer and each way to end the connection.
-func forEachCut(t *testing.T, answer string, check func(g *WithT, server *object.BackendServer)) {
-	t.Helper()
-	for end := 1; end < len(answer); end++ {
-		for _, way := range []connend.Way{connend.Close, connend.Reset} {
-			t.Run(fmt.Sprintf("%s after %d", way, end), func(t *testing.T) {
-				check(NewWithT(t), startCutServer(t, answer[:end], way))
-			})
-		}
-	}
-}
-
 // Guards against a part of a response that counts as the whole one, or as one that violates the protocol and is not retried.
 func TestEachPartOfAResponseIsBroken(t *testing.T) {
 	answers := map[string]string{
@@ -78,13 +52,14 @@
 		t.Run(name, func(t *testing.T) {
 			client := newTestClient(t, Options{Dial: dialHidingResets})
 			call := execute.Call{Method: "POST", Path: "/", Body: []byte("x")}
-			response, err := client.Call(testContext(t), startCutServer(t, answer, connend.Close), call)
+			response, err := client.Call(testContext(t), cutServer(cutserver.Start(t, answer, connend.Close)), call)
 			g := NewWithT(t)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(string(response.Body)).To(Equal("body"))
-			forEachCut(t, answer, func(g *WithT, server *object.BackendServer) {
-				_, err := client.Call(testContext(t), server, call)
+			cutserver.ForEachPart(t, answer, func(t *testing.T, address string) {
+				_, err := client.Call(testContext(t), cutServer(address), call)
 				var sendErr *execute.SendError
+				g := NewWithT(t)
 				g.Expect(errors.As(err, &sendErr)).To(BeTrue(), "%v", err)
 				g.Expect(sendErr.Kind).To(Equal(execute.SendBroken), "%v", err)
 			})
@@ -124,13 +99,47 @@
 				return err
 			}
 			g := NewWithT(t)
-			g.Expect(read(startCutServer(t, answer, connend.Close))).To(Succeed())
-			forEachCut(t, strings.TrimSuffix(answer, "\r\n"), func(g *WithT, server *object.BackendServer) {
-				err := read(server)
+			g.Expect(read(cutServer(cutserver.Start(t, answer, connend.Close)))).To(Succeed())
+			cutserver.ForEachPart(t, strings.TrimSuffix(answer, "\r\n"), func(t *testing.T, address string) {
+				err := read(cutServer(address))
 				var sendErr *execute.SendError
+				g := NewWithT(t)
 				g.Expect(errors.As(err, &sendErr)).To(BeTrue(), "%v", err)
 				g.Expect(sendErr.Kind).To(Equal(execute.SendBroken), "%v", err)
 			})
 		})
 	}
 }
+
+// Guards against a part of an engine's state without a length that counts as the state.
+func TestEachPartOfAStateIsAnError(t *testing.T) {
+	const answer = cutserver.NoLength + `{"model":"m","version":"2","loading":{"kind":"load-model","model":"n","fence":1}}`
+	client := newTestClient(t, Options{Dial: dialHidingResets})
+	state, err := client.State(testContext(t), cutServer(cutserver.Start(t, answer, connend.Close)))
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(state.Loading).NotTo(BeNil())
+	cutserver.ForEachPart(t, answer, func(t *testing.T, address string) {
+		_, err := client.State(testContext(t), cutServer(address))
+		NewWithT(t).Expect(err).To(HaveOccurred())
+	})
+}
+
+// Guards against a part of a report that is delivered, as one that lists fewer prefixes.
+func TestOnlyWholeReportsAreDelivered(t *testing.T) {
+	const first = `{"cache":{"seq":1,"added":["a","b"],"cleared":true}}` + "\n"
+	const second = `{"cache":{"seq":2,"added":["c","d"]}}` + "\n"
+	client := newTestClient(t, Options{Dial: dialHidingResets})
+	read := func(address string) (hashes []uint64) {
+		s := &subscription{client: client, server: cutServer(address), onCache: func(e scheduler.CacheEvent) {
+			hashes = append(hashes, e.Added...)
+		}}
+		NewWithT(t).Expect(s.readStream(testContext(t))).NotTo(Succeed())
+		return hashes
+	}
+	NewWithT(t).Expect(read(cutserver.Start(t, cutserver.NoLength+first+second, connend.Close))).
+		To(Equal([]uint64{0xa, 0xb, 0xc, 0xd}))
+	cutserver.ForEachPart(t, cutserver.NoLength+first+second, func(t *testing.T, address string) {
+		NewWithT(t).Expect(read(address)).To(Or(BeEmpty(), Equal([]uint64{0xa, 0xb})))
+	})
+}
