gateway: Do not take a response for whole whose server has started again

A server that crashes closes its connections in order if nothing is unread, so the end of a response without a length may be that of its server. The router asks the server's port. Where the entry named a later start than the one the request was sent to, nobody was asked and the server counted as alive, though that entry is the proof that it has ended: the client got the part as a whole response. A router whose process was stopped learns of the new start and of the end of the connection in the same moment.

Whether a response's server has ended is now a question of its own, which is asked after the one for a crash. Its answer is neither evidence against the request (the restart may have been announced), nor a refused connection (the port of the new incarnation is open), nor a fault of the new incarnation.

daemon/gateway TestServerThatIsBackHasNotOutlivedItsResponse and gateway TestResponseWhoseServerMayHaveEndedIsNotWhole fail without it.

--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -180,6 +180,8 @@
 		OnServerLeaving: n.onServerLeaving,
 		OnServerLimit:   n.owners.limits.onServerLimit,
 		Account:         n.clients.account,
+
+		OutlivedResponse: n.outlivedResponse,
 	})
 	n.store = platform.NewStore(settings.StoreAddress, storeTransport(), func(kind string) {
 		storeCalls.WithLabelValues(kind).Inc()
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -135,6 +135,7 @@
 			return p.listeners[address].dial()
 		}}),
 		Log: n.log, OnServerLeaving: n.onServerLeaving, OnServerLimit: n.owners.limits.onServerLimit, Account: n.clients.account,
+		OutlivedResponse: n.outlivedResponse,
 	})
 	n.servers.Store(p.set)
 	n.onServers(p.set)
--- /dev/null
+++ b/internal/daemon/gateway/responseend_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
+	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/platform"
+	"gooseberrytide.example/gooseberrytide/test/standin/endless"
+)
+
+// newIdleNode returns a node that does not run, with entries of servers.
+func newIdleNode(t *testing.T, servers ...*backends.Server) *Node {
+	t.Helper()
+	n, err := New(&platform.Settings{Router: "own", IP: netip.MustParseAddr("127.0.0.1"), MemoryBytes: 1 << 28}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.servers.Store(backends.NewSet(servers))
+	return n
+}
+
+// Guards against half a response that looks whole because its server is back at the same port, and against restarts that count
+// as crashes of the request's server.
+func TestServerThatIsBackHasNotOutlivedItsResponse(t *testing.T) {
+	address := endless.Serve(t, holdOpen)
+	const startedAt = 1000
+	server := &backends.Server{ID: "i-1", Service: "app", Address: address, StartedAt: startedAt}
+	for name, c := range map[string]struct {
+		startedAt int64
+		outlived  bool
+	}{
+		"same start":    {startedAt, true},
+		"late write":    {startedAt - 1, true},
+		"started again": {startedAt + 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			entry := *server
+			entry.StartedAt = c.startedAt
+			n := newIdleNode(t, &entry)
+			g.Expect(n.probeServer(t.Context(), server)).To(Equal(poison.ServerAlive))
+			g.Expect(n.outlivedResponse(t.Context(), server)).To(Equal(c.outlived))
+		})
+	}
+}
+
+// holdOpen keeps a connection open until the other side closes it.
+func holdOpen(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -35,6 +35,9 @@
 // errServerEnded reports a response without a length that ended in the same moment as its server.
 var errServerEnded = errors.New("response ended with its connection, and its server has ended")
 
+// errServerNotProven reports a response without a length whose server may have ended with it.
+var errServerNotProven = errors.New("response ended with its connection, and its server may have ended")
+
 // errUnsigned reports a response without the server's signature.
 var errUnsigned = errors.New("response lacks the server's signature")
 
@@ -74,6 +77,8 @@
 	trial *poison.Trial
 	// crashed is set if the attempt was lost because its server has ended.
 	crashed bool
+	// lossRecorded is set after the loss of the connection was recorded as evidence.
+	lossRecorded bool
 	// err is why the attempt failed, outcome what is reported to the admission controller. If outcome is 0, it follows
 	// from the response.
 	err     error
@@ -286,12 +291,18 @@
 	return io.EOF
 }
 
-// checkServerAtEnd returns an error if the end of the connection, with which the response has ended, is that of its server. A
-// server that drains counts as alive: it ends its last responses just before it ends.
+// checkServerAtEnd returns an error if the end of the connection, with which the response has ended, may be that of its
+// server. Only a crash is evidence against the request and the server.
 func (a *attempt) checkServerAtEnd() error {
-	if a.crashed = a.tracked.Lost(a.ctx); a.crashed {
+	a.crashed = a.tracked.Lost(a.ctx)
+	a.lossRecorded = true
+	if a.crashed {
 		return errServerEnded
 	}
+	if !a.x.g.opts.OutlivedResponse(a.ctx, a.decision.Server) {
+		a.outcome = admission.ResultCancelled
+		return errServerNotProven
+	}
 	return nil
 }
 
--- a/internal/transport/gateway/framing_test.go
+++ b/internal/transport/gateway/framing_test.go
@@ -176,3 +176,35 @@
 		g.Expect(response.err != nil || response.status == http.StatusBadGateway).To(BeTrue(), "%d bytes with status %d", len(response.body), response.status)
 	}
 }
+
+// Guards against a response that looks whole although its server may have ended with it, and against a crash or a fault of the
+// server that is recorded for it.
+func TestResponseWhoseServerMayHaveEndedIsNotWhole(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for name, c := range map[string]struct{ path, body string }{
+		"short body": {"/callout/x", "answer"},
+		"long body":  {"/callout/x", strings.Repeat("b", 2*maxBufferedBytes)},
+		"stream":     {"/chat/x", event},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newGatewayHarness(t, []string{serveUnframed(t, closed, constant(c.body))})
+			request := func(attempt string) *http.Request {
+				if c.path == "/chat/x" {
+					return h.stream(c.path, attempt)
+				}
+				return h.request(http.MethodPost, c.path, attempt, "body")
+			}
+			for i := range 5 {
+				h.unproven.Store(true)
+				response := h.do(request(fmt.Sprintf("broken-%d", i)))
+				g.Expect(response.err != nil || response.status == http.StatusBadGateway).To(BeTrue(), "status %d", response.status)
+				g.Expect(h.admission.WarmupReports([]string{"i-a"})).To(BeEmpty())
+				h.unproven.Store(false)
+				response = h.do(request(fmt.Sprintf("whole-%d", i)))
+				g.Expect(response.err).NotTo(HaveOccurred())
+				g.Expect(response.body).To(Equal(c.body))
+			}
+		})
+	}
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -39,6 +39,9 @@
 	OnServerLeaving func(*backends.Server)
 	// OnServerLimit is called when a response changes the limit of requests a second of its server.
 	OnServerLimit func(*backends.Server)
+	// OutlivedResponse reports whether a server has gone on after a response that ended with its connection, as far as that
+	// can be told. It is asked if Poison does not know of a crash.
+	OutlivedResponse func(ctx context.Context, server *backends.Server) bool
 	// Account is charged for the requests and their bodies.
 	Account *memory.Account
 }
--- a/internal/transport/gateway/harness_test.go
+++ b/internal/transport/gateway/harness_test.go
@@ -46,6 +46,8 @@
 	account   *memory.Account
 	// leaving is the ID of the last server that announced that it leaves.
 	leaving atomic.Pointer[string]
+	// unproven is set if servers may have ended with their last responses.
+	unproven atomic.Bool
 	// delay is the simulated wait for the processor, in nanoseconds.
 	delay   atomic.Int64
 	engines []*platformengine.Engine
@@ -130,6 +132,9 @@
 		Metrics: NewMetrics(h.registry), Log: zap.New(core), Account: h.account,
 		OnServerLeaving: func(s *backends.Server) { h.leaving.Store(&s.ID) },
 		OnServerLimit:   func(*backends.Server) {},
+		OutlivedResponse: func(context.Context, *backends.Server) bool {
+			return !h.unproven.Load()
+		},
 	})
 	h.server = httptest.NewServer(h.gateway)
 	t.Cleanup(h.server.CloseClientConnections)
--- a/internal/transport/gateway/poison.go
+++ b/internal/transport/gateway/poison.go
@@ -125,8 +125,8 @@
 // was lost, since it then finds out whether the server has ended.
 func (a *attempt) recordEvidence(result sendResult) {
 	defer a.trial.End()
-	if a.crashed {
-		return // recorded when the stream ended
+	if a.lossRecorded {
+		return
 	}
 	switch {
 	case (result == sendAnswered || result == sendError) && a.isProof():
