daemon/gateway: Ask the port of a leaving server, too, at the end of its response

A server that drains, has announced that it leaves, or whose entry is gone counted as alive without a probe, since its end is expected and no crash. But it serves until it ends, so its port tells whether only the response has ended. The port is asked for the response alone; what counts as a crash, and what admission learns, is as before.

TestLeavingServerThatEndsWithItsResponse failed before.

The price: a sound server that ends its port within some 5 ms after (or before) a whole response without a length makes that look broken.

--- a/internal/daemon/gateway/poison.go
+++ b/internal/daemon/gateway/poison.go
@@ -98,13 +98,22 @@
 	})
 }
 
-// probeServer returns the state of a server by attempts to connect to it. A server that has announced its end, or whose
-// entry is gone, counts as alive.
+// probeServer returns the state of a server by attempts to connect to it. A server whose end is expected counts as alive.
 func (n *Node) probeServer(ctx context.Context, server *backends.Server) poison.ServerState {
-	current := n.servers.Load().Get(server.ID)
-	if current == nil || !current.SameStart(server) || current.Draining || n.admission.Draining(server.ID) {
+	if n.endIsExpected(server) {
 		return poison.ServerAlive
 	}
+	return n.probePort(ctx, server)
+}
+
+// endIsExpected reports whether a server has announced its end, or its entry is gone or that of another start.
+func (n *Node) endIsExpected(server *backends.Server) bool {
+	current := n.servers.Load().Get(server.ID)
+	return current == nil || !current.SameStart(server) || current.Draining || n.admission.Draining(server.ID)
+}
+
+// probePort returns the state of a server by attempts to connect to it.
+func (n *Node) probePort(ctx context.Context, server *backends.Server) poison.ServerState {
 	switch n.pool.Probe(ctx, server.Key(), server.Address) {
 	case upstream.PortRefusing:
 		return poison.ServerEnded
--- a/internal/daemon/gateway/responseend_test.go
+++ b/internal/daemon/gateway/responseend_test.go
@@ -53,3 +53,39 @@
 
 // holdOpen keeps a connection open until the other side closes it.
 func holdOpen(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+
+// Guards against half a response that looks whole because its server leaves and is taken away, and against the responses of
+// leaving servers that are taken for broken while the servers go on. Neither is a crash.
+func TestLeavingServerThatEndsWithItsResponse(t *testing.T) {
+	for port, c := range map[string]struct {
+		address  func(t *testing.T) string
+		outlived bool
+	}{
+		"serving":  {func(t *testing.T) string { return endless.Serve(t, holdOpen) }, true},
+		"closing":  {func(t *testing.T) string { return endless.Serve(t, func(net.Conn) {}) }, false},
+		"refusing": {refusingAddress, false},
+	} {
+		server := &backends.Server{ID: "i-1", Service: "app", Address: c.address(t), StartedAt: 1000}
+		draining := *server
+		draining.Draining = true
+		for entry, servers := range map[string][]*backends.Server{"draining": {&draining}, "gone": nil} {
+			t.Run(port+", entry "+entry, func(t *testing.T) {
+				g := NewWithT(t)
+				n := newIdleNode(t, servers...)
+				g.Expect(n.probeServer(t.Context(), server)).To(Equal(poison.ServerAlive))
+				g.Expect(n.outlivedResponse(t.Context(), server)).To(Equal(c.outlived))
+			})
+		}
+	}
+}
+
+// refusingAddress returns an address whose port refuses connections.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return listener.Addr().String()
+}
