offload: Pass no request on for a client that has left or whose time has passed

Each had been passed on by a router without a processor.

Cause: such a router reads a request and the end of its client's connection at the same moment. It passed the request on without asking for the end; the other router learned of it only when the first one had got a processor again. Nor did it look at the deadline that it had itself worked out before it dialled.

Why it works: the system knows the end as soon as it has arrived. The router asks it before it dials, and again just before it writes the header, and then drops the connection, or refuses a request that is late. The question (sockopt.PeerEnded) doesn't depend on a body that has not been read: the copy of such a request would end the other connection at the same end, later.

--- a/internal/daemon/gateway/offload.go
+++ b/internal/daemon/gateway/offload.go
@@ -39,7 +39,7 @@
 	targets      atomic.Pointer[balance.Targets]
 	connections  *prometheus.CounterVec
 	pauses       prometheus.Counter
-	// passed is the number of connections that were forwarded or refused.
+	// passed is the number of connections that were forwarded, refused or dropped.
 	passed atomic.Int64
 
 	// The remaining fields are used by update only.
@@ -54,7 +54,7 @@
 func newOffloader(n *Node) *offloader {
 	connections := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gooseberrytide_inspected_connections_total",
-		Help: "Connections inspected for lack of processor time, by action: served, forwarded, refused.",
+		Help: "Connections inspected for lack of processor time, by action: served, forwarded, refused, dropped.",
 	}, []string{"action"})
 	pauses := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "gooseberrytide_accept_pauses_total", Help: "Times that the callers' port was closed for lack of processor time.",
@@ -119,6 +119,9 @@
 	case offload.Refuse:
 		o.passed.Add(1)
 		o.connections.WithLabelValues("refused").Inc()
+	case offload.Drop:
+		o.passed.Add(1)
+		o.connections.WithLabelValues("dropped").Inc()
 	case offload.Serve:
 		o.connections.WithLabelValues("served").Inc()
 	}
--- a/internal/transport/offload/doc.go
+++ b/internal/transport/offload/doc.go
@@ -5,7 +5,8 @@
 // connection. Depending on the policy's decision the connection is served by this router, forwarded byte by byte to
 // another router, or refused. A forwarded connection carries one request, because the other router closes it after the
 // response; so a router that drains only has to wait for the responses in progress. If the other router cannot be
-// reached, nothing has been sent and the request is refused. A request is sent to one router only.
+// reached, nothing has been sent and the request is refused. A request is sent to one router only, and to none if its
+// client has left or its time has passed.
 //
 // If even refusals take more time than there is, the port is closed for a short while: the system then refuses
 // connections, so that clients learn at once what they would otherwise learn at their deadlines.
--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -35,6 +35,10 @@
 	forwardEnded forwardResult = iota
 	// forwardUnreachable means that nothing reached the other router. The connection is unchanged.
 	forwardUnreachable
+	// forwardLate means the same, because the time for the response has passed.
+	forwardLate
+	// forwardClientLeft means the same, because the client has left.
+	forwardClientLeft
 	// forwardNoResponse means that the other router may have run the request and sent no response.
 	forwardNoResponse
 )
@@ -43,11 +47,17 @@
 // closes it or the time for the response has passed. The client's connection is closed only if the result is forwardEnded.
 // buf contains head. It returns how many bytes were read from the client meanwhile.
 func (i *Inspector) forward(client net.Conn, decision Decision, head []byte, buf *buffer) (forwardResult, int64) {
+	if result, ok := mayForward(client, decision.Deadline); !ok {
+		return result, 0
+	}
 	router, err := i.opts.Dial(context.Background(), "tcp4", decision.Target)
 	if err != nil {
 		return forwardUnreachable, 0
 	}
 	defer func() { _ = router.Close() }()
+	if result, ok := mayForward(client, decision.Deadline); !ok { // a router that lacks processor time comes here late
+		return result, 0
+	}
 	if n, err := router.Write(head); err != nil && n == 0 {
 		return forwardUnreachable, 0
 	}
@@ -72,6 +82,18 @@
 	return forwardEnded, 0
 }
 
+// mayForward reports whether the client still waits for a response and has time for one, or else why not.
+func mayForward(client net.Conn, deadline time.Time) (otherwise forwardResult, ok bool) {
+	switch {
+	case sockopt.PeerEnded(client):
+		return forwardClientLeft, false
+	case !time.Now().Before(deadline):
+		return forwardLate, false
+	default:
+		return 0, true
+	}
+}
+
 // requestCopy copies the rest of a request to the other router.
 type requestCopy struct {
 	done chan struct{}
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -25,6 +25,9 @@
 	Forward
 	// Refuse refuses the request and closes the connection.
 	Refuse
+	// Drop closes the connection without a response, because the client has left. It is recorded in place of Forward, and
+	// is no decision of a policy.
+	Drop
 )
 
 // Decision is the decision about one connection.
@@ -170,8 +173,11 @@
 		defer i.forwarded.Add(-1)
 		result, read := i.forward(conn, decision, head, buf)
 		switch result {
-		case forwardUnreachable:
+		case forwardUnreachable, forwardLate:
 			i.refuse(conn, r, buf, bodyBytes)
+		case forwardClientLeft:
+			i.opts.Policy.Record(Drop)
+			_ = conn.Close()
 		case forwardNoResponse:
 			i.respond(conn, r, buf, bodyBytes+read, i.opts.Policy.Fail)
 		case forwardEnded:
--- a/internal/transport/offload/offload_test.go
+++ b/internal/transport/offload/offload_test.go
@@ -28,13 +28,18 @@
 	decision Decision
 	// timeout is the time for a response. The default is a minute.
 	timeout time.Duration
-	counts  [Refuse + 1]atomic.Int64
+	// deciding is called before each decision, if it is set.
+	deciding func()
+	counts   [Drop + 1]atomic.Int64
 }
 
 func (p *testPolicy) Active() bool    { return !p.inactive }
 func (p *testPolicy) Record(a Action) { p.counts[a].Add(1) }
 
 func (p *testPolicy) Decide(*http.Request) Decision {
+	if p.deciding != nil {
+		p.deciding()
+	}
 	d := p.decision
 	d.Deadline = time.Now().Add(cmp.Or(p.timeout, time.Minute))
 	return d
--- a/internal/transport/sockopt/unread_linux.go
+++ b/internal/transport/sockopt/unread_linux.go
@@ -38,7 +38,7 @@
 	closed := false
 	err := control(conn, func(fd int) error {
 		events, err := pollEvents(fd)
-		if err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) == 0 {
+		if err != nil || events&endEvents == 0 {
 			return err
 		}
 		unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
@@ -48,6 +48,21 @@
 	return err == nil && closed
 }
 
+// PeerEnded reports whether the peer has closed its side of a connection, or the connection is broken, also while a part of
+// what the peer sent has not been read. It does not block either.
+func PeerEnded(conn net.Conn) bool {
+	ended := false
+	err := control(conn, func(fd int) error {
+		events, err := pollEvents(fd)
+		ended = err == nil && events&endEvents != 0
+		return err
+	})
+	return err == nil && ended
+}
+
+// endEvents are the events of a connection that the peer has closed, or that is broken.
+const endEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
 // pollEvents returns what a reader of a socket would not have to wait for.
 func pollEvents(fd int) (events int16, err error) {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
--- a/internal/transport/sockopt/unread_test.go
+++ b/internal/transport/sockopt/unread_test.go
@@ -37,6 +37,7 @@
 	for name, look := range map[string]func(net.Conn) bool{
 		"HasUnread":  HasUnread,
 		"PeerClosed": PeerClosed,
+		"PeerEnded":  PeerEnded,
 		"not IsOpen": func(c net.Conn) bool { return !IsOpen(c) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -52,6 +53,20 @@
 	}
 }
 
+// Guards against a peer that is taken for gone while it waits for a response, or for present because a part of what it sent has
+// not been read.
+func TestPeerEndedBesideUnreadData(t *testing.T) {
+	g := NewWithT(t)
+	client, server := connPair(t)
+	_, err := io.WriteString(server, "part")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(HasUnread).WithArguments(client).Should(BeTrue())
+	g.Expect(PeerEnded(client)).To(BeFalse())
+	connend.Close.End(server)
+	g.Eventually(PeerEnded).WithArguments(client).Should(BeTrue())
+	g.Expect(PeerClosed(client)).To(BeFalse(), "not all has been read")
+}
+
 // Guards against the end of a connection that is told apart by who has seen it.
 func TestEndOf(t *testing.T) {
 	for way, want := range map[connend.Way]End{
--- a/internal/transport/sockopt/user_timeout_other.go
+++ b/internal/transport/sockopt/user_timeout_other.go
@@ -19,6 +19,9 @@
 // PeerClosed always returns false for the same reason.
 func PeerClosed(net.Conn) bool { return false }
 
+// PeerEnded always returns false for the same reason.
+func PeerEnded(net.Conn) bool { return false }
+
 // Writer writes to a connection without waiting. It exists only on Linux.
 type Writer struct{}
 
