offload, platform: Tell the other router how much of the client's time is left

What callers saw: an overloaded router passed a request on, and the other router sent it to an engine up to a whole deadline after it had read it, for a client whose time had passed meanwhile.

Cause: the other router got the client's deadline as it was sent, and counted it from when it had read the request. The first router knew that some of it had passed, and counted its own deadline from when it had read the request, too, though that had lain in the system's buffer.

Why it works: the first router reduces the header that states the client's time, in place, to what is left; any version of a router understands it, and engines never get the client's own. It counts from when the system received the request (the time since the last data, TCP_INFO), so that a request whose time passed before it was read is refused.

--- a/internal/transport/offload/doc.go
+++ b/internal/transport/offload/doc.go
@@ -6,7 +6,7 @@
 // another router, or refused. A forwarded connection carries one request, because the other router closes it after the
 // response; so a router that drains only has to wait for the responses in progress. If the other router cannot be
 // reached, nothing has been sent and the request is refused. A request is sent to one router only, and to none if its
-// client has left or its time has passed.
+// client has left or its time has passed. The other router is told how much of that time is left.
 //
 // If even refusals take more time than there is, the port is closed for a short while: the system then refuses
 // connections, so that clients learn at once what they would otherwise learn at their deadlines.
--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -12,6 +12,7 @@
 
 	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/sockopt"
+	"gooseberrytide.example/gooseberrytide/platform"
 )
 
 // bufferBytes is the size of a buffer. Most requests fit into one.
@@ -45,7 +46,7 @@
 
 // forward passes a connection on to another router, beginning with the bytes that were read from it, until one side
 // closes it or the time for the response has passed. The client's connection is closed only if the result is forwardEnded.
-// buf contains head. It returns how many bytes were read from the client meanwhile.
+// The other router is told how much of the client's time is left. buf contains head. It returns how many bytes were read from the client meanwhile.
 func (i *Inspector) forward(client net.Conn, decision Decision, head []byte, buf *buffer) (forwardResult, int64) {
 	if result, ok := mayForward(client, decision.Deadline); !ok {
 		return result, 0
@@ -58,6 +59,7 @@
 	if result, ok := mayForward(client, decision.Deadline); !ok { // a router that lacks processor time comes here late
 		return result, 0
 	}
+	platform.ReducePatience(head[:headerLength(head)], time.Until(decision.Deadline))
 	if n, err := router.Write(head); err != nil && n == 0 {
 		return forwardUnreachable, 0
 	}
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -33,7 +33,8 @@
 // Decision is the decision about one connection.
 type Decision struct {
 	Action Action
-	// Target is the address to which a connection is forwarded, Deadline the end of the time for the response.
+	// Target is the address to which a connection is forwarded, Deadline the end of the time for the response if the request
+	// has just arrived.
 	Target   string
 	Deadline time.Time
 }
@@ -150,12 +151,14 @@
 		return
 	}
 	r.RemoteAddr = conn.RemoteAddr().String()
-	i.carryOut(i.opts.Policy.Decide(r), conn, r, head, buf)
+	decision := i.opts.Policy.Decide(r)
+	decision.Deadline = decision.Deadline.Add(-sockopt.SinceReceived(conn))
+	i.carryOut(decision, conn, r, head, buf)
 }
 
 // carryOut carries out a decision about a connection. head is what was read from it.
 func (i *Inspector) carryOut(decision Decision, conn net.Conn, r *http.Request, head []byte, buf *buffer) {
-	bodyBytes := int64(len(head) - bytes.Index(head, headerEnd) - len(headerEnd))
+	bodyBytes := int64(len(head) - headerLength(head))
 	switch decision.Action {
 	case Serve:
 		if !i.serve(conn, head) {
@@ -209,6 +212,9 @@
 // headerEnd ends the header of a request.
 var headerEnd = []byte("\r\n\r\n")
 
+// headerLength returns the length of a complete header, with which head begins.
+func headerLength(head []byte) int { return bytes.Index(head, headerEnd) + len(headerEnd) }
+
 // readHeader reads until the end of the first request's header. It returns the bytes read, which may contain a part of
 // the body, and whether the header is complete.
 func readHeader(conn net.Conn, buf *buffer) ([]byte, bool) {
--- a/internal/transport/sockopt/peer_linux.go
+++ b/internal/transport/sockopt/peer_linux.go
@@ -183,6 +183,16 @@
 	return info, err == nil
 }
 
+// SinceReceived returns for how long data on a connection, of which some has been read, has waited at least: the time since
+// the last data arrived. It returns 0 if the system does not tell.
+func SinceReceived(conn net.Conn) time.Duration {
+	info, ok := tcpInfo(conn)
+	if !ok || info.Rcv_space == 0 {
+		return 0 // a simulated system may not fill in the state completely
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // Unsent returns the number of bytes that were written to an open connection and not sent, since its peer does not read.
 // It returns 0 if that is not known.
 func Unsent(conn net.Conn) int {
--- a/internal/transport/sockopt/unread_test.go
+++ b/internal/transport/sockopt/unread_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -67,6 +68,27 @@
 	g.Expect(PeerClosed(client)).To(BeFalse(), "not all has been read")
 }
 
+// Guards against a time in which data waited that is not counted, or that counts the time of the peer's end.
+func TestSinceReceived(t *testing.T) {
+	g := NewWithT(t)
+	const wait = 200 * time.Millisecond
+	client, server := connPair(t)
+	sent := time.Now()
+	_, err := io.WriteString(server, "part")
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(wait)
+	connend.Close.End(server)
+	g.Eventually(PeerEnded).WithArguments(client).Should(BeTrue())
+	g.Expect(SinceReceived(client)).To(And(BeNumerically(">", wait-sendTime), BeNumerically("<=", time.Since(sent)+clockStep)))
+}
+
+const (
+	// sendTime is the time in which data reaches the other side, with time for a busy machine.
+	sendTime = 100 * time.Millisecond
+	// clockStep is the resolution of the system's times.
+	clockStep = 10 * time.Millisecond
+)
+
 // Guards against the end of a connection that is told apart by who has seen it.
 func TestEndOf(t *testing.T) {
 	for way, want := range map[connend.Way]End{
