--- a/internal/transport/offload/forward.go
+++ b/internal/transport/offload/forward.go
@@ -46,7 +46,8 @@
 
 // forward passes a connection on to another router, beginning with the bytes that were read from it, until one side
 // closes it or the time for the response has passed. The client's connection is closed only if the result is forwardEnded.
-// The other router is told how much of the client's time is left. buf contains head. It returns how many bytes were read from the client meanwhile.
+// The other router is told how much of the client's time is left. buf contains head. It returns how many bytes were read
+// from the client meanwhile.
 func (i *Inspector) forward(client net.Conn, decision Decision, head []byte, buf *buffer) (forwardResult, int64) {
 	if result, ok := mayForward(client, decision.Deadline); !ok {
 		return result, 0
--- a/internal/transport/offload/inspector.go
+++ b/internal/transport/offload/inspector.go
@@ -151,9 +151,7 @@
 		return
 	}
 	r.RemoteAddr = conn.RemoteAddr().String()
-	decision := i.opts.Policy.Decide(r)
-	decision.Deadline = decision.Deadline.Add(-sockopt.SinceReceived(conn))
-	i.carryOut(decision, conn, r, head, buf)
+	i.carryOut(i.opts.Policy.Decide(r), conn, r, head, buf)
 }
 
 // carryOut carries out a decision about a connection. head is what was read from it.
@@ -165,6 +163,7 @@
 			i.respond(conn, r, buf, bodyBytes, i.opts.Policy.Refuse)
 		}
 	case Forward:
+		decision.Deadline = decision.Deadline.Add(-sockopt.SinceReceived(conn))
 		tracked := clientconn.From(conn)
 		tracked.StartRequest()
 		tracked.SetReadUntil(decision.Deadline)
