ratelimit, admission, reservation, daemon/gateway: Give permits first to teams within their fair share while one of them starves

Cause: a team above the fair level yields slots and unread tokens, and what is scarce then are permits, which an owner granted to routers in the order in which they asked.

Change: a request for a permit yields while its team is above the fair level and a starved team waits. The owner gives such requests turns of their own, and while a router that does not yield waits for its turn, they get a permit only once it has been free for half of the tolerance; the other half remains for them to take it, so that none is lost. A denied permit of a team that yields holds back only the router's requests that yield.

In fleets of at most 12 routers a request that yields is a message of its own. It goes only to owners whose reports say that they know it; the message of the version before keeps its encoding, and an owner of that version grants as before. In larger fleets the owner decides by the service that the reservation holds already.

--- a/internal/coordination/admission/announce.go
+++ b/internal/coordination/admission/announce.go
@@ -106,8 +106,9 @@
 // nextOpening returns when the servers of a request's service take requests again.
 func (c *Core) nextOpening(now time.Time, req *Request) opening {
 	var next opening
+	yields := c.yields(req)
 	for _, server := range c.servers.ByService(req.Service.Name) {
-		h, mayRequest := c.health[server.ID], c.mayRequestPermit(now, server.ID)
+		h, mayRequest := c.health[server.ID], c.mayRequestPermit(now, server.ID, yields)
 		if h == nil && mayRequest || c.excluded(server) {
 			continue
 		}
@@ -118,7 +119,7 @@
 		}
 		if !mayRequest {
 			next.limited = true
-			opens = later(opens, later(c.permitStates[server.ID].heldBack, now.Add(permitRequestTime)))
+			opens = later(opens, later(c.permitStates[server.ID].heldBackFor(yields), now.Add(permitRequestTime)))
 		}
 		next.at = earliest(next.at, opens)
 		if !req.excludes(server.ID) {
--- a/internal/coordination/admission/dispatch.go
+++ b/internal/coordination/admission/dispatch.go
@@ -47,15 +47,16 @@
 	limitsOf := c.limitsAt(now, service)
 	fits := func(s *backends.Server) bool {
 		limits := limitsOf(s)
-		return limits.Fit(c.loads.Total(s.ID), engineload.Load{Running: 1}) && c.takesRequests(now, s)
+		return limits.Fit(c.loads.Total(s.ID), engineload.Load{Running: 1}) && c.takesRequests(now, s, false)
 	}
-	takesRequests := func(s *backends.Server) bool { return c.takesRequests(now, s) }
+	takesRequests := func(s *backends.Server) bool { return c.takesRequests(now, s, false) }
 	return slices.ContainsFunc(servers, fits) || !slices.ContainsFunc(servers, takesRequests)
 }
 
-// takesRequests reports whether a server takes requests at present, regardless of its load.
-func (c *Core) takesRequests(now time.Time, server *backends.Server) bool {
-	return !c.excluded(server) && c.health[server.ID].available(now) && c.mayRequestPermit(now, server.ID)
+// takesRequests reports whether a server takes requests at present, regardless of its load, of a team that yields or one
+// that does not.
+func (c *Core) takesRequests(now time.Time, server *backends.Server, yields bool) bool {
+	return !c.excluded(server) && c.health[server.ID].available(now) && c.mayRequestPermit(now, server.ID, yields)
 }
 
 // grantOne grants the first placeable request in fair order: by team, and within a team by kind. If no server takes the
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -41,8 +41,8 @@
 
 // permitState is what this router knows about the permits of one server.
 type permitState struct {
-	// heldBack is the time until which no permit is asked for.
-	heldBack time.Time
+	// heldBack is the time until which no permit is asked for. yieldingHeldBack is that time for teams that yield.
+	heldBack, yieldingHeldBack time.Time
 	// requested is the number of granted requests whose permits are being asked for.
 	requested int
 }
@@ -52,14 +52,22 @@
 	Granted, Denied, Unanswered, Lapsed, Returned int64
 }
 
-// mayRequestPermit reports whether a server has no limit, or a permit may be asked for now. The owner of the server may
-// know of a limit that this router does not know of.
-func (c *Core) mayRequestPermit(now time.Time, server string) bool {
+// heldBackFor returns the time until which no permit is asked for, for a team that yields or one that does not.
+func (s *permitState) heldBackFor(yields bool) time.Time {
+	if yields {
+		return later(s.heldBack, s.yieldingHeldBack)
+	}
+	return s.heldBack
+}
+
+// mayRequestPermit reports whether a server has no limit, or a permit may be asked for now, for a team that yields or one
+// that does not. The owner of the server may know of a limit that this router does not know of.
+func (c *Core) mayRequestPermit(now time.Time, server string, yields bool) bool {
 	s := c.permitStates[server]
 	if s == nil {
 		return true
 	}
-	if now.Before(s.heldBack) {
+	if now.Before(s.heldBackFor(yields)) {
 		return false
 	}
 	rate, limited := c.rate(now, server)
@@ -69,7 +77,7 @@
 // expirePermitStates drops the states that hold nothing back.
 func (c *Core) expirePermitStates(now time.Time) {
 	for server, s := range c.permitStates {
-		if s.requested == 0 && !now.Before(s.heldBack) {
+		if s.requested == 0 && !now.Before(s.heldBackFor(true)) {
 			delete(c.permitStates, server)
 		}
 	}
@@ -92,6 +100,7 @@
 		return
 	}
 	t.requestsPermit = true
+	t.yields = c.yields(&t.Request)
 	c.permitStateOf(t.server.ID).requested++
 }
 
@@ -112,13 +121,19 @@
 	s.heldBack = later(s.heldBack, now.Add(d))
 }
 
+// holdBackYielding makes this router ask for no permit of a server for d for teams that yield.
+func (c *Core) holdBackYielding(now time.Time, server string, d time.Duration) {
+	s := c.permitStateOf(server)
+	s.yieldingHeldBack = later(s.yieldingHeldBack, now.Add(d))
+}
+
 // acquirePermit applies an owner's answer to a granted request whose server has a limit. It reports whether the request
 // has a permit. clock is the time on a clock that includes suspension.
 func (c *Core) acquirePermit(now time.Time, clock time.Duration, t *Ticket, a reservation.Answer, o reservation.Outcome) bool {
 	server := t.server.ID
 	switch {
 	case o == reservation.Local:
-		granted, retryIn := c.takePermit(now, server)
+		granted, retryIn := c.takePermit(now, server, t.yields)
 		a = reservation.Answer{Granted: granted, RetryIn: retryIn}
 	case o == reservation.Unanswered:
 		c.permitCounts.Unanswered++
@@ -135,13 +150,17 @@
 		return true
 	}
 	c.permitCounts.Denied++
-	c.holdBack(now, server, a.RetryIn)
+	if t.yields {
+		c.holdBackYielding(now, server, a.RetryIn)
+	} else {
+		c.holdBack(now, server, a.RetryIn)
+	}
 	return false
 }
 
-// takePermit grants a permit as the owner of a server. If it denies one, it returns the time after which the router may
-// ask again.
-func (c *Core) takePermit(now time.Time, server string) (granted bool, retryIn time.Duration) {
+// takePermit grants a permit as the owner of a server, to a team that yields or one that does not. If it denies one, it
+// returns the time after which the router may ask again.
+func (c *Core) takePermit(now time.Time, server string, yields bool) (granted bool, retryIn time.Duration) {
 	if s := c.servers.Get(server); s != nil && c.evacuated(s) {
 		return false, unansweredHold // the asking router has not heard of the evacuation yet
 	}
@@ -149,7 +168,7 @@
 	if !limited {
 		return true, 0
 	}
-	return c.allocator.Take(now, server, rate)
+	return c.allocator.Take(now, server, rate, yields)
 }
 
 // returnPermit gives back the permit of a request that has not been sent.
@@ -215,7 +234,7 @@
 		answer.RetryMS, answer.Limit = unansweredHold.Milliseconds(), c.limitEntry(now, server)
 		return answer, change
 	}
-	granted, retryIn := c.takePermit(now, server.ID)
+	granted, retryIn := c.takePermit(now, server.ID, r.Yields)
 	answer.Granted, answer.RetryMS = granted, ceilMilliseconds(retryIn)
 	answer.Limit = c.limitEntry(now, server)
 	return answer, change
--- a/internal/coordination/admission/limit_test.go
+++ b/internal/coordination/admission/limit_test.go
@@ -76,7 +76,7 @@
 	owner.nameLimit(0, 5)
 	granted := 0
 	take := func() {
-		if ok, _ := owner.core.takePermit(owner.now, "i-0"); ok {
+		if ok, _ := owner.core.takePermit(owner.now, "i-0", false); ok {
 			granted++
 		}
 	}
--- a/internal/coordination/admission/placement.go
+++ b/internal/coordination/admission/placement.go
@@ -74,9 +74,10 @@
 		preferred.sharedTokens = tokensOf(parts)
 	}
 	e := c.newEvaluation(now, req, preferred, fraction)
+	yields := c.yields(req)
 	var p, best, bestFree placement
 	for _, server := range servers {
-		if !c.usable(now, req, server) {
+		if !c.usable(now, req, server, yields) {
 			continue
 		}
 		e.evaluate(server, &p)
@@ -112,9 +113,9 @@
 	return slices.DeleteFunc(slices.Clone(servers), c.excluded)
 }
 
-// usable reports whether a server may get the request, regardless of its load.
-func (c *Core) usable(now time.Time, req *Request, server *backends.Server) bool {
-	return !req.excludes(server.ID) && c.takesRequests(now, server)
+// usable reports whether a server may get the request, regardless of its load. yields is set if the request's team yields.
+func (c *Core) usable(now time.Time, req *Request, server *backends.Server, yields bool) bool {
+	return !req.excludes(server.ID) && c.takesRequests(now, server, yields)
 }
 
 // evaluate sets the placement of a request on a server with its cost, without limits. It writes to p, because copies of
--- a/internal/coordination/admission/reserve.go
+++ b/internal/coordination/admission/reserve.go
@@ -18,6 +18,7 @@
 		Own:    c.loads.Own()[t.server.ID],
 		Limits: t.limits,
 		Served: c.shares.served[t.Team],
+		Yields: t.yields,
 	}
 	if entry, limited := c.LimitEntry(now, t.server.ID); limited {
 		return request, &entry
@@ -102,7 +103,7 @@
 	}
 	if answer.Limited {
 		var permitted bool
-		if permitted, answer.RetryIn = c.takePermit(now, r.Server); !permitted {
+		if permitted, answer.RetryIn = c.takePermit(now, r.Server, c.yieldsReservation(now, &r)); !permitted {
 			return answer
 		}
 	}
@@ -111,6 +112,16 @@
 	return answer
 }
 
+// yieldsReservation reports whether the team of another router's reservation request leaves permits to a starved team. Only
+// requests for model engines count.
+func (c *Core) yieldsReservation(now time.Time, r *reservation.Request) bool {
+	if r.Load.ContextTokens == 0 {
+		return false
+	}
+	c.refreshShares(now)
+	return c.shares.yields(r.Served)
+}
+
 // TakeNotifications returns notifications for the routers whose reservations were denied and whose servers have free
 // capacity again.
 func (c *Core) TakeNotifications(now time.Time) []reservation.Notification {
--- a/internal/coordination/admission/shares.go
+++ b/internal/coordination/admission/shares.go
@@ -75,13 +75,21 @@
 // overShare reports whether a team has received more than its share. Its further requests are then refused early if
 // they would wait too long.
 func (s *shares) overShare(served float64) bool {
-	return served > s.capacityLevel || s.starved && s.aboveFairLevel(served)
+	return served > s.capacityLevel || s.yields(served)
+}
+
+// yields reports whether a team that has received the given service leaves capacity to a starved team.
+func (s *shares) yields(served float64) bool { return s.starved && s.aboveFairLevel(served) }
+
+// yields reports whether the team of a request for a model engine leaves permits to a starved team.
+func (c *Core) yields(req *Request) bool {
+	return req.Service.Engine != nil && c.shares.yields(c.shares.served[req.Team])
 }
 
 // fraction returns the fraction of an engine's capacity that a team that has received the given service may fill.
 func (s *shares) fraction(served float64) float64 {
 	switch {
-	case s.starved && s.aboveFairLevel(served):
+	case s.yields(served):
 		return yieldFraction
 	case served > s.capacityLevel:
 		return overCapacityFraction
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -142,6 +142,8 @@
 	sent           bool
 	// permitsDenied counts the permits that were denied.
 	permitsDenied int
+	// yields is set if the team left permits to a starved team when the request was granted.
+	yields bool
 	// withdrawal is why the request was not sent.
 	withdrawal Withdrawal
 }
--- a/internal/coordination/gossip/report.go
+++ b/internal/coordination/gossip/report.go
@@ -57,6 +57,8 @@
 	ConfirmedEra int64 `cbor:"24,keyasint,omitempty"`
 	// StoreContact is the sender's contact with the store, or nil if its last call failed.
 	StoreContact *StoreContact `cbor:"25,keyasint,omitempty"`
+	// KnowsYielding is set if the sender, as an owner, understands a reservation.YieldingPermitRequest.
+	KnowsYielding bool `cbor:"26,keyasint,omitempty"`
 }
 
 // StoreContact states that no call of the store has failed for BeganMS milliseconds and that the store last answered AnsweredMS
--- a/internal/coordination/ratelimit/allocator.go
+++ b/internal/coordination/ratelimit/allocator.go
@@ -15,6 +15,11 @@
 	MaxRetry = time.Second
 	// minRetry is the lower bound of that time. Messages between routers take as long.
 	minRetry = 5 * time.Millisecond
+	// yieldTime is how long a free permit is kept for the routers that do not yield. Later within Tolerance the permit is
+	// still there for one that yields, so that none is lost.
+	yieldTime = Tolerance / 2
+	// turnGrace is how long after its turn a router still counts as waiting for it. It covers the time of a message.
+	turnGrace = 50 * time.Millisecond
 	// usageWindow is the time constant of the observed rate of permits.
 	usageWindow = 5 * time.Second
 	// maxInterval is the longest time between two permits.
@@ -31,9 +36,12 @@
 type bucket struct {
 	// next is the theoretical time of the next permit.
 	next time.Time
-	// promised is the latest time at which a router was told to ask again.
-	promised time.Time
-	usage    usage
+	// turns are the times at which routers that do not yield were told to ask again, yieldingTurns those of routers that
+	// yield.
+	turns, yieldingTurns turns
+	// waitUntil is until when a router that does not yield counts as waiting for its turn.
+	waitUntil time.Time
+	usage     usage
 }
 
 // NewAllocator returns an allocator that may grant the whole rate.
@@ -43,8 +51,9 @@
 func (a *Allocator) SetShare(fraction float64) { a.share = fraction }
 
 // Take grants a permit for a server that takes rate requests a second. If it denies one, it returns the time after which
-// the router may ask again.
-func (a *Allocator) Take(now time.Time, server string, rate float64) (granted bool, retryIn time.Duration) {
+// the router may ask again. A request that yields gets a permit only after the routers that do not yield have had their
+// turn.
+func (a *Allocator) Take(now time.Time, server string, rate float64, yields bool) (granted bool, retryIn time.Duration) {
 	interval := a.interval(rate)
 	b := a.buckets[server]
 	if b == nil {
@@ -53,21 +62,50 @@
 	}
 	// Under a constant rate the next permit is never later. After a rise it would follow one interval of the old rate.
 	b.next = earlier(b.next, now.Add(Tolerance+interval))
-	if free := b.next.Add(-Tolerance); free.After(now) {
-		return false, b.promise(now, free, interval)
+	free := b.next.Add(-Tolerance)
+	if yields {
+		free = b.freeForYielding(now, free)
+	}
+	if free.After(now) {
+		return false, b.assignTurn(now, free, interval, yields)
 	}
 	b.next = later(b.next, now).Add(interval)
 	b.usage.add(now, 1)
 	return true, 0
 }
 
-// promise returns the time after which another router may ask again. free is the time of the next permit.
-func (b *bucket) promise(now, free time.Time, interval time.Duration) time.Duration {
-	at := later(free, b.promised.Add(interval))
+// freeForYielding returns the time of the next permit for a request that yields: later than that for the others, free, while
+// one of them waits.
+func (b *bucket) freeForYielding(now, free time.Time) time.Time {
+	if now.After(b.waitUntil) {
+		return free
+	}
+	return free.Add(yieldTime)
+}
+
+// assignTurn returns the time after which a denied router may ask again. free is the time of the next permit for it.
+func (b *bucket) assignTurn(now, free time.Time, interval time.Duration, yields bool) time.Duration {
+	if yields {
+		return b.yieldingTurns.next(now, free, interval)
+	}
+	retryIn := b.turns.next(now, free, interval)
+	b.waitUntil = later(b.waitUntil, now.Add(retryIn+turnGrace))
+	return retryIn
+}
+
+// turns assigns the times at which denied routers ask again.
+type turns struct {
+	// latest is the latest time that was assigned.
+	latest time.Time
+}
+
+// next returns the time after which another router may ask again. free is the time of the next permit.
+func (t *turns) next(now, free time.Time, interval time.Duration) time.Duration {
+	at := later(free, t.latest.Add(interval))
 	if latest := now.Add(MaxRetry); at.After(latest) {
 		return later(free, latest).Sub(now)
 	}
-	b.promised = at
+	t.latest = at
 	return max(at.Sub(now), minRetry)
 }
 
--- a/internal/coordination/ratelimit/doc.go
+++ b/internal/coordination/ratelimit/doc.go
@@ -12,6 +12,10 @@
 // each router a later time, one interval apart, up to MaxRetry: routers that all asked for the next permit would send as
 // many messages for one permit as there are routers.
 //
+// A request yields if its team has received more than its fair share while a starved team waits. Routers that yield are given
+// turns of their own, and while a router that does not yield waits for its turn, they get a permit only after it has been
+// free for a part of Tolerance. The rest of Tolerance is left for them to take it, so that it is not lost.
+//
 // Permits that may exceed the rate are never granted, so that it holds in these cases, at the cost of permits that are
 // not granted:
 //
--- a/internal/coordination/reservation/message.go
+++ b/internal/coordination/reservation/message.go
@@ -21,6 +21,8 @@
 	Limits Limits
 	// Served is the service that the request's team has recently received from the whole fleet, in decayed tokens.
 	Served float64
+	// Yields is set if the team leaves permits to a starved team. The owner derives it from Served.
+	Yields bool `cbor:"-"`
 }
 
 // Answer is an owner's answer to a Request.
--- a/internal/coordination/reservation/owners.go
+++ b/internal/coordination/reservation/owners.go
@@ -12,6 +12,8 @@
 	Domain string
 	// Cores is the number of CPU cores that the router may use, often a fraction of one.
 	Cores float64
+	// KnowsYielding is set if the router understands a YieldingPermitRequest.
+	KnowsYielding bool
 }
 
 // minCoresRatio is the ratio to the cores of the largest router from which a router may be an owner. Small routers have
--- a/internal/coordination/reservation/permit.go
+++ b/internal/coordination/reservation/permit.go
@@ -31,6 +31,15 @@
 	Router string
 	// Limit is what the sender knows of the limit.
 	Limit serverlimit.Entry
+	// Yields is set if the request's team leaves permits to a starved team. The sender then sends a YieldingPermitRequest.
+	Yields bool `cbor:"-"`
+}
+
+// YieldingPermitRequest is a PermitRequest for a team that leaves permits to a starved team. It is sent only to owners whose
+// reports say that they know it.
+type YieldingPermitRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Request PermitRequest
 }
 
 // PermitAnswer is an owner's answer to a PermitRequest, and to a Request for a server with a limit.
--- a/internal/daemon/gateway/owners.go
+++ b/internal/daemon/gateway/owners.go
@@ -90,6 +90,8 @@
 	// owner maps a server to the router that owns its load.
 	owner     map[string]string
 	addresses map[string]netip.AddrPort
+	// knowsYielding holds the routers that understand a reservation.YieldingPermitRequest.
+	knowsYielding map[string]bool
 	// owned lists the servers whose loads this router owns, sorted.
 	owned []string
 }
@@ -123,7 +125,9 @@
 	}
 	answer, ok := o.pendingRequests.Call(ctx, owner, func(id uint64) {
 		if table.direct {
-			o.node.send(reservation.PermitRequest{ID: id, Router: o.node.settings.Router, Limit: *limit}, address)
+			o.node.send(table.permitRequest(owner, reservation.PermitRequest{
+				ID: id, Router: o.node.settings.Router, Limit: *limit, Yields: r.Yields,
+			}), address)
 			return
 		}
 		r.ID, r.Router = id, o.node.settings.Router
@@ -162,6 +166,14 @@
 	return owner, address, ok
 }
 
+// permitRequest returns the message that asks an owner for a permit.
+func (t *ownerTable) permitRequest(owner string, r reservation.PermitRequest) any {
+	if r.Yields && t.knowsYielding[owner] {
+		return reservation.YieldingPermitRequest{Request: r}
+	}
+	return r
+}
+
 // owns reports whether this router owns a server.
 func (o *loadOwners) owns(server string) bool {
 	owner, _, ok := o.table.Load().ownerOf(server)
@@ -314,7 +326,8 @@
 	n := o.node
 	own := reservation.Candidate{
 		Router: n.settings.Router, Domain: n.settings.FailureDomain,
-		Cores: float64(float32(n.settings.Cores)), // the precision that other routers receive in reports
+		Cores:         float64(float32(n.settings.Cores)), // the precision that other routers receive in reports
+		KnowsYielding: true,
 	}
 	anyReady := n.ready() || slices.ContainsFunc(live, func(p gossip.Peer) bool { return p.Ready })
 	var list []reservation.Candidate
@@ -323,7 +336,9 @@
 	}
 	for _, p := range live {
 		if p.Ready || !anyReady {
-			list = append(list, reservation.Candidate{Router: p.Router, Domain: p.Domain, Cores: float64(p.Cores)})
+			list = append(list, reservation.Candidate{
+				Router: p.Router, Domain: p.Domain, Cores: float64(p.Cores), KnowsYielding: p.KnowsYielding,
+			})
 		}
 	}
 	return list
@@ -337,6 +352,10 @@
 	table := &ownerTable{
 		direct: len(candidates) <= maxDirectFleet, self: o.node.settings.Router, servers: servers, candidates: candidates,
 		owner: reservation.Owners(domains, candidates), addresses: make(map[string]netip.AddrPort),
+		knowsYielding: make(map[string]bool),
+	}
+	for _, c := range candidates {
+		table.knowsYielding[c.Router] = c.KnowsYielding
 	}
 	registered := o.node.routers.Load()
 	for _, c := range candidates {
@@ -413,6 +432,9 @@
 		n.owners.pendingRequests.Resolve(m.ID, m)
 	case reservation.PermitRequest:
 		n.send(n.owners.limits.answerPermit(m, from), from)
+	case reservation.YieldingPermitRequest:
+		m.Request.Yields = true
+		n.send(n.owners.limits.answerPermit(m.Request, from), from)
 	case reservation.PermitAnswer:
 		n.owners.limits.handleAnswer(m, from)
 	case reservation.PermitReturn:
--- a/internal/daemon/gateway/owners_test.go
+++ b/internal/daemon/gateway/owners_test.go
@@ -242,3 +242,25 @@
 	}
 	return running
 }
+
+// Guards against owners of an older version that get a request for a permit which they cannot decode, and against owners of
+// this version that do not get it because their reports do not say that they know it.
+func TestOnlyOwnersThatKnowYieldingRequestsGetThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newLimitedFleet(g, 3, 1)
+		defer f.close()
+		plain := reservation.PermitRequest{ID: 7, Router: "r-000"}
+		yielding := plain
+		yielding.Yields = true
+		table := f.nodes["r-000"].owners.table.Load()
+		for _, owner := range []string{"r-000", "r-001", "r-002"} {
+			g.Expect(table.permitRequest(owner, yielding)).To(Equal(reservation.YieldingPermitRequest{Request: yielding}), owner)
+			g.Expect(table.permitRequest(owner, plain)).To(Equal(plain), owner)
+		}
+		older := f.nodes["r-000"].owners.newTable(table.servers, []reservation.Candidate{
+			{Router: "r-000", KnowsYielding: true}, {Router: "r-001"},
+		})
+		g.Expect(older.permitRequest("r-001", yielding)).To(BeAssignableToTypeOf(plain))
+	})
+}
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -26,6 +26,7 @@
 		Ready:         n.ready(),
 		Queue:         n.admission.Waiting(),
 		ConfirmedEra:  int64(n.follower.ConfirmedEra()),
+		KnowsYielding: true,
 	}
 	if table := n.routing.Load(); table != nil {
 		r.ConfigVersion = table.Version
--- a/internal/protocol/datagrams/datagrams.go
+++ b/internal/protocol/datagrams/datagrams.go
@@ -32,12 +32,14 @@
 	kindPermitReturn
 	kindLimitNotice
 	kindWarmupNotice
+	kindYieldingPermitRequest
 )
 
 // Encode returns the datagram for a *gossip.Report, reservation.Request, reservation.Answer, reservation.Loads,
 // reservation.CapacityNotice, reservation.Denial, reservation.DrainNotice, gossip.Presence, poison.Evidence,
 // poison.TrialRequest, poison.TrialAnswer, poison.TrialEnd, reservation.PermitRequest, reservation.PermitAnswer,
-// reservation.PermitReturn, reservation.LimitNotice or reservation.WarmupNotice. Other types are an error.
+// reservation.PermitReturn, reservation.LimitNotice, reservation.WarmupNotice or reservation.YieldingPermitRequest. Other
+// types are an error.
 func Encode(message any) ([]byte, error) {
 	k, err := kindOf(message)
 	if err != nil {
@@ -91,6 +93,8 @@
 		return kindLimitNotice, nil
 	case reservation.WarmupNotice:
 		return kindWarmupNotice, nil
+	case reservation.YieldingPermitRequest:
+		return kindYieldingPermitRequest, nil
 	default:
 		return 0, errors.Errorf("datagrams: unsupported message type %T", message)
 	}
@@ -137,6 +141,8 @@
 		return decode[reservation.LimitNotice](body)
 	case kindWarmupNotice:
 		return decode[reservation.WarmupNotice](body)
+	case kindYieldingPermitRequest:
+		return decode[reservation.YieldingPermitRequest](body)
 	default:
 		return nil, errors.Errorf("datagrams: unknown message kind %d", data[0])
 	}
--- a/internal/protocol/datagrams/datagrams_test.go
+++ b/internal/protocol/datagrams/datagrams_test.go
@@ -43,6 +43,7 @@
 		poison.TrialAnswer{ID: 7, Granted: true},
 		poison.TrialEnd{Router: "r", Fingerprint: poison.PartFingerprint(3), Sent: true},
 		reservation.PermitRequest{ID: 7, Router: "r", Limit: limit},
+		reservation.YieldingPermitRequest{Request: reservation.PermitRequest{ID: 7, Router: "r", Limit: limit}},
 		reservation.PermitAnswer{ID: 7, Granted: true, RetryMS: 200, Total: load, Limit: limit},
 		reservation.PermitReturn{Server: "e", StartedAt: 5, Count: 2},
 		reservation.LimitNotice{Router: "r", Limits: []serverlimit.Entry{limit, {Server: "f", Ended: true}}},
@@ -62,6 +63,19 @@
 	g.Expect(err).To(HaveOccurred())
 }
 
+// Guards against a request for a permit that owners of an older version cannot decode.
+func TestPermitRequestKeepsItsEncoding(t *testing.T) {
+	g := NewWithT(t)
+	r := reservation.PermitRequest{ID: 7, Router: "r", Limit: serverlimit.Entry{Server: "e"}}
+	before, err := Encode(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(before[:2]).To(Equal([]byte{byte(kindPermitRequest), 0x83}), "an array of three fields")
+	r.Yields = true
+	after, err := Encode(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after).To(Equal(before))
+}
+
 // FuzzDecode guards against a panic on a truncated or malformed datagram.
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(reservation.Answer{ID: 7, Granted: true})
