callerhttp: Test that no part of a request runs as the whole one

A request whose caller ends the connection within its header, body, last chunk or trailer, in order or with a reset, does not run.

--- a/internal/transport/callerhttp/ends_test.go
+++ b/internal/transport/callerhttp/ends_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -16,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"gooseberrytide.example/gooseberrytide/internal/coordination/execute"
+	"gooseberrytide.example/gooseberrytide/test/standin/connend"
 )
 
 // faultyListener is a listener whose connections can be ended, and made to fail writes, by the test.
@@ -23,6 +25,9 @@
 	net.Listener
 	accepted   chan net.Conn
 	failWrites atomic.Bool
+	// closed is closed when the server has closed a connection.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 func (l *faultyListener) Accept() (net.Conn, error) {
@@ -31,23 +36,29 @@
 		return nil, err
 	}
 	l.accepted <- conn
-	return &faultyConn{Conn: conn, failWrites: &l.failWrites}, nil
+	return &faultyConn{Conn: conn, listener: l}, nil
 }
 
 type faultyConn struct {
 	net.Conn
-	failWrites *atomic.Bool
+	listener *faultyListener
 }
 
 func (c *faultyConn) NetConn() net.Conn { return c.Conn }
 
 func (c *faultyConn) Write(p []byte) (int, error) {
-	if c.failWrites.Load() {
+	if c.listener.failWrites.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
 	return c.Conn.Write(p)
 }
 
+func (c *faultyConn) Close() error {
+	err := c.Conn.Close()
+	c.listener.closeOnce.Do(func() { close(c.listener.closed) })
+	return err
+}
+
 // serveFaulty serves callers on a faultyListener.
 func serveFaulty(t *testing.T, f *fakeExecutor) (*Server, *faultyListener) {
 	t.Helper()
@@ -56,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &faultyListener{Listener: plain, accepted: make(chan net.Conn, 1)}
+	l := &faultyListener{Listener: plain, accepted: make(chan net.Conn, 1), closed: make(chan struct{})}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return s, l
@@ -152,3 +163,34 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(body) == long).To(BeTrue(), "%d of %d bytes", len(body), len(long))
 }
+
+// Guards against a part of a request that runs as the whole one because its caller ended the connection.
+func TestPartOfARequestDoesNotRun(t *testing.T) {
+	const head = "POST /v1/services/s/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + testKey + "\r\n"
+	parts := map[string]string{
+		"header":     head,
+		"length":     head + "Content-Length: 10\r\n\r\nbody",
+		"chunk":      head + "Transfer-Encoding: chunked\r\n\r\na\r\nbody",
+		"last chunk": head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		"trailer":    head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+	}
+	for name, part := range parts {
+		for _, way := range []connend.Way{connend.Close, connend.Reset, connend.CloseThenReset} {
+			t.Run(fmt.Sprintf("%s, %s", name, way), func(t *testing.T) {
+				g := NewWithT(t)
+				var ran atomic.Bool
+				_, l := serveFaulty(t, &fakeExecutor{call: func(context.Context, execute.CallRequest) execute.CallResult {
+					ran.Store(true)
+					return execute.CallResult{Outcome: execute.Completed, Response: &execute.Response{Status: http.StatusOK}}
+				}})
+				conn, err := net.Dial("tcp4", l.Addr().String())
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = io.WriteString(conn, part)
+				g.Expect(err).NotTo(HaveOccurred())
+				way.End(conn)
+				g.Eventually(l.closed, "5s").Should(BeClosed())
+				g.Expect(ran.Load()).To(BeFalse())
+			})
+		}
+	}
+}
