--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -118,7 +118,7 @@
 
 func (n *Node) newServer(name string, l net.Listener, h http.Handler) *server {
 	s := &http.Server{
-		Handler:           h,
+		Handler:           clientconn.MarkIncomplete(h),
 		BaseContext:       func(net.Listener) context.Context { return n.serving },
 		ConnContext:       clientconn.Context,
 		ConnState:         clientconn.OnState,
@@ -129,30 +129,13 @@
 	switch name {
 	case callersListener, inspectedListener, offloadListener:
 	case relayListener:
-		s.Handler = markIncomplete(h)
 		s.WriteTimeout = responseTimeout // it is longer than the wait for changes
 	default:
-		s.Handler = markIncomplete(h)
 		s.ReadTimeout, s.WriteTimeout = bodyTimeout, responseTimeout
 	}
 	return &server{name: name, listener: l, http: s}
 }
 
-// markIncomplete wraps a handler. While the handler runs, and if it panics, the response to a client of HTTP/1.0 is marked as
-// incomplete: it has no chunks, so it may end with the connection. The callers' handler marks its responses itself.
-func markIncomplete(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ProtoAtLeast(1, 1) {
-			next.ServeHTTP(w, r)
-			return
-		}
-		conn := clientconn.FromContext(r.Context())
-		conn.SetIncomplete(true)
-		next.ServeHTTP(w, r)
-		conn.SetIncomplete(false)
-	})
-}
-
 // peerAddress returns the address for other routers whose port is offset above the first internal port.
 func (n *Node) peerAddress(offset int) string {
 	return net.JoinHostPort(n.settings.IP.String(), strconv.Itoa(n.settings.PeerPort+offset))
--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -49,6 +49,8 @@
 	closing, closingWrite bool
 	// incomplete is set while a response is not complete that looks complete if the connection is closed in order.
 	incomplete bool
+	// writeFailed is set once a write has failed.
+	writeFailed atomic.Bool
 	// readUntil is the end of the time that the client has to read the response of its last request.
 	readUntil time.Time
 	// writeErr is the error of further writes.
@@ -189,7 +191,7 @@
 // a length would look complete otherwise.
 func (c *Conn) closeNow() {
 	c.mu.Lock()
-	incomplete := c.incomplete || c.writeErr != nil
+	incomplete := c.incomplete || c.writeErr != nil || c.writeFailed.Load()
 	c.mu.Unlock()
 	if incomplete {
 		sockopt.Reset(c.Conn)
@@ -233,6 +235,21 @@
 	sockopt.SetResetOnClose(c.Conn, incomplete)
 }
 
+// MarkIncomplete wraps a handler. While the handler runs, and if it panics, the response to a client of HTTP/1.0 is marked as
+// incomplete: it has no chunks, so it may end with the connection.
+func MarkIncomplete(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn := FromContext(r.Context())
+		conn.SetIncomplete(true)
+		next.ServeHTTP(w, r)
+		conn.SetIncomplete(false)
+	})
+}
+
 // SetReadUntil sets until when the client may take its time to read the response of a request. Later, it must read a part
 // of it now and then.
 func (c *Conn) SetReadUntil(t time.Time) {
--- a/internal/transport/clientconn/write.go
+++ b/internal/transport/clientconn/write.go
@@ -43,6 +43,14 @@
 // Write implements net.Conn. It does not wait for the client: what the system does not take is kept and sent later. The
 // error of an earlier write may be returned by a later one.
 func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
+}
+
+func (c *Conn) write(b []byte) (int, error) {
 	if c.writer == nil {
 		return c.Conn.Write(b)
 	}
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -77,7 +77,6 @@
 // connection.
 func (x *exchange) clientDisconnected(err error) sendResult {
 	x.lastErr = err
-	x.disconnected = true
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.recordCut(cutClientBlocked)
 		return sendClientDisconnected
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -78,8 +78,6 @@
 	timeToFirst atomic.Int64
 	// stream is the state of an event stream that is being sent to the client.
 	stream streamState
-	// disconnected is set if a write to the client has failed.
-	disconnected bool
 	// failureResponse is a server's response with a status of 500 or above. It is sent to the client if no other server
 	// returns a valid response.
 	failureResponse atomic.Pointer[bufferedResponse]
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"gooseberrytide.example/gooseberrytide/internal/coordination/retry"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
 	"gooseberrytide.example/gooseberrytide/internal/state/routing"
-	"gooseberrytide.example/gooseberrytide/internal/transport/clientconn"
 	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 	"gooseberrytide.example/gooseberrytide/platform"
 )
@@ -97,15 +96,7 @@
 	}
 	x := g.newExchange(w, r)
 	defer x.recordPanic()
-	if r.ProtoAtLeast(1, 1) {
-		x.serve()
-	} else {
-		// The response has no chunks. Without a length, it ends with the connection.
-		conn := clientconn.FromContext(r.Context())
-		conn.SetIncomplete(true)
-		x.serve()
-		conn.SetIncomplete(x.disconnected)
-	}
+	x.serve()
 	x.discardBody()
 }
 
