clientconn: Reset a response to HTTP/1.0 of which the rest is still kept when the process ends

A client of HTTP/1.0 that reads slowly took a part of a response without a length for the whole where the router was stopped or killed after the handler had returned: the rest was still kept in memory, but the mark of an incomplete response had been taken off, and the system closed the connection in order. The connection keeps the system's reset until Close, which takes it off if all has been sent. CloseWrite, with which the HTTP server ends a response whose request it has not read, no longer ends the sending side of an incomplete one.

--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -51,6 +51,8 @@
 	incomplete bool
 	// writeFailed is set once a write has failed.
 	writeFailed atomic.Bool
+	// resetOnClose is set if the system resets the connection when this process ends.
+	resetOnClose bool
 	// readUntil is the end of the time that the client has to read the response of its last request.
 	readUntil time.Time
 	// writeErr is the error of further writes.
@@ -191,17 +193,19 @@
 // a length would look complete otherwise.
 func (c *Conn) closeNow() {
 	c.mu.Lock()
-	incomplete := c.incomplete || c.writeErr != nil || c.writeFailed.Load()
+	broken, resetOnClose := c.isBroken(), c.resetOnClose
 	c.mu.Unlock()
-	if incomplete {
-		sockopt.Reset(c.Conn)
-	} else {
-		_ = c.Conn.Close()
+	if broken != resetOnClose {
+		sockopt.SetResetOnClose(c.Conn, broken)
 	}
+	_ = c.Conn.Close()
 	c.tracker.remove(c)
 	c.holder.Close()
 }
 
+// isBroken reports whether a response is incomplete that might look complete. The connection must be locked.
+func (c *Conn) isBroken() bool { return c.incomplete || c.writeErr != nil || c.writeFailed.Load() }
+
 // Close implements net.Conn. If the client has not read all, the connection is closed once it has.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -223,8 +227,8 @@
 // that too, but only when its goroutine gets a processor.
 func (c *Conn) HasLeft() bool { return c != nil && sockopt.PeerClosed(c.Conn) }
 
-// SetIncomplete sets whether the client sees a reset when the connection is closed. While it does, the system also resets the
-// connection if this process is killed.
+// SetIncomplete sets whether the client sees a reset when the connection is closed. Once it does, the system also resets the
+// connection if this process ends, until Close: the rest of a complete response may not have been sent.
 func (c *Conn) SetIncomplete(incomplete bool) {
 	if c == nil {
 		return
@@ -232,7 +236,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.incomplete = incomplete
-	sockopt.SetResetOnClose(c.Conn, incomplete)
+	if incomplete {
+		c.resetOnClose = true
+		sockopt.SetResetOnClose(c.Conn, true)
+	}
 }
 
 // MarkIncomplete wraps a handler. While the handler runs, and if it panics, the response to a client of HTTP/1.0 is marked as
@@ -261,11 +268,14 @@
 	c.readUntil = t
 }
 
-// CloseWrite closes the sending side once all has been sent.
+// CloseWrite closes the sending side once all has been sent, unless a response is incomplete.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining {
+	switch {
+	case c.isBroken():
+		return nil // the end of the sending side would make the response look complete
+	case c.draining:
 		c.closingWrite = true
 		return nil
 	}
--- a/internal/transport/clientconn/write.go
+++ b/internal/transport/clientconn/write.go
@@ -194,7 +194,7 @@
 	case c.closing || c.writeErr != nil:
 		c.ended = true
 		go c.closeNow()
-	case c.closingWrite:
+	case c.closingWrite && !c.incomplete:
 		_ = closeWrite(c.Conn)
 	}
 	return true
