--- a/internal/transport/sockopt/peer_linux.go
+++ b/internal/transport/sockopt/peer_linux.go
@@ -57,8 +57,8 @@
 // startWatch returns false if the system does not tell what the peer has acknowledged.
 func (p *peer) startWatch() bool {
 	if systemInfo.Load() == infoUntried {
-		info, ok := tcpInfo(p.conn)
-		if !ok {
+		info, err := tcpInfo(p.conn)
+		if err != nil {
 			return false
 		}
 		known := infoUnknown
@@ -84,8 +84,8 @@
 // more is written.
 func (p *peer) check() bool {
 	now := time.Since(processStart)
-	info, ok := tcpInfo(p.conn)
-	if !ok || info.State == tcpClosed {
+	info, err := tcpInfo(p.conn)
+	if err != nil || info.State == tcpClosed {
 		return false
 	}
 	progress := info.Bytes_acked != p.acked
@@ -172,22 +172,22 @@
 	return peers
 }
 
-// tcpInfo returns the state of a connection, or false if it is closed or not known.
-func tcpInfo(conn net.Conn) (*unix.TCPInfo, bool) {
+// tcpInfo returns the state of a connection. The error wraps net.ErrClosed if this process has closed it.
+func tcpInfo(conn net.Conn) (*unix.TCPInfo, error) {
 	var info *unix.TCPInfo
 	err := control(conn, func(fd int) error {
 		var err error
 		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		return err
 	})
-	return info, err == nil
+	return info, err
 }
 
 // SinceReceived returns for how long data on a connection, of which some has been read, has waited at least: the time since
 // the last data arrived. It returns 0 if the system does not tell.
 func SinceReceived(conn net.Conn) time.Duration {
-	info, ok := tcpInfo(conn)
-	if !ok || info.Rcv_space == 0 {
+	info, err := tcpInfo(conn)
+	if err != nil || info.Rcv_space == 0 {
 		return 0 // a simulated system may not fill in the state completely
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond
@@ -199,8 +199,8 @@
 	if p := peerOf(conn); p == nil || !p.watchable.Load() {
 		return 0
 	}
-	info, ok := tcpInfo(conn)
-	if !ok || info.State == tcpClosed {
+	info, err := tcpInfo(conn)
+	if err != nil || info.State == tcpClosed {
 		return 0
 	}
 	return int(info.Notsent_bytes)
