upstream: Do not take a response without a length for whole while its request is still uploaded, unless it is a refusal

Below status 400 the request must have been written, as before. The price: whole early responses of servers that then do not read on are taken for broken.

--- a/internal/transport/upstream/ends_test.go
+++ b/internal/transport/upstream/ends_test.go
@@ -57,7 +57,7 @@
 		{"closed, then reset, seen by a peek", "short", 200, connend.CloseThenReset, true, true},
 		{"upload, reset, seen by the writer", long, 200, connend.Reset, false, false},
 		{"upload, refused, reset, seen by the writer", long, 413, connend.Reset, false, false},
-		{"upload, closed, then reset", long, 200, connend.CloseThenReset, true, false},
+		{"upload, closed, then reset", long, 200, connend.CloseThenReset, false, false},
 		{"upload, refused, closed, then reset", long, 413, connend.CloseThenReset, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -26,8 +26,7 @@
 	maxDiscardedBytes = 16 << 10
 	maxDiscardTime    = 100 * time.Millisecond
 	// maxUploadWait bounds how long the end of a response that ends with its connection waits for the end of the request's
-	// body, on a system that does not tell how a connection has ended. A reset reaches the writer of the body in the time of
-	// a round trip.
+	// body. A reset reaches the writer of the body in the time of a round trip.
 	maxUploadWait = 100 * time.Millisecond
 )
 
@@ -95,8 +94,10 @@
 	idleTimeout   time.Duration
 	// bodyBytes is the number of bytes of the body that were read.
 	bodyBytes int64
-	complete  bool
-	once      sync.Once
+	// connectionEnd is how the connection ended, if the body ended with it.
+	connectionEnd sockopt.End
+	complete      bool
+	once          sync.Once
 }
 
 // ErrWithdrawn reports a request that was not sent because its MaySend returned false.
@@ -187,8 +188,7 @@
 	}
 }
 
-// endOfUpload returns nil if the whole request has been written, and otherwise why it has not. The end of a connection on
-// which a body is still written may be a reset that the system has reported to the writer only.
+// endOfUpload returns nil if the whole request has been written, and otherwise why it has not.
 func (w *requestWriter) endOfUpload() error {
 	timer := time.NewTimer(maxUploadWait)
 	defer timer.Stop()
@@ -286,7 +286,8 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, and an *InvalidResponseError if the body is
-// not encoded correctly. A body that ends with its connection is complete only if the server has closed it in order.
+// not encoded correctly. A body that ends with its connection is complete only if the server has closed it in order, and has
+// read the request unless it refuses it.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
 	r.bodyBytes += int64(n)
@@ -301,13 +302,16 @@
 	return n, r.conn.guard.classify(err)
 }
 
-// checkConnectionEnd returns an error unless the server has closed the connection in order.
+// checkConnectionEnd returns an error unless the server has closed the connection in order. A server that ends closes its
+// connections in order, too, if it has read all that has arrived of the request.
 func (r *Response) checkConnectionEnd() error {
-	switch r.ConnectionEnd() {
-	case sockopt.EndOrderly:
-		return nil
-	case sockopt.EndBroken:
+	r.connectionEnd = sockopt.EndOf(r.conn.Conn, r.conn.guard.received)
+	refused := r.StatusCode >= http.StatusBadRequest
+	switch {
+	case r.connectionEnd == sockopt.EndBroken:
 		return errors.Wrapf(syscall.ECONNRESET, "response without a length, after %d bytes", r.bodyBytes)
+	case r.connectionEnd == sockopt.EndOrderly && refused:
+		return nil
 	default:
 		return r.writer.endOfUpload()
 	}
@@ -322,10 +326,8 @@
 // BodyBytes returns the number of bytes of the body that were read.
 func (r *Response) BodyBytes() int64 { return r.bodyBytes }
 
-// ConnectionEnd tells how the connection has ended, after the end of a response that ends with it was read.
-func (r *Response) ConnectionEnd() sockopt.End {
-	return sockopt.EndOf(r.conn.Conn, r.conn.guard.received)
-}
+// ConnectionEnd tells how the connection had ended when the end of a response that ends with it was read.
+func (r *Response) ConnectionEnd() sockopt.End { return r.connectionEnd }
 
 // Reused reports whether the connection had carried other requests before.
 func (r *Response) Reused() bool { return r.conn.reused }
