daemon/gateway, gateway: Let the silence of a server's port prove nothing about the end of its response

A server that is killed closes its connections in order, so its port is asked after the end of a response without a length. Now only a port that serves proves that the server goes on, also one that closes new connections if its server is not leaving; an unknown one is asked up to three times, whatever the request's time. It is no evidence of a crash.

--- a/internal/daemon/gateway/poison.go
+++ b/internal/daemon/gateway/poison.go
@@ -103,17 +103,6 @@
 	if n.endIsExpected(server) {
 		return poison.ServerAlive
 	}
-	return n.probePort(ctx, server)
-}
-
-// endIsExpected reports whether a server has announced its end, or its entry is gone or that of another start.
-func (n *Node) endIsExpected(server *backends.Server) bool {
-	current := n.servers.Load().Get(server.ID)
-	return current == nil || !current.SameStart(server) || current.Draining || n.admission.Draining(server.ID)
-}
-
-// probePort returns the state of a server by attempts to connect to it.
-func (n *Node) probePort(ctx context.Context, server *backends.Server) poison.ServerState {
 	switch n.pool.Probe(ctx, server.Key(), server.Address) {
 	case upstream.PortRefusing:
 		return poison.ServerEnded
@@ -124,6 +113,12 @@
 	}
 }
 
+// endIsExpected reports whether a server has announced its end, or its entry is gone or that of another start.
+func (n *Node) endIsExpected(server *backends.Server) bool {
+	current := n.servers.Load().Get(server.ID)
+	return current == nil || !current.SameStart(server) || current.Draining || n.admission.Draining(server.ID)
+}
+
 // onCrash is called after a crash that this router saw.
 func (g *poisonGuard) onCrash(server *backends.Server, candidates int, fingerprints []poison.Fingerprint) {
 	g.crashes.Inc()
--- a/internal/daemon/gateway/responseend.go
+++ b/internal/daemon/gateway/responseend.go
@@ -4,29 +4,43 @@
 	"context"
 	"time"
 
-	"gooseberrytide.example/gooseberrytide/internal/coordination/poison"
 	"gooseberrytide.example/gooseberrytide/internal/state/backends"
+	"gooseberrytide.example/gooseberrytide/internal/transport/upstream"
 )
 
-// leavingProbeTimeout bounds the time to find out whether a server whose end is expected has ended.
-const leavingProbeTimeout = 150 * time.Millisecond
+const (
+	// responseProbeTimeout bounds the time to find out whether a server goes on after its response.
+	responseProbeTimeout = 150 * time.Millisecond
+	// responseProbes is the number of attempts. The time of one may pass while this process does not run.
+	responseProbes = 3
+)
 
 // outlivedResponse reports whether a server has gone on after a response that ended with its connection, as far as that can
 // be told. The end of a response is not proven to be that of its body if its server may have ended in the meantime,
-// planned or not. It is called after probeServer has found no crash.
+// planned or not: the silence of its port proves nothing. It is called after probeServer has found no crash.
 func (n *Node) outlivedResponse(ctx context.Context, server *backends.Server) bool {
-	if n.endIsExpected(server) && !n.stillServes(ctx, server) {
+	state := upstream.PortUnknown
+	for i := 0; i < responseProbes && state == upstream.PortUnknown; i++ {
+		state = n.probeAfterResponse(ctx, server)
+	}
+	switch state {
+	case upstream.PortServing:
+	case upstream.PortClosing:
+		// The server may have too many connections. One that drains serves new connections until it ends.
+		if n.endIsExpected(server) {
+			return false
+		}
+	default:
 		return false
 	}
 	return !n.hasStartedAgain(server)
 }
 
-// stillServes reports whether a server whose end is expected goes on. A server that drains serves new connections until it
-// ends.
-func (n *Node) stillServes(ctx context.Context, server *backends.Server) bool {
-	ctx, cancel := context.WithTimeout(ctx, leavingProbeTimeout)
+// probeAfterResponse returns the state of a server's port. The end of the request does not end the probe.
+func (n *Node) probeAfterResponse(ctx context.Context, server *backends.Server) upstream.PortState {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), responseProbeTimeout)
 	defer cancel()
-	return n.probePort(ctx, server) == poison.ServerAlive
+	return n.pool.Probe(ctx, server.Key(), server.Address)
 }
 
 // hasStartedAgain reports whether the entry of a server names a later start. An older start time is that of a late write.
--- a/internal/daemon/gateway/responseend_test.go
+++ b/internal/daemon/gateway/responseend_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -79,6 +80,20 @@
 	}
 }
 
+// Guards against half a response that looks whole because the time to ask its server's port has passed: the request has ended, or
+// this process did not run.
+func TestUnansweredProbeProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	server := &backends.Server{ID: "i-1", Service: "app", Address: refusingAddress(t), StartedAt: 1000}
+	n := newIdleNode(t, server)
+	g.Expect(n.probeServer(ended, server)).To(Equal(poison.ServerAlive), "no evidence of a crash")
+	g.Expect(n.outlivedResponse(ended, server)).To(BeFalse())
+	serving := &backends.Server{ID: "i-2", Service: "app", Address: endless.Serve(t, holdOpen), StartedAt: 1000}
+	g.Expect(n.outlivedResponse(ended, serving)).To(BeTrue())
+}
+
 // refusingAddress returns an address whose port refuses connections.
 func refusingAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -299,6 +299,9 @@
 	if a.crashed {
 		return errServerEnded
 	}
+	if a.ctx.Err() != nil {
+		return context.Cause(a.ctx) // what is known of the server may not have been waited for
+	}
 	if !a.x.g.opts.OutlivedResponse(a.ctx, a.decision.Server) {
 		a.outcome = admission.ResultCancelled
 		return errServerNotProven
@@ -360,6 +363,7 @@
 // finish ends the attempt with a result: it closes or keeps the connection and reports to the admission controller.
 func (a *attempt) finish(result sendResult) {
 	if a.resp != nil {
+		a.logUnframed(result)
 		a.resp.Close()
 	}
 	a.recordEvidence(result)
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -53,7 +53,6 @@
 	x.writeStreamHeader(a)
 	extendWriteDeadline(http.NewResponseController(x.w))
 	x.recordAnswered(http.StatusOK)
-	a.logUnframed()
 	return sendAnswered
 }
 
--- a/internal/transport/gateway/log.go
+++ b/internal/transport/gateway/log.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gooseberrytide.example/gooseberrytide/internal/state/logfield"
 	"gooseberrytide.example/gooseberrytide/internal/state/relay"
 )
 
@@ -37,18 +38,19 @@
 // log logs an outcome or a decision with the fields of the request and of the attempt.
 func (a *attempt) log(outcome string, fields ...zap.Field) { a.x.logAttempt(a, outcome, fields) }
 
-// UnframedLogger is the name, below that of the gateway's logger, of the logger of responses without a length that were
-// passed on. Its lines should not be sampled.
+// UnframedLogger is the name, below that of the gateway's logger, of the logger of responses without a length. Its lines
+// should not be sampled.
 const UnframedLogger = "unframed"
 
-// logUnframed logs, for a response without a length that was passed on, its size and how its end is known.
-func (a *attempt) logUnframed() {
+// logUnframed logs, for a response without a length, what became of it, its size and how its end is known.
+func (a *attempt) logUnframed(result sendResult) {
 	if !a.resp.EndsWithConnection() {
 		return
 	}
 	a.x.g.unframed.Info("response without a length", zap.String("request", a.x.metadata.ID), zap.String("route", a.x.route.Name),
 		zap.String("server", a.decision.Server.ID), zap.Int("status", a.metadata.Status),
-		zap.Int64("bytes", a.resp.BodyBytes()), zap.Stringer("connection_end", a.resp.ConnectionEnd()))
+		zap.Int64("bytes", a.resp.BodyBytes()), zap.Stringer("connection_end", a.resp.ConnectionEnd()),
+		zap.Stringer("result", result), logfield.Error(a.err))
 }
 
 // logAttempt logs an outcome or a decision with the fields of the request and of an attempt, which may be nil.
--- a/internal/transport/gateway/response.go
+++ b/internal/transport/gateway/response.go
@@ -28,7 +28,6 @@
 		}
 	}
 	x.recordAnswered(body.status)
-	a.logUnframed()
 	return sendAnswered
 }
 
